--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,1 @@
+package agent
