--- /dev/null
+++ b/limit/refusal.go
@@ -0,0 +1,74 @@
+package limit
+
+import (
+	"github.com/gravitational/trace"
+)
+
+// Reason says why a flow was refused.
+type Reason uint8
+
+// The reasons, in the order in which they are checked.
+const (
+	// Draining: the agent takes no new flows.
+	Draining Reason = iota + 1
+	// FlowsPerUpstream: the upstream has as many flows as one may have.
+	FlowsPerUpstream
+	// NoShare: the agent has no entry in the Share, or has not yet heard of it.
+	NoShare
+	// LeaseLapsed: the floor is full and the leased part lapsed.
+	LeaseLapsed
+	// Flows: the agent's share of the service's flow limit is full.
+	Flows
+
+	_reasonEnd
+)
+
+var _reasonNames = [_reasonEnd]string{
+	Draining:         "draining",
+	FlowsPerUpstream: "flows_per_upstream",
+	NoShare:          "no_share",
+	LeaseLapsed:      "lease_lapsed",
+	Flows:            "flows",
+}
+
+// String returns the reason's name in logs, metrics and explanations.
+func (r Reason) String() string {
+	if r > 0 && r < _reasonEnd {
+		return _reasonNames[r]
+	}
+	return "unknown"
+}
+
+// MarshalText encodes the reason as its name.
+func (r Reason) MarshalText() ([]byte, error) {
+	if r == 0 || r >= _reasonEnd {
+		return nil, trace.BadParameter("refusal reason %d: not a reason", uint8(r))
+	}
+	return []byte(r.String()), nil
+}
+
+// UnmarshalText decodes and checks a reason's name.
+func (r *Reason) UnmarshalText(text []byte) error {
+	for reason := Draining; reason < _reasonEnd; reason++ {
+		if _reasonNames[reason] == string(text) {
+			*r = reason
+			return nil
+		}
+	}
+	return trace.BadParameter("refusal reason %q: unknown", text)
+}
+
+// RefusalError is the error of a flow that was not admitted. It is comparable and
+// costs no allocation.
+type RefusalError struct{ Reason Reason }
+
+// Error describes the refusal.
+func (r *RefusalError) Error() string { return "flow refused: " + r.Reason.String() }
+
+var _refusals = [_reasonEnd]*RefusalError{
+	Draining:         {Draining},
+	FlowsPerUpstream: {FlowsPerUpstream},
+	NoShare:          {NoShare},
+	LeaseLapsed:      {LeaseLapsed},
+	Flows:            {Flows},
+}
