--- /dev/null
+++ b/dispatcher/admission.go
@@ -0,0 +1,244 @@
+package dispatcher
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"dandelionhitch.example/queue"
+	"dandelionhitch.example/settings"
+)
+
+const (
+	// _admissionRing bounds the messages to the admission loop.
+	_admissionRing = 1024
+	// _retryShare is how many retries and hand-overs there are for each request.
+	_retryShare = 0.3
+	// _retryBurst is how many retries and hand-overs may come at once.
+	_retryBurst = 10
+)
+
+// _fallbackLimits are in force until the settings give valid ones.
+var _fallbackLimits = queue.Limits{Slots: 1, Length: 16}
+
+// admission owns the queue. Its loop is the only one to touch it.
+type admission struct {
+	tomb   tomb.Tomb
+	ring   chan admissionMessage
+	began  time.Time
+	policy func() settings.Service
+	logger *zap.Logger
+	lastID atomic.Uint64
+	load   atomic.Int32
+
+	queue   *queue.Queue
+	budget  queue.Budget
+	limits  queue.Limits
+	pending map[queue.ID]chan queue.Action
+	actions []queue.Action
+}
+
+// admissionMessage is a message to the admission loop: offer, finish, cancel,
+// withdraw or drain.
+type admissionMessage interface{ admissionMessage() }
+
+// offer asks for a slot. The reply gets Wait at most once and then Start or
+// Refuse, so a capacity of two never blocks the loop.
+type offer struct {
+	request queue.Request
+	reply   chan queue.Action
+}
+
+// finish gives a slot back.
+type finish struct {
+	id     queue.ID
+	result queue.Result
+}
+
+// cancel takes a request back that waits.
+type cancel struct {
+	id    queue.ID
+	reply chan bool
+}
+
+// withdraw asks the retry budget.
+type withdraw struct {
+	reply chan bool
+}
+
+// drain refuses all later offers.
+type drain struct{}
+
+func (offer) admissionMessage()    {}
+func (finish) admissionMessage()   {}
+func (cancel) admissionMessage()   {}
+func (withdraw) admissionMessage() {}
+func (drain) admissionMessage()    {}
+
+// newAdmission starts the admission loop.
+func newAdmission(policy func() settings.Service, logger *zap.Logger) (*admission, error) {
+	q, err := queue.New(_fallbackLimits, 0)
+	if err != nil {
+		return nil, err
+	}
+	a := &admission{
+		ring:    make(chan admissionMessage, _admissionRing),
+		began:   time.Now(),
+		policy:  policy,
+		logger:  logger,
+		queue:   q,
+		budget:  queue.NewBudget(_retryShare, _retryBurst),
+		limits:  _fallbackLimits,
+		pending: make(map[queue.ID]chan queue.Action),
+	}
+	a.tomb.Go(a.loop)
+	return a, nil
+}
+
+// now is the time on the queue's clock.
+func (a *admission) now() time.Duration { return time.Since(a.began) }
+
+// send hands a message to the loop; false means that it has ended.
+func (a *admission) send(m admissionMessage) bool {
+	select {
+	case a.ring <- m:
+		return true
+	case <-a.tomb.Dying():
+		return false
+	}
+}
+
+// offer asks for a slot for r, whose ID it sets.
+func (a *admission) offer(r queue.Request) (queue.ID, <-chan queue.Action) {
+	r.ID = queue.ID(a.lastID.Add(1))
+	reply := make(chan queue.Action, 2)
+	if !a.send(offer{request: r, reply: reply}) {
+		reply <- queue.Refuse{ID: r.ID, Reason: queue.Draining, RetryAfter: time.Second}
+	}
+	return r.ID, reply
+}
+
+// finish gives a slot back.
+func (a *admission) finish(id queue.ID, result queue.Result) {
+	a.send(finish{id: id, result: result})
+}
+
+// cancel takes a request back, and reports false if its final action is
+// already in its reply channel.
+func (a *admission) cancel(id queue.ID) bool {
+	reply := make(chan bool, 1)
+	if !a.send(cancel{id: id, reply: reply}) {
+		return true
+	}
+	return a.await(reply)
+}
+
+// withdraw asks for one retry.
+func (a *admission) withdraw() bool {
+	reply := make(chan bool, 1)
+	return a.send(withdraw{reply: reply}) && a.await(reply)
+}
+
+func (a *admission) await(reply <-chan bool) bool {
+	select {
+	case ok := <-reply:
+		return ok
+	case <-a.tomb.Dying():
+		return false
+	}
+}
+
+// close ends the loop. No request may be in progress.
+func (a *admission) close() error {
+	a.tomb.Kill(nil)
+	return a.tomb.Wait()
+}
+
+// loop carries messages and the passing of time to the queue.
+func (a *admission) loop() error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-a.tomb.Dying():
+			return nil
+		case m := <-a.ring:
+			a.handle(m)
+		case <-timer.C:
+		}
+		a.advance(timer)
+	}
+}
+
+// handle applies one message to the queue.
+func (a *admission) handle(m admissionMessage) {
+	now := a.now()
+	switch m := m.(type) {
+	case offer:
+		a.applyLimits(now)
+		a.budget.Deposit()
+		a.pending[m.request.ID] = m.reply
+		a.actions = a.queue.Offer(a.actions, now, m.request)
+	case finish:
+		a.actions = a.queue.Finish(a.actions, now, m.id, m.result)
+	case cancel:
+		var ok bool
+		a.actions, ok = a.queue.Cancel(a.actions, now, m.id)
+		if ok {
+			delete(a.pending, m.id)
+		}
+		m.reply <- ok
+	case withdraw:
+		m.reply <- a.budget.Withdraw()
+	case drain:
+		a.queue.Drain()
+	}
+}
+
+// advance ticks the queue, sends its actions out and sets the timer for the
+// next time that it has something to do.
+func (a *admission) advance(timer *time.Timer) {
+	now := a.now()
+	a.actions = a.queue.Tick(a.actions, now)
+	for i, action := range a.actions {
+		a.deliver(action)
+		a.actions[i] = nil
+	}
+	a.actions = a.actions[:0]
+	a.load.Store(int32(a.queue.Load(now)))
+	if at, ok := a.queue.NextTick(now); ok {
+		timer.Reset(at - now)
+	} else {
+		timer.Stop()
+	}
+}
+
+// deliver sends an action to the request that it is about.
+func (a *admission) deliver(action queue.Action) {
+	id := action.Request()
+	reply, ok := a.pending[id]
+	if !ok {
+		return
+	}
+	if _, waits := action.(queue.Wait); !waits {
+		delete(a.pending, id)
+	}
+	reply <- action
+}
+
+// applyLimits puts the settings' limits in force.
+func (a *admission) applyLimits(now time.Duration) {
+	set := a.policy().Limits
+	limits := queue.Limits{Slots: set.Slots, ReservedSlots: set.ReservedSlots, Length: set.QueueLength}
+	if limits == a.limits {
+		return
+	}
+	a.limits = limits
+	var err error
+	a.actions, err = a.queue.SetLimits(a.actions, now, limits)
+	if err != nil {
+		a.logger.Error("limits_kept", zap.Error(err))
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,51 +1,190 @@
 // Package dispatcher takes the requests that reach one upstream's agent and
 // sees each to its one answer.
+//
+// The balancers choose an agent for a flow, not for a request, and know its
+// load only as it was a second ago. The dispatcher decides where more is
+// known: beside the upstream, for each request. It lets a request run when the
+// upstream has a slot for it, hands it over to a less loaded agent before it
+// has started, or refuses it at once and says when to come back. It says that
+// a request was not run only when that is certain and final.
+//
+//	caller ──► ServeHTTP ──► admission (package queue) ──► upstream
+//	               │  └───── registry (package ticket)
+//	               └── hand-over, tickets of others ──► PeerHandler of another agent
+//
+// Requests on routes that the settings mark as non-repeatable run under a
+// ticket: a request without one is answered with 428 and a new ticket in
+// Idempotency-Key. A ticket that was answered with "not-run" is spent, and the
+// answer carries the next one.
 package dispatcher
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"net/http"
 	"net/url"
+	"sync/atomic"
+	"time"
 
+	"github.com/gravitational/trace"
+
+	"dandelionhitch.example/queue"
 	"dandelionhitch.example/settings"
+	"dandelionhitch.example/ticket"
 )
 
+// _ticketGrace is how long a draining agent waits for a ticket that it has
+// just issued to come back.
+const _ticketGrace = 2 * time.Second
+
 // Dispatcher is the http.Handler in front of one upstream. It is safe for
 // concurrent use.
 type Dispatcher struct {
 	options
-	upstream *url.URL
-	policy   func() settings.Service
+	upstream   *url.URL
+	policy     func() settings.Service
+	telemetry  telemetry
+	admission  *admission
+	tickets    *registry[ticket.Number]
+	transfers  *registry[transferKey]
+	requests   inProgress
+	draining   atomic.Bool
+	lastIssue  atomic.Int64
+	lastNumber atomic.Uint64
+
+	// single is a transport that uses each connection once, so that a request
+	// that may not be repeated never meets a connection that the upstream is
+	// about to close.
+	single http.RoundTripper
+
+	base context.Context
+	stop context.CancelFunc
 }
 
 // New returns a Dispatcher that forwards to upstream, such as
 // http://127.0.0.1:8080, under the settings that policy returns. It is ready
 // at once; Close ends it.
 func New(upstream *url.URL, policy func() settings.Service, opts ...Option) (*Dispatcher, error) {
-	d := &Dispatcher{upstream: upstream, policy: policy}
+	d := &Dispatcher{options: defaultOptions(), upstream: upstream, policy: policy}
 	for _, opt := range opts {
 		opt.apply(&d.options)
 	}
+	if upstream == nil || upstream.Host == "" {
+		return nil, trace.BadParameter("dispatcher upstream %v: want a URL with a host", upstream)
+	}
+	if err := d.setKeys(); err != nil {
+		return nil, trace.Wrap(err, "dispatcher ticket keys")
+	}
+	var err error
+	if d.telemetry, err = newTelemetry(d.meter, d); err != nil {
+		return nil, trace.Wrap(err, "dispatcher metrics")
+	}
+	if d.admission, err = newAdmission(policy, d.logger); err != nil {
+		return nil, trace.Wrap(err, "dispatcher queue")
+	}
+	d.setTransports()
+	d.tickets = newRegistry[ticket.Number](d.bounds)
+	d.transfers = newRegistry[transferKey](d.bounds)
+	d.base, d.stop = context.WithCancel(context.Background())
 	return d, nil
 }
 
-// ServeHTTP answers a caller's request.
-func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	http.Error(w, "not ready", http.StatusServiceUnavailable)
+// setKeys makes keys if none were given, and begins the numbers of tickets and
+// transfers at random, so that those of an earlier run are not mistaken for
+// its own.
+func (d *Dispatcher) setKeys() error {
+	var random [32 + 8]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return err
+	}
+	d.lastNumber.Store(binary.BigEndian.Uint64(random[32:]))
+	if d.keys != nil {
+		return nil
+	}
+	keys, err := ticket.NewKeys(1, ticket.Key{Number: 1, Ticket: random[:32]})
+	d.keys = keys
+	return err
 }
 
-// PeerHandler answers the other agents of the service. It is to be mounted on
-// a listener with mutual TLS, at the root.
-func (d *Dispatcher) PeerHandler() http.Handler {
-	return http.NotFoundHandler()
+const (
+	// _idleConns is how many connections to the upstream are kept open.
+	_idleConns = 64
+	// _idleTime is how long they are kept.
+	_idleTime = 30 * time.Second
+)
+
+func (d *Dispatcher) setTransports() {
+	if d.transport != nil {
+		d.single = d.transport
+		return
+	}
+	d.transport = &http.Transport{
+		MaxIdleConnsPerHost: _idleConns,
+		IdleConnTimeout:     _idleTime,
+		DisableCompression:  true,
+	}
+	d.single = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+}
+
+// ServeHTTP answers a caller's request.
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !d.requests.enter() {
+		writeProblem(w, notRun("the agent is stopping", d.retryAfter()))
+		return
+	}
+	defer d.requests.leave()
+	stripCaller(r.Header)
+	x, err := d.newExchange(w, r)
+	if err != nil {
+		writeProblem(w, Problem{Status: http.StatusBadRequest, Detail: err.Error(), Outcome: OutcomeNotRun})
+		return
+	}
+	defer x.end()
+	x.serve()
 }
 
 // Load returns how loaded the upstream is, from 0 (idle) to 7 (refusing).
-func (d *Dispatcher) Load() int { return 0 }
+func (d *Dispatcher) Load() int { return int(d.admission.load.Load()) }
 
-// Drain stops the issue of tickets and the start of unticketed requests that
-// another agent can take, and waits until no request is in progress or ctx ends.
-func (d *Dispatcher) Drain(ctx context.Context) error { return nil }
+// Drain hands all requests to other agents from now on, except those that only
+// this one may run, and waits until none is in progress or ctx ends. The
+// Dispatcher still answers afterwards, until Close.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.draining.Store(true)
+	d.admission.send(drain{})
+	issued := time.Unix(0, d.lastIssue.Load())
+	grace := time.NewTimer(time.Until(issued.Add(_ticketGrace)))
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err(), "drain dispatcher")
+	}
+	select {
+	case <-d.requests.idle():
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err(), "drain dispatcher")
+	}
+}
 
-// Close refuses new requests, ends those in progress and waits for them.
-func (d *Dispatcher) Close() error { return nil }
+// Close refuses new requests, ends those in progress and waits for them. What
+// had started then has an unknown outcome; Drain first to cut nothing.
+func (d *Dispatcher) Close() error {
+	d.requests.close()
+	d.stop()
+	<-d.requests.idle()
+	errs := []error{d.admission.close(), d.tickets.close(), d.transfers.close(), d.telemetry.close()}
+	for _, transport := range []http.RoundTripper{d.transport, d.single} {
+		if t, ok := transport.(*http.Transport); ok {
+			t.CloseIdleConnections()
+		}
+	}
+	return trace.NewAggregate(errs...)
+}
+
+// retryAfter is when a caller that cannot be served here should come back.
+func (d *Dispatcher) retryAfter() time.Duration {
+	return queue.RetryAfter(0, d.random())
+}
--- /dev/null
+++ b/dispatcher/exchange.go
@@ -0,0 +1,324 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"dandelionhitch.example/queue"
+	"dandelionhitch.example/settings"
+	"dandelionhitch.example/ticket"
+)
+
+const (
+	// _defaultTimeout bounds a request when neither caller nor settings do.
+	_defaultTimeout = 30 * time.Second
+	// _handOverWait is the expected wait from which a request is better off
+	// with an idle agent a few milliseconds away.
+	_handOverWait = 10 * time.Millisecond
+)
+
+// exchange is one request and its answer.
+type exchange struct {
+	d        *Dispatcher
+	w        http.ResponseWriter
+	r        *http.Request
+	requests settings.Requests
+	body     *body
+	// ctx ends at the deadline, when the caller goes away, or with Close.
+	ctx      context.Context
+	cancel   context.CancelFunc
+	unlink   func() bool
+	deadline time.Time
+	// bounded says that the deadline is the caller's own and also bounds the
+	// transfer of the answer, not only its beginning.
+	bounded bool
+	// fromPeer says that another agent passed the request on, so that it
+	// cannot be passed on again.
+	fromPeer bool
+	// ticket is the number of the ticket that the request runs under.
+	ticket ticket.Number
+	// settle records the outcome where someone may ask for it. It is called
+	// once, before the answer is sent where that is the dispatcher's own.
+	settle func(ticket.Outcome)
+	// renew says that an answer "not-run" carries the next ticket.
+	renew bool
+}
+
+// newExchange returns the exchange for r. It must be ended with end.
+func (d *Dispatcher) newExchange(w http.ResponseWriter, r *http.Request) (*exchange, error) {
+	left, bounded, err := deadlineOf(r.Header)
+	if err != nil {
+		return nil, err
+	}
+	policy := d.policy().Requests
+	if !bounded {
+		left = time.Duration(policy.Timeout)
+	}
+	if left <= 0 {
+		left = _defaultTimeout
+	}
+	x := &exchange{
+		d:        d,
+		w:        w,
+		r:        r,
+		requests: policy,
+		body:     &body{source: r.Body},
+		deadline: time.Now().Add(left),
+		bounded:  bounded,
+		settle:   func(ticket.Outcome) {},
+	}
+	x.ctx, x.cancel = context.WithCancel(r.Context())
+	x.unlink = context.AfterFunc(d.base, x.cancel)
+	return x, nil
+}
+
+// end frees what the exchange holds.
+func (x *exchange) end() {
+	x.unlink()
+	x.cancel()
+}
+
+// serve answers a caller's request.
+func (x *exchange) serve() {
+	if x.nonRepeatable() || x.carriesTicket() {
+		x.serveTicketed()
+		return
+	}
+	x.servePlain()
+}
+
+// nonRepeatable reports whether the settings mark the request's route. Such a
+// route needs a ticket for every method that may change something.
+func (x *exchange) nonRepeatable() bool {
+	switch x.r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return false
+	}
+	return hasPrefix(x.r.URL.Path, x.requests.NonRepeatableRoutes)
+}
+
+// carriesTicket reports whether the request has a ticket. It is honoured on
+// every route: settings reach agents unevenly, and where one agent asks for a
+// ticket, another must not run the request outside of it.
+func (x *exchange) carriesTicket() bool {
+	key := x.r.Header.Get(HeaderKey)
+	if key == "" {
+		return false
+	}
+	_, err := x.d.keys.Open(key)
+	return !errors.Is(err, ticket.ErrForeign)
+}
+
+// idempotent reports whether the request may be repeated after it has started.
+func (x *exchange) idempotent() bool {
+	if x.ticket != 0 {
+		return false
+	}
+	switch x.r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return !x.nonRepeatable()
+	}
+	return false
+}
+
+// hasPrefix reports whether path begins with one of the prefixes.
+func hasPrefix(path string, prefixes []string) bool {
+	for _, prefix := range prefixes {
+		if strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// admittance is the end of a request's wait for a slot: admitted, refused,
+// crowded or abandoned.
+type admittance interface{ admittance() }
+
+// admitted says that the request holds a slot.
+type admitted struct{ id queue.ID }
+
+// refused says that the queue refused the request.
+type refused struct{ queue.Refuse }
+
+// crowded says that the request left the queue because a peer can take it sooner.
+type crowded struct{ peer Peer }
+
+// abandoned says that the request's context ended while it waited.
+type abandoned struct{}
+
+func (admitted) admittance()  {}
+func (refused) admittance()   {}
+func (crowded) admittance()   {}
+func (abandoned) admittance() {}
+
+// admit waits for a slot. With leave set, the request leaves the queue for a
+// less loaded peer rather than wait long.
+func (x *exchange) admit(leave bool) admittance {
+	began := time.Now()
+	id, replies := x.d.admission.offer(x.ask())
+	for {
+		select {
+		case action := <-replies:
+			switch a := action.(type) {
+			case queue.Start:
+				x.d.telemetry.waited(time.Since(began))
+				return admitted{id: id}
+			case queue.Refuse:
+				return refused{Refuse: a}
+			case queue.Wait:
+				if !leave || a.Expected < _handOverWait {
+					continue
+				}
+				if peer, ok := x.d.choosePeer(x.d.Load()); ok && x.d.admission.cancel(id) {
+					return crowded{peer: peer}
+				}
+			}
+		case <-x.ctx.Done():
+			return x.abandon(id, replies)
+		}
+	}
+}
+
+// ask describes the request to the queue.
+func (x *exchange) ask() queue.Request {
+	var class queue.Class
+	if hasPrefix(x.r.URL.Path, x.requests.LongRoutes) {
+		class = queue.Long
+	}
+	return queue.Request{
+		Route:    queue.RouteOf(x.r.Method, x.r.URL.Path),
+		Class:    class,
+		Deadline: x.d.admission.now() + time.Until(x.deadline),
+		Jitter:   x.d.random(),
+		Bound:    x.ticket != 0,
+	}
+}
+
+// abandon takes the request out of the queue, or gives back the slot that it
+// got at the same moment.
+func (x *exchange) abandon(id queue.ID, replies <-chan queue.Action) admittance {
+	if x.d.admission.cancel(id) {
+		return abandoned{}
+	}
+	for action := range replies {
+		switch action.(type) {
+		case queue.Start:
+			x.d.admission.finish(id, queue.Aborted)
+			return abandoned{}
+		case queue.Refuse:
+			return abandoned{}
+		}
+	}
+	return abandoned{}
+}
+
+// servePlain answers a request that runs without a ticket.
+func (x *exchange) servePlain() {
+	mayLeave := !x.fromPeer
+	switch a := x.admit(mayLeave).(type) {
+	case admitted:
+		x.runPlain(a.id)
+	case crowded:
+		x.passOn(a.peer)
+	case refused:
+		if peer, ok := x.d.choosePeer(queue.MaxLoad); ok && mayLeave {
+			x.passOn(peer)
+			return
+		}
+		x.answerNotRun("refused", refusalOf(a.Refuse))
+	case abandoned:
+		x.answerNotRun("abandoned", notRun("the request was cancelled before it started", x.d.retryAfter()))
+	}
+}
+
+// passOn hands the request over, and serves it here if the peer did not run it.
+func (x *exchange) passOn(peer Peer) {
+	x.d.telemetry.answered("handed_over")
+	if x.handOver(peer) {
+		return
+	}
+	if !x.body.withdraw() {
+		x.answerNotRun("refused", notRun("the request could not be handed over", x.d.retryAfter()))
+		return
+	}
+	switch a := x.admit(false).(type) {
+	case admitted:
+		x.runOnce(a.id)
+	case refused:
+		x.answerNotRun("refused", refusalOf(a.Refuse))
+	default:
+		x.answerNotRun("abandoned", notRun("the request was cancelled before it started", x.d.retryAfter()))
+	}
+}
+
+// runPlain runs the request, and once more if that is harmless.
+func (x *exchange) runPlain(id queue.ID) {
+	err := x.run(id)
+	if err == nil {
+		return
+	}
+	if x.mayRetry(err) {
+		if peer, ok := x.d.anyPeer(); ok {
+			x.passOn(peer)
+			return
+		}
+		if a, ok := x.admit(false).(admitted); ok {
+			x.runOnce(a.id)
+			return
+		}
+	}
+	x.answerBroken(err)
+}
+
+// runOnce runs the request and answers whatever comes of it.
+func (x *exchange) runOnce(id queue.ID) {
+	if err := x.run(id); err != nil {
+		x.answerBroken(err)
+	}
+}
+
+// mayRetry reports whether a failed run may be followed by another.
+func (x *exchange) mayRetry(err error) bool {
+	var notStarted *notStartedError
+	if !errors.As(err, &notStarted) && !x.idempotent() {
+		return false
+	}
+	if x.fromPeer || x.ctx.Err() != nil || !time.Now().Before(x.deadline) {
+		return false
+	}
+	return x.body.withdraw() && x.d.admission.withdraw()
+}
+
+// answerBroken answers a request whose run brought no answer.
+func (x *exchange) answerBroken(err error) {
+	var notStarted *notStartedError
+	switch {
+	case errors.As(err, &notStarted):
+		x.answerNotRun("unreachable", notRun("the upstream cannot be reached", x.d.retryAfter()))
+	case errors.Is(err, context.DeadlineExceeded):
+		x.answerUnknown("timed_out", unknown(http.StatusGatewayTimeout, "the upstream did not answer in time"))
+	default:
+		x.answerUnknown("broken", unknown(http.StatusBadGateway, "the upstream broke off"))
+	}
+}
+
+// answerNotRun settles the request as not run and says so.
+func (x *exchange) answerNotRun(how string, p Problem) {
+	x.d.telemetry.answered(how)
+	x.settle(ticket.NotRun{})
+	if x.renew {
+		x.d.offerTicket(x.w)
+	}
+	writeProblem(x.w, p)
+}
+
+// answerUnknown settles the request as unknown and says so.
+func (x *exchange) answerUnknown(how string, p Problem) {
+	x.d.telemetry.answered(how)
+	x.settle(ticket.Unknown{})
+	writeProblem(x.w, p)
+}
--- /dev/null
+++ b/dispatcher/forward.go
@@ -0,0 +1,219 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandelionhitch.example/queue"
+	"dandelionhitch.example/ticket"
+)
+
+// _copyBytes is the size of the buffer that a body is copied through.
+const _copyBytes = 32 << 10
+
+// _keptBodyBytes is the largest body that is kept with an outcome.
+const _keptBodyBytes = 4 << 10
+
+// _keptHeaders are the header fields that are kept with an outcome.
+var _keptHeaders = []string{"Content-Type", "Content-Encoding", "Content-Language", "Location", "Etag"}
+
+// _copyBuffers holds buffers of _copyBytes.
+var _copyBuffers = sync.Pool{New: func() any { return new([_copyBytes]byte) }}
+
+// notStartedError says that a request certainly did not reach its receiver.
+type notStartedError struct {
+	err error
+}
+
+// Error describes why the request did not start.
+func (e *notStartedError) Error() string { return fmt.Sprintf("not started: %v", e.err) }
+
+// Unwrap returns why the request did not start.
+func (e *notStartedError) Unwrap() error { return e.err }
+
+// run sends the request to the upstream under the slot id and relays the
+// answer. An error means that nothing was answered yet.
+func (x *exchange) run(id queue.ID) error {
+	transport := x.d.single
+	if x.idempotent() {
+		transport = x.d.transport
+	}
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	result := queue.Aborted
+	defer func() { x.d.admission.finish(id, result) }()
+
+	request := x.outgoing(ctx, x.d.upstream, x.body)
+	stripOwn(request.Header)
+	if x.ticket != 0 {
+		request.Header.Del(HeaderKey)
+		request.Header.Set(HeaderTicket, strconv.FormatUint(uint64(x.ticket), 10))
+	}
+	setDeadline(request.Header, time.Until(x.deadline))
+	timer := time.AfterFunc(time.Until(x.deadline), func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		if x.ctx.Err() == nil {
+			result = queue.Failed
+		}
+		return sendError(ctx, err)
+	}
+	defer response.Body.Close()
+	if !x.bounded {
+		timer.Stop()
+	}
+	stripOwn(response.Header)
+	result = queue.Done
+	if response.StatusCode >= http.StatusInternalServerError {
+		result = queue.Failed
+	}
+	x.d.telemetry.answered("upstream")
+	x.relay(response)
+	return nil
+}
+
+// sendError says what an error of a transport means for the request.
+func sendError(ctx context.Context, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &notStartedError{err: err}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// outgoing returns the request as it goes on to target.
+func (x *exchange) outgoing(ctx context.Context, target *url.URL, b *body) *http.Request {
+	to := *x.r.URL
+	to.Scheme, to.Host = target.Scheme, target.Host
+	request := &http.Request{
+		Method:        x.r.Method,
+		URL:           &to,
+		Host:          x.r.Host,
+		Header:        passedOn(x.r.Header),
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		ContentLength: x.r.ContentLength,
+	}
+	if x.r.ContentLength != 0 || x.safeMethod() {
+		request.Body = b.newReader()
+	}
+	if host, _, err := net.SplitHostPort(x.r.RemoteAddr); err == nil && !x.fromPeer {
+		request.Header.Add("X-Forwarded-For", host)
+	}
+	return request.WithContext(ctx)
+}
+
+// safeMethod reports whether net/http would repeat the request by itself. Such
+// a request gets a body, which keeps net/http from it, and which is found
+// empty before it is sent.
+func (x *exchange) safeMethod() bool {
+	switch x.r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// relay copies an answer to the caller and settles the request. An answer that
+// breaks off is broken off towards the caller too, so that it is not taken
+// for the whole.
+func (x *exchange) relay(response *http.Response) {
+	header := x.w.Header()
+	for name, values := range passedOn(response.Header) {
+		header[name] = values
+	}
+	for name := range response.Trailer {
+		header.Add("Trailer", name)
+	}
+	kept := newKeeping(response)
+	x.w.WriteHeader(response.StatusCode)
+	readErr, writeErr := x.copyBody(response, kept)
+	if readErr != nil {
+		x.settle(ticket.Unknown{})
+	} else {
+		x.settle(kept.done())
+	}
+	if readErr != nil || writeErr != nil {
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range response.Trailer {
+		header[name] = values
+	}
+}
+
+// copyBody copies the answer's body to the caller. When the caller is gone it
+// reads on, to learn the outcome, as long as the request's context lasts.
+func (x *exchange) copyBody(response *http.Response, kept *keeping) (readErr, writeErr error) {
+	buf := _copyBuffers.Get().(*[_copyBytes]byte)
+	defer _copyBuffers.Put(buf)
+	flusher := http.NewResponseController(x.w)
+	for {
+		n, err := response.Body.Read(buf[:])
+		kept.add(buf[:n])
+		if n > 0 && writeErr == nil {
+			_, writeErr = x.w.Write(buf[:n])
+		}
+		if n > 0 && writeErr == nil && response.ContentLength < 0 {
+			// A writer that cannot flush sends the body later.
+			_ = flusher.Flush()
+		}
+		if err == io.EOF {
+			return nil, writeErr
+		}
+		if err != nil {
+			return err, writeErr
+		}
+	}
+}
+
+// keeping collects what is remembered of an answer.
+type keeping struct {
+	outcome ticket.Done
+	digest  *xxhash.Digest
+}
+
+func newKeeping(response *http.Response) *keeping {
+	k := &keeping{digest: xxhash.New()}
+	k.outcome = ticket.Done{Status: response.StatusCode, Header: make(map[string][]string)}
+	for _, name := range _keptHeaders {
+		if values := response.Header.Values(name); len(values) > 0 {
+			k.outcome.Header[name] = values
+		}
+	}
+	return k
+}
+
+// add takes the next part of the body.
+func (k *keeping) add(part []byte) {
+	k.outcome.Size += int64(len(part))
+	// A digest never returns an error.
+	_, _ = k.digest.Write(part)
+	if k.outcome.Size <= _keptBodyBytes {
+		k.outcome.Body = append(k.outcome.Body, part...)
+	}
+}
+
+// done returns the outcome of the whole answer.
+func (k *keeping) done() ticket.Done {
+	k.outcome.Digest = k.digest.Sum64()
+	k.outcome.Kept = k.outcome.Size <= _keptBodyBytes
+	if !k.outcome.Kept {
+		k.outcome.Body = nil
+	}
+	return k.outcome
+}
--- /dev/null
+++ b/dispatcher/inprogress.go
@@ -0,0 +1,56 @@
+package dispatcher
+
+import "sync"
+
+// inProgress counts the requests in progress.
+type inProgress struct {
+	mu      sync.Mutex
+	count   int
+	closed  bool
+	waiters []chan struct{}
+}
+
+// enter counts a request, or returns false after close.
+func (p *inProgress) enter() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.count++
+	return true
+}
+
+// leave ends a request.
+func (p *inProgress) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.count--
+	if p.count > 0 {
+		return
+	}
+	for _, waiter := range p.waiters {
+		close(waiter)
+	}
+	p.waiters = nil
+}
+
+// close lets no more requests in.
+func (p *inProgress) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
+
+// idle returns a channel that is closed once no request is in progress.
+func (p *inProgress) idle() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := make(chan struct{})
+	if p.count == 0 {
+		close(idle)
+		return idle
+	}
+	p.waiters = append(p.waiters, idle)
+	return idle
+}
--- a/dispatcher/options.go
+++ b/dispatcher/options.go
@@ -1,10 +1,13 @@
 package dispatcher
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
 	"go.uber.org/zap"
 
 	"dandelionhitch.example/service"
@@ -53,6 +56,21 @@
 	logger        *zap.Logger
 	meter         metric.Meter
 	random        func() float64
+	bounds        ticket.Bounds
+}
+
+// _ticketBounds bound the memory of tickets: at 300 bytes for a ticket and its
+// key, 16,384 of them hold 5 MB, and the bodies 8 MB more.
+var _ticketBounds = ticket.Bounds{Tickets: 16384, BodyBytes: 8 << 20, Lifetime: 15 * time.Minute}
+
+// defaultOptions are in force where no option says otherwise.
+func defaultOptions() options {
+	return options{
+		logger: zap.NewNop(),
+		meter:  noop.NewMeterProvider().Meter(""),
+		random: rand.Float64,
+		bounds: _ticketBounds,
+	}
 }
 
 type optionFunc func(*options)
@@ -97,3 +115,9 @@
 func WithRandom(random func() float64) Option {
 	return optionFunc(func(o *options) { o.random = random })
 }
+
+// WithTicketBounds replaces the bounds of the memory for tickets. The memory
+// for requests taken over from other agents has the same bounds.
+func WithTicketBounds(bounds ticket.Bounds) Option {
+	return optionFunc(func(o *options) { o.bounds = bounds })
+}
--- /dev/null
+++ b/dispatcher/peer.go
@@ -0,0 +1,258 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"dandelionhitch.example/queue"
+	"dandelionhitch.example/ticket"
+)
+
+const (
+	// _askAttempts is how often a peer is asked what became of a request.
+	_askAttempts = 3
+	// _askPause is the pause between two attempts.
+	_askPause = 50 * time.Millisecond
+)
+
+// choosePeer returns a peer that is clearly less loaded than own and counts
+// the hand-over against the retry budget.
+func (d *Dispatcher) choosePeer(own int) (Peer, bool) {
+	if d.peers == nil {
+		return Peer{}, false
+	}
+	peers := d.peers.Peers()
+	loads := make([]int, len(peers))
+	for i, peer := range peers {
+		loads[i] = peer.Load
+	}
+	i, ok := queue.Choose(loads, own, d.random(), d.random())
+	if !ok || !d.admission.withdraw() {
+		return Peer{}, false
+	}
+	return peers[i], true
+}
+
+// anyPeer returns a peer that does not refuse.
+func (d *Dispatcher) anyPeer() (Peer, bool) {
+	if d.peers == nil {
+		return Peer{}, false
+	}
+	peers := d.peers.Peers()
+	if len(peers) == 0 {
+		return Peer{}, false
+	}
+	peer := peers[int(d.random()*float64(len(peers)))]
+	return peer, peer.Load < queue.MaxLoad
+}
+
+// handOver passes the request to a peer and relays its answer. It returns
+// false if the request certainly did not run there and never will; then
+// nothing was answered yet. The peer is asked when its answer is lost; without
+// an answer the outcome is unknown.
+func (x *exchange) handOver(peer Peer) bool {
+	key := transferKey{
+		Agent:       x.d.self.Address,
+		Incarnation: x.d.self.Incarnation,
+		Number:      ticket.Number(x.d.lastNumber.Add(1)),
+	}
+	to := addressee(x.d.self.Service, peer.Incarnation)
+	header := http.Header{_headerTransfer: {key.String()}, _headerTo: {to}}
+	return x.sendToPeer(peer.Address, header)
+}
+
+// forwardTicket passes the request to the agent that issued its ticket.
+func (x *exchange) forwardTicket(t ticket.Ticket) {
+	header := http.Header{
+		HeaderKey: x.r.Header.Values(HeaderKey),
+		_headerTo: {addressee(t.Service, t.Incarnation)},
+	}
+	x.renew = false
+	if !x.sendToPeer(t.Agent, header) {
+		// Another copy may have reached the issuer, which alone can say more.
+		x.answerUnknown("issuer_gone", unknown(http.StatusConflict, "the agent that issued the ticket cannot be reached"))
+	}
+}
+
+// sendToPeer sends the request to the peer's PeerHandler with the given header
+// fields added, and relays the answer. It returns false if the request did not
+// run there.
+func (x *exchange) sendToPeer(agent netip.AddrPort, header http.Header) bool {
+	endpoint, ok := x.endpoint(agent)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithDeadlineCause(x.ctx, x.deadline, context.DeadlineExceeded)
+	defer cancel()
+	request := x.outgoing(ctx, endpoint, x.body)
+	setDeadline(request.Header, time.Until(x.deadline))
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := x.d.peerTransport.RoundTrip(request)
+	if err != nil {
+		err = sendError(ctx, err)
+		var notStarted *notStartedError
+		if errors.As(err, &notStarted) {
+			return false
+		}
+		return x.askPeer(ctx, endpoint, header)
+	}
+	defer response.Body.Close()
+	return x.relayPeer(response, header)
+}
+
+// endpoint returns the URL of a peer's PeerHandler.
+func (x *exchange) endpoint(agent netip.AddrPort) (*url.URL, bool) {
+	if x.d.peers == nil || x.d.peerTransport == nil {
+		return nil, false
+	}
+	addr, ok := x.d.peers.Endpoint(agent)
+	if !ok {
+		return nil, false
+	}
+	return &url.URL{Scheme: "https", Host: addr.String()}, true
+}
+
+// relayPeer relays a peer's answer, unless it says that a request handed over
+// did not run.
+func (x *exchange) relayPeer(response *http.Response, header http.Header) bool {
+	outcome := response.Header.Get(HeaderOutcome)
+	handedOver := header.Get(_headerTransfer) != ""
+	if handedOver && outcome == OutcomeNotRun && response.StatusCode != http.StatusPreconditionRequired {
+		return false
+	}
+	x.relay(response)
+	return true
+}
+
+// askPeer asks a peer what became of a request whose answer was lost, and
+// answers with that. It returns false if the request did not run and never will.
+func (x *exchange) askPeer(ctx context.Context, endpoint *url.URL, header http.Header) bool {
+	for range _askAttempts {
+		request := (&http.Request{
+			Method: http.MethodPost,
+			URL:    endpoint.JoinPath(x.r.URL.Path),
+			Header: header.Clone(),
+		}).WithContext(ctx)
+		request.Header.Set(_headerAsk, "outcome")
+		setDeadline(request.Header, time.Until(x.deadline))
+		response, err := x.d.peerTransport.RoundTrip(request)
+		if err == nil {
+			defer response.Body.Close()
+			return x.relayPeer(response, header)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(_askPause):
+			continue
+		}
+		break
+	}
+	x.answerUnknown("peer_lost", unknown(http.StatusBadGateway, "the agent that the request was passed to does not answer"))
+	return true
+}
+
+// PeerHandler answers the other agents of the service. It is to be mounted on
+// a listener with mutual TLS, at the root.
+func (d *Dispatcher) PeerHandler() http.Handler {
+	return http.HandlerFunc(d.servePeer)
+}
+
+// servePeer answers a request that another agent passed on.
+func (d *Dispatcher) servePeer(w http.ResponseWriter, r *http.Request) {
+	if !d.requests.enter() {
+		writeProblem(w, d.untaken(r, http.StatusServiceUnavailable, "the agent is stopping"))
+		return
+	}
+	defer d.requests.leave()
+	x, err := d.newExchange(w, r)
+	if err != nil {
+		writeProblem(w, Problem{Status: http.StatusBadRequest, Detail: err.Error(), Outcome: OutcomeUnknown})
+		return
+	}
+	defer x.end()
+	x.fromPeer = true
+	if r.Header.Get(_headerTo) != addressee(d.self.Service, d.self.Incarnation) {
+		d.telemetry.answered("misdirected")
+		writeProblem(w, d.untaken(r, http.StatusMisdirectedRequest, "the addressed agent has ended"))
+		return
+	}
+	x.servePassedOn()
+}
+
+// untaken answers a request that this run of the agent does not take. A
+// hand-over is sent once, so that it has not run; nothing is known here of what
+// is asked about, or of other copies under a ticket.
+func (d *Dispatcher) untaken(r *http.Request, status int, detail string) Problem {
+	handedOver := r.Header.Get(_headerTransfer) != "" && r.Header.Get(_headerAsk) == ""
+	if !handedOver {
+		return unknown(status, detail)
+	}
+	p := notRun(detail, d.retryAfter())
+	p.Status = status
+	return p
+}
+
+// servePassedOn answers a request that was passed on to this run of the agent.
+func (x *exchange) servePassedOn() {
+	asked := x.r.Header.Get(_headerAsk) != ""
+	if x.r.Header.Get(_headerTransfer) == "" {
+		if asked {
+			x.tellTicket()
+			return
+		}
+		x.serveTicketed()
+		return
+	}
+	var key transferKey
+	if err := key.UnmarshalText([]byte(x.r.Header.Get(_headerTransfer))); err != nil {
+		x.answerUnknown("malformed", unknown(http.StatusBadRequest, err.Error()))
+		return
+	}
+	if asked {
+		reply := x.d.transfers.enterVoid(key)
+		x.answerVerdict(reply.verdict, reply.wait)
+		return
+	}
+	x.takeOver(key)
+}
+
+// tellTicket answers what became of the request under a ticket, which does not
+// run any more if it has not begun.
+func (x *exchange) tellTicket() {
+	t, err := x.d.keys.Open(x.r.Header.Get(HeaderKey))
+	if err != nil || t.Agent != x.d.self.Address || t.Incarnation != x.d.self.Incarnation {
+		x.answerUnknown("unverified", unknown(http.StatusConflict, "the ticket was not issued here"))
+		return
+	}
+	x.renew = true
+	reply := x.d.tickets.void(t.Number)
+	x.answerVerdict(reply.verdict, reply.wait)
+}
+
+// takeOver serves a request that was handed over.
+func (x *exchange) takeOver(key transferKey) {
+	reply := x.d.transfers.admit(key)
+	if _, ok := reply.verdict.(ticket.Run); !ok {
+		if reply.err != nil {
+			writeProblem(x.w, notRun("no request can be taken over now", x.d.retryAfter()))
+			return
+		}
+		x.answerVerdict(reply.verdict, reply.wait)
+		return
+	}
+	settled := false
+	x.settle = func(outcome ticket.Outcome) {
+		if !settled {
+			settled = true
+			x.d.transfers.settle(key, outcome)
+		}
+	}
+	defer func() { x.settle(ticket.Unknown{}) }()
+	x.serve()
+}
--- /dev/null
+++ b/dispatcher/ticketed.go
@@ -0,0 +1,197 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandelionhitch.example/ticket"
+)
+
+// _bufferedBodyBytes is the part of a ticketed request's body that is read
+// before the request waits for a slot, so that an upload that breaks off early
+// has not run.
+const _bufferedBodyBytes = 64 << 10
+
+// serveTicketed answers a request on a non-repeatable route.
+func (x *exchange) serveTicketed() {
+	x.renew = true
+	t, err := x.d.keys.Open(x.r.Header.Get(HeaderKey))
+	self := x.d.self
+	switch {
+	case errors.Is(err, ticket.ErrForeign):
+		x.demandTicket()
+	case err != nil:
+		x.answerUnknown("unverified", unknown(http.StatusConflict, "the ticket cannot be verified"))
+	case t.Service != self.Service:
+		x.answerUnknown("misdirected", unknown(http.StatusConflict, "the ticket is for another service"))
+	case t.Agent == self.Address && t.Incarnation == self.Incarnation:
+		x.serveOwnTicket(t)
+	case t.Agent == self.Address || x.fromPeer:
+		x.answerUnknown("issuer_gone", unknown(http.StatusConflict, "the agent that issued the ticket has ended"))
+	default:
+		x.forwardTicket(t)
+	}
+}
+
+// demandTicket answers a request without a ticket with one. A draining agent
+// leaves that to another, whose tickets outlive it.
+func (x *exchange) demandTicket() {
+	if x.d.draining.Load() && !x.fromPeer {
+		if peer, ok := x.d.anyPeer(); ok && x.handOver(peer) {
+			return
+		}
+	}
+	x.d.telemetry.answered("ticket")
+	x.settle(ticket.NotRun{})
+	if !x.d.offerTicket(x.w) {
+		p := notRun("no ticket can be issued now", x.d.retryAfter())
+		p.Status = http.StatusTooManyRequests
+		writeProblem(x.w, p)
+		return
+	}
+	writeProblem(x.w, Problem{
+		Status:  http.StatusPreconditionRequired,
+		Detail:  "repeat the request with the Idempotency-Key of this answer",
+		Outcome: OutcomeNotRun,
+	})
+}
+
+// offerTicket issues a ticket into an answer's header.
+func (d *Dispatcher) offerTicket(w http.ResponseWriter) bool {
+	now := time.Now()
+	number := ticket.Number(d.lastNumber.Add(1))
+	sealed, err := d.keys.Seal(ticket.Ticket{
+		Service:     d.self.Service,
+		Agent:       d.self.Address,
+		Incarnation: d.self.Incarnation,
+		Number:      number,
+		Expiry:      now.Add(d.bounds.Lifetime),
+	})
+	if err != nil || d.tickets.issue(number) != nil {
+		return false
+	}
+	d.lastIssue.Store(now.UnixNano())
+	w.Header().Set(HeaderKey, `"`+sealed+`"`)
+	return true
+}
+
+// serveOwnTicket answers a request under a ticket that this agent issued.
+func (x *exchange) serveOwnTicket(t ticket.Ticket) {
+	reply := x.d.tickets.begin(t.Number, fingerprint(x.r))
+	switch v := reply.verdict.(type) {
+	case ticket.Run:
+		x.runTicketed(t.Number)
+	case ticket.Mismatch:
+		writeProblem(x.w, Problem{
+			Status: http.StatusUnprocessableEntity,
+			Detail: "the ticket was used before for a different request",
+		})
+	default:
+		x.answerVerdict(v, reply.wait)
+	}
+}
+
+// fingerprint tells requests apart that come under one ticket.
+func fingerprint(r *http.Request) uint64 {
+	return xxhash.Sum64String(r.Method+" "+r.URL.RequestURI()) | 1
+}
+
+// runTicketed runs the request that claimed the ticket. It leaves no way out
+// without settling.
+func (x *exchange) runTicketed(number ticket.Number) {
+	settled := false
+	x.ticket = number
+	x.settle = func(outcome ticket.Outcome) {
+		if !settled {
+			settled = true
+			x.d.tickets.settle(number, outcome)
+		}
+	}
+	defer func() { x.settle(ticket.Unknown{}) }()
+	if err := x.bufferBody(); err != nil {
+		p := notRun("the request's body broke off", x.d.retryAfter())
+		p.Status = http.StatusBadRequest
+		x.answerNotRun("broken_upload", p)
+		return
+	}
+	switch a := x.admit(false).(type) {
+	case admitted:
+		x.detach()
+		x.runOnce(a.id)
+	case refused:
+		x.answerNotRun("refused", refusalOf(a.Refuse))
+	default:
+		x.answerNotRun("abandoned", notRun("the request was cancelled before it started", x.d.retryAfter()))
+	}
+}
+
+// bufferBody reads the beginning of the body.
+func (x *exchange) bufferBody() error {
+	start, err := io.ReadAll(io.LimitReader(x.r.Body, _bufferedBodyBytes))
+	if err != nil {
+		return err
+	}
+	x.body.source = io.MultiReader(bytes.NewReader(start), x.r.Body)
+	return nil
+}
+
+// detach lets the run go on when the caller goes away: its outcome is wanted
+// when the caller repeats the request under the same ticket.
+func (x *exchange) detach() {
+	x.end()
+	x.ctx, x.cancel = context.WithCancel(context.WithoutCancel(x.r.Context()))
+	x.unlink = context.AfterFunc(x.d.base, x.cancel)
+}
+
+// answerVerdict answers a copy of a request that is not to run again.
+func (x *exchange) answerVerdict(verdict ticket.Verdict, wait <-chan ticket.Outcome) {
+	switch v := verdict.(type) {
+	case ticket.Settled:
+		x.answerOutcome(v.Outcome)
+	case ticket.InProgress:
+		x.awaitOutcome(wait)
+	default:
+		x.answerUnknown("forgotten", unknown(http.StatusConflict, "the ticket has expired"))
+	}
+}
+
+// awaitOutcome answers a copy of a request in progress.
+func (x *exchange) awaitOutcome(wait <-chan ticket.Outcome) {
+	timer := time.NewTimer(time.Until(x.deadline))
+	defer timer.Stop()
+	if wait != nil {
+		select {
+		case outcome := <-wait:
+			x.answerOutcome(outcome)
+			return
+		case <-timer.C:
+		case <-x.ctx.Done():
+		}
+	}
+	p := unknown(http.StatusConflict, "the request is still in progress")
+	p.RetryAfterMS = x.d.retryAfter().Milliseconds()
+	x.d.telemetry.answered("in_progress")
+	writeProblem(x.w, p)
+}
+
+// answerOutcome answers with a remembered outcome.
+func (x *exchange) answerOutcome(outcome ticket.Outcome) {
+	x.d.telemetry.answered("remembered")
+	switch o := outcome.(type) {
+	case ticket.Done:
+		writeDone(x.w, o)
+	case ticket.NotRun:
+		if x.renew {
+			x.d.offerTicket(x.w)
+		}
+		writeProblem(x.w, notRun("the request was refused before and did not run", x.d.retryAfter()))
+	default:
+		writeProblem(x.w, unknown(http.StatusConflict, "the request broke off before"))
+	}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -16,3 +16,387 @@
 //	Offer ──► Start | Wait | Refuse      (the answer for the offered request)
 //	Finish, Cancel, SetLimits, Tick ──►  Start and Refuse for requests that waited
 package queue
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// _maxShortWait is the longest wait of a short request whose run is shorter
+	// than that. It bounds the queue that a crest of demand leaves behind.
+	_maxShortWait = 250 * time.Millisecond
+	// _loadSpan is the time over which the demand of short work is averaged.
+	_loadSpan = 2 * time.Second
+)
+
+// Request is one request that asks to run.
+type Request struct {
+	ID ID
+	// Route is the request's RouteOf.
+	Route string
+	// Class is the request's class, or zero to go by the route's run times.
+	Class Class
+	// Deadline is when the answer is worthless, on the queue's clock.
+	Deadline time.Duration
+	// Jitter is a random number in [0, 1) that spreads RetryAfter.
+	Jitter float64
+	// Bound says that the request can run at no other upstream, so that it is
+	// taken even while draining.
+	Bound bool
+}
+
+// Queue decides which requests run at one upstream. It is not safe for
+// concurrent use. Times are monotonic, on one clock, and never go back.
+type Queue struct {
+	limits      Limits
+	began       time.Duration
+	draining    bool
+	routes      routes
+	concurrency concurrency
+	demand      demand
+
+	running map[ID]*entry
+	waiting [Long + 1]list
+	lapses  lapseHeap
+	byID    map[ID]*entry
+
+	shortRunning int
+	longRunning  int
+}
+
+// New returns a queue for an upstream that begins to serve at now. A new
+// upstream gets its slots one by one over the first seconds.
+func New(limits Limits, now time.Duration) (*Queue, error) {
+	if err := limits.Validate(); err != nil {
+		return nil, err
+	}
+	return &Queue{
+		limits:      limits,
+		began:       now,
+		routes:      newRoutes(),
+		concurrency: newConcurrency(limits.Slots),
+		running:     make(map[ID]*entry),
+		byID:        make(map[ID]*entry),
+	}, nil
+}
+
+// Offer decides about a new request. The actions appended to dst include one
+// for it. An ID that is still waiting or running is ignored.
+func (q *Queue) Offer(dst []Action, now time.Duration, r Request) []Action {
+	if _, known := q.byID[r.ID]; known {
+		return dst
+	}
+	dst = q.Tick(dst, now)
+	e := q.newEntry(now, r)
+	if q.draining && !r.Bound {
+		return append(dst, q.refusal(now, e, Draining))
+	}
+	if e.deadline <= now {
+		return append(dst, q.refusal(now, e, Late))
+	}
+	if q.waiting[e.class].len == 0 && q.free(now, e.class) {
+		return append(dst, q.start(now, e))
+	}
+	expected := q.expectedWait(now, e.class)
+	if reason := q.reject(now, e, expected); reason != 0 {
+		return append(dst, q.refusal(now, e, reason))
+	}
+	q.enqueue(e)
+	return append(dst, Wait{ID: e.id, Expected: expected})
+}
+
+// Finish frees the slot of a request that ran.
+func (q *Queue) Finish(dst []Action, now time.Duration, id ID, result Result) []Action {
+	e, ok := q.running[id]
+	if !ok {
+		return dst
+	}
+	delete(q.running, id)
+	delete(q.byID, id)
+	q.countRunning(e.class, -1)
+	q.learn(now, e, result)
+	return q.Tick(dst, now)
+}
+
+// Cancel forgets a request that waits. It reports false for one that runs or
+// is unknown: a run ends with Finish alone.
+func (q *Queue) Cancel(dst []Action, now time.Duration, id ID) ([]Action, bool) {
+	e, ok := q.byID[id]
+	if !ok || !e.queued {
+		return dst, false
+	}
+	q.dequeue(e)
+	return q.Tick(dst, now), true
+}
+
+// SetLimits puts new limits in force. Lowering them ends no run: requests end
+// on their own, and none starts until their number fits.
+func (q *Queue) SetLimits(dst []Action, now time.Duration, limits Limits) ([]Action, error) {
+	if err := limits.Validate(); err != nil {
+		return dst, err
+	}
+	if limits.Slots > q.limits.Slots && q.concurrency.limit == q.limits.Slots {
+		q.concurrency.limit = limits.Slots
+	}
+	q.limits = limits
+	q.concurrency.limit = min(limits.Slots, max(q.lowest(), q.concurrency.limit))
+	return q.Tick(dst, now), nil
+}
+
+// Drain refuses all requests offered from now on. Those that wait still run.
+func (q *Queue) Drain() { q.draining = true }
+
+// Tick refuses the waiting requests whose deadline cannot be met any more and
+// starts those that a slot is free for.
+func (q *Queue) Tick(dst []Action, now time.Duration) []Action {
+	q.reclass(now)
+	for len(q.lapses) > 0 && q.lapses[0].lapse <= now {
+		e := q.lapses[0]
+		q.dequeue(e)
+		dst = append(dst, q.refusal(now, e, Late))
+	}
+	for e := q.next(now); e != nil; e = q.next(now) {
+		q.dequeue(e)
+		q.byID[e.id] = e
+		dst = append(dst, q.start(now, e))
+	}
+	return dst
+}
+
+// NextTick returns when Tick has something to do by the passing of time alone.
+func (q *Queue) NextTick(now time.Duration) (time.Duration, bool) {
+	if len(q.lapses) == 0 {
+		return 0, false
+	}
+	at := q.lapses[0].lapse
+	if ramp := q.nextRamp(now); ramp > now {
+		at = min(at, ramp)
+	}
+	return at, true
+}
+
+// Running returns how many requests run.
+func (q *Queue) Running() int { return len(q.running) }
+
+// Waiting returns how many requests wait.
+func (q *Queue) Waiting() int { return len(q.lapses) }
+
+// Limit returns how many requests may run at once now: Slots, or fewer while
+// the upstream is new or overloaded.
+func (q *Queue) Limit(now time.Duration) int {
+	ramp := rampLimit(q.limits.Slots, q.lowest(), now-q.began)
+	return min(q.concurrency.limit, ramp)
+}
+
+// Load returns how loaded the upstream is: 0 when idle, 4 when all slots are
+// in use, up to MaxLoad when as many requests wait, or when it takes no more.
+func (q *Queue) Load(now time.Duration) int {
+	if q.draining || q.concurrency.failing {
+		return MaxLoad
+	}
+	level := 4 * (q.Running() + q.Waiting()) / q.Limit(now)
+	return min(MaxLoad, level)
+}
+
+// lowest is the fewest slots that leave one for long work.
+func (q *Queue) lowest() int { return q.limits.ReservedSlots + 1 }
+
+// nextRamp is when a new upstream gets its next slot.
+func (q *Queue) nextRamp(now time.Duration) time.Duration {
+	age := now - q.began
+	if age >= _rampTime {
+		return 0
+	}
+	step := _rampTime / time.Duration(q.limits.Slots)
+	return q.began + (age/step+1)*step
+}
+
+// newEntry classes a request and estimates its run time.
+func (q *Queue) newEntry(now time.Duration, r Request) *entry {
+	known := q.routes.lookup(r.Route)
+	class := known.class
+	if r.Class != 0 {
+		class = r.Class
+	}
+	e := &entry{
+		id:       r.ID,
+		route:    r.Route,
+		class:    class,
+		marked:   r.Class != 0,
+		run:      known.recent,
+		deadline: r.Deadline,
+		jitter:   r.Jitter,
+		index:    -1,
+	}
+	e.lapse = r.Deadline - min(e.run, (r.Deadline-now)/2)
+	return e
+}
+
+// free reports whether a request of the class may start now.
+func (q *Queue) free(now time.Duration, class Class) bool {
+	limit := q.Limit(now)
+	if len(q.running) >= limit {
+		return false
+	}
+	return class == Short || q.longRunning < q.longLimit(now, limit)
+}
+
+// longLimit is how many long requests may run at once. Beside the reserved
+// slots it leaves as many as the short requests use, but always one.
+func (q *Queue) longLimit(now time.Duration, limit int) int {
+	reserved := max(q.limits.ReservedSlots, q.demand.slots(now))
+	return max(1, limit-reserved)
+}
+
+// next returns the waiting request that starts now, or nil. One long request
+// goes first if none runs, so that short ones never starve it; then short
+// ones, then other long ones.
+func (q *Queue) next(now time.Duration) *entry {
+	long, short := q.waiting[Long].head, q.waiting[Short].head
+	longFree := long != nil && q.free(now, Long)
+	if longFree && (q.longRunning == 0 || short == nil) {
+		return long
+	}
+	if short != nil && q.free(now, Short) {
+		return short
+	}
+	return nil
+}
+
+// start gives e a slot.
+func (q *Queue) start(now time.Duration, e *entry) Action {
+	e.started = now
+	q.running[e.id] = e
+	q.byID[e.id] = e
+	q.countRunning(e.class, 1)
+	if len(q.running) >= q.concurrency.limit {
+		q.concurrency.window.reached = true
+	}
+	return Start{ID: e.id}
+}
+
+func (q *Queue) countRunning(class Class, n int) {
+	if class == Long {
+		q.longRunning += n
+	} else {
+		q.shortRunning += n
+	}
+}
+
+// learn takes the run time of e into account.
+func (q *Queue) learn(now time.Duration, e *entry, result Result) {
+	run := now - e.started
+	if e.class == Short {
+		q.demand.add(now, run)
+	}
+	if result == Aborted {
+		return
+	}
+	ratio := 1.0
+	if known := q.routes.lookup(e.route); known.baseline > 0 {
+		ratio = float64(run) / float64(known.baseline)
+	}
+	failed := result == Failed
+	if !failed {
+		q.routes.observe(e.route, run, q.concurrency.overloaded)
+	}
+	q.concurrency.observe(ratio, failed, q.lowest(), q.limits.Slots)
+}
+
+// reclass counts short requests that have run long as long ones, before the
+// end of the first such run can teach it.
+func (q *Queue) reclass(now time.Duration) {
+	after := q.routes.longAfter()
+	if q.shortRunning == 0 || q.routes.typical == 0 {
+		return
+	}
+	for _, e := range q.running {
+		if e.class != Short || e.marked || now-e.started < after {
+			continue
+		}
+		e.class = Long
+		q.countRunning(Short, -1)
+		q.countRunning(Long, 1)
+		q.routes.observeRunning(e.route, now-e.started)
+	}
+}
+
+// expectedWait is how long the last request in the class will probably wait.
+func (q *Queue) expectedWait(now time.Duration, class Class) time.Duration {
+	limit := q.Limit(now)
+	slots := max(1, limit-q.longRunning)
+	if class == Long {
+		slots = q.longLimit(now, limit)
+	}
+	run := q.meanRun(class)
+	return run * time.Duration(q.waiting[class].len+1) / time.Duration(slots)
+}
+
+// meanRun is the mean expected run time of the requests of a class at hand.
+func (q *Queue) meanRun(class Class) time.Duration {
+	sum, n := q.waiting[class].runs, q.waiting[class].len
+	for _, e := range q.running {
+		if e.class == class {
+			sum += e.run
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+// reject returns why e cannot wait, or zero.
+func (q *Queue) reject(now time.Duration, e *entry, expected time.Duration) Reason {
+	switch {
+	case len(q.lapses) >= q.limits.Length:
+		return Full
+	case e.class == Long && q.waiting[Long].len >= q.limits.longLength():
+		return Full
+	case e.lapse <= now+expected:
+		return Late
+	case e.class == Short && expected > max(_maxShortWait, e.run):
+		return Overloaded
+	}
+	return 0
+}
+
+const (
+	// _minRetryAfter is the least time after which a refused caller comes back.
+	_minRetryAfter = time.Second
+	// _retrySpread is the least span over which refused callers come back.
+	_retrySpread = 4 * time.Second
+)
+
+// RetryAfter is when a refused caller should come back: once the expected wait
+// is over, spread over a span by jitter, a random number in [0, 1), so that
+// callers do not come back together.
+func RetryAfter(expected time.Duration, jitter float64) time.Duration {
+	base := max(_minRetryAfter, expected)
+	spread := max(_retrySpread, base)
+	return base + time.Duration(jitter*float64(spread))
+}
+
+// refusal refuses e.
+func (q *Queue) refusal(now time.Duration, e *entry, reason Reason) Action {
+	expected := q.expectedWait(now, e.class)
+	return Refuse{ID: e.id, Reason: reason, RetryAfter: RetryAfter(expected, e.jitter)}
+}
+
+// enqueue puts e at the end of its class.
+func (q *Queue) enqueue(e *entry) {
+	e.queued = true
+	q.byID[e.id] = e
+	q.waiting[e.class].push(e)
+	heap.Push(&q.lapses, e)
+}
+
+// dequeue takes e out of the queue.
+func (q *Queue) dequeue(e *entry) {
+	e.queued = false
+	delete(q.byID, e.id)
+	q.waiting[e.class].remove(e)
+	heap.Remove(&q.lapses, e.index)
+}
--- /dev/null
+++ b/queue/routes.go
@@ -0,0 +1,196 @@
+package queue
+
+import (
+	"strings"
+	"time"
+)
+
+// Class says whether a request is short or long work.
+type Class uint8
+
+// The classes of requests.
+const (
+	// Short requests may use every slot.
+	Short Class = iota + 1
+	// Long requests never use the slots reserved for short ones.
+	Long
+)
+
+const (
+	// _maxRoutes bounds the routes whose run times are remembered.
+	_maxRoutes = 512
+	// _longFactor is how many times the typical run time makes a route long.
+	_longFactor = 8
+	// _shortFactor is below how many times the typical run time a long route
+	// becomes short again.
+	_shortFactor = 4
+	// _longFloor is the run time below which nothing is long.
+	_longFloor = 50 * time.Millisecond
+	// _recentWeight is the weight of the last run in a route's expected run time.
+	_recentWeight = 0.2
+	// _baselineWeight is the weight of the last run in a route's baseline.
+	_baselineWeight = 0.02
+	// _typicalQuantile is the quantile of all run times that counts as typical.
+	_typicalQuantile = 0.25
+	// _typicalStep is the largest relative change of the typical run time by one run.
+	_typicalStep = 0.05
+)
+
+// _maxRouteSegments is how many segments of a path tell routes apart.
+const _maxRouteSegments = 4
+
+// RouteOf returns the route that a request belongs to: its method and the
+// beginning of its path, with "*" for segments that look like identifiers.
+func RouteOf(method, path string) string {
+	var b strings.Builder
+	b.Grow(len(method) + len(path))
+	b.WriteString(method)
+	segments := 0
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "" {
+			continue
+		}
+		if segments == _maxRouteSegments {
+			break
+		}
+		segments++
+		b.WriteByte('/')
+		if isIdentifier(segment) {
+			segment = "*"
+		}
+		b.WriteString(segment)
+	}
+	return b.String()
+}
+
+// _maxNameLength is the length above which a path segment is an identifier.
+const _maxNameLength = 32
+
+// isIdentifier reports whether a path segment names one thing among many.
+func isIdentifier(segment string) bool {
+	return len(segment) > _maxNameLength || strings.ContainsAny(segment, "0123456789=:")
+}
+
+// route is what is known of one route's run times.
+type route struct {
+	// recent is the expected run time.
+	recent time.Duration
+	// baseline is the run time without overload; it moves slowly.
+	baseline time.Duration
+	class    Class
+	used     uint64
+}
+
+// routes learns the run times of routes in bounded memory.
+type routes struct {
+	byName map[string]*route
+	// fresh is what first runs of routes have in common; it stands for routes
+	// that have not run yet.
+	fresh   route
+	typical time.Duration
+	clock   uint64
+}
+
+func newRoutes() routes {
+	return routes{byName: make(map[string]*route)}
+}
+
+// lookup returns what is known of the named route. A route that never ran
+// counts as long until new routes have shown to be short, so that a burst of
+// unknown work cannot take the reserved slots.
+func (rs *routes) lookup(name string) route {
+	if r, ok := rs.byName[name]; ok {
+		rs.clock++
+		r.used = rs.clock
+		return *r
+	}
+	if rs.fresh.class == 0 {
+		return route{class: Long}
+	}
+	return rs.fresh
+}
+
+// longAfter is the run time from which a request counts as long.
+func (rs *routes) longAfter() time.Duration {
+	return max(_longFloor, _longFactor*rs.typical)
+}
+
+// observe learns from one run of the named route. With frozen set, the
+// baseline stays: the upstream is overloaded and its run times are no measure.
+func (rs *routes) observe(name string, run time.Duration, frozen bool) {
+	rs.observeTypical(run)
+	r, ok := rs.byName[name]
+	if !ok {
+		rs.learn(&rs.fresh, run, frozen)
+		r = rs.insert(name)
+	}
+	rs.learn(r, run, frozen)
+}
+
+// observeRunning learns that a run of the named route takes at least elapsed.
+func (rs *routes) observeRunning(name string, elapsed time.Duration) {
+	r, ok := rs.byName[name]
+	if !ok {
+		r = rs.insert(name)
+	}
+	r.recent = max(r.recent, elapsed)
+	r.baseline = max(r.baseline, elapsed)
+	r.class = Long
+}
+
+// observeTypical moves the typical run time towards the quantile.
+func (rs *routes) observeTypical(run time.Duration) {
+	switch {
+	case rs.typical == 0:
+		rs.typical = run
+	case run < rs.typical:
+		rs.typical -= time.Duration(float64(rs.typical) * _typicalStep * (1 - _typicalQuantile))
+	default:
+		rs.typical += time.Duration(float64(rs.typical) * _typicalStep * _typicalQuantile)
+	}
+}
+
+// learn updates one route from one run.
+func (rs *routes) learn(r *route, run time.Duration, frozen bool) {
+	if r.recent == 0 {
+		r.recent, r.baseline = run, run
+	}
+	r.recent = mix(r.recent, run, _recentWeight)
+	if !frozen {
+		r.baseline = mix(r.baseline, run, _baselineWeight)
+	}
+	switch {
+	case r.recent >= rs.longAfter():
+		r.class = Long
+	case r.class == 0, r.recent < max(_longFloor, _shortFactor*rs.typical):
+		r.class = Short
+	}
+}
+
+// insert adds a route, in place of the one unused for longest if there are too many.
+func (rs *routes) insert(name string) *route {
+	if len(rs.byName) >= _maxRoutes {
+		rs.evict()
+	}
+	rs.clock++
+	r := &route{used: rs.clock}
+	rs.byName[name] = r
+	return r
+}
+
+// evict forgets the route unused for longest.
+func (rs *routes) evict() {
+	oldest := ""
+	var used uint64
+	for name, r := range rs.byName {
+		if used == 0 || r.used < used {
+			oldest, used = name, r.used
+		}
+	}
+	delete(rs.byName, oldest)
+}
+
+// mix returns the mean of two spans, the second with the given weight.
+func mix(a, b time.Duration, weight float64) time.Duration {
+	return time.Duration(float64(a)*(1-weight) + float64(b)*weight)
+}
