balancer, agent: requests pass end to end

Cause: balancer and agent were stubs. The change: balancers forward by connection ID or to ranked candidates and deliver replies; agents unwrap, decide about new flows, and serve HTTP/3. The nonce of a connection ID takes 24 bits and its check 8: with 16 bits and 60 IDs a second an agent would repeat one within 18 minutes, while flows live for hours.

--- /dev/null
+++ b/agent/admission.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// _claimTimeout is how long QUIC has to open a connection for an admitted
+	// flow. A packet that is no valid Initial never gets one.
+	_claimTimeout = 2 * time.Second
+	// _holdTime is the least time that a taken flow is remembered by the
+	// connection ID that the caller chose, for Initials that are repeated.
+	_holdTime = 15 * time.Second
+	// _holdCapacity bounds each of the two generations of remembered flows.
+	_holdCapacity = 1 << 15
+	// _maxDCID is the longest connection ID that a caller chooses, in octets.
+	_maxDCID = 20
+)
+
+// The states of an admission.
+const (
+	_unclaimed = iota
+	_claimed
+	_expired
+)
+
+// admission is one flow that the gate has admitted and that QUIC has yet to open.
+type admission struct {
+	state    atomic.Uint32
+	admitted time.Time
+}
+
+// claim takes the admission for a connection. It succeeds once.
+func (a *admission) claim() bool { return a.state.CompareAndSwap(_unclaimed, _claimed) }
+
+// expire takes the admission back if no connection has claimed it.
+func (a *admission) expire() bool { return a.state.CompareAndSwap(_unclaimed, _expired) }
+
+// initialKey names a new flow before it has a connection ID of ours.
+type initialKey struct {
+	caller netip.AddrPort
+	length uint8
+	dcid   [_maxDCID]byte
+}
+
+func newInitialKey(caller netip.AddrPort, dcid []byte) initialKey {
+	key := initialKey{caller: caller, length: uint8(len(dcid))}
+	copy(key.dcid[:], dcid)
+	return key
+}
+
+// admissions remembers the new flows that were taken. It is bounded: of two
+// generations the older is dropped when the younger is full or old enough.
+type admissions struct {
+	mu      sync.Mutex
+	young   map[initialKey]struct{}
+	old     map[initialKey]struct{}
+	turned  time.Time
+	pending []*admission
+}
+
+func newAdmissions(now time.Time) *admissions {
+	return &admissions{young: make(map[initialKey]struct{}), turned: now}
+}
+
+// holds reports whether the flow was taken lately.
+func (s *admissions) holds(key initialKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.young[key]; ok {
+		return true
+	}
+	_, ok := s.old[key]
+	return ok
+}
+
+// add notes that the flow was taken at now and returns its admission.
+func (s *admissions) add(key initialKey, now time.Time) *admission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn(now)
+	s.young[key] = struct{}{}
+	a := &admission{admitted: now}
+	s.pending = append(s.pending, a)
+	return a
+}
+
+// expire takes back the admissions that no connection has claimed in time, and
+// returns how many.
+func (s *admissions) expire(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn(now)
+	due := 0
+	for due < len(s.pending) && now.Sub(s.pending[due].admitted) >= _claimTimeout {
+		due++
+	}
+	expired := expireAll(s.pending[:due])
+	s.pending = append(s.pending[:0], s.pending[due:]...)
+	return expired
+}
+
+// expireRest takes back all admissions that no connection has claimed.
+func (s *admissions) expireRest() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	expired := expireAll(s.pending)
+	s.pending = nil
+	return expired
+}
+
+func (s *admissions) turn(now time.Time) {
+	if len(s.young) < _holdCapacity && now.Sub(s.turned) < _holdTime {
+		return
+	}
+	s.old, s.young, s.turned = s.young, make(map[initialKey]struct{}), now
+}
+
+func expireAll(pending []*admission) int {
+	expired := 0
+	for _, a := range pending {
+		if a.expire() {
+			expired++
+		}
+	}
+	return expired
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,23 +2,46 @@
 // the callers' QUIC connections and hands their requests to an http.Handler.
 //
 // Wrapped packets come from balancers. The agent alone decides whether it takes
-// a new flow, passes it to the next candidate, or refuses it; see Decide.
+// a new flow, passes it to the next candidate, or refuses it: it knows its own
+// state and limits now, while a balancer's view lags.
+//
+//	balancer -> conn.ReadFrom: unwrap, decide -> QUIC -> HTTP/3 -> http.Handler
+//	balancer <- conn.WriteTo: wrap            <- QUIC <- HTTP/3 <-
 package agent
 
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+	"gopkg.in/tomb.v2"
 
 	"dandelionhitch.example/packet"
 	"dandelionhitch.example/service"
 )
 
+const (
+	// _packetSize is the length of QUIC's packets in octets. Wrapped they fit
+	// the MTU between agent and balancer, and unwrapped the paths of callers on
+	// phones, so no path is probed for a larger size.
+	_packetSize = 1280
+	// _resetRate bounds the stateless resets that an agent sends in one second.
+	_resetRate = 1000
+)
+
+var errRefused = errors.New("agent: flow refused")
+
 // Gate admits flows. TryAdmit is called for each new flow on the packet path,
 // so it must answer at once; Release is called when an admitted flow has ended.
 type Gate interface {
@@ -46,85 +69,281 @@
 	Handler http.Handler
 }
 
-// Option adjusts an Agent.
-type Option interface{ apply(*options) }
+// Agent serves flows until it is closed.
+type Agent struct {
+	addr        netip.AddrPort
+	service     service.ID
+	incarnation service.Incarnation
+	gate        Gate
+	options     options
 
-type options struct {
-	logger    *zap.Logger
-	meter     metric.Meter
-	fresh     func(since time.Time) bool
-	balancers func() []netip.AddrPort
-}
+	state      atomic.Uint32
+	keys       atomic.Pointer[packet.Keys]
+	balancers  atomic.Pointer[liveBalancers]
+	admissions *admissions
+	paths      *paths
+	resets     *rate.Limiter
 
-type optionFunc func(*options)
+	counters     counters
+	registration metric.Registration
+	flows        atomic.Int64
+	// ended has room for one signal that a flow has ended.
+	ended chan struct{}
+	// open waits at the end for the release of every flow.
+	open sync.WaitGroup
 
-func (f optionFunc) apply(o *options) { f(o) }
+	freshMu   sync.Mutex
+	freshness freshness
 
-// WithLogger sets the logger. The default logs nothing.
-func WithLogger(logger *zap.Logger) Option {
-	return optionFunc(func(o *options) { o.logger = logger })
+	conn      *conn
+	transport *quic.Transport
+	listener  *quic.Listener
+	// server serves until the drain. late serves the flows that were admitted
+	// before it and ended their handshake after it.
+	server *http3.Server
+	late   *http3.Server
+	// drain is closed when the drain begins.
+	drain    chan struct{}
+	draining sync.Once
+	tomb     tomb.Tomb
 }
 
-// WithMeter sets the meter of the agent's counters. The default counts only for Counts.
-func WithMeter(meter metric.Meter) Option {
-	return optionFunc(func(o *options) { o.meter = meter })
+// New opens the socket and listens. The agent is Starting: it refuses new flows until Serve.
+func New(cfg Config, opts ...Option) (*Agent, error) {
+	if err := cfg.check(); err != nil {
+		return nil, trace.Wrap(err, "starting an agent")
+	}
+	a := &Agent{
+		service:     cfg.Service,
+		incarnation: cfg.Incarnation,
+		gate:        cfg.Gate,
+		options:     newOptions(opts),
+		paths:       newPaths(),
+		resets:      rate.NewLimiter(_resetRate, _resetRate),
+		ended:       make(chan struct{}, 1),
+		drain:       make(chan struct{}),
+	}
+	a.admissions = newAdmissions(a.options.now())
+	a.state.Store(uint32(service.Starting))
+	a.keys.Store(cfg.Keys)
+	a.refreshBalancers()
+	if err := a.listen(cfg); err != nil {
+		return nil, trace.Wrap(err, "starting an agent")
+	}
+	a.tomb.Go(a.loop)
+	a.tomb.Go(a.runServer)
+	a.tomb.Go(a.runShutdown)
+	return a, nil
 }
 
-// WithFresh sets the check that an agent makes after its process was paused:
-// it admits no flow until fresh reports that its peers were heard after since,
-// the time at which it noticed the pause. The default is fresh at once.
-func WithFresh(fresh func(since time.Time) bool) Option {
-	return optionFunc(func(o *options) { o.fresh = fresh })
+func (c *Config) check() error {
+	var findings []error
+	require := func(ok bool, what string) {
+		if !ok {
+			findings = append(findings, trace.BadParameter("%s is missing", what))
+		}
+	}
+	require(c.Service != 0, "service")
+	require(c.Incarnation != 0, "incarnation")
+	require(c.Keys != nil, "keys")
+	require(c.TLS != nil, "TLS")
+	require(c.Gate != nil, "gate")
+	require(c.Handler != nil, "handler")
+	require(c.Addr.Addr().Unmap().Is4() && !c.Addr.Addr().IsUnspecified(), "an IPv4 address of this agent")
+	return trace.NewAggregate(findings...)
 }
 
-// WithBalancers sets the list of live balancers. A reply whose flow was last
-// carried by a balancer outside a non-empty list goes through one in it.
-func WithBalancers(balancers func() []netip.AddrPort) Option {
-	return optionFunc(func(o *options) { o.balancers = balancers })
+func (a *Agent) listen(cfg Config) error {
+	var err error
+	if a.conn, err = listen(a, cfg.Addr); err != nil {
+		return err
+	}
+	addr, err := netip.ParseAddrPort(a.conn.LocalAddr().String())
+	if err != nil {
+		a.conn.Close()
+		return trace.Wrap(err)
+	}
+	a.addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+	if a.transport, err = a.newTransport(cfg.Keys); err != nil {
+		a.conn.Close()
+		return err
+	}
+	a.server = &http3.Server{Handler: cfg.Handler}
+	a.late = &http3.Server{Handler: cfg.Handler}
+	a.listener, err = a.transport.Listen(http3.ConfigureTLSConfig(cfg.TLS), a.quicConfig())
+	if err != nil {
+		a.conn.Close()
+		return trace.Wrap(err, "listening for QUIC")
+	}
+	if a.registration, err = a.register(a.options.meter); err != nil {
+		a.closeTransport()
+		return err
+	}
+	return nil
 }
 
-// Counts are the agent's counters since its start.
-type Counts struct {
-	// Admitted and Refused are new flows.
-	Admitted uint64 `json:"admitted"`
-	Refused  uint64 `json:"refused"`
-	// Passed are packets of new flows passed to the next candidate.
-	Passed uint64 `json:"passed"`
-	// Resets are stateless resets sent for flows of an earlier incarnation.
-	Resets uint64 `json:"resets"`
-	// Forged are wrapped packets with a wrong MAC or malformed header.
-	Forged uint64 `json:"forged"`
-	// Dropped are genuine wrapped packets that are not for this agent.
-	Dropped uint64 `json:"dropped"`
+func (a *Agent) newTransport(keys *packet.Keys) (*quic.Transport, error) {
+	number := keys.Current()
+	resetKey, err := keys.ResetKey(number)
+	if err != nil {
+		return nil, trace.Wrap(err, "stateless reset key")
+	}
+	tokenKey, err := keys.TokenKey(number)
+	if err != nil {
+		return nil, trace.Wrap(err, "address validation key")
+	}
+	base := packet.CID{Service: a.service, Agent: a.addr, Incarnation: a.incarnation}
+	return &quic.Transport{
+		Conn:                  a.conn,
+		ConnectionIDGenerator: &cids{keys: keys, number: number, base: base},
+		StatelessResetKey:     (*quic.StatelessResetKey)(&resetKey),
+		TokenGeneratorKey:     (*quic.TokenGeneratorKey)(&tokenKey),
+		ConnContext:           a.openFlow,
+	}, nil
 }
 
-// Agent serves flows until it is closed.
-type Agent struct{}
-
-// New opens the socket and listens. The agent is Starting: it refuses new flows until Serve.
-func New(cfg Config, opts ...Option) (*Agent, error) { return &Agent{}, nil }
+// quicConfig leaves 0-RTT off: early data can be replayed, and two agents that
+// answer one Initial could run a request twice.
+func (a *Agent) quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:    a.options.handshake,
+		MaxIdleTimeout:          a.options.idle,
+		InitialPacketSize:       _packetSize,
+		DisablePathMTUDiscovery: true,
+	}
+}
 
 // Addr is where wrapped packets reach this agent.
-func (a *Agent) Addr() netip.AddrPort { return netip.AddrPort{} }
+func (a *Agent) Addr() netip.AddrPort { return a.addr }
 
-// Serve makes a starting agent take new flows.
-func (a *Agent) Serve() {}
+// Serve makes a starting agent take new flows. It has no effect on a draining one.
+func (a *Agent) Serve() {
+	a.state.CompareAndSwap(uint32(service.Starting), uint32(service.Serving))
+}
 
 // State is what the agent does with new flows.
-func (a *Agent) State() service.State { return service.Starting }
+func (a *Agent) State() service.State { return service.State(a.state.Load()) }
 
 // Flows is the number of open flows.
-func (a *Agent) Flows() int { return 0 }
+func (a *Agent) Flows() int { return int(a.flows.Load()) }
 
 // Counts returns the counters.
-func (a *Agent) Counts() Counts { return Counts{} }
+func (a *Agent) Counts() Counts { return a.counters.snapshot() }
+
+// SetKeys replaces the keys that are accepted and those that sign wrapped
+// packets. Connection IDs keep the key of the start, so it must stay listed.
+func (a *Agent) SetKeys(keys *packet.Keys) { a.keys.Store(keys) }
+
+// Drain refuses new flows at once, tells callers by GOAWAY to make no further
+// requests, and returns when all flows have ended, or with the context's error
+// when ctx ends first. It cuts nothing.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.draining.Do(a.startDraining)
+	for a.Flows() > 0 {
+		select {
+		case <-a.ended:
+		case <-a.tomb.Dying():
+			return nil
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err(), "draining an agent with %d flows open", a.Flows())
+		}
+	}
+	return nil
+}
 
-// SetKeys replaces the keys that are accepted. Connection IDs keep the key of the start.
-func (a *Agent) SetKeys(keys *packet.Keys) {}
+func (a *Agent) startDraining() {
+	a.state.Store(uint32(service.Draining))
+	close(a.drain)
+}
+
+// Close closes all flows and waits until all goroutines have ended and the gate
+// has every admitted flow back.
+func (a *Agent) Close() error {
+	a.state.Store(uint32(service.Draining))
+	a.tomb.Kill(nil)
+	err := a.tomb.Wait()
+	a.open.Wait()
+	for range a.admissions.expireRest() {
+		a.gate.Release()
+	}
+	return trace.Wrap(err, "closing an agent")
+}
+
+// runServer serves accepted connections until the agent ends.
+func (a *Agent) runServer() error {
+	err := a.server.ServeListener(a.listener)
+	if a.tomb.Alive() && errors.Is(err, http.ErrServerClosed) {
+		err = a.late.ServeListener(a.listener)
+	}
+	if a.tomb.Alive() {
+		return trace.Wrap(err, "serving HTTP/3")
+	}
+	return nil
+}
+
+// runShutdown sends GOAWAY on all connections when the drain begins. The server
+// cuts what is open when its context ends, so that is when the agent ends.
+func (a *Agent) runShutdown() error {
+	select {
+	case <-a.drain:
+	case <-a.tomb.Dying():
+		return nil
+	}
+	if err := a.server.Shutdown(a.tomb.Context(context.Background())); err != nil && a.tomb.Alive() {
+		a.options.logger.Warn("graceful shutdown of HTTP/3 failed", zap.Error(err))
+	}
+	return nil
+}
 
-// Drain refuses new flows at once, tells callers to go away, and returns when
-// all flows have ended, or with the context's error when ctx ends first. It cuts nothing.
-func (a *Agent) Drain(ctx context.Context) error { return nil }
+// loop keeps the agent's own clock, and closes all when the agent ends.
+func (a *Agent) loop() error {
+	ticker := time.NewTicker(_tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.tomb.Dying():
+			a.closeTransport()
+			return nil
+		case <-ticker.C:
+			a.tick()
+		}
+	}
+}
 
-// Close closes all flows and waits until all goroutines have ended.
-func (a *Agent) Close() error { return nil }
+func (a *Agent) tick() {
+	now := a.options.now()
+	a.isFresh(now)
+	a.refreshBalancers()
+	for range a.admissions.expire(now) {
+		a.counters.unopened.Add(1)
+		a.gate.Release()
+	}
+}
+
+func (a *Agent) closeTransport() {
+	if a.registration != nil {
+		if err := a.registration.Unregister(); err != nil {
+			a.options.logger.Warn("counters stay registered", zap.Error(err))
+		}
+	}
+	a.server.Close()
+	a.late.Close()
+	a.listener.Close()
+	a.transport.Close()
+	a.conn.Close()
+}
+
+func (a *Agent) isFresh(now time.Time) bool {
+	a.freshMu.Lock()
+	defer a.freshMu.Unlock()
+	return a.freshness.observe(now, a.options.fresh)
+}
+
+func (a *Agent) situation() situation {
+	return situation{
+		self:        a.addr,
+		service:     a.service,
+		incarnation: a.incarnation,
+		state:       a.State(),
+	}
+}
--- /dev/null
+++ b/agent/decide.go
@@ -0,0 +1,156 @@
+package agent
+
+import (
+	"net/netip"
+
+	"dandelionhitch.example/packet"
+	"dandelionhitch.example/service"
+)
+
+// situation is what an agent knows of itself when it decides about a packet.
+type situation struct {
+	self        netip.AddrPort
+	service     service.ID
+	incarnation service.Incarnation
+	state       service.State
+	// fresh is false after a pause until the agent has heard its peers.
+	fresh bool
+}
+
+// arrival is one genuine wrapped packet.
+type arrival struct {
+	header packet.Header
+	kind   packet.Type
+	// cid is what the connection ID says, if ours.
+	cid  packet.CID
+	ours bool
+	// held says that the agent has taken the flow that this Initial opens.
+	held bool
+}
+
+// action is what to do with a packet: take, admit, pass, refuse, reset or drop.
+type action interface{ isAction() }
+
+// take hands the packet to QUIC as a packet of a flow that is held.
+type take struct{}
+
+// admit hands the packet to QUIC if the gate admits one more flow; else otherwise applies.
+type admit struct{ otherwise action }
+
+// pass sends the packet to the candidate at index hop.
+type pass struct {
+	target netip.AddrPort
+	hop    uint8
+}
+
+// refuse tells the caller at once that there is no room.
+type refuse struct{}
+
+// reset tells the caller that its flow ended with an earlier run of this agent.
+type reset struct{}
+
+// drop drops the packet.
+type drop uint8
+
+// The reasons to drop a packet.
+const (
+	// notForAgent is a reply, or an offer to another agent.
+	notForAgent drop = iota + 1
+	// otherService is a packet of another service.
+	otherService
+	// unknownFlow names no flow of this agent and opens none.
+	unknownFlow
+	// stale is an offer that reached an agent just after a pause, with no
+	// candidate left. The caller repeats it soon.
+	stale
+)
+
+func (take) isAction()   {}
+func (admit) isAction()  {}
+func (pass) isAction()   {}
+func (refuse) isAction() {}
+func (reset) isAction()  {}
+func (drop) isAction()   {}
+
+// decide says what an agent does with a packet. It is a function of its
+// arguments alone; whether the gate admits a flow is asked by who acts on it.
+func decide(s situation, a arrival) action {
+	switch {
+	case a.header.Kind == packet.Reply:
+		return notForAgent
+	case a.ours && a.cid.Agent == s.self && a.cid.Incarnation < s.incarnation:
+		return decideEarlier(s, a)
+	case a.header.Service != s.service:
+		return otherService
+	case a.header.Kind == packet.Flow:
+		return decideFlow(s, a)
+	default:
+		return decideOffer(s, a, a.header.Hop)
+	}
+}
+
+// decideEarlier decides about a connection ID of an earlier run at this
+// address. That run is gone for certain, whatever its service was.
+func decideEarlier(s situation, a arrival) action {
+	if a.kind == packet.Short {
+		return reset{}
+	}
+	if a.header.Service != s.service {
+		return otherService
+	}
+	return decideUnheld(s, a)
+}
+
+func decideFlow(s situation, a arrival) action {
+	if !a.ours || a.cid.Agent != s.self || a.cid.Incarnation != s.incarnation {
+		return decideUnheld(s, a)
+	}
+	if a.cid.Service != s.service {
+		return otherService
+	}
+	return take{}
+}
+
+// decideUnheld decides about a packet whose connection ID is of no flow held
+// here: only an Initial with candidates may open one.
+func decideUnheld(s situation, a arrival) action {
+	if a.kind != packet.Initial || a.header.Count == 0 {
+		return unknownFlow
+	}
+	if a.header.Kind == packet.Offer {
+		return decideOffer(s, a, a.header.Hop)
+	}
+	if a.header.Candidates[0] != s.self {
+		return pass{target: a.header.Candidates[0]}
+	}
+	return decideOffer(s, a, 0)
+}
+
+func decideOffer(s situation, a arrival, hop uint8) action {
+	if hop >= a.header.Count || a.header.Candidates[hop] != s.self {
+		return notForAgent
+	}
+	switch {
+	case a.kind == packet.OtherVersion:
+		// QUIC answers with the versions that it speaks and holds nothing.
+		return take{}
+	case a.kind != packet.Initial:
+		return unknownFlow
+	case a.held:
+		return take{}
+	case !s.fresh:
+		return next(a, hop, stale)
+	case s.state == service.Serving:
+		return admit{otherwise: next(a, hop, refuse{})}
+	default:
+		return next(a, hop, refuse{})
+	}
+}
+
+// next passes a packet to the candidate behind hop, if there is one.
+func next(a arrival, hop uint8, otherwise action) action {
+	if hop+1 >= a.header.Count {
+		return otherwise
+	}
+	return pass{target: a.header.Candidates[hop+1], hop: hop + 1}
+}
--- /dev/null
+++ b/agent/options.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"go.uber.org/zap"
+)
+
+const (
+	_defaultIdle      = 30 * time.Second
+	_defaultHandshake = 5 * time.Second
+)
+
+// Option adjusts an Agent.
+type Option interface{ apply(*options) }
+
+type options struct {
+	logger    *zap.Logger
+	meter     metric.Meter
+	fresh     func(since time.Time) bool
+	balancers func() []netip.AddrPort
+	idle      time.Duration
+	handshake time.Duration
+	now       func() time.Time
+}
+
+type optionFunc func(*options)
+
+func (f optionFunc) apply(o *options) { f(o) }
+
+// WithLogger sets the logger. The default logs nothing.
+func WithLogger(logger *zap.Logger) Option {
+	return optionFunc(func(o *options) { o.logger = logger })
+}
+
+// WithMeter sets the meter of the agent's counters. The default counts only for Counts.
+func WithMeter(meter metric.Meter) Option {
+	return optionFunc(func(o *options) { o.meter = meter })
+}
+
+// WithFresh sets the check that an agent makes after its process was paused:
+// it admits no flow until fresh reports that its peers were heard after since,
+// the time at which it noticed the pause. The default is fresh at once.
+func WithFresh(fresh func(since time.Time) bool) Option {
+	return optionFunc(func(o *options) { o.fresh = fresh })
+}
+
+// WithBalancers sets the list of live balancers. A reply whose flow was last
+// carried by a balancer outside a non-empty list goes through one in it.
+func WithBalancers(balancers func() []netip.AddrPort) Option {
+	return optionFunc(func(o *options) { o.balancers = balancers })
+}
+
+// WithIdleTimeout sets how long a flow lives without any packet from its caller.
+func WithIdleTimeout(span time.Duration) Option {
+	return optionFunc(func(o *options) { o.idle = span })
+}
+
+// withClock sets the clock, for tests of pauses.
+func withClock(now func() time.Time) Option {
+	return optionFunc(func(o *options) { o.now = now })
+}
+
+func newOptions(opts []Option) options {
+	o := options{
+		logger:    zap.NewNop(),
+		meter:     noop.Meter{},
+		fresh:     func(time.Time) bool { return true },
+		balancers: func() []netip.AddrPort { return nil },
+		idle:      _defaultIdle,
+		handshake: _defaultHandshake,
+		now:       time.Now,
+	}
+	for _, opt := range opts {
+		opt.apply(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/agent/rig_test.go
@@ -0,0 +1,309 @@
+package agent
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"math/big"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/balancer"
+	"dandelionhitch.example/packet"
+	"dandelionhitch.example/route"
+	"dandelionhitch.example/service"
+)
+
+var _loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// sprayer is a fabric for one service address: it hands each datagram of a
+// caller to a random balancer.
+type sprayer struct {
+	front   *net.UDPConn
+	address netip.AddrPort
+	tomb    tomb.Tomb
+
+	mu      sync.Mutex
+	random  *mathrand.Rand
+	targets []netip.AddrPort
+	lanes   map[netip.AddrPort]*lane
+}
+
+// lane carries one caller's datagrams.
+type lane struct {
+	s      *sprayer
+	caller netip.AddrPort
+	conn   *net.UDPConn
+}
+
+func newSprayer(t *testing.T, seed uint64) *sprayer {
+	front, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(_loopback))
+	assert.NilError(t, err)
+	s := &sprayer{front: front, lanes: map[netip.AddrPort]*lane{}, random: mathrand.New(mathrand.NewPCG(seed, 1))}
+	s.address = front.LocalAddr().(*net.UDPAddr).AddrPort()
+	s.tomb.Go(s.loop)
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *sprayer) setTargets(targets ...netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = targets
+}
+
+func (s *sprayer) loop() error {
+	buf := make([]byte, 2048)
+	for {
+		n, caller, err := s.front.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return nil
+		}
+		if l, target := s.pick(caller); l != nil {
+			_, _ = l.conn.WriteToUDPAddrPort(buf[:n], target)
+		}
+	}
+}
+
+func (s *sprayer) pick(caller netip.AddrPort) (*lane, netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.targets) == 0 {
+		return nil, netip.AddrPort{}
+	}
+	l := s.lanes[caller]
+	if l == nil {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(_loopback))
+		if err != nil {
+			return nil, netip.AddrPort{}
+		}
+		l = &lane{s: s, caller: caller, conn: conn}
+		s.lanes[caller] = l
+		s.tomb.Go(l.loop)
+	}
+	return l, s.targets[s.random.IntN(len(s.targets))]
+}
+
+func (l *lane) loop() error {
+	buf := make([]byte, 2048)
+	for {
+		n, _, err := l.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return nil
+		}
+		_, _ = l.s.front.WriteToUDPAddrPort(buf[:n], l.caller)
+	}
+}
+
+func (s *sprayer) close() {
+	s.front.Close()
+	s.mu.Lock()
+	for _, l := range s.lanes {
+		l.conn.Close()
+	}
+	s.targets = nil
+	s.mu.Unlock()
+	_ = s.tomb.Wait()
+}
+
+// gate admits up to limit flows; zero is no limit.
+type gate struct {
+	mu          sync.Mutex
+	limit, open int
+}
+
+func (g *gate) TryAdmit() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limit > 0 && g.open >= g.limit {
+		return errors.New("full")
+	}
+	g.open++
+	return nil
+}
+
+func (g *gate) Release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open--
+}
+
+func (g *gate) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
+// rig is some balancers and services with agents on loopback.
+type rig struct {
+	t         *testing.T
+	keys      *packet.Keys
+	cert      tls.Certificate
+	pool      *x509.CertPool
+	balancers []*balancer.Balancer
+	sprayers  []*sprayer
+	agents    [][]*Agent
+	gates     [][]*gate
+}
+
+func newRig(t *testing.T, balancers, services, agents int, opts ...Option) *rig {
+	r := &rig{t: t, keys: testKeys(t, 1)}
+	r.cert, r.pool = testCert(t)
+	for i := range services {
+		r.sprayers = append(r.sprayers, newSprayer(t, uint64(i)))
+		r.agents = append(r.agents, nil)
+		r.gates = append(r.gates, nil)
+		for range agents {
+			g := &gate{}
+			r.gates[i] = append(r.gates[i], g)
+			r.agents[i] = append(r.agents[i], r.startAgent(i, _loopback, 1, g, opts...))
+		}
+	}
+	for range balancers {
+		r.addBalancer()
+	}
+	r.setTable()
+	return r
+}
+
+func (r *rig) startAgent(svc int, addr netip.AddrPort, incarnation service.Incarnation, g *gate, opts ...Option) *Agent {
+	a, err := New(Config{
+		Addr: addr, Service: service.ID(svc + 1), Incarnation: incarnation, Keys: r.keys, Gate: g,
+		TLS:     &tls.Config{Certificates: []tls.Certificate{r.cert}},
+		Handler: echo(svc),
+	}, opts...)
+	assert.NilError(r.t, err)
+	a.Serve()
+	r.t.Cleanup(func() {
+		assert.NilError(r.t, a.Close())
+		assert.Equal(r.t, g.count(), 0)
+	})
+	return a
+}
+
+func (r *rig) addBalancer() {
+	cfg := balancer.Config{Addr: _loopback, Keys: r.keys}
+	for _, s := range r.sprayers {
+		cfg.Listeners = append(cfg.Listeners, balancer.Listener{Bind: _loopback, Address: s.address})
+	}
+	b, err := balancer.New(cfg)
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { assert.NilError(r.t, b.Close()) })
+	r.balancers = append(r.balancers, b)
+	r.spray()
+}
+
+// spray tells the fabric which balancers there are.
+func (r *rig) spray() {
+	for i, s := range r.sprayers {
+		var targets []netip.AddrPort
+		for _, b := range r.balancers {
+			targets = append(targets, b.Listeners()[i])
+		}
+		s.setTargets(targets...)
+	}
+}
+
+func (r *rig) setTable(gone ...route.Gone) {
+	var services []route.Service
+	for i, agents := range r.agents {
+		s := route.Service{ID: service.ID(i + 1), Addresses: []netip.AddrPort{r.sprayers[i].address}}
+		for _, a := range agents {
+			s.Candidates = append(s.Candidates, route.Candidate{Addr: a.Addr(), Incarnation: a.incarnation, Weight: 1})
+		}
+		services = append(services, s)
+	}
+	table, err := route.New(services, gone...)
+	assert.NilError(r.t, err)
+	for _, b := range r.balancers {
+		b.SetTable(table)
+	}
+}
+
+// client returns an HTTP client that holds one flow to the service.
+func (r *rig) client(svc int) *http.Client {
+	address := r.sprayers[svc].address.String()
+	transport := &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: r.pool, ServerName: "localhost"},
+		QUICConfig:      &quic.Config{HandshakeIdleTimeout: 5 * time.Second, InitialPacketSize: 1250, DisablePathMTUDiscovery: true},
+		Dial: func(ctx context.Context, _ string, t *tls.Config, q *quic.Config) (*quic.Conn, error) {
+			return quic.DialAddr(ctx, address, t, q)
+		},
+	}
+	r.t.Cleanup(func() { _ = transport.Close() })
+	return &http.Client{Transport: transport, Timeout: 10 * time.Second}
+}
+
+// call sends a body and wants it back with the service's number.
+func (r *rig) call(c *http.Client, svc, size int) error {
+	body := strings.Repeat("x", size)
+	response, err := c.Post("https://localhost/", "text/plain", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if want := fmt.Sprintf("%d:%s", svc, body); string(answer) != want {
+		return fmt.Errorf("answer of %d octets, want %d of service %d", len(answer), len(want), svc)
+	}
+	return nil
+}
+
+// echo answers with the service's number and the request's body.
+func echo(svc int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(w, "%d:%s", svc, body)
+	})
+}
+
+func testKeys(t testing.TB, numbers ...packet.KeyNumber) *packet.Keys {
+	file := packet.KeyFile{Current: numbers[0]}
+	for _, n := range numbers {
+		part := func(length int) []byte { return []byte(strings.Repeat(string(rune('a'+n)), length)) }
+		file.Keys = append(file.Keys, packet.KeySpec{Number: n, CID: part(16), MAC: part(16), Reset: part(32), Token: part(32)})
+	}
+	keys, err := packet.NewKeys(file)
+	assert.NilError(t, err)
+	return keys
+}
+
+func testCert(t testing.TB) (tls.Certificate, *x509.CertPool) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{"localhost"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	parsed, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -2,16 +2,25 @@
 // wraps each for the agent that should have it, and unwraps the agents' replies.
 //
 // A balancer keeps no flow state. What it knows is one immutable route.Table,
-// replaced whole; every decision about a datagram is made by package route.
+// replaced whole; every decision about a datagram is made by package route. A
+// front is a socket towards callers, the back is the socket towards agents:
+//
+//	caller -> front.loop: decide, wrap -> back socket -> agent
+//	agent -> back.loop: verify, unwrap -> front socket -> caller
 package balancer
 
 import (
 	"context"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+	"gopkg.in/tomb.v2"
 
 	"dandelionhitch.example/packet"
 	"dandelionhitch.example/route"
@@ -41,88 +50,164 @@
 	Wildcard bool
 }
 
-// Option adjusts a Balancer.
-type Option interface{ apply(*options) }
-
-type options struct {
-	logger *zap.Logger
-	meter  metric.Meter
-	quiet  time.Duration
-	resets int
-}
-
-type optionFunc func(*options)
-
-func (f optionFunc) apply(o *options) { f(o) }
-
-// WithLogger sets the logger. The default logs nothing.
-func WithLogger(logger *zap.Logger) Option {
-	return optionFunc(func(o *options) { o.logger = logger })
-}
-
-// WithMeter sets the meter of the balancer's counters. The default counts only for Counts.
-func WithMeter(meter metric.Meter) Option {
-	return optionFunc(func(o *options) { o.meter = meter })
-}
-
-// WithQuiet sets how long a draining balancer sees no datagram before it stops.
-func WithQuiet(span time.Duration) Option {
-	return optionFunc(func(o *options) { o.quiet = span })
+// Balancer forwards datagrams until it is closed.
+type Balancer struct {
+	wildcard     bool
+	options      options
+	back         *back
+	keys         atomic.Pointer[packet.Keys]
+	table        atomic.Pointer[route.Table]
+	counters     counters
+	registration metric.Registration
+	resets       *rate.Limiter
+	tomb         tomb.Tomb
+	closing      sync.Once
+
+	// fronts is replaced whole under mu, so that the packet path reads it without a lock.
+	mu     sync.Mutex
+	fronts atomic.Pointer[fronts]
 }
 
-// WithResetRate bounds the stateless resets sent in one second.
-func WithResetRate(perSecond int) Option {
-	return optionFunc(func(o *options) { o.resets = perSecond })
+// New opens the sockets and starts forwarding. Without a table all datagrams are dropped.
+func New(cfg Config, opts ...Option) (*Balancer, error) {
+	if cfg.Keys == nil {
+		return nil, trace.BadParameter("starting a balancer: no keys")
+	}
+	b := &Balancer{wildcard: cfg.Wildcard, options: newOptions(opts)}
+	b.resets = rate.NewLimiter(rate.Limit(b.options.resets), b.options.resets)
+	b.keys.Store(cfg.Keys)
+	empty, err := route.New(nil)
+	if err != nil {
+		return nil, trace.Wrap(err, "starting a balancer")
+	}
+	b.table.Store(empty)
+	b.fronts.Store(&fronts{})
+	if err := b.open(cfg); err != nil {
+		b.closeSockets()
+		return nil, trace.Wrap(err, "starting a balancer")
+	}
+	b.tomb.Go(b.loop)
+	b.tomb.Go(b.back.loop)
+	for _, f := range b.fronts.Load().list {
+		b.tomb.Go(f.loop)
+	}
+	return b, nil
 }
 
-// Counts are the balancer's counters since its start, in datagrams.
-type Counts struct {
-	// ByCID were forwarded to the agent that their connection ID names.
-	ByCID uint64 `json:"by_cid"`
-	// ByHash were forwarded to candidates for a new flow.
-	ByHash uint64 `json:"by_hash"`
-	// Replies were unwrapped and sent to callers.
-	Replies uint64 `json:"replies"`
-	// Resets were answered with a stateless reset.
-	Resets uint64 `json:"resets"`
-	// Dropped were dropped for a reason of package route.
-	Dropped uint64 `json:"dropped"`
-	// TooLarge could not be wrapped under the MTU.
-	TooLarge uint64 `json:"too_large"`
-	// Forged were replies with a wrong MAC or malformed header.
-	Forged uint64 `json:"forged"`
-	// Foreign were genuine wrapped packets that are not replies through this balancer.
-	Foreign uint64 `json:"foreign"`
-	// Overflowed were dropped because a ring was full.
-	Overflowed uint64 `json:"overflowed"`
-	// Unsent could not be written to a socket.
-	Unsent uint64 `json:"unsent"`
+func (b *Balancer) open(cfg Config) error {
+	var err error
+	if b.registration, err = b.counters.register(b.options.meter); err != nil {
+		return err
+	}
+	if b.back, err = openBack(b, cfg.Addr); err != nil {
+		return err
+	}
+	for _, l := range cfg.Listeners {
+		f, err := openFront(b, l)
+		if err != nil {
+			return err
+		}
+		b.fronts.Store(b.fronts.Load().with(f))
+	}
+	return nil
 }
 
-// Balancer forwards datagrams until it is closed.
-type Balancer struct{}
-
-// New opens the sockets and starts forwarding. Without a table all datagrams are dropped.
-func New(cfg Config, opts ...Option) (*Balancer, error) { return &Balancer{}, nil }
-
 // Addr is where agents reach this balancer.
-func (b *Balancer) Addr() netip.AddrPort { return netip.AddrPort{} }
+func (b *Balancer) Addr() netip.AddrPort { return b.back.addr }
 
 // Listeners are the local addresses of the sockets towards callers: first those
 // of Config.Listeners in their order, then the wildcard sockets.
-func (b *Balancer) Listeners() []netip.AddrPort { return nil }
+func (b *Balancer) Listeners() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, f := range b.fronts.Load().list {
+		out = append(out, f.addr)
+	}
+	return out
+}
 
-// SetTable replaces the routing table.
-func (b *Balancer) SetTable(table *route.Table) {}
+// SetTable replaces the routing table and opens the wildcard sockets that it
+// needs. A socket that cannot be opened is logged and tried again with the next
+// table; the rest of the table is in force.
+func (b *Balancer) SetTable(table *route.Table) {
+	b.table.Store(table)
+	if !b.wildcard {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, addr := range table.Addresses() {
+		if b.fronts.Load().find(addr) != nil || !b.tomb.Alive() {
+			continue
+		}
+		if err := b.addWildcard(addr.Port()); err != nil {
+			b.options.logger.Error("service address not served",
+				zap.Stringer("address", addr), zap.Error(err))
+		}
+	}
+}
+
+func (b *Balancer) addWildcard(port uint16) error {
+	f, err := openFront(b, Listener{Bind: netip.AddrPortFrom(netip.IPv4Unspecified(), port)})
+	if err != nil {
+		return err
+	}
+	b.fronts.Store(b.fronts.Load().with(f))
+	b.tomb.Go(f.loop)
+	return nil
+}
 
 // SetKeys replaces the keys.
-func (b *Balancer) SetKeys(keys *packet.Keys) {}
+func (b *Balancer) SetKeys(keys *packet.Keys) { b.keys.Store(keys) }
 
 // Counts returns the counters.
-func (b *Balancer) Counts() Counts { return Counts{} }
-
-// Drain keeps forwarding until no datagram has come for a while or ctx ends, then closes.
-func (b *Balancer) Drain(ctx context.Context) error { return b.Close() }
+func (b *Balancer) Counts() Counts { return b.counters.snapshot() }
+
+// Drain keeps forwarding until no datagram has come for a while or ctx ends,
+// then closes. The fabric must have been told before to send elsewhere.
+func (b *Balancer) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(b.options.quiet)
+	defer ticker.Stop()
+	for last := b.counters.received(); ; {
+		select {
+		case <-ctx.Done():
+			return b.Close()
+		case <-b.tomb.Dying():
+			return b.Close()
+		case <-ticker.C:
+		}
+		now := b.counters.received()
+		if now == last {
+			return b.Close()
+		}
+		last = now
+	}
+}
 
 // Close stops forwarding and waits until all goroutines have ended.
-func (b *Balancer) Close() error { return nil }
+func (b *Balancer) Close() error {
+	b.closing.Do(func() { b.tomb.Kill(nil) })
+	return trace.Wrap(b.tomb.Wait(), "closing a balancer")
+}
+
+// loop closes the sockets when the balancer ends, which ends the other loops.
+func (b *Balancer) loop() error {
+	<-b.tomb.Dying()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closeSockets()
+	return nil
+}
+
+func (b *Balancer) closeSockets() {
+	if b.registration != nil {
+		if err := b.registration.Unregister(); err != nil {
+			b.options.logger.Warn("counters stay registered", zap.Error(err))
+		}
+	}
+	if b.back != nil {
+		b.back.conn.Close()
+	}
+	for _, f := range b.fronts.Load().list {
+		f.conn.Close()
+	}
+}
--- a/packet/cid.go
+++ b/packet/cid.go
@@ -19,15 +19,28 @@
 	_lengthMask    = 1<<_rotationShift - 1
 )
 
+// The last word of the block has the nonce in its upper 24 bits and the zero
+// check in its lower 8. Together with the length in the rotation octet and the
+// service, which must be that of the address, 29 bits tell a connection ID of
+// ours from a random one.
+const (
+	_nonceShift = 8
+	_checkMask  = 1<<_nonceShift - 1
+)
+
 // CID is what a connection ID says: the flow's service and the agent that holds it.
 type CID struct {
 	Service     service.ID
 	Agent       netip.AddrPort
 	Incarnation service.Incarnation
-	// Nonce makes the connection IDs of one agent differ.
-	Nonce uint16
+	// Nonce makes the connection IDs of one agent differ; 0 to MaxNonce.
+	Nonce uint32
 }
 
+// MaxNonce is the highest nonce. An agent counts nonces up and begins again, so
+// a connection ID repeats only if a flow outlives 16 million later ones.
+const MaxNonce = 1<<24 - 1
+
 // Sealer encrypts and decrypts connection IDs without allocating. It holds the
 // block in work, so each goroutine needs its own.
 type Sealer struct {
@@ -51,8 +64,7 @@
 	copy(s.block[2:], ip[:])
 	binary.BigEndian.PutUint16(s.block[6:], cid.Agent.Port())
 	binary.BigEndian.PutUint32(s.block[8:], uint32(cid.Incarnation))
-	binary.BigEndian.PutUint16(s.block[12:], cid.Nonce)
-	binary.BigEndian.PutUint16(s.block[14:], 0)
+	binary.BigEndian.PutUint32(s.block[12:], cid.Nonce&MaxNonce<<_nonceShift)
 	found.cid.Encrypt(s.block[:], s.block[:])
 	out[0] = byte(n)<<_rotationShift | _blockLen
 	copy(out[1:], s.block[:])
@@ -74,14 +86,15 @@
 	}
 	copy(s.block[:], octets[1:])
 	found.cid.Decrypt(s.block[:], s.block[:])
-	if binary.BigEndian.Uint16(s.block[14:]) != 0 {
+	tail := binary.BigEndian.Uint32(s.block[12:])
+	if tail&_checkMask != 0 {
 		return CID{}, ErrForged
 	}
 	cid := CID{
 		Service:     service.ID(binary.BigEndian.Uint16(s.block[0:])),
 		Agent:       netip.AddrPortFrom(netip.AddrFrom4([4]byte(s.block[2:6])), binary.BigEndian.Uint16(s.block[6:])),
 		Incarnation: service.Incarnation(binary.BigEndian.Uint32(s.block[8:])),
-		Nonce:       binary.BigEndian.Uint16(s.block[12:]),
+		Nonce:       tail >> _nonceShift,
 	}
 	if cid.Service == 0 || cid.Agent.Port() == 0 || cid.Incarnation == 0 {
 		return CID{}, ErrForged
