dispatcher: answers that begin before the request's end

Cause: an HTTP/1 server reads the rest of a request's body before it sends the answer, unless it is told to work both ways at once.

--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -72,6 +72,9 @@
 	}
 	x.ctx, x.cancel = context.WithCancel(r.Context())
 	x.unlink = context.AfterFunc(d.base, x.cancel)
+	// An HTTP/1 server reads the rest of the body before it sends the answer,
+	// unless told not to; the other versions have no such step.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	return x, nil
 }
 
