dispatcher: the echo test needs no help from its upstream

So the fault was the dispatcher's alone: its HTTP/1 server discards up to 256 kB of a request's body when the answer's header goes out, while the transport still sends that body on.

Before (the dispatcher's full duplex taken out again): 16 of 30 runs red. After, with plain full duplex in the dispatcher only: 30 of 30 green (go test -count=30 ./dispatcher).

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -30,7 +30,6 @@
 		if r.Header.Get(dispatcher.HeaderDeadline) == "" {
 			t.Error("the upstream got no deadline")
 		}
-		assert.Check(t, http.NewResponseController(w).EnableFullDuplex())
 		w.Header().Set("Trailer", "Sum")
 		_, _ = io.Copy(w, r.Body)
 		w.Header().Set("Sum", r.Method)
