--- a/packet/packet.go
+++ b/packet/packet.go
@@ -3,7 +3,8 @@
 // carries a caller's datagram between a balancer and an agent, and stateless
 // resets.
 //
-// The package decides nothing and keeps no state besides Keys. Its encoders and
-// decoders do not allocate. Octets from outside are untrusted: every decoder
-// returns an error value for malformed, short or forged input.
+// The package decides nothing and keeps no state besides Keys. Connection IDs
+// and headers are encoded and decoded without allocating. Octets from outside
+// are untrusted: every decoder returns an error value for malformed, short or
+// forged input.
 package packet
