control: net/rpc over mutual TLS with bounded, self-checking CBOR frames

Cause: processes need calls whose failure says whether the method may have run, and messages from outside that can do no harm. Ruled out: gob (unbounded, fails the bound on depth and counts); a connection per call (a TLS 1.3 handshake costs kilobytes against a budget of 11 KB/s).

--- a/control/control.go
+++ b/control/control.go
@@ -1,18 +1,53 @@
 // Package control carries calls between the processes of the system: net/rpc
 // over mutual TLS on TCP, with length-framed CBOR messages.
+//
+// A call has one of four ends, and its caller can tell them apart: an answer, a
+// RemoteError of the method itself, a NotSentError (the method has certainly
+// not run) or an AnswerLostError (it may have run). A caller that may not run
+// something twice relies on that difference.
+//
+// Client keeps one connection for each address and uses it for all calls there,
+// so that the steady state costs no handshakes. A connection that has gone
+// silent is told from a slow method by its reads: when a call times out and the
+// connection has brought nothing since the call began, the connection is closed
+// and the next call dials anew.
+//
+// Messages come from outside. A frame is bounded in length before it is read,
+// CBOR is decoded with bounds on depth and counts, and a decoded message that
+// has a Validate method is checked by it. A frame that fails any of these closes
+// its connection and is counted.
 package control
 
 import (
-	"context"
-	"crypto/tls"
-	"net"
-	"net/netip"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
 )
 
+const (
+	// _defaultMaxMessage bounds one message in octets: one value of the
+	// platform's store and what is wrapped around it.
+	_defaultMaxMessage = 1<<20 + 1<<16
+	// _defaultTimeout bounds a call whose context has no deadline.
+	_defaultTimeout = 2 * time.Second
+	// _maxInFlight bounds the calls that one connection runs at once.
+	_maxInFlight = 64
+	// _maxConnections bounds the connections of one server.
+	_maxConnections = 4096
+	// _clientIdle is how long a client keeps a connection that no call uses.
+	_clientIdle = 3 * time.Minute
+	// _serverIdle is how long a server keeps a silent connection. It is longer
+	// than _clientIdle, so that it is the client that closes.
+	_serverIdle = 5 * time.Minute
+)
+
+// Validator is a message that checks itself once it is decoded.
+type Validator interface {
+	// Validate returns an error unless the message is whole.
+	Validate() error
+}
+
 // Option configures a Server or a Client.
 type Option func(*options)
 
@@ -22,12 +57,24 @@
 	meter      metric.Meter
 }
 
+func newOptions(opts []Option) options {
+	o := options{
+		maxMessage: _defaultMaxMessage,
+		timeout:    _defaultTimeout,
+		meter:      noop.NewMeterProvider().Meter("control"),
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
 // WithMaxMessage bounds one message in octets, in both directions.
 func WithMaxMessage(octets int) Option {
 	return func(o *options) { o.maxMessage = octets }
 }
 
-// WithTimeout bounds calls whose context has no deadline, dials and writes.
+// WithTimeout bounds calls whose context has no deadline, and handshakes and writes.
 func WithTimeout(timeout time.Duration) Option {
 	return func(o *options) { o.timeout = timeout }
 }
@@ -36,50 +83,3 @@
 func WithMeter(meter metric.Meter) Option {
 	return func(o *options) { o.meter = meter }
 }
-
-// Counters is a snapshot of what has been sent and received.
-type Counters struct {
-	BytesIn, BytesOut       uint64
-	MessagesIn, MessagesOut uint64
-	Handshakes              uint64
-	Malformed, Oversized    uint64
-	DialFailures            uint64
-}
-
-// Server answers calls.
-type Server struct{}
-
-// NewServer returns a server that admits only callers with a certificate that
-// the configuration's ClientCAs verify.
-func NewServer(config *tls.Config, opts ...Option) *Server { return &Server{} }
-
-// Register offers the receiver's methods under the name, as net/rpc does.
-func (s *Server) Register(name string, receiver any) error { return trace.NotImplemented("register") }
-
-// Serve accepts connections until the listener fails or Close is called; it
-// returns nil after Close.
-func (s *Server) Serve(listener net.Listener) error { return trace.NotImplemented("serve") }
-
-// Counters returns what has been sent and received.
-func (s *Server) Counters() Counters { return Counters{} }
-
-// Close closes the listeners and connections and waits until all is stopped.
-func (s *Server) Close() error { return nil }
-
-// Client calls servers over pooled connections, one for each address.
-type Client struct{}
-
-// NewClient returns a client that presents the configuration's certificate.
-func NewClient(config *tls.Config, opts ...Option) *Client { return &Client{} }
-
-// Call calls the method of the server at addr. Errors are *NotSentError,
-// *AnswerLostError or *RemoteError.
-func (c *Client) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
-	return trace.NotImplemented("call")
-}
-
-// Counters returns what has been sent and received.
-func (c *Client) Counters() Counters { return Counters{} }
-
-// Close closes all connections and waits until all is stopped.
-func (c *Client) Close() error { return nil }
--- /dev/null
+++ b/control/frame.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+)
+
+// _lengthSize is the size of the length in front of each frame, in octets.
+const _lengthSize = 4
+
+// _keptBuffer is the largest buffer, in octets, that a connection keeps between frames.
+const _keptBuffer = 4 << 10
+
+// Bounds of what one message may hold.
+const (
+	_maxDepth    = 12
+	_maxElements = 1 << 17
+	_maxPairs    = 1 << 12
+)
+
+var (
+	errMalformed = errors.New("malformed message")
+	errOversized = errors.New("message over the size bound")
+)
+
+var _decoding = decoding()
+
+func decoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxNestedLevels:  _maxDepth,
+		MaxArrayElements: _maxElements,
+		MaxMapPairs:      _maxPairs,
+	}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return mode
+}
+
+// framer reads and writes frames: a length, then a header and a body in CBOR.
+// Reads are made by one goroutine and writes by one at a time.
+type framer struct {
+	conn       net.Conn
+	reader     *bufio.Reader
+	counters   *counters
+	maxMessage int
+	timeout    time.Duration
+	// lastRead is when the last frame came, since start.
+	lastRead atomic.Int64
+	start    time.Time
+
+	in  bytes.Buffer
+	out bytes.Buffer
+}
+
+func newFramer(conn net.Conn, counters *counters, o options) *framer {
+	return &framer{
+		conn:       conn,
+		reader:     bufio.NewReaderSize(conn, 1<<10),
+		counters:   counters,
+		maxMessage: o.maxMessage,
+		timeout:    o.timeout,
+		start:      time.Now(),
+	}
+}
+
+// since returns the time on the framer's clock.
+func (f *framer) since() time.Duration { return time.Since(f.start) }
+
+// read reads one frame, decodes its header, and returns its body, which is
+// valid until the next read.
+func (f *framer) read(header any) ([]byte, error) {
+	var length [_lengthSize]byte
+	if _, err := io.ReadFull(f.reader, length[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if int64(size) > int64(f.maxMessage) {
+		f.counters.oversized.Add(1)
+		return nil, trace.Wrap(errOversized, "read a frame of %d octets", size)
+	}
+	if f.in.Cap() > _keptBuffer {
+		f.in = bytes.Buffer{}
+	}
+	f.in.Reset()
+	// The buffer grows with what arrives, not with what the length claims.
+	if _, err := io.CopyN(&f.in, f.reader, int64(size)); err != nil {
+		return nil, io.ErrUnexpectedEOF
+	}
+	f.lastRead.Store(int64(f.since()))
+	f.counters.messagesIn.Add(1)
+	body, err := _decoding.UnmarshalFirst(f.in.Bytes(), header)
+	if err != nil {
+		return nil, f.malformed(err)
+	}
+	return body, nil
+}
+
+// decode decodes a body and lets it check itself.
+func (f *framer) decode(body []byte, message any) error {
+	if err := _decoding.Unmarshal(body, message); err != nil {
+		return f.malformed(err)
+	}
+	if v, ok := message.(Validator); ok {
+		if err := v.Validate(); err != nil {
+			return f.malformed(err)
+		}
+	}
+	return nil
+}
+
+func (f *framer) malformed(err error) error {
+	f.counters.malformed.Add(1)
+	return trace.Wrap(errMalformed, "decode: %v", err)
+}
+
+// write writes one frame in one piece. After an error that is not
+// errOversized or of encoding, the connection is of no further use.
+func (f *framer) write(header, body any) error {
+	if err := f.encode(header, body); err != nil {
+		return err
+	}
+	if err := f.conn.SetWriteDeadline(time.Now().Add(f.timeout)); err != nil {
+		return &writeError{err}
+	}
+	if _, err := f.conn.Write(f.out.Bytes()); err != nil {
+		return &writeError{err}
+	}
+	f.counters.messagesOut.Add(1)
+	return nil
+}
+
+func (f *framer) encode(header, body any) error {
+	if f.out.Cap() > _keptBuffer {
+		f.out = bytes.Buffer{}
+	}
+	f.out.Reset()
+	f.out.Write(make([]byte, _lengthSize))
+	encoder := cbor.NewEncoder(&f.out)
+	if err := encoder.Encode(header); err != nil {
+		return trace.Wrap(err, "encode header")
+	}
+	if err := encoder.Encode(body); err != nil {
+		return trace.Wrap(err, "encode body")
+	}
+	size := f.out.Len() - _lengthSize
+	if size > f.maxMessage {
+		return trace.Wrap(errOversized, "encode %d octets", size)
+	}
+	binary.BigEndian.PutUint32(f.out.Bytes(), uint32(size))
+	return nil
+}
+
+// writeError says that a frame could not be written whole. The other end never
+// acts on a part of a frame.
+type writeError struct {
+	err error
+}
+
+// Error describes the failure.
+func (e *writeError) Error() string { return "write: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *writeError) Unwrap() error { return e.err }
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/gravitational/trace"
+	"gopkg.in/tomb.v2"
+)
+
+// Server answers calls.
+type Server struct {
+	config   *tls.Config
+	options  options
+	rpc      *rpc.Server
+	counters counters
+	tomb     tomb.Tomb
+
+	mu        sync.Mutex
+	closed    bool
+	listeners map[net.Listener]struct{}
+	conns     map[*serverConn]struct{}
+	serving   sync.WaitGroup
+}
+
+// NewServer returns a server that admits only callers with a certificate that
+// the configuration's ClientCAs verify.
+func NewServer(config *tls.Config, opts ...Option) *Server {
+	config = config.Clone()
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	config.MinVersion = tls.VersionTLS13
+	s := &Server{
+		config:    config,
+		options:   newOptions(opts),
+		rpc:       rpc.NewServer(),
+		listeners: make(map[net.Listener]struct{}),
+		conns:     make(map[*serverConn]struct{}),
+	}
+	s.counters.observe(s.options.meter, "dandelionhitch.control.server")
+	s.tomb.Go(s.run)
+	return s
+}
+
+// Register offers the receiver's methods under the name, as net/rpc does.
+func (s *Server) Register(name string, receiver any) error {
+	return trace.Wrap(s.rpc.RegisterName(name, receiver), "register %s", name)
+}
+
+// Serve accepts connections until the listener fails or Close is called; it
+// returns nil after Close.
+func (s *Server) Serve(listener net.Listener) error {
+	if !s.begin(listener) {
+		listener.Close()
+		return nil
+	}
+	defer s.serving.Done()
+	for {
+		conn, err := listener.Accept()
+		if err == nil {
+			s.admit(conn)
+			continue
+		}
+		if !s.tomb.Alive() {
+			return nil
+		}
+		var temporary net.Error
+		if errors.As(err, &temporary) && temporary.Timeout() {
+			continue
+		}
+		return trace.Wrap(err, "accept a control connection")
+	}
+}
+
+// Counters returns what has been sent and received.
+func (s *Server) Counters() Counters { return s.counters.snapshot() }
+
+// Close closes the listeners and connections and waits until all is stopped.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.tomb.Kill(nil)
+	err := s.tomb.Wait()
+	s.serving.Wait()
+	return trace.Wrap(err, "close control server")
+}
+
+// run closes everything once the server is told to stop.
+func (s *Server) run() error {
+	<-s.tomb.Dying()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for listener := range s.listeners {
+		listener.Close()
+	}
+	for conn := range s.conns {
+		conn.raw.Close()
+	}
+	return nil
+}
+
+func (s *Server) begin(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners[listener] = struct{}{}
+	s.serving.Add(1)
+	return true
+}
+
+// admit starts the connection's goroutine unless there are too many.
+func (s *Server) admit(raw net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= _maxConnections {
+		s.counters.refused.Add(1)
+		raw.Close()
+		return
+	}
+	conn := &serverConn{server: s, raw: &countedConn{Conn: raw, counters: &s.counters}}
+	s.conns[conn] = struct{}{}
+	s.tomb.Go(conn.run)
+}
+
+func (s *Server) forget(conn *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// serverConn is one accepted connection.
+type serverConn struct {
+	server *Server
+	raw    net.Conn
+}
+
+// run answers calls until the connection ends. What ends one connection never
+// ends the server.
+func (c *serverConn) run() error {
+	s := c.server
+	defer s.forget(c)
+	defer c.raw.Close()
+	conn := tls.Server(c.raw, s.config)
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.timeout)
+	err := conn.HandshakeContext(ctx)
+	cancel()
+	if err != nil {
+		s.counters.refused.Add(1)
+		return nil
+	}
+	s.counters.handshakes.Add(1)
+	if conn.ConnectionState().DidResume {
+		s.counters.resumed.Add(1)
+	}
+	s.rpc.ServeCodec(newServerCodec(newFramer(conn, &s.counters, s.options)))
+	return nil
+}
