--- /dev/null
+++ b/route/bench_test.go
@@ -0,0 +1,56 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"dandelionhitch.example/packet"
+)
+
+// BenchmarkDecide is one datagram of an established flow: open the connection
+// ID, check it, and wrap.
+func BenchmarkDecide(b *testing.B) {
+	keys := testKeys(b)
+	dcid := seal(b, keys, packet.CID{Service: 1, Agent: agentAddr(1), Incarnation: 1})
+	for _, candidates := range []int{10, 5900} {
+		for _, size := range []int{64, 1200} {
+			b.Run(fmt.Sprintf("candidates=%d/octets=%d", candidates, size), func(b *testing.B) {
+				table := testTable(b, 1, candidates)
+				var d Decider
+				buf := make([]byte, packet.MaxWrapped)
+				copy(buf[packet.HeaderLen:], datagram(packet.Short, dcid, size))
+				b.ReportAllocs()
+				for b.Loop() {
+					decideAndWrap(&d, table, keys, buf, size)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkRank is the choice of candidates for one new flow.
+func BenchmarkRank(b *testing.B) {
+	for _, candidates := range []int{10, 100, 5900} {
+		b.Run(fmt.Sprintf("candidates=%d", candidates), func(b *testing.B) {
+			e := testTable(b, 1, candidates).byAddress[serviceAddr(1)]
+			b.ReportAllocs()
+			var key uint64
+			for b.Loop() {
+				key++
+				e.rank(key)
+			}
+		})
+	}
+}
+
+// BenchmarkNew builds a table; its octets are the table's size and what building leaves behind.
+func BenchmarkNew(b *testing.B) {
+	for _, candidates := range []int{10, 100, 5900} {
+		b.Run(fmt.Sprintf("candidates=%d", candidates), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				testTable(b, 1, candidates)
+			}
+		})
+	}
+}
--- a/route/rank.go
+++ b/route/rank.go
@@ -21,13 +21,21 @@
 // uniform number u from the flow's key and its own address, and the highest
 // -weight/ln(u) wins. A candidate is first for a share of flows in proportion to
 // its weight, and a change of one candidate moves only the flows that it wins or loses.
+//
+// As -ln(u) is at least 1-u, a score is at most weight/(1-u). Nearly all
+// candidates fall short of the last place by that bound, which spares them the
+// logarithm.
 func (e *entry) rank(key uint64) Ranking {
 	var out Ranking
 	var scores [packet.MaxCandidates]float64
-	for i := range e.candidates {
-		c := &e.candidates[i]
-		score := -c.weight / math.Log(uniform(mix(key^c.seed)))
-		out.insert(&scores, score, c.addr)
+	last := &scores[packet.MaxCandidates-1]
+	for i := range e.draws {
+		d := &e.draws[i]
+		u := uniform(mix(key ^ d.seed))
+		if d.weight < *last*(1-u) {
+			continue
+		}
+		out.insert(&scores, -d.weight/math.Log(u), e.addrs[i])
 	}
 	return out
 }
@@ -37,6 +45,9 @@
 	for at > 0 && scores[at-1] < score {
 		at--
 	}
+	if at > 0 && r.Candidates[at-1] == addr {
+		return // listed twice with one weight
+	}
 	if at == packet.MaxCandidates {
 		return
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -19,7 +19,9 @@
 	Weight float64
 }
 
-// Service is one service as a balancer sees it.
+// Service is one service as a balancer sees it. A service can be listed more
+// than once with different addresses: one without candidates keeps the flows of
+// an address that is no longer in the settings, and opens none.
 type Service struct {
 	ID        service.ID
 	Addresses []netip.AddrPort
@@ -41,14 +43,16 @@
 	gone      map[netip.AddrPort]service.Incarnation
 }
 
-// entry is one service with what ranking needs for each candidate.
+// entry is one service. Draws and addrs have one element for each candidate;
+// they are apart because ranking reads all draws and few addresses.
 type entry struct {
-	id         service.ID
-	candidates []ranked
+	id    service.ID
+	draws []draw
+	addrs []netip.AddrPort
 }
 
-type ranked struct {
-	addr   netip.AddrPort
+// draw is what a candidate's rank depends on besides the flow.
+type draw struct {
 	seed   uint64
 	weight float64
 }
@@ -92,7 +96,11 @@
 	if s.ID == 0 {
 		findings = append(findings, trace.BadParameter("service: no number"))
 	}
-	e := &entry{id: s.ID, candidates: make([]ranked, 0, len(s.Candidates))}
+	e := &entry{
+		id:    s.ID,
+		draws: make([]draw, 0, len(s.Candidates)),
+		addrs: make([]netip.AddrPort, 0, len(s.Candidates)),
+	}
 	for _, c := range s.Candidates {
 		if err := service.CheckAddress("candidate", c.Addr); err != nil {
 			findings = append(findings, trace.Wrap(err, "service %d", s.ID))
@@ -102,7 +110,8 @@
 			continue
 		}
 		addr := unmap(c.Addr)
-		e.candidates = append(e.candidates, ranked{addr: addr, seed: seedOf(addr), weight: c.Weight})
+		e.draws = append(e.draws, draw{seed: seedOf(addr), weight: c.Weight})
+		e.addrs = append(e.addrs, addr)
 	}
 	for _, addr := range s.Addresses {
 		if err := service.CheckAddress("service address", addr); err != nil {
