limit: shares, admission and the holder's steps, proved by a state machine

Cause: agents admit flows on their own, so the limit needs a division that survives pauses, outages and lost answers.

Change: the pure core (units, share object, gate, reclaim rule, plan, holder) and a rapid state machine whose oracle adds up what all runs may admit and have open, under paused, cut and killed runs, stale reads, lost and late writes, stepped and frozen clocks, and an operator who changes the limit.

Ruled out: counts of flows in the shares. Each change of the limit would have to be written to the platform, and could not be in an outage.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -3,16 +3,19 @@
 //
 // The decisions are those of package limit; this package carries messages
 // between them, the store, the settings in force and the agent. Admission
-// never waits for the platform.
+// never waits for the platform: it takes a mutex that is not held across calls.
 package leaseholder
 
 import (
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/metric"
-	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/gravitational/trace"
+
 	"dandelionhitch.example/limit"
 	"dandelionhitch.example/platform"
 	"dandelionhitch.example/settings"
@@ -25,58 +28,106 @@
 	path   settings.Path
 	policy func() settings.Service
 	opts   options
-	tomb   tomb.Tomb
-}
-
-type options struct {
-	log     *zap.Logger
-	meter   metric.Meter
-	pace    limit.Pace
-	gone    func(limit.Run) bool
-	updates <-chan struct{}
-	now     func() time.Time
+	start  time.Time
+
+	// wake makes the loop ask the holder again before its rest is over.
+	wake chan struct{}
+	tomb tomb.Tomb
+	// metrics ends the registration of the metrics.
+	metrics metric.Registration
+	calls   calls
+
+	mu     sync.Mutex
+	holder *limit.Holder
+	// storeError is the last failure of the platform; nil after a success.
+	storeError error
 }
 
-// Option configures a Leaseholder.
-type Option func(*options)
-
-// WithLogger sets the logger; the default logs nothing.
-func WithLogger(log *zap.Logger) Option { return func(o *options) { o.log = log } }
-
-// WithMeter sets the meter for metrics; the default records none.
-func WithMeter(meter metric.Meter) Option { return func(o *options) { o.meter = meter } }
-
-// WithPace sets the pace; the default is limit.DefaultPace.
-func WithPace(pace limit.Pace) Option { return func(o *options) { o.pace = pace } }
-
-// WithGone sets what confirms that a run is gone for good: callers can no
-// longer reach it, so it neither admits flows nor keeps any. It must not block
-// and may be asked often. The default confirms nothing.
-func WithGone(gone func(limit.Run) bool) Option { return func(o *options) { o.gone = gone } }
-
-// WithUpdates sets a channel that receives a value when the policy may have
-// changed. It should have a capacity of one.
-func WithUpdates(updates <-chan struct{}) Option { return func(o *options) { o.updates = updates } }
-
-// New starts to hold the share of one run. The policy returns the settings in
-// force; while it returns the zero value, no flow is admitted.
+// New starts to hold the share of one run of the service at path. The policy
+// returns the settings in force; while it returns the zero value, no flow is
+// admitted. The run's nonce is to be drawn at random for each start.
 func New(store platform.Store, path settings.Path, run limit.Run, policy func() settings.Service, opts ...Option) (*Leaseholder, error) {
-	l := &Leaseholder{store: store, path: path, policy: policy}
+	if err := trace.NewAggregate(checkPath(path), run.Validate()); err != nil {
+		return nil, trace.Wrap(err, "leaseholder")
+	}
+	l := &Leaseholder{
+		store:  store,
+		path:   path,
+		policy: policy,
+		opts:   defaults(),
+		start:  time.Now(),
+		wake:   make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(&l.opts)
+	}
+	l.holder = limit.NewHolder(l.now(), run, l.opts.pace, rand.Uint64())
+	if err := l.registerMetrics(); err != nil {
+		return nil, trace.Wrap(err, "leaseholder metrics")
+	}
+	l.Refresh()
+	l.tomb.Go(l.loop)
 	return l, nil
 }
 
-// TryAdmit takes a place for one flow, or returns a *limit.RefusalError.
-func (l *Leaseholder) TryAdmit() error { return nil }
+// TryAdmit takes a place for one flow, or returns a *limit.RefusalError. The
+// caller releases the place when the flow has ended.
+func (l *Leaseholder) TryAdmit() error {
+	l.mu.Lock()
+	early, err := l.holder.TryAdmit(l.now())
+	l.mu.Unlock()
+	if early {
+		l.rouse()
+	}
+	return err
+}
 
 // Release gives back the place of one flow that ended.
-func (l *Leaseholder) Release() {}
+func (l *Leaseholder) Release() {
+	l.mu.Lock()
+	l.holder.Release()
+	l.mu.Unlock()
+}
 
 // Drain refuses new flows from now on and returns the share as flows end.
-func (l *Leaseholder) Drain() {}
+func (l *Leaseholder) Drain() {
+	l.mu.Lock()
+	l.holder.Drain()
+	l.mu.Unlock()
+}
 
-// Close returns the whole share to the platform and stops. The flows must have
-// ended. It gives up after a few seconds: the lease lapses by itself.
-func (l *Leaseholder) Close() error { return nil }
+// Refresh takes the settings in force from the policy. It is called when these
+// may have changed, unless WithUpdates is given.
+func (l *Leaseholder) Refresh() {
+	limits := limit.LimitsOf(l.policy())
+	l.mu.Lock()
+	l.holder.SetLimits(l.now(), limits)
+	l.mu.Unlock()
+	l.rouse()
+}
 
-// Status returns what Limits.Status answers.
-func (l *Leaseholder) Status() Status { return Status{} }
+// Close refuses all flows, returns the whole share to the platform and stops.
+// It is called when the agent's flows have ended. If the platform does not
+// answer within a few seconds, Close returns its error, and the share returns
+// to the others when its lease lapses.
+func (l *Leaseholder) Close() error {
+	l.tomb.Kill(nil)
+	err := l.tomb.Wait()
+	return trace.NewAggregate(err, l.metrics.Unregister())
+}
+
+// now reads the process's clocks.
+func (l *Leaseholder) now() limit.Instant {
+	now := time.Now()
+	return limit.Instant{
+		Mono: now.Sub(l.start),
+		Wall: time.Duration(now.UnixNano()),
+	}
+}
+
+func (l *Leaseholder) rouse() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/leaseholder/options.go
@@ -0,0 +1,56 @@
+package leaseholder
+
+import (
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"go.uber.org/zap"
+
+	"dandelionhitch.example/limit"
+)
+
+type options struct {
+	log     *zap.Logger
+	meter   metric.Meter
+	pace    limit.Pace
+	gone    func(limit.Run) bool
+	updates <-chan struct{}
+}
+
+func defaults() options {
+	return options{
+		log:   zap.NewNop(),
+		meter: noop.Meter{},
+		pace:  limit.DefaultPace(),
+		gone:  func(limit.Run) bool { return false },
+	}
+}
+
+// Option configures a Leaseholder.
+type Option func(*options)
+
+// WithLogger sets the logger; the default logs nothing.
+func WithLogger(log *zap.Logger) Option { return func(o *options) { o.log = log } }
+
+// WithMeter sets the meter for metrics; the default records none.
+func WithMeter(meter metric.Meter) Option { return func(o *options) { o.meter = meter } }
+
+// WithPace sets the pace; the default is limit.DefaultPace.
+func WithPace(pace limit.Pace) Option { return func(o *options) { o.pace = pace } }
+
+// WithGone sets what confirms that a run is gone for good: callers can no
+// longer reach it, so it neither admits flows nor keeps any. It must not block.
+// The default confirms nothing.
+func WithGone(gone func(limit.Run) bool) Option { return func(o *options) { o.gone = gone } }
+
+// WithUpdates sets a channel that receives a value when the policy may have
+// changed. Its only receiver is the Leaseholder.
+func WithUpdates(updates <-chan struct{}) Option { return func(o *options) { o.updates = updates } }
+
+const (
+	// _callTimeout bounds one call of the platform.
+	_callTimeout = 5 * time.Second
+	// _leaveTimeout bounds the return of the share at the end.
+	_leaveTimeout = 5 * time.Second
+)
--- a/leaseholder/status.go
+++ b/leaseholder/status.go
@@ -1,8 +1,6 @@
 package leaseholder
 
 import (
-	"time"
-
 	"github.com/gravitational/trace"
 
 	"dandelionhitch.example/limit"
@@ -26,44 +24,38 @@
 
 // Status is one agent's view of its share, at one moment.
 type Status struct {
-	Path settings.Path `json:"path" cbor:"1,keyasint"`
-	Run limit.Run `json:"run" cbor:"2,keyasint"`
-	// Revision and the limits are those in force at this agent.
-	Revision         settings.Revision `json:"revision" cbor:"3,keyasint"`
-	FlowLimit        int               `json:"flow_limit" cbor:"4,keyasint"`
-	FlowsPerUpstream int               `json:"flows_per_upstream" cbor:"5,keyasint"`
-	// Floor and Leased are flows, of the limit in force.
-	Floor  int `json:"floor" cbor:"6,keyasint"`
-	Leased int `json:"leased" cbor:"7,keyasint"`
-	// Allowed is how many flows may be open now; less than Floor + Leased
-	// when the lease lapsed.
-	Allowed int `json:"allowed" cbor:"8,keyasint"`
-	Open    int `json:"open" cbor:"9,keyasint"`
-	// LeaseLeft is how long the leased part may still be used; zero when lapsed.
-	LeaseLeft time.Duration `json:"lease_left_ns" cbor:"10,keyasint"`
-	Draining  bool          `json:"draining" cbor:"11,keyasint"`
-	// Refusals are the counts by reason, of the last RefusalWindow and in all.
-	Refusals []RefusalCount `json:"refusals" cbor:"12,keyasint"`
+	limit.Snapshot
+	Path settings.Path `json:"path" cbor:"20,keyasint"`
 	// StoreError is the last failure of the platform, empty after a success.
-	StoreError string `json:"store_error,omitempty" cbor:"13,keyasint"`
-}
-
-// RefusalCount counts the refusals for one reason.
-type RefusalCount struct {
-	Reason limit.Reason `json:"reason" cbor:"1,keyasint"`
-	Recent uint64       `json:"recent" cbor:"2,keyasint"`
-	Total  uint64       `json:"total" cbor:"3,keyasint"`
+	StoreError string `json:"store_error,omitempty" cbor:"21,keyasint"`
 }
 
 // Validate checks a decoded status.
-func (s *Status) Validate() error { return checkPath(s.Path) }
+func (s *Status) Validate() error {
+	return trace.NewAggregate(checkPath(s.Path), s.Snapshot.Validate())
+}
 
 // Status answers an operator's question.
 func (r *Limits) Status(request *StatusRequest, reply *Status) error {
+	if request.Path != r.leaseholder.path {
+		return trace.NotFound("service %s: this agent serves %s", request.Path, r.leaseholder.path)
+	}
 	*reply = r.leaseholder.Status()
 	return nil
 }
 
+// Status returns what Limits.Status answers.
+func (l *Leaseholder) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	status := Status{Snapshot: l.holder.Snapshot(l.now()), Path: l.path}
+	if l.storeError != nil {
+		status.StoreError = l.storeError.Error()
+	}
+	return status
+}
+
+// checkPath returns a BadParameter error unless path names a service at a place.
 func checkPath(path settings.Path) error {
 	if _, err := settings.ParsePath(path.String()); err != nil {
 		return trace.Wrap(err)
--- /dev/null
+++ b/limit/holder_test.go
@@ -0,0 +1,139 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestSharesNeverExceedTheLimit is the proof of promises 1 to 4 of the package,
+// and that demand below the limit is met once the faults are over.
+func TestSharesNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(w.actions())
+		w.heal()
+		w.checkDemandIsMet()
+	})
+}
+
+// actions are all that may happen between two checks.
+func (w *world) actions() map[string]func(*rapid.T) {
+	alive := func(act func(t *rapid.T, h *host)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			h := w.hosts[rapid.IntRange(0, _hosts-1).Draw(t, "host")]
+			if h.holder == nil {
+				t.Skip("no run")
+			}
+			act(t, h)
+		}
+	}
+	running := func(act func(t *rapid.T, h *host)) func(*rapid.T) {
+		return alive(func(t *rapid.T, h *host) {
+			if h.paused {
+				t.Skip("paused")
+			}
+			act(t, h)
+		})
+	}
+	spans := []time.Duration{0, time.Second, 20 * time.Second, time.Minute, 4 * time.Minute, 11 * time.Minute, 35 * time.Minute, 4 * time.Hour}
+	return map[string]func(*rapid.T){
+		"": func(*rapid.T) { w.check() },
+		"elapse": func(t *rapid.T) {
+			w.elapse(rapid.SampledFrom(spans).Draw(t, "span"))
+		},
+		"act": running(func(t *rapid.T, h *host) {
+			w.act(h, rapid.SampledFrom([]fate{_answered, _answered, _refused, _lost, _delayed, _stale}).Draw(t, "fate"))
+		}),
+		"act without fault": running(func(_ *rapid.T, h *host) {
+			for range 4 {
+				w.act(h, _answered)
+			}
+		}),
+		"late write": func(t *rapid.T) {
+			if len(w.late) == 0 {
+				t.Skip("none")
+			}
+			w.put(w.late[0])
+			w.late = w.late[1:]
+		},
+		"admit": running(func(t *rapid.T, h *host) {
+			for range rapid.SampledFrom([]int{1, 5, 60, 1000}).Draw(t, "flows") {
+				if !w.admit(h) {
+					break
+				}
+			}
+		}),
+		"release": running(func(t *rapid.T, h *host) {
+			w.release(h, rapid.SampledFrom([]int{1, 10, 1000}).Draw(t, "flows"))
+		}),
+		"pause": alive(func(_ *rapid.T, h *host) { h.paused = !h.paused }),
+		"cut":   alive(func(_ *rapid.T, h *host) { h.cut = !h.cut }),
+		"outage": func(*rapid.T) {
+			w.down = !w.down
+		},
+		"kill": alive(func(t *rapid.T, h *host) {
+			w.kill(h)
+			w.gone[h.run] = rapid.Bool().Draw(t, "confirmed")
+		}),
+		"start": func(t *rapid.T) {
+			h := w.hosts[rapid.IntRange(0, _hosts-1).Draw(t, "host")]
+			if h.holder != nil {
+				t.Skip("runs")
+			}
+			w.start(h)
+		},
+		"leave": running(func(_ *rapid.T, h *host) {
+			w.release(h, h.flows)
+			h.holder.Leave(w.clock(h))
+		}),
+		"set the wall clock": alive(func(t *rapid.T, h *host) {
+			step := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "step"))
+			if !h.freezes && rapid.Bool().Draw(t, "back") {
+				step = -step
+			}
+			h.wall += step
+		}),
+		"operator": func(t *rapid.T) { w.accept(t) },
+		"settings arrive": running(func(t *rapid.T, h *host) {
+			known := w.accepted[rapid.IntRange(int(h.known.Revision)-1, len(w.accepted)-1).Draw(t, "revision")]
+			h.known = known
+			h.holder.SetLimits(w.clock(h), known)
+		}),
+	}
+}
+
+func (w *world) kill(h *host) {
+	h.holder, h.flows, h.paused = nil, 0, false
+}
+
+// heal ends all faults and restarts what was killed or left.
+func (w *world) heal() {
+	w.down, w.late = false, nil
+	for _, h := range w.hosts {
+		w.release(h, h.flows)
+		w.kill(h)
+		h.cut = false
+		w.start(h)
+	}
+}
+
+// checkDemandIsMet gives the hosts unequal demands, which may be above the
+// limit together, and expects that all are met, or else that the limit is used
+// up by open flows and floors, but for one flow.
+func (w *world) checkDemandIsMet() {
+	limits := w.latest()
+	demand := make(map[*host]int)
+	for _, h := range w.hosts {
+		demand[h] = rapid.IntRange(0, limits.Flows/2).Draw(w.t, "demand")
+	}
+	w.settle(90*time.Minute, func(h *host) int { return demand[h] })
+	used, unmet := 0, 0
+	for _, h := range w.hosts {
+		used += max(h.flows, h.holder.Snapshot(w.clock(h)).Floor)
+		unmet += demand[h] - h.flows
+	}
+	assert.Assert(w.t, unmet == 0 || used >= limits.Flows-1, "%d flows refused, %d of %d used", unmet, used, limits.Flows)
+}
--- a/limit/pace.go
+++ b/limit/pace.go
@@ -4,8 +4,8 @@
 
 // Pace says how often a run speaks to the platform and how long its leases
 // last. The defaults bound what a fleet of 5,900 runs asks of the platform:
-// 25 renewals a second when steady, at most 300 writes a second when each run
-// wants more in the same instant, and 100 a second if that goes on.
+// 25 writes and 100 reads a second when steady, at most 300 writes a second for
+// Spread when each run wants more in the same instant, and 100 after that.
 type Pace struct {
 	// Term is how long the leased part is used after a renewal was sent.
 	Term time.Duration
@@ -16,9 +16,9 @@
 	// Spread is the span over which runs that want more at the same instant
 	// spread their requests.
 	Spread time.Duration
-	// Gap is the least time between two requests for more; it doubles up to
-	// Renewal while requests stay fruitless.
-	Gap time.Duration
+	// Look is the time between reads, by which a run notices that others lack
+	// what it does not use, and the least time between two requests for more.
+	Look time.Duration
 	// Join is the span over which new runs spread their first request.
 	Join time.Duration
 	// Retry is the first wait after a failure; it doubles up to Renewal.
@@ -32,17 +32,8 @@
 		FloorTerm: 7 * 24 * time.Hour,
 		Renewal:   4 * time.Minute,
 		Spread:    20 * time.Second,
-		Gap:       time.Minute,
+		Look:      time.Minute,
 		Join:      2 * time.Second,
 		Retry:     2 * time.Second,
 	}
 }
-
-// _marginDivisor gives the margin that a reclaimer adds to a term: a tenth.
-const _marginDivisor = 10
-
-// reclaimAfter is how long an entry has to stay unchanged before a part with
-// the given term may be reclaimed.
-func reclaimAfter(term time.Duration) time.Duration {
-	return term + term/_marginDivisor
-}
--- /dev/null
+++ b/limit/share.go
@@ -0,0 +1,145 @@
+package limit
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"dandelionhitch.example/settings"
+)
+
+// Share says how the limit of one service at one place is divided among runs.
+// It is an immutable value, kept as one object in the platform's store. The
+// object is never deleted: its versions order all that happened.
+type Share struct {
+	// Revision is the highest revision of the settings that any writer knew.
+	Revision settings.Revision `json:"revision"`
+	// Limit is the flow limit in that revision.
+	Limit int `json:"limit"`
+	// Entries has one entry for each run; their units add up to at most the Whole.
+	Entries []Entry `json:"entries"`
+}
+
+// Entry is one run's part of a Share. Only its own run changes an entry, but
+// that other runs reclaim parts that lapsed.
+type Entry struct {
+	Run
+	// Seq numbers the run's attempts to write its entry, from one.
+	Seq uint64 `json:"seq"`
+	// Floor is the part that outlasts an outage.
+	Floor Units `json:"floor"`
+	// Leased is the part that lapses after Term.
+	Leased Units `json:"leased"`
+	// Lacking is what the run wants besides and found not free.
+	Lacking Units `json:"lacking,omitempty"`
+	// Open is how many flows were open when the entry was written.
+	Open int `json:"open"`
+	// Term and FloorTerm are how long the run uses the parts without a renewal.
+	Term      settings.Duration `json:"term"`
+	FloorTerm settings.Duration `json:"floor_term"`
+}
+
+// Units is the sum of the entry's parts.
+func (e Entry) Units() Units { return e.Floor + e.Leased }
+
+func (e Entry) validate() error {
+	switch {
+	case e.Seq == 0:
+		return trace.BadParameter("entry of %s: seq 0", e.Address)
+	case e.Floor > Whole || e.Leased > Whole || e.Lacking > Whole:
+		return trace.BadParameter("entry of %s: a part is above %d", e.Address, Whole)
+	case e.Open < 0:
+		return trace.BadParameter("entry of %s: %d open flows", e.Address, e.Open)
+	case e.Term <= 0 || e.FloorTerm < e.Term:
+		return trace.BadParameter("entry of %s: terms %s and %s", e.Address, time.Duration(e.Term), time.Duration(e.FloorTerm))
+	}
+	return trace.Wrap(e.Validate())
+}
+
+// UnmarshalJSON decodes and checks a share.
+func (s *Share) UnmarshalJSON(data []byte) error {
+	type plain Share
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return trace.BadParameter("share: %v", err)
+	}
+	if err := Share(decoded).validate(); err != nil {
+		return trace.Wrap(err, "share")
+	}
+	*s = Share(decoded)
+	return nil
+}
+
+func (s Share) validate() error {
+	if s.Limit < 0 {
+		return trace.BadParameter("limit %d", s.Limit)
+	}
+	var sum Units
+	runs := make(map[Run]struct{}, len(s.Entries))
+	for _, entry := range s.Entries {
+		if err := entry.validate(); err != nil {
+			return err
+		}
+		sum += entry.Units()
+		if sum > Whole {
+			return trace.BadParameter("the entries' units add up to more than %d", Whole)
+		}
+		runs[entry.Run] = struct{}{}
+	}
+	if len(runs) < len(s.Entries) {
+		return trace.BadParameter("two entries of one run")
+	}
+	return nil
+}
+
+// Entry returns the entry of a run.
+func (s Share) Entry(run Run) (Entry, bool) {
+	i := s.index(run)
+	if i < 0 {
+		return Entry{}, false
+	}
+	return s.Entries[i], true
+}
+
+// Free is what no entry has.
+func (s Share) Free() Units {
+	free := Whole
+	for _, entry := range s.Entries {
+		free = free.less(entry.Units())
+	}
+	return free
+}
+
+// WithEntry returns a share in which the entry's run has this entry.
+func (s Share) WithEntry(entry Entry) Share {
+	i := s.index(entry.Run)
+	if i < 0 {
+		s.Entries = append(slices.Clip(s.Entries), entry)
+		return s
+	}
+	s.Entries = slices.Clone(s.Entries)
+	s.Entries[i] = entry
+	return s
+}
+
+// WithoutRun returns a share without the run's entry.
+func (s Share) WithoutRun(run Run) Share {
+	s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e Entry) bool { return e.Run == run })
+	return s
+}
+
+// WithLimits returns a share that notes the limits if they are of a higher
+// revision than the noted ones.
+func (s Share) WithLimits(limits Limits) Share {
+	if limits.Revision > s.Revision {
+		s.Revision = limits.Revision
+		s.Limit = limits.Flows
+	}
+	return s
+}
+
+func (s Share) index(run Run) int {
+	return slices.IndexFunc(s.Entries, func(e Entry) bool { return e.Run == run })
+}
