roster: single-writer records, suspicions and verdicts that merge in any order

Cause: balancers and agents must agree on nothing, and yet come to one view once cuts heal. Ruled out: a plain digest of all records, 10 octets each: 65 KB for 6,560 records against a budget of 11 KB/s; keeping gone as a state of the record alone: a verdict has another writer than the record. Change: an entry is three parts that only grow (record, suspicion, verdict); rumors carry recent changes, hashes over 16 groups of 16 buckets find the rest. Trials with a fault put in: a suspicion that may go down, the panic rule at half, a suspicion that outlives its refutation, a tombstone offered for its whole life, and missing entries not sent each fail TestMergeOrder, TestConvergence, TestTombstones or TestJoin (the last was written because no other test saw it). Conclusion: views depend on what is known and not on the order in which it came.

--- /dev/null
+++ b/roster/digest.go
@@ -0,0 +1,215 @@
+package roster
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+)
+
+const (
+	// _groups is the number of groups, _buckets that of buckets.
+	_groups          = 16
+	_bucketsPerGroup = 16
+	_buckets         = _groups * _bucketsPerGroup
+	// _memberBuckets are the first buckets, which hold members only: members
+	// change with every settings revision, upstreams do not.
+	_memberBuckets = 2 * _bucketsPerGroup
+	// _hashSize is the size of a hash of a group or bucket in octets.
+	_hashSize = 8
+	// _addrSize is the size of an address in a summary in octets.
+	_addrSize = 6
+	// _summarySize is the size of one entry in a summary in octets: an address
+	// and the low half of its hash.
+	_summarySize = _addrSize + 4
+	// GroupsSize is the size of the hashes of all groups in octets.
+	GroupsSize = _groups * _hashSize
+)
+
+type bucket struct {
+	hash    uint64
+	entries []*entry
+}
+
+// BucketHash is the hash of one bucket.
+type BucketHash struct {
+	Bucket uint8  `cbor:"1,keyasint"`
+	Hash   uint64 `cbor:"2,keyasint"`
+}
+
+// Summary lists the entries of one bucket, ten octets each: the address and a
+// hash of what is known there.
+type Summary struct {
+	Bucket  uint8  `cbor:"1,keyasint"`
+	Entries []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Validate returns a BadParameter error unless the summary is whole.
+func (s Summary) Validate() error {
+	if len(s.Entries)%_summarySize != 0 {
+		return trace.BadParameter("summary of bucket %d: %d octets, want a multiple of %d",
+			s.Bucket, len(s.Entries), _summarySize)
+	}
+	return nil
+}
+
+func (k Key) bucket() int {
+	h := mix(xxhash.Sum64(appendAddr(make([]byte, 0, _addrSize), k.Addr)))
+	if k.Kind == KindMember {
+		return int(h % _memberBuckets)
+	}
+	return int(_memberBuckets + h%(_buckets-_memberBuckets))
+}
+
+func bucketKind(bucket uint8) Kind {
+	if bucket < _memberBuckets {
+		return KindMember
+	}
+	return KindUpstream
+}
+
+func (b *bucket) drop(e *entry) {
+	b.entries = slices.DeleteFunc(b.entries, func(other *entry) bool { return other == e })
+}
+
+// offer includes an entry in the digests.
+func (r *Roster) offer(e *entry) {
+	if e.offered {
+		return
+	}
+	r.buckets[e.key.bucket()].hash ^= e.hash
+	e.offered = true
+	e.offeredHash = e.hash
+}
+
+// withdraw takes an entry out of the digests.
+func (r *Roster) withdraw(e *entry) {
+	if !e.offered {
+		return
+	}
+	r.buckets[e.key.bucket()].hash ^= e.offeredHash
+	e.offered = false
+}
+
+func (r *Roster) groupHash(group int) uint64 {
+	h := uint64(0)
+	for i := range _bucketsPerGroup {
+		// The rotation keeps two buckets that swapped a hash apart.
+		h = h<<1 | h>>63
+		h ^= r.buckets[group*_bucketsPerGroup+i].hash
+	}
+	return h
+}
+
+// Groups returns the hashes of all groups. Two rosters are equal when these are.
+func (r *Roster) Groups() []byte {
+	out := make([]byte, 0, GroupsSize)
+	for group := range _groups {
+		out = binary.BigEndian.AppendUint64(out, r.groupHash(group))
+	}
+	return out
+}
+
+// Buckets returns the hashes of the buckets in the groups that differ from
+// another roster's groups.
+func (r *Roster) Buckets(groups []byte) []BucketHash {
+	if len(groups) != GroupsSize {
+		return nil
+	}
+	var out []BucketHash
+	for group := range _groups {
+		if binary.BigEndian.Uint64(groups[group*_hashSize:]) == r.groupHash(group) {
+			continue
+		}
+		for i := range _bucketsPerGroup {
+			at := group*_bucketsPerGroup + i
+			out = append(out, BucketHash{uint8(at), r.buckets[at].hash})
+		}
+	}
+	return out
+}
+
+// Differing returns the buckets whose hash is another one here.
+func (r *Roster) Differing(theirs []BucketHash) []uint8 {
+	var out []uint8
+	for _, b := range theirs {
+		if r.buckets[b.Bucket].hash != b.Hash {
+			out = append(out, b.Bucket)
+		}
+	}
+	return out
+}
+
+// Summarize lists the entries of the buckets.
+func (r *Roster) Summarize(buckets []uint8) []Summary {
+	out := make([]Summary, 0, len(buckets))
+	for _, b := range buckets {
+		s := Summary{Bucket: b}
+		for _, e := range r.buckets[b].entries {
+			if e.offered {
+				s.Entries = appendAddr(s.Entries, e.key.Addr)
+				s.Entries = binary.BigEndian.AppendUint32(s.Entries, uint32(e.hash))
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Compare returns the entries that differ from the other roster's summaries or
+// are missing there, and the keys that the other roster should send.
+func (r *Roster) Compare(now time.Duration, summaries []Summary) ([]Delta, []Key) {
+	var deltas []Delta
+	var wants []Key
+	for _, s := range summaries {
+		if s.Validate() != nil {
+			continue
+		}
+		theirs := make(map[netip.AddrPort]uint32, len(s.Entries)/_summarySize)
+		for at := s.Entries; len(at) > 0; at = at[_summarySize:] {
+			addr, hash := readSummary(at)
+			theirs[addr] = hash
+			key := Key{bucketKind(s.Bucket), addr}
+			e := r.entries[key]
+			if e == nil || uint32(e.hash) != hash {
+				wants = append(wants, key)
+			}
+		}
+		for _, e := range r.buckets[s.Bucket].entries {
+			hash, listed := theirs[e.key.Addr]
+			if (listed && hash != uint32(e.hash)) || (!listed && e.offered) {
+				deltas = append(deltas, e.delta(now))
+			}
+		}
+	}
+	return deltas, wants
+}
+
+// Deltas returns the entries of the keys.
+func (r *Roster) Deltas(now time.Duration, keys []Key) []Delta {
+	var out []Delta
+	for _, key := range keys {
+		if e := r.entries[key]; e != nil {
+			out = append(out, e.delta(now))
+		}
+	}
+	return out
+}
+
+func readSummary(b []byte) (netip.AddrPort, uint32) {
+	ip := netip.AddrFrom4([4]byte(b[:4]))
+	port := binary.BigEndian.Uint16(b[4:])
+	return netip.AddrPortFrom(ip, port), binary.BigEndian.Uint32(b[_addrSize:])
+}
+
+// mix spreads the bits of a hash (the finalizer of splitmix64).
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,449 @@
+package roster
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionhitch.example/service"
+)
+
+func testAddr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 4000)
+}
+
+func testUpstream(n int) Upstream {
+	return Upstream{
+		Service: service.ID(1 + n/7), Name: "rutetjeneste", Place: "oslo-a",
+		Data: testAddr(n), Control: testAddr(n), Incarnation: 100, Seq: 1,
+		State: service.Serving, Weight: 1, Load: LoadLow,
+	}
+}
+
+func testMember(n int) Member {
+	return Member{
+		Name: fmt.Sprintf("entry-%d", n), Place: "oslo-a", Data: testAddr(1<<16 + n), Control: testAddr(1<<16 + n),
+		Incarnation: 100, Seq: 1, State: service.Serving,
+	}
+}
+
+// exchange carries one exchange between two rosters. Messages from the n-th on
+// are lost; with codec they go through their encoding, and the octets are counted.
+func exchange(t assert.TestingT, now time.Duration, a, b *Roster, compare bool, lostFrom int, octets *int) {
+	sent := 0
+	pass := func(from, to any) bool {
+		if octets != nil {
+			data, err := cbor.Marshal(from)
+			assert.NilError(t, err)
+			*octets += len(data)
+			assert.NilError(t, cbor.Unmarshal(data, to))
+			assert.NilError(t, to.(interface{ Validate() error }).Validate())
+		}
+		sent++
+		return sent <= lostFrom
+	}
+	p := a.Push(now, compare)
+	if !pass(p, &p) {
+		return
+	}
+	reply, _ := b.AnswerPush(now, p)
+	if !pass(reply, &reply) {
+		return
+	}
+	s, _ := a.TakePushReply(now, reply)
+	if len(s.Summaries) == 0 || !pass(s, &s) {
+		return
+	}
+	answer := b.AnswerSync(now, s)
+	if !pass(answer, &answer) {
+		return
+	}
+	p, _ = a.TakeSyncReply(now, answer)
+	if len(p.Deltas) > 0 && pass(p, &p) {
+		reply, _ = b.AnswerPush(now, p)
+		a.TakePushReply(now, reply)
+	}
+}
+
+const _noLoss = 1 << 30
+
+// owner is the oracle's truth about one agent.
+type owner struct {
+	record Upstream
+	// ended is the highest incarnation that has truly ended.
+	ended service.Incarnation
+}
+
+// fleet runs rosters and owners under faults; its oracle is the owners' truth.
+type fleet struct {
+	now     time.Duration
+	rosters []*Roster
+	owners  []*owner
+	cut     map[[2]int]bool
+}
+
+const (
+	_testRosters = 4
+	_testOwners  = 6
+)
+
+func newFleet() *fleet {
+	f := &fleet{cut: make(map[[2]int]bool)}
+	for range _testRosters {
+		f.rosters = append(f.rosters, New())
+	}
+	for n := range _testOwners {
+		u := testUpstream(n)
+		u.Service = 1
+		f.owners = append(f.owners, &owner{record: u, ended: u.Incarnation - 1})
+	}
+	return f
+}
+
+func (f *fleet) drawOwner(t *rapid.T) (*owner, *Roster) {
+	o := f.owners[rapid.IntRange(0, _testOwners-1).Draw(t, "owner")]
+	return o, f.rosters[rapid.IntRange(0, _testRosters-1).Draw(t, "roster")]
+}
+
+func (f *fleet) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"heartbeat": func(t *rapid.T) {
+			o, r := f.drawOwner(t)
+			status, _ := r.Status(UpstreamKey(o.record.Data))
+			if status.Suspect {
+				o.record.Seq = max(o.record.Seq, status.Mark.Seq) + 1
+			}
+			r.Announce(f.now, o.record)
+		},
+		"state": func(t *rapid.T) {
+			o, r := f.drawOwner(t)
+			if o.record.State == service.Gone {
+				return
+			}
+			o.record.Seq++
+			o.record.State = rapid.SampledFrom([]service.State{service.Serving, service.Draining}).Draw(t, "state")
+			r.Announce(f.now, o.record)
+		},
+		"leave": func(t *rapid.T) {
+			o, r := f.drawOwner(t)
+			o.record.Seq++
+			o.record.State = service.Gone
+			o.ended = o.record.Incarnation
+			r.Announce(f.now, o.record)
+		},
+		"restart": func(t *rapid.T) {
+			o, r := f.drawOwner(t)
+			o.ended = o.record.Incarnation
+			o.record.Incarnation++
+			o.record.Seq = 1
+			o.record.State = service.Serving
+			r.Announce(f.now, o.record)
+		},
+		"kill": func(t *rapid.T) { // The port refuses a probe.
+			o, r := f.drawOwner(t)
+			if status, ok := r.Status(UpstreamKey(o.record.Data)); ok {
+				o.ended = max(o.ended, o.record.Incarnation)
+				o.record.State = service.Gone
+				r.Confirm(f.now, UpstreamKey(o.record.Data), status.Mark.Incarnation)
+			}
+		},
+		"suspect": func(t *rapid.T) { // Paused, cut off, or a lost heartbeat.
+			o, r := f.drawOwner(t)
+			r.Suspect(f.now, UpstreamKey(o.record.Data))
+		},
+		"cut": func(t *rapid.T) {
+			pair := [2]int{rapid.IntRange(0, _testRosters-1).Draw(t, "a"), rapid.IntRange(0, _testRosters-1).Draw(t, "b")}
+			f.cut[pair] = !f.cut[pair]
+		},
+		"exchange": func(t *rapid.T) {
+			a := rapid.IntRange(0, _testRosters-1).Draw(t, "a")
+			b := rapid.IntRange(0, _testRosters-1).Draw(t, "b")
+			if a == b || f.cut[[2]int{a, b}] {
+				return
+			}
+			lost := rapid.SampledFrom([]int{0, 1, 2, 3, 4, _noLoss}).Draw(t, "lost from")
+			exchange(t, f.now, f.rosters[a], f.rosters[b], rapid.Bool().Draw(t, "compare"), lost, nil)
+		},
+		"time": func(t *rapid.T) { f.now += time.Duration(rapid.IntRange(1, 20).Draw(t, "s")) * time.Second },
+		"":     f.check,
+	}
+}
+
+// check holds at every step, on every roster, whatever was lost.
+func (f *fleet) check(t *rapid.T) {
+	for _, r := range f.rosters {
+		v := r.View(f.now)
+		for _, gone := range v.Gone {
+			for _, o := range f.owners {
+				if o.record.Data == gone.Data {
+					assert.Assert(t, gone.Incarnation <= o.ended, "%v is not gone", gone)
+				}
+			}
+		}
+		suspects, serving := 0, 0
+		for _, u := range r.Upstreams(0) {
+			if !u.Gone && u.State == service.Serving {
+				serving++
+				if u.Suspect {
+					suspects++
+				}
+			}
+		}
+		want := serving - suspects
+		if 2*suspects > serving {
+			want = serving
+		}
+		assert.Equal(t, len(v.Services[1]), want)
+		for _, c := range v.Services[1] {
+			assert.Equal(t, c.State, service.Serving, "a draining upstream is not eligible")
+		}
+		checkHashes(t, r)
+	}
+}
+
+// checkHashes compares the incremental hashes and lists with ones made anew.
+func checkHashes(t assert.TestingT, r *Roster) {
+	listed := 0
+	for i := range r.buckets {
+		hash := uint64(0)
+		for _, e := range r.buckets[i].entries {
+			listed++
+			if e.offered {
+				hash ^= e.sum()
+			}
+		}
+		if hash != r.buckets[i].hash {
+			assert.Equal(t, hash, r.buckets[i].hash)
+		}
+	}
+	assert.Equal(t, listed, len(r.entries))
+}
+
+// TestConvergence proves that no agent is found gone that has not ended, that
+// views keep to the rules at every step, and that once cuts heal all rosters
+// become equal to the owners' truth.
+func TestConvergence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		t.Repeat(f.actions())
+		for i, o := range f.owners {
+			status, known := f.rosters[0].Status(UpstreamKey(o.record.Data))
+			if o.record.State == service.Gone {
+				continue
+			}
+			if known && status.Suspect { // The refutation of a live agent.
+				o.record.Seq = max(o.record.Seq, status.Mark.Seq)
+			}
+			o.record.Seq++
+			f.rosters[i%_testRosters].Announce(f.now, o.record)
+		}
+		for range 2 * _testRosters {
+			for i := range f.rosters {
+				exchange(t, f.now, f.rosters[i], f.rosters[(i+1)%_testRosters], true, _noLoss, nil)
+			}
+		}
+		for _, r := range f.rosters {
+			assert.Assert(t, bytes.Equal(r.Groups(), f.rosters[0].Groups()))
+			for _, o := range f.owners {
+				if o.record.State == service.Gone {
+					continue
+				}
+				status, known := r.Status(UpstreamKey(o.record.Data))
+				assert.Assert(t, known && !status.Suspect, "a refuted suspicion removes nobody")
+				assert.Equal(t, status.State, o.record.State)
+				assert.Equal(t, status.Mark.Incarnation, o.record.Incarnation)
+			}
+		}
+	})
+}
+
+// TestMergeOrder merges the same deltas in two orders, some of them twice.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		deltas := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Delta {
+			u := testUpstream(rapid.IntRange(0, 1).Draw(t, "n"))
+			u.Incarnation = service.Incarnation(rapid.IntRange(1, 4).Draw(t, "incarnation"))
+			u.Seq = uint64(rapid.IntRange(1, 4).Draw(t, "seq"))
+			u.State = service.State(rapid.IntRange(1, 4).Draw(t, "state"))
+			switch rapid.IntRange(1, 3).Draw(t, "part") {
+			case 1:
+				return Delta{Upstream: &u}
+			case 2:
+				return Delta{Kind: KindUpstream, Addr: u.Data, SuspectIncarnation: u.Incarnation, SuspectSeq: u.Seq}
+			}
+			return Delta{Kind: KindUpstream, Addr: u.Data, Gone: u.Incarnation}
+		}), 1, 12).Draw(t, "deltas")
+		a, b := New(), New()
+		a.Apply(0, deltas)
+		b.Apply(0, rapid.Permutation(append(deltas, deltas...)).Draw(t, "order"))
+		assert.DeepEqual(t, a.Groups(), b.Groups())
+	})
+}
+
+// TestJoin has an empty roster learn a whole one by its own exchanges alone.
+func TestJoin(t *testing.T) {
+	full, joiner := New(), New()
+	for n := range 1000 {
+		full.Announce(0, testUpstream(n))
+	}
+	for full.Rumors(0, _maxRumors) != nil {
+	}
+	for range (_buckets - _memberBuckets) / _maxSyncBuckets {
+		exchange(t, 0, joiner, full, true, _noLoss, nil)
+	}
+	assert.DeepEqual(t, joiner.Groups(), full.Groups())
+	assert.Equal(t, len(joiner.Upstreams(0)), 1000)
+}
+
+func TestTombstones(t *testing.T) {
+	a, b, late := New(), New(), New()
+	u := testUpstream(1)
+	key := UpstreamKey(u.Data)
+	late.Announce(0, u)
+	u.Seq, u.State = 2, service.Gone
+	a.Announce(0, u)
+	half := TombstoneLife / 2
+
+	a.Expire(half - time.Second)
+	exchange(t, half-time.Second, b, a, true, _noLoss, nil)
+	_, known := b.Status(key)
+	assert.Assert(t, known, "the end of a run travels while it is young")
+
+	a.Expire(half)
+	b.Expire(half)
+	assert.DeepEqual(t, a.Groups(), New().Groups())
+	exchange(t, half, New(), a, true, _noLoss, nil)
+	exchange(t, half, late, a, true, _noLoss, nil)
+	status, _ := late.Status(key)
+	assert.Equal(t, status.State, service.Gone, "one that still believes in the run is told")
+
+	for _, r := range []*Roster{a, b, late} {
+		assert.Equal(t, r.Expire(TombstoneLife+time.Second), 1)
+		assert.Equal(t, r.Len(), 0)
+	}
+}
+
+func TestPanicRule(t *testing.T) {
+	for suspected, want := range []int{5, 4, 3, 5, 5, 5} {
+		r := New()
+		for n := range 5 {
+			u := testUpstream(n)
+			u.Service = 1
+			r.Announce(0, u)
+			if n < suspected {
+				r.Suspect(0, UpstreamKey(u.Data))
+			}
+		}
+		assert.Equal(t, len(r.View(0).Services[1]), want, "%d of 5 suspected", suspected)
+	}
+}
+
+func TestShares(t *testing.T) {
+	r := New()
+	u := testUpstream(1)
+	u.Weight = 3
+	r.Announce(time.Minute, u)
+	share := func(now time.Duration) uint32 { return r.View(now).Services[u.Service][0].Share }
+	assert.Equal(t, share(time.Minute), uint32(3*_rampFloor))
+	assert.Equal(t, share(time.Minute+RampTime/2), uint32(3*(_rampFloor+ShareScale)/2))
+	assert.Equal(t, share(time.Minute+RampTime), uint32(3*ShareScale))
+	u.Seq, u.Load = 2, LoadFull
+	r.Announce(2*time.Minute, u)
+	assert.Equal(t, share(2*time.Minute), uint32(3*ShareScale/4))
+	u.Incarnation++
+	r.Announce(3*time.Minute, u)
+	assert.Equal(t, share(3*time.Minute), uint32(3*_rampFloor/4))
+}
+
+func TestLoadFilter(t *testing.T) {
+	var f LoadFilter
+	for i, step := range []struct {
+		at      time.Duration
+		percent uint8
+		want    Load
+	}{
+		{0, 50, LoadLow},
+		{1, 60, LoadHigh},
+		{2, 99, LoadHigh},
+		{1 + MinLoadInterval, 99, LoadFull},
+		{1 + 2*MinLoadInterval, 85, LoadFull},
+		{1 + 2*MinLoadInterval, 79, LoadHigh},
+		{1 + 3*MinLoadInterval, 41, LoadHigh},
+		{1 + 3*MinLoadInterval, 39, LoadLow},
+	} {
+		f = f.With(step.at, step.percent)
+		assert.Equal(t, f.Level(), step.want, "step %d", i)
+	}
+}
+
+func TestKeepers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New()
+		n := rapid.IntRange(0, 12).Draw(t, "members")
+		for i := range n {
+			r.AnnounceMember(0, testMember(i))
+		}
+		u, other := testUpstream(0), testUpstream(1)
+		keepers := r.Keepers(u)
+		assert.Equal(t, len(keepers), min(n, KeeperChoices))
+		seen := make(map[netip.AddrPort]bool)
+		for _, k := range keepers {
+			assert.Assert(t, !seen[k.Data])
+			seen[k.Data] = true
+		}
+		if n == 0 {
+			return
+		}
+		assert.Equal(t, keepers[0].Name, r.Keepers(other)[0].Name, "a service shares its first keeper")
+		leaving := keepers[rapid.IntRange(0, len(keepers)-1).Draw(t, "leaving")]
+		leaving.Seq, leaving.State = 2, service.Draining
+		r.AnnounceMember(0, leaving)
+		for _, k := range r.Keepers(u) {
+			assert.Assert(t, k.Name != leaving.Name)
+		}
+	})
+}
+
+func FuzzMessages(f *testing.F) {
+	u, m := testUpstream(1), testMember(1)
+	a, b := New(), New()
+	a.Announce(0, u)
+	b.AnnounceMember(0, m)
+	push := a.Push(0, true)
+	reply, _ := b.AnswerPush(0, push)
+	s, _ := a.TakePushReply(0, reply)
+	for _, message := range []any{push, reply, s, b.AnswerSync(0, s)} {
+		data, err := cbor.Marshal(message)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := New()
+		r.Announce(0, testUpstream(1))
+		r.AnnounceMember(0, testMember(1))
+		var p Push
+		if cbor.Unmarshal(data, &p) == nil && p.Validate() == nil {
+			r.AnswerPush(time.Hour, p)
+		}
+		var q PushReply
+		if cbor.Unmarshal(data, &q) == nil && q.Validate() == nil {
+			r.TakePushReply(time.Hour, q)
+		}
+		var s Sync
+		if cbor.Unmarshal(data, &s) == nil && s.Validate() == nil {
+			r.AnswerSync(time.Hour, s)
+		}
+		var w SyncReply
+		if cbor.Unmarshal(data, &w) == nil && w.Validate() == nil {
+			r.TakeSyncReply(time.Hour, w)
+		}
+		r.View(time.Hour)
+		checkHashes(t, r)
+	})
+}
