roster: suspicions that are never settled fade

Cause: a host that vanished whole gets no verdict, so its record stayed for good, and such records would in time set off the panic rule for their service. Change: after 10 minutes a suspicion leaves the panic rule (its upstream is eligible only when nothing else is left), after 12 hours it is no longer told to others, after 24 it is forgotten. The age of a suspicion travels as that of a tombstone does.

--- a/roster/delta.go
+++ b/roster/delta.go
@@ -24,7 +24,8 @@
 	SuspectSeq         uint64              `cbor:"7,keyasint,omitempty"`
 	// Gone is the highest incarnation that has ended by verdict.
 	Gone service.Incarnation `cbor:"8,keyasint,omitempty"`
-	// Age is how many seconds ago the run ended, where it has.
+	// Age is how many seconds ago the run ended, where it has, else how long the
+	// suspicion has been in force.
 	Age uint32 `cbor:"9,keyasint,omitempty"`
 }
 
@@ -40,8 +41,8 @@
 
 // Validate returns a BadParameter error unless the delta is whole.
 func (d Delta) Validate() error {
-	if d.Age > uint32(TombstoneLife/time.Second) {
-		return trace.BadParameter("delta: age %d s is over %v", d.Age, TombstoneLife)
+	if d.Age > uint32(SuspectLife/time.Second) {
+		return trace.BadParameter("delta: age %d s is over %v", d.Age, SuspectLife)
 	}
 	switch {
 	case d.Upstream != nil:
@@ -91,6 +92,8 @@
 	return 0
 }
 
+func (d Delta) ends() bool { return d.Gone != 0 || d.saidGone() != 0 }
+
 func (d Delta) suspect() Mark { return Mark{d.SuspectIncarnation, d.SuspectSeq} }
 
 func (d Delta) age() time.Duration { return time.Duration(d.Age) * time.Second }
@@ -107,8 +110,8 @@
 	if !e.known() {
 		d.Kind, d.Addr = e.key.Kind, e.key.Addr
 	}
-	if e.ended() {
-		age := min(max(now-e.endedAt, 0), TombstoneLife)
+	if life := e.life(); life != 0 {
+		age := min(max(now-e.fadedAt, 0), life)
 		d.Age = uint32(age / time.Second)
 	}
 	return d
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -62,8 +62,9 @@
 	// gone is the highest incarnation that a verdict says has ended.
 	gone service.Incarnation
 
-	// endedAt is when the run ended, if it has.
-	endedAt time.Duration
+	// fadedAt is when the run ended, if it has, else when the suspicion in force
+	// came up.
+	fadedAt time.Duration
 	// servingAt is when the run was first seen to serve.
 	servingAt time.Duration
 	// hash is of the three parts; offered says that digests include it.
@@ -114,28 +115,46 @@
 
 // merge takes the higher of each part. It reports whether anything changed.
 func (e *entry) merge(now time.Duration, d Delta) bool {
-	hash := e.hash
-	ended := e.ended() && e.known()
-	run := e.mark().Incarnation
-	serving := e.known() && e.said() == service.Serving
+	before := *e
 	e.mergeRecord(d)
 	if at := d.suspect(); at.Compare(e.suspect) > 0 {
 		e.suspect = at
 	}
 	e.gone = max(e.gone, d.Gone, d.saidGone())
 	e.normalize()
-	if e.said() == service.Serving && (!serving || run != e.mark().Incarnation) {
+	e.keepTimes(now, d, &before)
+	e.hash = e.sum()
+	return e.hash != before.hash
+}
+
+func (e *entry) keepTimes(now time.Duration, d Delta, before *entry) {
+	sameRun := before.known() && before.mark().Incarnation == e.mark().Incarnation
+	if e.said() == service.Serving && (!sameRun || before.said() != service.Serving) {
 		e.servingAt = now
 	}
-	if e.ended() {
-		// The earliest end counts, so that the age of a tombstone only grows.
-		at := now - d.age()
-		if !ended || run != e.mark().Incarnation || at < e.endedAt {
-			e.endedAt = at
-		}
+	if e.life() == 0 {
+		return
 	}
-	e.hash = e.sum()
-	return e.hash != hash
+	// The earliest time counts, so that the age only grows. The age of a mere
+	// suspicion says nothing of when a run ended.
+	at := now
+	if d.ends() == e.ended() {
+		at -= d.age()
+	}
+	if !sameRun || e.life() != before.life() || at < e.fadedAt {
+		e.fadedAt = at
+	}
+}
+
+// life returns how long the entry is remembered; zero is without end.
+func (e *entry) life() time.Duration {
+	switch {
+	case e.ended():
+		return TombstoneLife
+	case e.suspected():
+		return SuspectLife
+	}
+	return 0
 }
 
 func (e *entry) mergeRecord(d Delta) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -38,10 +38,13 @@
 const (
 	// TombstoneLife is how long the end of a run is remembered.
 	TombstoneLife = time.Hour
-	// _offeredLife is how long the end of a run is told to others. It is shorter
-	// than TombstoneLife, so that none is taken for news after another process
+	// SuspectLife is how long an upstream or member is remembered that stays
+	// suspected: a host that vanished whole never gets a verdict.
+	SuspectLife = 24 * time.Hour
+	// _offeredPart is the part of these lives, as a divisor, in which entries
+	// are told to others, so that none is taken for news after another process
 	// has forgotten it.
-	_offeredLife = TombstoneLife / 2
+	_offeredPart = 2
 	// _maxEntries bounds the entries of one roster.
 	_maxEntries = 32 << 10
 )
@@ -120,18 +123,20 @@
 	return r.Apply(now, []Delta{{Kind: key.Kind, Addr: key.Addr, Gone: incarnation}})
 }
 
-// Expire forgets runs that ended long ago. It returns how many.
+// Expire forgets runs that ended, or have stayed suspected, long ago. It
+// returns how many.
 func (r *Roster) Expire(now time.Duration) int {
 	forgotten := 0
 	for key, e := range r.entries {
-		if !e.ended() {
+		life := e.life()
+		if life == 0 {
 			continue
 		}
-		age := now - e.endedAt
-		if age >= _offeredLife {
+		age := now - e.fadedAt
+		if age >= life/_offeredPart {
 			r.withdraw(e)
 		}
-		if age >= TombstoneLife {
+		if age >= life {
 			r.remove(key, e)
 			forgotten++
 		}
@@ -215,7 +220,7 @@
 
 // admit makes an entry for a key that is new.
 func (r *Roster) admit(now time.Duration, key Key, d Delta) Outcome {
-	if !d.tells() || d.Progress != nil || d.age() >= _offeredLife {
+	if !d.tells() || d.Progress != nil {
 		return Outcome{}
 	}
 	if len(r.entries) >= _maxEntries {
@@ -223,7 +228,8 @@
 		return Outcome{}
 	}
 	e := &entry{key: key}
-	if !e.merge(now, d) {
+	e.merge(now, d)
+	if life := e.life(); life != 0 && d.age() >= life/_offeredPart {
 		return Outcome{}
 	}
 	r.entries[key] = e
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -344,6 +344,32 @@
 	}
 }
 
+// TestLongSuspected has a host vanish whole: it gets no verdict, is left out of
+// the panic rule after a while, and is forgotten in the end.
+func TestLongSuspected(t *testing.T) {
+	r := New()
+	for n := range 3 {
+		u := testUpstream(n)
+		u.Service = 1
+		r.Announce(0, u)
+	}
+	r.Suspect(0, UpstreamKey(testAddr(0)))
+	r.Suspect(0, UpstreamKey(testAddr(1)))
+	assert.Equal(t, len(r.View(PanicTime - 1).Services[1]), 3)
+	assert.Equal(t, len(r.View(PanicTime).Services[1]), 1)
+	r.Suspect(PanicTime, UpstreamKey(testAddr(2)))
+	assert.Equal(t, len(r.View(PanicTime).Services[1]), 1)
+	assert.Equal(t, len(r.View(2 * PanicTime).Services[1]), 3, "nothing else is left")
+	for _, gone := range r.View(SuspectLife).Gone {
+		assert.Equal(t, gone.Incarnation, service.Incarnation(99))
+	}
+	other := New()
+	r.Expire(SuspectLife / 2)
+	exchange(t, SuspectLife/2, other, r, true, _noLoss, nil)
+	assert.Equal(t, other.Len(), 1, "only the youngest suspicion is still told")
+	assert.Equal(t, r.Expire(SuspectLife), 2)
+}
+
 func TestShares(t *testing.T) {
 	r := New()
 	u := testUpstream(1)
--- a/roster/view.go
+++ b/roster/view.go
@@ -13,6 +13,9 @@
 const (
 	// ShareScale is the share of an upstream of weight 1 at full weight.
 	ShareScale = 16
+	// PanicTime is how long a suspicion is fresh. While over half of a service's
+	// upstreams are under fresh suspicion, suspicion is ignored for it.
+	PanicTime = 10 * time.Minute
 	// RampTime is how long an upstream's share grows after it began to serve.
 	RampTime = 30 * time.Second
 	// _rampFloor is the share at the beginning of the ramp, of ShareScale.
@@ -79,20 +82,15 @@
 // View returns the snapshot at a time.
 func (r *Roster) View(now time.Duration) View {
 	v := View{Version: r.version, Services: make(map[service.ID][]Candidate)}
-	serving := make(map[service.ID]int)
-	suspected := make(map[service.ID]int)
+	tallies := make(map[service.ID]tally)
 	for key, e := range r.entries {
 		switch key.Kind {
 		case KindMember:
 			v.addMember(e)
 		case KindUpstream:
 			v.addGone(e)
-			if e.state() != service.Serving {
-				continue
-			}
-			serving[e.upstream.Service]++
-			if e.suspected() {
-				suspected[e.upstream.Service]++
+			if e.state() == service.Serving {
+				tallies[e.upstream.Service] = tallies[e.upstream.Service].with(now, e)
 			}
 		}
 	}
@@ -100,16 +98,46 @@
 		if key.Kind != KindUpstream || e.state() != service.Serving {
 			continue
 		}
-		id := e.upstream.Service
-		if e.suspected() && !distrusted(suspected[id], serving[id]) {
-			continue
+		if tallies[e.upstream.Service].admits(now, e) {
+			v.addCandidate(now, e)
 		}
-		v.addCandidate(now, e)
 	}
 	v.sort()
 	return v
 }
 
+// tally counts the serving upstreams of one service for the panic rule.
+type tally struct {
+	// trusted are not suspected, fresh suspected for less than PanicTime, and
+	// stale for longer.
+	trusted, fresh, stale int
+}
+
+func (t tally) with(now time.Duration, e *entry) tally {
+	switch {
+	case !e.suspected():
+		t.trusted++
+	case now-e.fadedAt < PanicTime:
+		t.fresh++
+	default:
+		t.stale++
+	}
+	return t
+}
+
+// admits says whether an upstream is eligible. Upstreams that have long been
+// suspected are left out of the panic rule, else the dead of many days would
+// set it off; they are eligible only when nothing else is left.
+func (t tally) admits(now time.Duration, e *entry) bool {
+	switch {
+	case !e.suspected():
+		return true
+	case now-e.fadedAt < PanicTime:
+		return distrusted(t.fresh, t.fresh+t.trusted)
+	}
+	return t.trusted+t.fresh == 0
+}
+
 // distrusted says that so many are suspected at once that the view is more
 // likely at fault than they are.
 func distrusted(suspected, all int) bool { return 2*suspected > all }
