agent: replies leave a dead balancer by themselves

Cause: a reply went through the balancer that last brought the caller's packets. Ruled out: waiting for the roster to report the death, which takes seconds; going round robin always, which reorders bursts. The change: a path that is silent for 100 ms goes through the balancers heard lately or listed, one after another, a slot of 20 ms each. Tests of the decisions with rapid (own service only, no pass back, a draining, starting or stale agent admits nothing, resets only for earlier runs; rapid found a held flow passed on), and with real sockets: a balancer dies, drain, full, restart, gone, pause, junk Initials. Conclusion: a balancer's death costs an idle flow one probe for each dead balancer that is still listed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -79,7 +79,8 @@
 
 	state      atomic.Uint32
 	keys       atomic.Pointer[packet.Keys]
-	balancers  atomic.Pointer[liveBalancers]
+	start      time.Time
+	relays     *relays
 	admissions *admissions
 	paths      *paths
 	resets     *rate.Limiter
@@ -123,10 +124,12 @@
 		ended:       make(chan struct{}, 1),
 		drain:       make(chan struct{}),
 	}
-	a.admissions = newAdmissions(a.options.now())
+	a.start = a.options.now()
+	a.relays = newRelays(a.options.balancers)
+	a.admissions = newAdmissions(a.start)
 	a.state.Store(uint32(service.Starting))
 	a.keys.Store(cfg.Keys)
-	a.refreshBalancers()
+	a.relays.refresh(0)
 	if err := a.listen(cfg); err != nil {
 		return nil, trace.Wrap(err, "starting an agent")
 	}
@@ -313,7 +316,7 @@
 func (a *Agent) tick() {
 	now := a.options.now()
 	a.isFresh(now)
-	a.refreshBalancers()
+	a.relays.refresh(now.Sub(a.start))
 	for range a.admissions.expire(now) {
 		a.counters.unopened.Add(1)
 		a.gate.Release()
@@ -333,6 +336,9 @@
 	a.conn.Close()
 }
 
+// age is the time since the agent's start.
+func (a *Agent) age() time.Duration { return a.options.now().Sub(a.start) }
+
 func (a *Agent) isFresh(now time.Time) bool {
 	a.freshMu.Lock()
 	defer a.freshMu.Unlock()
--- a/agent/conn.go
+++ b/agent/conn.go
@@ -102,21 +102,23 @@
 func (c *conn) act(what action, in arrival, key initialKey, datagram []byte) net.Addr {
 	a := c.agent
 	ends := pathKey{caller: in.header.Caller, address: in.header.Address}
+	now := a.age()
+	from := a.relays.hear(in.header.Balancer, now)
 	switch what := what.(type) {
 	case take:
-		return a.paths.note(ends, in.header.Balancer)
+		return a.paths.note(ends, from, now)
 	case admit:
 		if err := a.gate.TryAdmit(); err != nil {
 			return c.act(what.otherwise, in, key, datagram)
 		}
-		p := newPath(ends, in.header.Balancer)
+		p := newPath(ends, from, now)
 		return &opening{path: p, admission: a.admissions.add(key, a.options.now())}
 	case refuse:
-		return &opening{path: newPath(ends, in.header.Balancer), refused: true}
+		return &opening{path: newPath(ends, from, now), refused: true}
 	case pass:
 		c.pass(what, in.header, datagram)
 	case reset:
-		c.reset(in.header, datagram)
+		c.reset(newPath(ends, from, now), in.header.Service, datagram)
 	case drop:
 		a.counters.dropped.Add(1)
 	}
@@ -139,7 +141,7 @@
 
 // reset answers a packet of an earlier run. Its token is derived under the key
 // that its connection ID names, which need not be the one of this run.
-func (c *conn) reset(header packet.Header, datagram []byte) {
+func (c *conn) reset(p *path, id service.ID, datagram []byte) {
 	if !c.agent.resets.Allow() {
 		return
 	}
@@ -148,14 +150,12 @@
 		c.agent.counters.dropped.Add(1)
 		return
 	}
-	p := newPath(pathKey{caller: header.Caller, address: header.Address}, header.Balancer)
-	if err := c.reply(answer, p, header.Service, header.Balancer); err == nil {
+	if err := c.reply(answer, p, id, p.relay.Load().addr); err == nil {
 		c.agent.counters.resets.Add(1)
 	}
 }
 
-// WriteTo sends a datagram of QUIC to a caller, through the balancer that last
-// carried the path.
+// WriteTo sends a datagram of QUIC to a caller, through a balancer; see choose.
 func (c *conn) WriteTo(datagram []byte, addr net.Addr) (int, error) {
 	var p *path
 	switch addr := addr.(type) {
@@ -166,8 +166,7 @@
 	default:
 		return 0, trace.BadParameter("replying to %v: not the address of a caller", addr)
 	}
-	balancer := c.agent.live(c.agent.paths.last(p), p)
-	if err := c.reply(datagram, p, c.agent.service, balancer); err != nil {
+	if err := c.reply(datagram, p, c.agent.service, c.agent.balancerFor(p)); err != nil {
 		return 0, err
 	}
 	return len(datagram), nil
--- a/agent/decide.go
+++ b/agent/decide.go
@@ -117,6 +117,9 @@
 	if a.kind != packet.Initial || a.header.Count == 0 {
 		return unknownFlow
 	}
+	if a.held {
+		return take{}
+	}
 	if a.header.Kind == packet.Offer {
 		return decideOffer(s, a, a.header.Hop)
 	}
--- /dev/null
+++ b/agent/decide_test.go
@@ -0,0 +1,268 @@
+package agent
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionhitch.example/packet"
+	"dandelionhitch.example/service"
+)
+
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+}
+
+func drawSituation(t *rapid.T, self netip.AddrPort) situation {
+	return situation{
+		self: self, service: 1, incarnation: 5, fresh: rapid.Bool().Draw(t, "fresh"),
+		state: service.State(rapid.IntRange(int(service.Starting), int(service.Draining)).Draw(t, "state")),
+	}
+}
+
+func drawArrival(t *rapid.T) arrival {
+	a := arrival{
+		kind: packet.Type(rapid.IntRange(int(packet.Short), int(packet.OtherVersion)).Draw(t, "type")),
+		ours: rapid.Bool().Draw(t, "ours"),
+		held: rapid.Bool().Draw(t, "held"),
+		header: packet.Header{
+			Kind:    packet.Kind(rapid.IntRange(int(packet.Flow), int(packet.Reply)).Draw(t, "kind")),
+			Service: service.ID(rapid.IntRange(1, 2).Draw(t, "service")),
+			Count:   rapid.Uint8Range(0, packet.MaxCandidates).Draw(t, "count"),
+		},
+	}
+	if a.header.Kind == packet.Offer {
+		a.header.Count = max(a.header.Count, 1)
+		a.header.Hop = rapid.Uint8Range(0, a.header.Count-1).Draw(t, "hop")
+	}
+	for i := range a.header.Count {
+		a.header.Candidates[i] = addrOf(rapid.IntRange(1, 4).Draw(t, "candidate"))
+	}
+	if a.ours {
+		a.cid = packet.CID{
+			Service:     service.ID(rapid.IntRange(1, 2).Draw(t, "cid service")),
+			Agent:       addrOf(rapid.IntRange(1, 2).Draw(t, "cid agent")),
+			Incarnation: service.Incarnation(rapid.IntRange(4, 6).Draw(t, "cid incarnation")),
+		}
+	}
+	return a
+}
+
+// TestDecideRules holds every decision to the promises about flows.
+func TestDecideRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, a := drawSituation(t, addrOf(1)), drawArrival(t)
+		mine := a.ours && a.cid.Agent == s.self && a.cid.Incarnation == s.incarnation && a.cid.Service == s.service
+		earlier := a.ours && a.cid.Agent == s.self && a.cid.Incarnation < s.incarnation
+		own := a.header.Service == s.service && a.header.Kind != packet.Reply
+		got := decide(s, a)
+		if own && a.header.Kind == packet.Flow && mine {
+			assert.Equal(t, got, action(take{}), "a flow that is held is cut")
+		}
+		switch got := got.(type) {
+		case take:
+			assert.Check(t, own && (mine || a.held || a.kind == packet.OtherVersion))
+		case admit:
+			assert.Check(t, own && s.state == service.Serving && s.fresh && a.kind == packet.Initial && !a.held)
+			_, again := got.otherwise.(admit)
+			assert.Check(t, !again)
+		case refuse:
+			assert.Check(t, own && s.state != service.Serving && s.fresh && a.kind == packet.Initial && !a.held)
+		case pass:
+			assert.Check(t, own && a.kind == packet.Initial && !a.held)
+			assert.Equal(t, got.target, a.header.Candidates[got.hop])
+			assert.Check(t, a.header.Kind == packet.Flow || got.hop > a.header.Hop, "passed back")
+		case reset:
+			assert.Check(t, earlier && a.kind == packet.Short && a.header.Kind != packet.Reply, "a reset for a run that is not known to be gone")
+		case drop:
+			assert.Check(t, got != stale || !s.fresh)
+		}
+	})
+}
+
+// TestOfferChain follows an offer along its candidates: the first that holds
+// the flow or is serving below its limit has it, the last says no at once, and
+// each is asked at most once.
+func TestOfferChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := rapid.IntRange(1, packet.MaxCandidates).Draw(t, "k")
+		a := arrival{kind: packet.Initial, header: packet.Header{Kind: packet.Offer, Service: 1, Count: uint8(k)}}
+		var situations []situation
+		var held, full []bool
+		for i := range k {
+			a.header.Candidates[i] = addrOf(i)
+			situations = append(situations, drawSituation(t, addrOf(i)))
+			held = append(held, rapid.Bool().Draw(t, "held"))
+			full = append(full, rapid.Bool().Draw(t, "full"))
+		}
+		want := -1
+		for i := k - 1; i >= 0; i-- {
+			if held[i] || situations[i].state == service.Serving && situations[i].fresh && !full[i] {
+				want = i
+			}
+		}
+		at, got := 0, action(nil)
+		for asked := 0; got == nil; asked++ {
+			assert.Check(t, asked < k, "asked more than each once")
+			a.held = held[at]
+			next := decide(situations[at], a)
+			if ask, ok := next.(admit); ok && full[at] {
+				next = ask.otherwise
+			}
+			if to, ok := next.(pass); ok {
+				at, a.header.Hop = int(to.hop), to.hop
+				continue
+			}
+			got = next
+		}
+		switch got.(type) {
+		case take, admit:
+			assert.Equal(t, at, want)
+		default:
+			assert.Check(t, want == -1 && at == k-1, "refused at %d, want taken at %d", at, want)
+			_, refused := got.(refuse)
+			assert.Equal(t, refused, situations[at].fresh)
+		}
+	})
+}
+
+func TestFreshness(t *testing.T) {
+	start := time.Now()
+	var f freshness
+	heard := false
+	var since time.Time
+	ask := func(at time.Time) bool { since = at; return heard }
+	for _, step := range []struct {
+		at    time.Duration
+		heard bool
+		want  bool
+	}{
+		{0, false, true},
+		{_pause - 1, false, true},
+		{2*_pause - 1, false, false}, // a pause
+		{2*_pause + _tick, false, false},
+		{2*_pause + 2*_tick, true, true},
+		{2*_pause + 3*_tick, false, true}, // asked only after a pause
+		{10 * _pause, true, true},
+	} {
+		heard = step.heard
+		assert.Equal(t, f.observe(start.Add(step.at), ask), step.want, "at %v", step.at)
+	}
+	assert.Equal(t, since, start.Add(10*_pause))
+}
+
+// TestAdmissions compares the bounded memory of taken flows and the claims with a plain map.
+func TestAdmissions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		s := newAdmissions(now)
+		type taken struct {
+			*admission
+			at      time.Time
+			claimed bool
+		}
+		latest, open := map[int]time.Time{}, []*taken{}
+		key := func(i int) initialKey { return newInitialKey(addrOf(i), []byte{byte(i)}) }
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				i := rapid.IntRange(0, 20).Draw(t, "flow")
+				open = append(open, &taken{admission: s.add(key(i), now), at: now})
+				latest[i] = now
+			},
+			"claim": func(t *rapid.T) {
+				if len(open) > 0 {
+					o := rapid.SampledFrom(open).Draw(t, "admission")
+					assert.Check(t, o.claim() == !o.claimed)
+					o.claimed = true
+				}
+			},
+			"pass time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				want := 0
+				open = slices.DeleteFunc(open, func(o *taken) bool {
+					due := now.Sub(o.at) >= _claimTimeout
+					if due && !o.claimed {
+						want++
+					}
+					return due
+				})
+				assert.Equal(t, s.expire(now), want)
+			},
+			"": func(t *rapid.T) {
+				for i, at := range latest {
+					if now.Sub(at) < _holdTime {
+						assert.Check(t, s.holds(key(i)), "forgot a flow after %v", now.Sub(at))
+					}
+				}
+				assert.Check(t, !s.holds(key(21)))
+			},
+		})
+	})
+	s := newAdmissions(time.Now())
+	for i := range 5 * _holdCapacity {
+		s.add(newInitialKey(netip.AddrPort{}, []byte{byte(i), byte(i >> 8), byte(i >> 16)}), time.Now())
+	}
+	assert.Check(t, len(s.young)+len(s.old) <= 2*_holdCapacity)
+}
+
+func TestPaths(t *testing.T) {
+	s := newPaths()
+	key := func(i int) pathKey {
+		return pathKey{caller: netip.AddrPortFrom(addrOf(1).Addr(), uint16(i)), address: addrOf(2)}
+	}
+	first, later := &relay{addr: addrOf(1)}, &relay{addr: addrOf(3)}
+	flow := s.pin(newPath(key(1), first, 0))
+	assert.Check(t, s.pin(s.note(key(1), first, 0)) == flow, "one path, two flows")
+	moved := s.note(key(2), first, 0)
+	for i := range 5 * _pathCapacity {
+		s.note(key(3+i%60_000), first, 0)
+	}
+	assert.Check(t, s.len() <= 2*_pathCapacity+1, "%d paths", s.len())
+	s.note(key(1), later, 0)
+	s.note(key(2), later, 0)
+	for _, p := range []*path{flow, moved} {
+		assert.Check(t, s.current(p).relay.Load() == later)
+	}
+	s.unpin(flow)
+	assert.Equal(t, len(s.pinned), 1)
+	s.unpin(flow)
+	assert.Equal(t, len(s.pinned), 0)
+	assert.Check(t, s.current(flow) == flow)
+}
+
+// TestRelays keeps a path on the balancer that it is heard from, and sends a
+// silent one through each usable balancer in a bounded time.
+func TestRelays(t *testing.T) {
+	s := newRelays(func() []netip.AddrPort { return []netip.AddrPort{addrOf(1), addrOf(2)} })
+	last := s.hear(addrOf(1), 0)
+	s.hear(addrOf(3), time.Second)
+	forgotten := s.hear(addrOf(4), 0)
+	s.refresh(_relayFresh + 1)
+	var addrs []int
+	for _, r := range *s.usable.Load() {
+		addrs = append(addrs, int(r.addr.Addr().As4()[3]))
+	}
+	slices.Sort(addrs)
+	assert.DeepEqual(t, addrs, []int{1, 2, 3})
+	used := map[*relay]bool{}
+	p := newPath(pathKey{caller: addrOf(9), address: addrOf(8)}, last, 0)
+	for slot := range time.Duration(3) {
+		now := time.Minute + slot*_relaySlot
+		turn := p.nextTurn(now)
+		assert.Equal(t, p.nextTurn(now+_relaySlot-1), turn, "a burst is spread")
+		assert.Check(t, choose(last, *s.usable.Load(), _pathFresh, turn) == last)
+		used[choose(last, *s.usable.Load(), _pathFresh+1, turn)] = true
+	}
+	assert.Equal(t, len(used), 3)
+	assert.Check(t, choose(last, nil, time.Hour, 0) == last)
+	s.refresh(_relayForget + 1)
+	assert.Check(t, s.hear(addrOf(4), time.Hour) != forgotten)
+	for i := range 2 * _relayCapacity {
+		s.hear(netip.AddrPortFrom(addrOf(9).Addr(), uint16(i+1)), 0)
+	}
+	assert.Equal(t, len(s.byAddr), _relayCapacity)
+}
--- a/agent/flow.go
+++ b/agent/flow.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -64,30 +65,10 @@
 	}
 }
 
-// liveBalancers are the balancers that replies may go through.
-type liveBalancers struct {
-	list []netip.AddrPort
-	set  map[netip.AddrPort]struct{}
-}
-
-func (a *Agent) refreshBalancers() {
-	live := &liveBalancers{list: a.options.balancers()}
-	live.set = make(map[netip.AddrPort]struct{}, len(live.list))
-	for _, addr := range live.list {
-		live.set[addr] = struct{}{}
-	}
-	a.balancers.Store(live)
-}
-
-// live returns last if it is live or nothing is known of the others, else a
-// balancer that the caller's port picks.
-func (a *Agent) live(last netip.AddrPort, p *path) netip.AddrPort {
-	balancers := a.balancers.Load()
-	if len(balancers.list) == 0 {
-		return last
-	}
-	if _, ok := balancers.set[last]; ok {
-		return last
-	}
-	return balancers.list[int(p.caller.Port())%len(balancers.list)]
+// balancerFor returns the balancer that a packet on p's path goes through.
+func (a *Agent) balancerFor(p *path) netip.AddrPort {
+	p = a.paths.current(p)
+	now := a.age()
+	silence := now - time.Duration(p.heard.Load())
+	return choose(p.relay.Load(), *a.relays.usable.Load(), silence, p.nextTurn(now)).addr
 }
--- a/agent/flow_test.go
+++ b/agent/flow_test.go
@@ -1,24 +1,246 @@
 package agent
 
 import (
+	"context"
+	"errors"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/route"
+	"dandelionhitch.example/service"
 )
 
-// TestWhole sends requests of two services over many balancers.
+func assertRefused(t *testing.T, err error) {
+	var refused *quic.TransportError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.ErrorCode, quic.ConnectionRefused)
+}
+
+func assertReset(t *testing.T, err error) {
+	var reset *quic.StatelessResetError
+	assert.Assert(t, errors.As(err, &reset), "%v", err)
+}
+
+// TestWhole sends requests of two services over balancers that come and go. The
+// answers name the service that gave them.
 func TestWhole(t *testing.T) {
 	r := newRig(t, 4, 2, 2)
 	var wg sync.WaitGroup
+	steps := make(chan struct{}, 8)
 	for i := range 8 {
 		wg.Go(func() {
 			svc := i % 2
 			client := r.client(svc)
-			for range 5 {
+			for range 6 {
 				assert.Check(t, r.call(client, svc, 50_000))
+				steps <- struct{}{}
 			}
 		})
 	}
+	wait := func(n int) {
+		for range n {
+			<-steps
+		}
+	}
+	wait(10)
+	// A balancer dies while the fabric still sends to it.
+	assert.NilError(t, r.balancers[0].Close())
+	wait(2)
+	r.balancers = r.balancers[1:]
+	r.spray()
+	wait(10)
+	r.addBalancer()
+	wait(48 - 22)
+	wg.Wait()
+	for svc, agents := range r.agents {
+		admitted := agents[0].Counts().Admitted + agents[1].Counts().Admitted
+		assert.Equal(t, admitted, uint64(4), "service %d: a flow was opened twice", svc)
+	}
+}
+
+// TestQuietCaller kills the balancer that carried a request while the caller
+// waits for the answer, and lets nothing more of the caller through until the
+// agent has found another balancer.
+func TestQuietCaller(t *testing.T) {
+	var live atomic.Pointer[[]netip.AddrPort]
+	live.Store(new([]netip.AddrPort))
+	r := newRig(t, 2, 1, 1, WithBalancers(func() []netip.AddrPort { return *live.Load() }))
+	live.Store(&[]netip.AddrPort{r.balancers[0].Addr(), r.balancers[1].Addr()})
+	s := r.sprayers[0]
+	s.setTargets(r.balancers[0].Listeners()[0])
+	done := make(chan error, 1)
+	var wg sync.WaitGroup
+	wg.Go(func() { done <- r.callPath(r.client(0), "/wait", 0, 100) })
+	<-r.started
+	s.setTargets()
+	assert.NilError(t, r.balancers[0].Close())
+	close(r.finish)
+	for r.balancers[1].Counts().Replies == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.setTargets(r.balancers[1].Listeners()[0])
+	assert.NilError(t, <-done)
+	wg.Wait()
+}
+
+// TestDrain drains an agent that the balancers go on offering flows to.
+func TestDrain(t *testing.T) {
+	r := newRig(t, 2, 1, 2)
+	client := r.client(0)
+	done := make(chan error, 1)
+	var wg sync.WaitGroup
+	wg.Go(func() { done <- r.callPath(client, "/wait", 0, 50_000) })
+	<-r.started
+	leaving := r.holder(0)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorContains(t, leaving.Drain(ctx), "1 flows open")
+	assert.Equal(t, leaving.State(), service.Draining)
+	for range 6 {
+		assert.NilError(t, r.call(r.client(0), 0, 1000))
+	}
+	assert.Equal(t, leaving.Flows(), 1, "a draining agent took a new flow")
+	close(r.finish)
+	assert.NilError(t, <-done, "a request in progress was cut")
 	wg.Wait()
+
+	// The caller closes its flow after GOAWAY, and the drain is over.
+	client.CloseIdleConnections()
+	_ = client.Transport.(interface{ Close() error }).Close()
+	assert.NilError(t, leaving.Drain(t.Context()))
+	leaving.Serve()
+	assert.Equal(t, leaving.State(), service.Draining)
+
+	// With no agent left a new flow is refused at once.
+	for _, a := range r.agents[0] {
+		_ = a.Drain(ctx)
+	}
+	assertRefused(t, r.call(r.client(0), 0, 10))
+}
+
+// TestFull passes flows on until both agents are full, then refuses, and takes
+// one again when one has ended.
+func TestFull(t *testing.T) {
+	r := newRig(t, 2, 1, 2)
+	for _, g := range r.gates[0] {
+		g.setLimit(1)
+	}
+	first, second := r.client(0), r.client(0)
+	assert.NilError(t, r.call(first, 0, 10))
+	assert.NilError(t, r.call(second, 0, 10))
+	assertRefused(t, r.call(r.client(0), 0, 10))
+	assert.Equal(t, r.agents[0][0].Flows(), 1)
+	assert.Equal(t, r.agents[0][1].Flows(), 1)
+	assert.NilError(t, first.Transport.(interface{ Close() error }).Close())
+	for r.agents[0][0].Flows()+r.agents[0][1].Flows() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, r.call(r.client(0), 0, 10))
+	assert.NilError(t, r.call(second, 0, 10), "an established flow was cut")
+}
+
+// TestRestart kills an agent and starts another at its address: the flow is
+// reset at once. With another service there, as when an address is used again,
+// the caller learns it too.
+func TestRestart(t *testing.T) {
+	for name, svc := range map[string]int{"same service": 0, "other service": 1} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, 2, 1)
+			client := r.client(0)
+			assert.NilError(t, r.call(client, 0, 10))
+			old := r.agents[0][0]
+			r.kill(old)
+			next := r.startAgent(svc, old.Addr(), 2, &gate{})
+			assertReset(t, r.call(client, 0, 10))
+			assert.Check(t, next.Counts().Resets > 0)
+			if svc == 0 {
+				assert.NilError(t, r.call(r.client(0), 0, 10))
+			}
+		})
+	}
+}
+
+// TestGone kills an agent for good: once its end is confirmed to the balancers
+// they reset its flows, and no others.
+func TestGone(t *testing.T) {
+	r := newRig(t, 2, 1, 2)
+	client := r.client(0)
+	assert.NilError(t, r.call(client, 0, 10))
+	dead := r.holder(0)
+	for r.agents[0][0].Flows() == 0 || r.agents[0][1].Flows() == 0 {
+		assert.NilError(t, r.call(r.client(0), 0, 10))
+	}
+	r.kill(dead)
+	r.setTable(route.Gone{Addr: dead.Addr(), Incarnation: dead.incarnation})
+	assertReset(t, r.call(client, 0, 10))
+}
+
+// TestPause pauses an agent: its flows outlive the pause without a reset, and
+// until it has heard its peers again it admits no flow.
+func TestPause(t *testing.T) {
+	var mu sync.Mutex
+	now, heard := time.Now(), true
+	set := func(f func()) {
+		mu.Lock()
+		defer mu.Unlock()
+		f()
+	}
+	clock := withClock(func() (at time.Time) {
+		set(func() { at = now })
+		return at
+	})
+	fresh := WithFresh(func(time.Time) (ok bool) {
+		set(func() { ok = heard })
+		return ok
+	})
+	r := newRig(t, 2, 1, 1, clock, fresh)
+	client := r.client(0)
+	assert.NilError(t, r.call(client, 0, 10))
+	set(func() { now, heard = now.Add(time.Hour), false })
+	assert.NilError(t, r.call(client, 0, 10), "an established flow was cut")
+
+	newcomer := r.client(0)
+	done := make(chan error, 1)
+	var wg sync.WaitGroup
+	wg.Go(func() { done <- r.call(newcomer, 0, 10) })
+	for r.agents[0][0].Counts().Dropped == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, r.agents[0][0].Flows(), 1)
+	set(func() { heard = true })
+	assert.NilError(t, <-done)
+	wg.Wait()
+	assert.Equal(t, r.agents[0][0].Counts().Resets, uint64(0))
+}
+
+// TestUnopened gives back what was admitted for packets that open no connection.
+func TestUnopened(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Now()
+	r := newRig(t, 1, 1, 1, withClock(func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return now
+	}))
+	initial := append([]byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8, 0xff}, make([]byte, 1200)...)
+	conn := r.dial(0)
+	_, err := conn.Write(initial)
+	assert.NilError(t, err)
+	for r.gates[0][0].count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	mu.Lock()
+	now = now.Add(_claimTimeout)
+	mu.Unlock()
+	for r.gates[0][0].count() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, r.agents[0][0].Counts().Unopened, uint64(1))
+	assert.Equal(t, r.agents[0][0].Flows(), 0)
 }
--- a/agent/options.go
+++ b/agent/options.go
@@ -48,8 +48,8 @@
 	return optionFunc(func(o *options) { o.fresh = fresh })
 }
 
-// WithBalancers sets the list of live balancers. A reply whose flow was last
-// carried by a balancer outside a non-empty list goes through one in it.
+// WithBalancers sets the source of the list of live balancers. A reply to a
+// caller that has been silent may go through any of them.
 func WithBalancers(balancers func() []netip.AddrPort) Option {
 	return optionFunc(func(o *options) { o.balancers = balancers })
 }
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // _pathCapacity bounds each of the two generations of paths without a flow.
@@ -19,8 +20,15 @@
 // path is how packets reach a caller. It is the caller's net.Addr for QUIC.
 type path struct {
 	pathKey
-	name     string
-	balancer atomic.Pointer[netip.AddrPort]
+	name string
+	// relay is the balancer that brought the last packet, and heard is when,
+	// since the agent's start.
+	relay atomic.Pointer[relay]
+	heard atomic.Int64
+	// slot is the last slot of time in which the silent path sent a packet, and
+	// turn counts these slots.
+	slot atomic.Int64
+	turn atomic.Uint32
 	// flows counts the connections opened on this path; guarded by paths.mu.
 	flows int
 	// pinned says that the path stays in the table while it has flows.
@@ -44,7 +52,7 @@
 	refused   bool
 }
 
-// paths finds the balancer that last carried a caller's packets. Paths of open
+// paths remembers how packets of callers came. Paths of open
 // flows are kept until these end; the rest, such as those that callers have
 // moved to, are bounded in two generations.
 type paths struct {
@@ -59,38 +67,47 @@
 }
 
 // newPath returns a path that is in no table.
-func newPath(key pathKey, balancer netip.AddrPort) *path {
+func newPath(key pathKey, from *relay, now time.Duration) *path {
 	p := &path{pathKey: key, name: key.caller.String()}
-	p.balancer.Store(&balancer)
+	p.turn.Store(uint32(key.caller.Port()))
+	p.hear(from, now)
 	return p
 }
 
-// note notes that balancer has carried a packet on the path.
-func (s *paths) note(key pathKey, balancer netip.AddrPort) *path {
+// nextTurn returns the turn for a packet at now.
+func (p *path) nextTurn(now time.Duration) uint32 {
+	slot := int64(now / _relaySlot)
+	if p.slot.Swap(slot) == slot {
+		return p.turn.Load()
+	}
+	return p.turn.Add(1)
+}
+
+func (p *path) hear(from *relay, now time.Duration) {
+	p.relay.Store(from)
+	p.heard.Store(int64(now))
+}
+
+// note notes that a balancer has brought a packet on the path.
+func (s *paths) note(key pathKey, from *relay, now time.Duration) *path {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.find(key)
 	if p == nil {
-		p = newPath(key, balancer)
+		p = newPath(key, from, now)
 		s.keep(p)
 		return p
 	}
-	if *p.balancer.Load() != balancer {
-		p.balancer.Store(&balancer)
-	}
+	p.hear(from, now)
 	return p
 }
 
-// last returns the balancer that last carried a packet on p's path.
-func (s *paths) last(p *path) netip.AddrPort {
-	if !p.pinned.Load() {
-		p = s.current(p)
-	}
-	return *p.balancer.Load()
-}
-
-// current returns the path in the table with the ends of p, or p.
+// current returns the path in the table with the ends of p, or p. A path that
+// QUIC holds without a flow of its own can have left the table and been made anew.
 func (s *paths) current(p *path) *path {
+	if p.pinned.Load() {
+		return p
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if found := s.find(p.pathKey); found != nil {
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -145,6 +145,12 @@
 	g.open--
 }
 
+func (g *gate) setLimit(limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit = limit
+}
+
 func (g *gate) count() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -161,10 +167,13 @@
 	sprayers  []*sprayer
 	agents    [][]*Agent
 	gates     [][]*gate
+	started   chan struct{}
+	finish    chan struct{}
+	killed    map[*Agent]bool
 }
 
 func newRig(t *testing.T, balancers, services, agents int, opts ...Option) *rig {
-	r := &rig{t: t, keys: testKeys(t, 1)}
+	r := &rig{t: t, keys: testKeys(t, 1), started: make(chan struct{}, 16), finish: make(chan struct{}), killed: map[*Agent]bool{}}
 	r.cert, r.pool = testCert(t)
 	for i := range services {
 		r.sprayers = append(r.sprayers, newSprayer(t, uint64(i)))
@@ -179,7 +188,6 @@
 	for range balancers {
 		r.addBalancer()
 	}
-	r.setTable()
 	return r
 }
 
@@ -187,17 +195,36 @@
 	a, err := New(Config{
 		Addr: addr, Service: service.ID(svc + 1), Incarnation: incarnation, Keys: r.keys, Gate: g,
 		TLS:     &tls.Config{Certificates: []tls.Certificate{r.cert}},
-		Handler: echo(svc),
+		Handler: r.echo(svc),
 	}, opts...)
 	assert.NilError(r.t, err)
 	a.Serve()
 	r.t.Cleanup(func() {
-		assert.NilError(r.t, a.Close())
+		err := a.Close()
+		assert.Check(r.t, err == nil || r.killed[a], "%v", err)
 		assert.Equal(r.t, g.count(), 0)
 	})
 	return a
 }
 
+// kill ends an agent without a word to anyone, as kill -9 does.
+func (r *rig) kill(a *Agent) {
+	r.killed[a] = true
+	a.conn.udp.Close()
+	_ = a.Close()
+}
+
+// holder is the agent of a service that has a flow.
+func (r *rig) holder(svc int) *Agent {
+	for _, a := range r.agents[svc] {
+		if a.Flows() > 0 {
+			return a
+		}
+	}
+	r.t.Fatal("no agent has a flow")
+	return nil
+}
+
 func (r *rig) addBalancer() {
 	cfg := balancer.Config{Addr: _loopback, Keys: r.keys}
 	for _, s := range r.sprayers {
@@ -207,6 +234,7 @@
 	assert.NilError(r.t, err)
 	r.t.Cleanup(func() { assert.NilError(r.t, b.Close()) })
 	r.balancers = append(r.balancers, b)
+	r.setTable()
 	r.spray()
 }
 
@@ -253,8 +281,12 @@
 
 // call sends a body and wants it back with the service's number.
 func (r *rig) call(c *http.Client, svc, size int) error {
+	return r.callPath(c, "/", svc, size)
+}
+
+func (r *rig) callPath(c *http.Client, path string, svc, size int) error {
 	body := strings.Repeat("x", size)
-	response, err := c.Post("https://localhost/", "text/plain", strings.NewReader(body))
+	response, err := c.Post("https://localhost"+path, "text/plain", strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -269,13 +301,18 @@
 	return nil
 }
 
-// echo answers with the service's number and the request's body.
-func echo(svc int) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
+// echo answers with the service's number and the request's body. A request for
+// /wait says on started that it runs, and waits for finish.
+func (r *rig) echo(svc int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
 		}
+		if req.URL.Path == "/wait" {
+			r.started <- struct{}{}
+			<-r.finish
+		}
 		_, _ = fmt.Fprintf(w, "%d:%s", svc, body)
 	})
 }
@@ -307,3 +344,11 @@
 	pool.AddCert(parsed)
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
 }
+
+// dial returns a bare socket towards a service.
+func (r *rig) dial(svc int) *net.UDPConn {
+	conn, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(r.sprayers[svc].address))
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { conn.Close() })
+	return conn
+}
