--- a/limit/holder.go
+++ b/limit/holder.go
@@ -62,6 +62,9 @@
 	sent Instant
 }
 
+// _sightLooks is how many looks' time counts at most between two sights of the Share.
+const _sightLooks = 2
+
 // _maxAttempts bounds the attempts remembered. The lease of a forgotten one
 // counts as not renewed, which is safe.
 const _maxAttempts = 16
@@ -73,7 +76,7 @@
 		run:    run,
 		pace:   pace,
 		random: rand.New(rand.NewPCG(seed, seed)),
-		watch:  make(watch),
+		watch:  watch{last: now.Mono, step: _sightLooks * pace.Look},
 		phase:  _idle,
 		held:   Entry{Run: run},
 	}
--- a/limit/reclaim.go
+++ b/limit/reclaim.go
@@ -6,48 +6,53 @@
 	"dandelionhitch.example/settings"
 )
 
-// watched is since when an entry has been seen unchanged.
+// watched is for how long an entry has been seen unchanged.
 type watched struct {
-	seq   uint64
-	since time.Duration
+	seq    uint64
+	silent time.Duration
 }
 
 // watch is what one run saw of the others' entries, on its own monotonic clock.
-type watch map[Run]watched
+type watch struct {
+	entries map[Run]watched
+	// last is when the share was last seen.
+	last time.Duration
+	// step bounds how much the time between two sights of the share counts. In
+	// an outage no run can renew its lease, nor see the share; so runs that
+	// are alive have time to renew it after an outage, however long that was.
+	step time.Duration
+}
 
 // see notes the entries of a share that was in the store before now.
-func (w watch) see(now time.Duration, share Share) {
+func (w *watch) see(now time.Duration, share Share) {
+	passed := min(now-w.last, w.step)
+	w.last = now
+	seen := make(map[Run]watched, len(share.Entries))
 	for _, entry := range share.Entries {
-		if known, ok := w[entry.Run]; !ok || known.seq != entry.Seq {
-			w[entry.Run] = watched{seq: entry.Seq, since: now}
-		}
-	}
-	for run := range w {
-		if share.index(run) < 0 {
-			delete(w, run)
+		known, ok := w.entries[entry.Run]
+		if !ok || known.seq != entry.Seq {
+			known = watched{seq: entry.Seq, silent: -passed}
 		}
+		known.silent += passed
+		seen[entry.Run] = known
 	}
+	w.entries = seen
 }
 
-// silent is for how long the entry has been seen unchanged.
-func (w watch) silent(now time.Duration, entry Entry) time.Duration {
-	known, ok := w[entry.Run]
-	if !ok || known.seq != entry.Seq {
-		return 0
-	}
-	return now - known.since
+// silent is for how long the entry of the share last seen has been unchanged.
+func (w *watch) silent(entry Entry) time.Duration {
+	return w.entries[entry.Run].silent
 }
 
 // lapsed reports whether the entry's run has surely stopped using its leased part.
-func (w watch) lapsed(now time.Duration, entry Entry) bool {
-	return w.silent(now, entry) >= reclaimAfter(entry.Term)
+func (w *watch) lapsed(entry Entry) bool {
+	return w.silent(entry) >= reclaimAfter(entry.Term)
 }
 
 // reclaimer takes back the parts of silent runs.
 type reclaimer struct {
 	self  Run
-	watch watch
-	now   time.Duration
+	watch *watch
 	// drain is how long flows may outlive the lease they were admitted under.
 	drain time.Duration
 	gone  func(Run) bool
@@ -57,7 +62,7 @@
 func (r reclaimer) reclaim(share Share) Share {
 	reclaimed := share
 	for _, entry := range share.Entries {
-		if entry.Run == r.self || !r.watch.lapsed(r.now, entry) {
+		if entry.Run == r.self || !r.watch.lapsed(entry) {
 			continue
 		}
 		reclaimed = r.reclaimEntry(reclaimed, entry)
@@ -66,7 +71,7 @@
 }
 
 func (r reclaimer) reclaimEntry(share Share, entry Entry) Share {
-	silent := r.watch.silent(r.now, entry)
+	silent := r.watch.silent(entry)
 	switch {
 	case r.gone(entry.Run) || r.replaced(share, entry):
 		return share.WithoutRun(entry.Run)
--- a/limit/write.go
+++ b/limit/write.go
@@ -9,11 +9,11 @@
 // write plans the run's entry and returns the write that brings it about, or
 // a rest if nothing has to change.
 func (h *Holder) write(now Instant, gone func(Run) bool) Action {
-	share := h.reclaim(now, gone).WithLimits(h.gate.limits)
+	share := h.reclaim(gone).WithLimits(h.gate.limits)
 	if h.leaving {
 		return h.writeLeave(now, share)
 	}
-	plan := h.plan(now, share)
+	plan := h.plan(share)
 	next := plan.entry()
 	if now.Mono < h.renewal && !plan.worthWriting(next) {
 		h.settle(now)
@@ -55,18 +55,17 @@
 	return next
 }
 
-func (h *Holder) reclaim(now Instant, gone func(Run) bool) Share {
+func (h *Holder) reclaim(gone func(Run) bool) Share {
 	r := reclaimer{
 		self:  h.run,
-		watch: h.watch,
-		now:   now.Mono,
+		watch: &h.watch,
 		drain: time.Duration(h.gate.limits.DrainDeadline),
 		gone:  gone,
 	}
 	return r.reclaim(h.share)
 }
 
-func (h *Holder) plan(now Instant, share Share) plan {
+func (h *Holder) plan(share Share) plan {
 	p := plan{
 		share:    share,
 		own:      h.held,
@@ -78,7 +77,7 @@
 		draining: h.gate.draining,
 	}
 	for _, entry := range share.Entries {
-		if entry.Run == h.run || h.watch.lapsed(now.Mono, entry) {
+		if entry.Run == h.run || h.watch.lapsed(entry) {
 			continue
 		}
 		p.hosts++
