--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -14,10 +14,6 @@
 const (
 	// _admissionRing bounds the messages to the admission loop.
 	_admissionRing = 1024
-	// _retryShare is how many retries and hand-overs there are for each request.
-	_retryShare = 0.3
-	// _retryBurst is how many retries and hand-overs may come at once.
-	_retryBurst = 10
 )
 
 // _fallbackLimits are in force until the settings give valid ones.
@@ -34,7 +30,7 @@
 	load   atomic.Int32
 
 	queue   *queue.Queue
-	budget  queue.Budget
+	budgets [_budgetHandOver + 1]queue.Budget
 	limits  queue.Limits
 	pending map[queue.ID]chan queue.Action
 	actions []queue.Action
@@ -63,11 +59,20 @@
 	reply chan bool
 }
 
-// withdraw asks the retry budget.
+// withdraw asks a budget.
 type withdraw struct {
-	reply chan bool
+	budget budgetKind
+	reply  chan bool
 }
 
+// budgetKind names one of the admission's budgets.
+type budgetKind uint8
+
+const (
+	_budgetRetry budgetKind = iota
+	_budgetHandOver
+)
+
 // drain refuses all later offers.
 type drain struct{}
 
@@ -89,7 +94,7 @@
 		policy:  policy,
 		logger:  logger,
 		queue:   q,
-		budget:  queue.NewBudget(_retryShare, _retryBurst),
+		budgets: [...]queue.Budget{_budgetRetry: queue.RetryBudget(), _budgetHandOver: queue.HandOverBudget()},
 		limits:  _fallbackLimits,
 		pending: make(map[queue.ID]chan queue.Action),
 	}
@@ -135,10 +140,10 @@
 	return a.await(reply)
 }
 
-// withdraw asks for one retry.
-func (a *admission) withdraw() bool {
+// withdraw asks for one retry or hand-over.
+func (a *admission) withdraw(budget budgetKind) bool {
 	reply := make(chan bool, 1)
-	return a.send(withdraw{reply: reply}) && a.await(reply)
+	return a.send(withdraw{budget: budget, reply: reply}) && a.await(reply)
 }
 
 func (a *admission) await(reply <-chan bool) bool {
@@ -178,7 +183,9 @@
 	switch m := m.(type) {
 	case offer:
 		a.applyLimits(now)
-		a.budget.Deposit()
+		for i := range a.budgets {
+			a.budgets[i].Deposit()
+		}
 		a.pending[m.request.ID] = m.reply
 		a.actions = a.queue.Offer(a.actions, now, m.request)
 	case finish:
@@ -191,7 +198,7 @@
 		}
 		m.reply <- ok
 	case withdraw:
-		m.reply <- a.budget.Withdraw()
+		m.reply <- a.budgets[m.budget].Withdraw()
 	case drain:
 		a.queue.Drain()
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,6 +23,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,7 @@
 	tickets    *registry[ticket.Number]
 	transfers  *registry[transferKey]
 	requests   inProgress
+	loads      peerLoads
 	draining   atomic.Bool
 	lastIssue  atomic.Int64
 	lastNumber atomic.Uint64
@@ -67,6 +69,7 @@
 // at once; Close ends it.
 func New(upstream *url.URL, policy func() settings.Service, opts ...Option) (*Dispatcher, error) {
 	d := &Dispatcher{options: defaultOptions(), upstream: upstream, policy: policy}
+	d.loads.known = make(map[netip.AddrPort]peerLoad)
 	for _, opt := range opts {
 		opt.apply(&d.options)
 	}
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -12,13 +12,8 @@
 	"dandelionhitch.example/ticket"
 )
 
-const (
-	// _defaultTimeout bounds a request when neither caller nor settings do.
-	_defaultTimeout = 30 * time.Second
-	// _handOverWait is the expected wait from which a request is better off
-	// with an idle agent a few milliseconds away.
-	_handOverWait = 10 * time.Millisecond
-)
+// _defaultTimeout bounds a request when neither caller nor settings do.
+const _defaultTimeout = 30 * time.Second
 
 // exchange is one request and its answer.
 type exchange struct {
@@ -38,6 +33,11 @@
 	// fromPeer says that another agent passed the request on, so that it
 	// cannot be passed on again.
 	fromPeer bool
+	// maxWait is the longest wait here that the other agent allows; zero is any.
+	maxWait time.Duration
+	// offers and handOvers count how often the request asked for a slot here
+	// and was handed to another agent.
+	offers, handOvers int
 	// ticket is the number of the ticket that the request runs under.
 	ticket ticket.Number
 	// settle records the outcome where someone may ask for it. It is called
@@ -67,7 +67,7 @@
 		requests: policy,
 		body:     &body{source: r.Body},
 		deadline: time.Now().Add(left),
-		bounded:  bounded,
+		bounded:  bounded && r.Header.Get(_headerBegin) == "",
 		settle:   func(ticket.Outcome) {},
 	}
 	x.ctx, x.cancel = context.WithCancel(r.Context())
@@ -78,6 +78,33 @@
 	return x, nil
 }
 
+// timed is a context that ends at an exchange's deadline.
+type timed struct {
+	context.Context
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+}
+
+// untilDeadline returns a context for one attempt at the request.
+func (x *exchange) untilDeadline() timed {
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	timer := time.AfterFunc(time.Until(x.deadline), func() { cancel(context.DeadlineExceeded) })
+	return timed{Context: ctx, timer: timer, cancel: cancel}
+}
+
+// answered lifts the deadline if it bounds the beginning of the answer only.
+func (t timed) answered(x *exchange) {
+	if !x.bounded {
+		t.timer.Stop()
+	}
+}
+
+// end frees what the context holds.
+func (t timed) end() {
+	t.timer.Stop()
+	t.cancel(nil)
+}
+
 // end frees what the exchange holds.
 func (x *exchange) end() {
 	x.unlink()
@@ -147,8 +174,11 @@
 // refused says that the queue refused the request.
 type refused struct{ queue.Refuse }
 
-// crowded says that the request left the queue because a peer can take it sooner.
-type crowded struct{ peer Peer }
+// crowded says that the request left the queue because a peer may take it sooner.
+type crowded struct {
+	peer    Peer
+	maxWait time.Duration
+}
 
 // abandoned says that the request's context ended while it waited.
 type abandoned struct{}
@@ -158,11 +188,12 @@
 func (crowded) admittance()   {}
 func (abandoned) admittance() {}
 
-// admit waits for a slot. With leave set, the request leaves the queue for a
-// less loaded peer rather than wait long.
-func (x *exchange) admit(leave bool) admittance {
+// admit waits for a slot. A request that may be handed over leaves the queue
+// for a less loaded peer rather than wait long.
+func (x *exchange) admit() admittance {
 	began := time.Now()
 	id, replies := x.d.admission.offer(x.ask())
+	x.offers++
 	for {
 		select {
 		case action := <-replies:
@@ -173,11 +204,8 @@
 			case queue.Refuse:
 				return refused{Refuse: a}
 			case queue.Wait:
-				if !leave || a.Expected < _handOverWait {
-					continue
-				}
-				if peer, ok := x.d.choosePeer(x.d.Load()); ok && x.d.admission.cancel(id) {
-					return crowded{peer: peer}
+				if to, ok := x.leave(id, a.Expected); ok {
+					return to
 				}
 			}
 		case <-x.ctx.Done():
@@ -186,6 +214,19 @@
 	}
 }
 
+// leave takes the request out of the queue if a peer may take it sooner.
+func (x *exchange) leave(id queue.ID, expected time.Duration) (crowded, bool) {
+	maxWait, better := queue.MaxWaitElsewhere(expected)
+	if !better {
+		return crowded{}, false
+	}
+	peer, ok := x.choosePeer(queue.BusyLoad)
+	if !ok || !x.d.admission.cancel(id) {
+		return crowded{}, false
+	}
+	return crowded{peer: peer, maxWait: maxWait}, true
+}
+
 // ask describes the request to the queue.
 func (x *exchange) ask() queue.Request {
 	var class queue.Class
@@ -198,6 +239,8 @@
 		Deadline: x.d.admission.now() + time.Until(x.deadline),
 		Jitter:   x.d.random(),
 		Bound:    x.ticket != 0,
+		MaxWait:  x.maxWait,
+		Again:    x.offers > 0,
 	}
 }
 
@@ -219,69 +262,63 @@
 	return abandoned{}
 }
 
-// servePlain answers a request that runs without a ticket.
+// servePlain answers a request that runs without a ticket. As long as it has
+// not started and nobody has read its body, it goes to and fro between the
+// queue here and other agents, a bounded number of times.
 func (x *exchange) servePlain() {
-	mayLeave := !x.fromPeer
-	switch a := x.admit(mayLeave).(type) {
-	case admitted:
-		x.runPlain(a.id)
-	case crowded:
-		x.passOn(a.peer)
-	case refused:
-		if peer, ok := x.d.choosePeer(queue.MaxLoad); ok && mayLeave {
-			x.passOn(peer)
+	for {
+		switch a := x.admit().(type) {
+		case admitted:
+			x.runPlain(a.id)
+			return
+		case crowded:
+			if x.handOver(a.peer, a.maxWait) {
+				return
+			}
+		case refused:
+			peer, ok := x.choosePeer(queue.CrowdedLoad)
+			if !ok {
+				x.answerNotRun("refused", refusalOf(a.Refuse))
+				return
+			}
+			if x.handOver(peer, 0) {
+				return
+			}
+		case abandoned:
+			x.answerAbandoned()
+			return
+		}
+		if !x.body.withdraw() {
+			x.answerNotRun("refused", notRun("the request could not be handed over", x.d.retryAfter()))
 			return
 		}
-		x.answerNotRun("refused", refusalOf(a.Refuse))
-	case abandoned:
-		x.answerNotRun("abandoned", notRun("the request was cancelled before it started", x.d.retryAfter()))
-	}
-}
-
-// passOn hands the request over, and serves it here if the peer did not run it.
-func (x *exchange) passOn(peer Peer) {
-	x.d.telemetry.answered("handed_over")
-	if x.handOver(peer) {
-		return
-	}
-	if !x.body.withdraw() {
-		x.answerNotRun("refused", notRun("the request could not be handed over", x.d.retryAfter()))
-		return
-	}
-	switch a := x.admit(false).(type) {
-	case admitted:
-		x.runOnce(a.id)
-	case refused:
-		x.answerNotRun("refused", refusalOf(a.Refuse))
-	default:
-		x.answerNotRun("abandoned", notRun("the request was cancelled before it started", x.d.retryAfter()))
 	}
 }
 
 // runPlain runs the request, and once more if that is harmless.
 func (x *exchange) runPlain(id queue.ID) {
 	err := x.run(id)
-	if err == nil {
-		return
-	}
-	if x.mayRetry(err) {
-		if peer, ok := x.d.anyPeer(); ok {
-			x.passOn(peer)
+	if err != nil && x.mayRetry(err) {
+		if peer, ok := x.d.anyPeer(); ok && x.handOver(peer, 0) {
 			return
 		}
-		if a, ok := x.admit(false).(admitted); ok {
-			x.runOnce(a.id)
-			return
+		if x.body.withdraw() {
+			err = x.runAgain(err)
 		}
 	}
-	x.answerBroken(err)
+	if err != nil {
+		x.answerBroken(err)
+	}
 }
 
-// runOnce runs the request and answers whatever comes of it.
-func (x *exchange) runOnce(id queue.ID) {
-	if err := x.run(id); err != nil {
-		x.answerBroken(err)
+// runAgain runs the request once more if there is a slot, or returns the error
+// of the run before.
+func (x *exchange) runAgain(err error) error {
+	a, ok := x.admit().(admitted)
+	if !ok {
+		return err
 	}
+	return x.run(a.id)
 }
 
 // mayRetry reports whether a failed run may be followed by another.
@@ -293,7 +330,12 @@
 	if x.fromPeer || x.ctx.Err() != nil || !time.Now().Before(x.deadline) {
 		return false
 	}
-	return x.body.withdraw() && x.d.admission.withdraw()
+	return x.body.withdraw() && x.d.admission.withdraw(_budgetRetry)
+}
+
+// answerAbandoned answers a request whose caller went away while it waited.
+func (x *exchange) answerAbandoned() {
+	x.answerNotRun("abandoned", notRun("the request was cancelled before it started", x.d.retryAfter()))
 }
 
 // answerBroken answers a request whose run brought no answer.
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -48,8 +48,8 @@
 	if x.idempotent() {
 		transport = x.d.transport
 	}
-	ctx, cancel := context.WithCancelCause(x.ctx)
-	defer cancel(nil)
+	ctx := x.untilDeadline()
+	defer ctx.end()
 	result := queue.Aborted
 	defer func() { x.d.admission.finish(id, result) }()
 
@@ -60,8 +60,6 @@
 		request.Header.Set(HeaderTicket, strconv.FormatUint(uint64(x.ticket), 10))
 	}
 	setDeadline(request.Header, time.Until(x.deadline))
-	timer := time.AfterFunc(time.Until(x.deadline), func() { cancel(context.DeadlineExceeded) })
-	defer timer.Stop()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		if x.ctx.Err() == nil {
@@ -70,9 +68,7 @@
 		return sendError(ctx, err)
 	}
 	defer response.Body.Close()
-	if !x.bounded {
-		timer.Stop()
-	}
+	ctx.answered(x)
 	stripOwn(response.Header)
 	result = queue.Done
 	if response.StatusCode >= http.StatusInternalServerError {
--- a/dispatcher/header.go
+++ b/dispatcher/header.go
@@ -33,6 +33,13 @@
 	_headerTo       = "Dandelionhitch-To"
 	_headerTransfer = "Dandelionhitch-Transfer"
 	_headerAsk      = "Dandelionhitch-Ask"
+	// _headerMaxWait is the longest wait in microseconds for which an agent
+	// takes a request over.
+	_headerMaxWait = "Dandelionhitch-Max-Wait"
+	// _headerBegin says that the deadline bounds only the beginning of the answer.
+	_headerBegin = "Dandelionhitch-Begin"
+	// _headerLoad is the load of the agent that answers another.
+	_headerLoad = "Dandelionhitch-Load"
 )
 
 // The values of HeaderOutcome.
@@ -67,6 +74,20 @@
 	return time.Duration(ms) * time.Millisecond, true, nil
 }
 
+// maxWaitOf returns the longest wait that a request handed over allows, or
+// zero for any.
+func maxWaitOf(header http.Header) (time.Duration, error) {
+	text := header.Get(_headerMaxWait)
+	if text == "" {
+		return 0, nil
+	}
+	us, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || us < 0 || us > _maxDeadline.Microseconds() {
+		return 0, trace.BadParameter("%s %q: want microseconds from 0 to %d", _headerMaxWait, text, _maxDeadline.Microseconds())
+	}
+	return max(time.Microsecond, time.Duration(us)*time.Microsecond), nil
+}
+
 // setDeadline tells the next receiver how much of the time span is left.
 func setDeadline(header http.Header, left time.Duration) {
 	header.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strconv"
+	"sync"
 	"time"
 
 	"dandelionhitch.example/queue"
@@ -19,19 +21,59 @@
 	_askPause = 50 * time.Millisecond
 )
 
-// choosePeer returns a peer that is clearly less loaded than own and counts
-// the hand-over against the retry budget.
-func (d *Dispatcher) choosePeer(own int) (Peer, bool) {
-	if d.peers == nil {
-		return Peer{}, false
+// _loadNews is how long the load that a peer gave with an answer counts for
+// more than what its heartbeats said.
+const _loadNews = time.Second
+
+// peerLoads remembers the loads that peers gave with their answers.
+type peerLoads struct {
+	mu    sync.Mutex
+	known map[netip.AddrPort]peerLoad
+}
+
+type peerLoad struct {
+	load int
+	at   time.Time
+}
+
+// learn takes the load of a peer from its answer.
+func (l *peerLoads) learn(agent netip.AddrPort, header http.Header) {
+	load, err := strconv.Atoi(header.Get(_headerLoad))
+	if err != nil || load < 0 || load > queue.MaxLoad {
+		return
 	}
-	peers := d.peers.Peers()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known[agent] = peerLoad{load: load, at: time.Now()}
+}
+
+// loads returns the last known loads of the peers, and forgets other agents.
+func (l *peerLoads) loads(peers []Peer) []int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	loads := make([]int, len(peers))
+	recent := make(map[netip.AddrPort]peerLoad, len(l.known))
 	for i, peer := range peers {
 		loads[i] = peer.Load
+		if news, ok := l.known[peer.Address]; ok && time.Since(news.at) < _loadNews {
+			loads[i] = news.load
+			recent[peer.Address] = news
+		}
+	}
+	l.known = recent
+	return loads
+}
+
+// choosePeer returns a peer with a load lower than below to hand the request
+// to, and counts that against the budget.
+func (x *exchange) choosePeer(below int) (Peer, bool) {
+	d := x.d
+	if d.peers == nil || x.fromPeer || x.ticket != 0 || x.handOvers >= queue.MaxHandOvers {
+		return Peer{}, false
 	}
-	i, ok := queue.Choose(loads, own, d.random(), d.random())
-	if !ok || !d.admission.withdraw() {
+	peers := d.peers.Peers()
+	i, ok := queue.Choose(d.loads.loads(peers), below, d.random(), d.random())
+	if !ok || !d.admission.withdraw(_budgetHandOver) {
 		return Peer{}, false
 	}
 	return peers[i], true
@@ -54,7 +96,9 @@
 // false if the request certainly did not run there and never will; then
 // nothing was answered yet. The peer is asked when its answer is lost; without
 // an answer the outcome is unknown.
-func (x *exchange) handOver(peer Peer) bool {
+func (x *exchange) handOver(peer Peer, maxWait time.Duration) bool {
+	x.handOvers++
+	x.d.telemetry.answered("handed_over")
 	key := transferKey{
 		Agent:       x.d.self.Address,
 		Incarnation: x.d.self.Incarnation,
@@ -62,6 +106,9 @@
 	}
 	to := addressee(x.d.self.Service, peer.Incarnation)
 	header := http.Header{_headerTransfer: {key.String()}, _headerTo: {to}}
+	if maxWait > 0 {
+		header.Set(_headerMaxWait, strconv.FormatInt(maxWait.Microseconds(), 10))
+	}
 	return x.sendToPeer(peer.Address, header)
 }
 
@@ -86,10 +133,13 @@
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithDeadlineCause(x.ctx, x.deadline, context.DeadlineExceeded)
-	defer cancel()
+	ctx := x.untilDeadline()
+	defer ctx.end()
 	request := x.outgoing(ctx, endpoint, x.body)
 	setDeadline(request.Header, time.Until(x.deadline))
+	if !x.bounded {
+		request.Header.Set(_headerBegin, "1")
+	}
 	for name, values := range header {
 		request.Header[name] = values
 	}
@@ -103,6 +153,8 @@
 		return x.askPeer(ctx, endpoint, header)
 	}
 	defer response.Body.Close()
+	ctx.answered(x)
+	x.d.loads.learn(agent, response.Header)
 	return x.relayPeer(response, header)
 }
 
@@ -126,6 +178,7 @@
 	if handedOver && outcome == OutcomeNotRun && response.StatusCode != http.StatusPreconditionRequired {
 		return false
 	}
+	response.Header.Del(_headerLoad)
 	x.relay(response)
 	return true
 }
@@ -177,6 +230,7 @@
 	}
 	defer x.end()
 	x.fromPeer = true
+	w.Header().Set(_headerLoad, strconv.Itoa(d.Load()))
 	if r.Header.Get(_headerTo) != addressee(d.self.Service, d.self.Incarnation) {
 		d.telemetry.answered("misdirected")
 		writeProblem(w, d.untaken(r, http.StatusMisdirectedRequest, "the addressed agent has ended"))
@@ -246,6 +300,11 @@
 		x.answerVerdict(reply.verdict, reply.wait)
 		return
 	}
+	var err error
+	if x.maxWait, err = maxWaitOf(x.r.Header); err != nil {
+		x.answerUnknown("malformed", unknown(http.StatusBadRequest, err.Error()))
+		return
+	}
 	settled := false
 	x.settle = func(outcome ticket.Outcome) {
 		if !settled {
--- a/dispatcher/ticketed.go
+++ b/dispatcher/ticketed.go
@@ -43,7 +43,7 @@
 // leaves that to another, whose tickets outlive it.
 func (x *exchange) demandTicket() {
 	if x.d.draining.Load() && !x.fromPeer {
-		if peer, ok := x.d.anyPeer(); ok && x.handOver(peer) {
+		if peer, ok := x.d.anyPeer(); ok && x.handOver(peer, 0) {
 			return
 		}
 	}
@@ -120,14 +120,16 @@
 		x.answerNotRun("broken_upload", p)
 		return
 	}
-	switch a := x.admit(false).(type) {
+	switch a := x.admit().(type) {
 	case admitted:
 		x.detach()
-		x.runOnce(a.id)
+		if err := x.run(a.id); err != nil {
+			x.answerBroken(err)
+		}
 	case refused:
 		x.answerNotRun("refused", refusalOf(a.Refuse))
 	default:
-		x.answerNotRun("abandoned", notRun("the request was cancelled before it started", x.d.retryAfter()))
+		x.answerAbandoned()
 	}
 }
 
--- a/queue/action.go
+++ b/queue/action.go
@@ -60,6 +60,8 @@
 	Late
 	// Draining says that the queue takes no new requests.
 	Draining
+	// Busy says that the request would wait longer than its MaxWait.
+	Busy
 )
 
 // String returns the reason's name in logs and metrics.
@@ -73,6 +75,8 @@
 		return "late"
 	case Draining:
 		return "draining"
+	case Busy:
+		return "busy"
 	default:
 		return "unknown"
 	}
--- a/queue/budget.go
+++ b/queue/budget.go
@@ -27,3 +27,19 @@
 	b.tokens--
 	return true
 }
+
+// The budgets of an upstream's agent.
+const (
+	// _retryShare is the share of retries after a start, which cost a second run.
+	_retryShare = 0.1
+	_retryBurst = 10
+	// _handOverShare is the share of hand-overs, which cost a message and no run.
+	_handOverShare = 1
+	_handOverBurst = 20
+)
+
+// RetryBudget returns the budget for retries of requests that may have started.
+func RetryBudget() Budget { return NewBudget(_retryShare, _retryBurst) }
+
+// HandOverBudget returns the budget for hand-overs of requests that have not started.
+func HandOverBudget() Budget { return NewBudget(_handOverShare, _handOverBurst) }
--- a/queue/concurrency.go
+++ b/queue/concurrency.go
@@ -4,9 +4,9 @@
 
 const (
 	// _windowRuns is how many runs one judgement of the upstream rests on.
-	_windowRuns = 32
+	_windowRuns = 64
 	// _slowRatio is the mean ratio of run time to baseline that counts as overload.
-	_slowRatio = 1.6
+	_slowRatio = 1.8
 	// _failedShare is the share of failed runs that counts as overload.
 	_failedShare = 0.5
 	// _helpRatio is to what part of the earlier ratio the run times must fall
@@ -14,6 +14,10 @@
 	_helpRatio = 0.9
 	// _decrease is the factor by which an overload lowers the limit.
 	_decrease = 0.75
+	// _normDrift is the factor by which the norm rises for each bad window at
+	// the lowest limit, so that an upstream that has become slower for good
+	// does not stay there.
+	_normDrift = 1.02
 	// _rampTime is how long a new upstream takes to reach all of its slots.
 	_rampTime = 10 * time.Second
 )
@@ -29,8 +33,6 @@
 	limit int
 	// norm is the ratio of run time to baseline that is accepted as normal; 1 or more.
 	norm float64
-	// overloaded is set from a bad window until a good one.
-	overloaded bool
 	// failing is set while most runs fail.
 	failing bool
 	// before is the state before the last decrease, for its verdict.
@@ -92,7 +94,6 @@
 		c.limit = min(highest, c.before.limit)
 		c.norm = max(1, ratio)
 		c.before.limit = 0
-		c.overloaded = false
 		return
 	}
 	if ratio > _slowRatio*c.norm {
@@ -100,7 +101,6 @@
 		return
 	}
 	c.before.limit = 0
-	c.overloaded = false
 	c.norm = max(1, min(c.norm, ratio))
 	if w.reached {
 		c.limit = min(highest, c.limit+1)
@@ -109,10 +109,12 @@
 
 // lower decreases the limit. A ratio of zero leaves no verdict to be made.
 func (c *concurrency) lower(lowest int, ratio float64) {
-	c.overloaded = true
 	c.before.limit = 0
-	if c.limit > lowest && ratio > 0 {
+	switch {
+	case c.limit > lowest && ratio > 0:
 		c.before.limit, c.before.ratio = c.limit, ratio
+	case ratio > 0:
+		c.norm *= _normDrift
 	}
 	c.limit = max(lowest, min(c.limit-1, int(float64(c.limit)*_decrease)))
 }
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -20,14 +20,20 @@
 	// caller gave is kept for the run, so that a wrong estimate cannot keep
 	// a request from being tried.
 	lapse   time.Duration
+	arrived time.Duration
 	started time.Duration
-	jitter  float64
+	// quiet says that the run began, and ended, beside few others.
+	quiet  bool
+	jitter float64
 
 	queued     bool
 	prev, next *entry
 	index      int
 }
 
+// overdue is when a waiting request has waited as long as it runs.
+func (e *entry) overdue() time.Duration { return e.arrived + e.run }
+
 // list is a queue of entries in the order of their arrival.
 type list struct {
 	head, tail *entry
@@ -91,14 +97,16 @@
 	return e
 }
 
-// demand measures how many slots the short requests use on average.
+// demand measures how many slots the short requests that arrive here need on
+// average. Those that are then handed over count too: otherwise long requests
+// would take the slots that the short ones left for want of slots.
 type demand struct {
-	// busy is the run time of short requests, decayed over _loadSpan.
+	// busy is the expected run time of short requests, decayed over _demandSpan.
 	busy time.Duration
 	at   time.Duration
 }
 
-// add counts a run that ended at now.
+// add counts a request that arrives at now.
 func (d *demand) add(now, run time.Duration) {
 	d.busy = d.decayed(now) + run
 	d.at = now
@@ -106,7 +114,7 @@
 
 // slots is the number of slots that the short requests need, rounded up.
 func (d *demand) slots(now time.Duration) int {
-	return int(math.Ceil(_demandMargin * float64(d.decayed(now)) / float64(_loadSpan)))
+	return int(math.Ceil(_demandMargin * float64(d.decayed(now)) / float64(_demandSpan)))
 }
 
 // _demandMargin is how many times their mean demand the short requests get,
@@ -114,6 +122,6 @@
 const _demandMargin = 2
 
 func (d *demand) decayed(now time.Duration) time.Duration {
-	age := float64(now-d.at) / float64(_loadSpan)
+	age := float64(now-d.at) / float64(_demandSpan)
 	return time.Duration(float64(d.busy) * math.Exp(-age))
 }
--- /dev/null
+++ b/queue/policy_test.go
@@ -0,0 +1,153 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/queue"
+)
+
+const (
+	_s       = time.Second
+	_playFor = 120 * _s
+	_warmUp  = 10 * _s
+	// _timeout is the callers' deadline where long work is in play.
+	_timeout = 30 * _s
+	// _crestTimeout is the callers' deadline at the crest of demand.
+	_crestTimeout = 300 * time.Millisecond
+)
+
+var _limits = queue.Limits{Slots: 4, ReservedSlots: 1, Length: 64}
+
+// mixed plays short and long work, given as shares of the slots.
+func mixed(hosts int, short, long float64, plain bool) *fleet {
+	f := newFleet(1, hosts, _limits, plain)
+	f.run(load{to: _playFor, short: short, long: long, timeout: _timeout})
+	return f
+}
+
+// crest plays a demand of three times the capacity for ten seconds.
+func crest(plain bool) *fleet {
+	f := newFleet(1, 7, _limits, plain)
+	f.run(load{to: 10 * _s, short: 0.5, timeout: _crestTimeout},
+		load{from: 10 * _s, to: 20 * _s, short: 3, timeout: _crestTimeout},
+		load{from: 20 * _s, to: 30 * _s, short: 0.5, timeout: _crestTimeout})
+	return f
+}
+
+func TestShortWorkBehindLongWork(t *testing.T) {
+	for _, hosts := range []int{3, 7} {
+		alone := mixed(hosts, 0.4, 0, false).figures(false, _warmUp, _playFor)
+		for _, long := range []float64{0.1, 0.25} {
+			f := mixed(hosts, 0.4, long, false)
+			behind := f.figures(false, _warmUp, _playFor)
+			assert.Check(t, behind.answerP99 <= 2*alone.answerP99, "%d hosts, %v long: %v, alone %v", hosts, long, behind, alone)
+			if hosts == 7 && long == 0.1 {
+				assert.Check(t, behind.waitP99 <= 2*alone.waitP99, "%d hosts, %v long: %v, alone %v", hosts, long, behind, alone)
+			}
+			for _, j := range f.jobs {
+				assert.Assert(t, j.runs <= 1 && (j.runs == 0) == j.refused, "job ran %d times, refused %v", j.runs, j.refused)
+			}
+		}
+	}
+}
+
+func TestCrestOfDemand(t *testing.T) {
+	f := crest(false)
+	assert.Check(t, f.goodput(10*_s, 20*_s) >= 0.9, "goodput %v", f.goodput(10*_s, 20*_s))
+	before, after := f.figures(false, 5*_s, 10*_s), f.figures(false, 22*_s, 30*_s)
+	assert.Check(t, after.inTime >= before.inTime-0.01, "in time %v before, %v after", before, after)
+	assert.Check(t, after.waitP99 <= 2*before.waitP99, "waits %v before, %v after", before, after)
+	assert.Check(t, f.peak <= _limits.Length)
+}
+
+func policyName(plain bool) string {
+	if plain {
+		return "first_come"
+	}
+	return "queue"
+}
+
+// BenchmarkShortBehindLong prints the waits of short work, with long work
+// beside it, for this policy and for first come first served.
+func BenchmarkShortBehindLong(b *testing.B) {
+	for _, hosts := range []int{3, 7} {
+		for _, short := range []float64{0.2, 0.4, 0.5} {
+			for _, long := range []float64{0, 0.1, 0.25} {
+				for _, plain := range []bool{true, false} {
+					b.Run(fmt.Sprintf("hosts=%d/short=%v/long=%v/%s", hosts, short, long, policyName(plain)), func(b *testing.B) {
+						var f *fleet
+						for b.Loop() {
+							f = mixed(hosts, short, long, plain)
+						}
+						s, l := f.figures(false, _warmUp, _playFor), f.figures(true, _warmUp, _playFor)
+						b.ReportMetric(s.waitP50.Seconds()*1e3, "ms_wait_p50")
+						b.ReportMetric(s.waitP99.Seconds()*1e3, "ms_wait_p99")
+						b.ReportMetric(s.answerP99.Seconds()*1e3, "ms_answer_p99")
+						b.ReportMetric(s.refused*100, "%_refused")
+						b.ReportMetric(l.waitP99.Seconds()*1e3, "ms_long_wait_p99")
+						b.ReportMetric(float64(f.peak), "peak_queue")
+					})
+				}
+			}
+		}
+	}
+}
+
+// BenchmarkCrest prints the service at the crest of demand and after it.
+func BenchmarkCrest(b *testing.B) {
+	for _, plain := range []bool{true, false} {
+		b.Run(policyName(plain), func(b *testing.B) {
+			var f *fleet
+			for b.Loop() {
+				f = crest(plain)
+			}
+			b.ReportMetric(f.goodput(10*_s, 20*_s), "goodput_crest")
+			b.ReportMetric(f.figures(false, 10*_s, 20*_s).inTime*100, "%_in_time_crest")
+			b.ReportMetric(f.figures(false, 20*_s, 22*_s).inTime*100, "%_in_time_2s_after")
+			b.ReportMetric(f.figures(false, 20*_s, 30*_s).inTime*100, "%_in_time_10s_after")
+			b.ReportMetric(float64(f.peak), "peak_queue")
+		})
+	}
+}
+
+// BenchmarkQueue measures one request through the queue, with others waiting.
+func BenchmarkQueue(b *testing.B) {
+	for _, waiting := range []int{0, 64, 1024} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			q, err := queue.New(queue.Limits{Slots: 4, ReservedSlots: 1, Length: 2048}, -time.Hour)
+			assert.NilError(b, err)
+			now, id := time.Duration(0), queue.ID(0)
+			actions := make([]queue.Action, 0, 16)
+			var running []queue.ID
+			step := func() {
+				id++
+				now += time.Microsecond
+				actions = q.Offer(actions[:0], now, queue.Request{ID: id, Route: "POST/checkin", Class: queue.Short, Deadline: now + time.Hour})
+				for _, a := range actions {
+					if s, ok := a.(queue.Start); ok {
+						running = append(running, s.ID)
+					}
+				}
+			}
+			for range 4 + waiting {
+				step()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				step()
+				first := running[0]
+				running = append(running[:0], running[1:]...)
+				actions = q.Finish(actions[:0], now, first, queue.Done)
+				for _, a := range actions {
+					if s, ok := a.(queue.Start); ok {
+						running = append(running, s.ID)
+					}
+				}
+			}
+		})
+	}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -19,6 +19,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -26,8 +27,13 @@
 	// _maxShortWait is the longest wait of a short request whose run is shorter
 	// than that. It bounds the queue that a crest of demand leaves behind.
 	_maxShortWait = 250 * time.Millisecond
-	// _loadSpan is the time over which the demand of short work is averaged.
-	_loadSpan = 2 * time.Second
+	// _runMargin is how many times its expected run time a waiting request
+	// keeps for its run: nearly all runs end within that.
+	_runMargin = 4
+	// _demandSpan is the time over which the demand of short work is averaged.
+	_demandSpan = 2 * time.Second
+	// _loadSpan is the time over which the load is averaged.
+	_loadSpan = 500 * time.Millisecond
 )
 
 // Request is one request that asks to run.
@@ -44,6 +50,13 @@
 	// Bound says that the request can run at no other upstream, so that it is
 	// taken even while draining.
 	Bound bool
+	// MaxWait, if it is not zero, says to refuse the request as Busy rather
+	// than let it wait longer. It is set for requests that were handed over,
+	// which have a place to go back to.
+	MaxWait time.Duration
+	// Again says that the request was offered here before, so that it does not
+	// count twice as demand.
+	Again bool
 }
 
 // Queue decides which requests run at one upstream. It is not safe for
@@ -63,6 +76,9 @@
 
 	shortRunning int
 	longRunning  int
+
+	occupancy  float64
+	occupiedAt time.Duration
 }
 
 // New returns a queue for an upstream that begins to serve at now. A new
@@ -76,6 +92,7 @@
 		began:       now,
 		routes:      newRoutes(),
 		concurrency: newConcurrency(limits.Slots),
+		occupiedAt:  now,
 		running:     make(map[ID]*entry),
 		byID:        make(map[ID]*entry),
 	}, nil
@@ -89,6 +106,9 @@
 	}
 	dst = q.Tick(dst, now)
 	e := q.newEntry(now, r)
+	if e.class == Short && r.MaxWait == 0 && !r.Again {
+		q.demand.add(now, e.run)
+	}
 	if q.draining && !r.Bound {
 		return append(dst, q.refusal(now, e, Draining))
 	}
@@ -99,6 +119,9 @@
 		return append(dst, q.start(now, e))
 	}
 	expected := q.expectedWait(now, e.class)
+	if r.MaxWait > 0 && expected > r.MaxWait {
+		return append(dst, q.refusal(now, e, Busy))
+	}
 	if reason := q.reject(now, e, expected); reason != 0 {
 		return append(dst, q.refusal(now, e, reason))
 	}
@@ -112,6 +135,8 @@
 	if !ok {
 		return dst
 	}
+	q.occupy(now)
+	e.quiet = e.quiet && len(q.running) <= q.lowest()
 	delete(q.running, id)
 	delete(q.byID, id)
 	q.countRunning(e.class, -1)
@@ -126,6 +151,7 @@
 	if !ok || !e.queued {
 		return dst, false
 	}
+	q.occupy(now)
 	q.dequeue(e)
 	return q.Tick(dst, now), true
 }
@@ -150,6 +176,7 @@
 // Tick refuses the waiting requests whose deadline cannot be met any more and
 // starts those that a slot is free for.
 func (q *Queue) Tick(dst []Action, now time.Duration) []Action {
+	q.occupy(now)
 	q.reclass(now)
 	for len(q.lapses) > 0 && q.lapses[0].lapse <= now {
 		e := q.lapses[0]
@@ -173,6 +200,9 @@
 	if ramp := q.nextRamp(now); ramp > now {
 		at = min(at, ramp)
 	}
+	if head := q.waiting[Long].head; head != nil && head.overdue() > now {
+		at = min(at, head.overdue())
+	}
 	return at, true
 }
 
@@ -189,14 +219,24 @@
 	return min(q.concurrency.limit, ramp)
 }
 
-// Load returns how loaded the upstream is: 0 when idle, 4 when all slots are
-// in use, up to MaxLoad when as many requests wait, or when it takes no more.
+// Load returns how loaded the upstream has been of late: 0 when idle, BusyLoad
+// when all slots are in use, up to MaxLoad when as many requests wait, or at
+// once when it takes no more. It is an average, because others hear of it late:
+// that all slots are in use now says little about a second from now.
 func (q *Queue) Load(now time.Duration) int {
 	if q.draining || q.concurrency.failing {
 		return MaxLoad
 	}
-	level := 4 * (q.Running() + q.Waiting()) / q.Limit(now)
-	return min(MaxLoad, level)
+	q.occupy(now)
+	return min(MaxLoad, int(BusyLoad*q.occupancy))
+}
+
+// occupy averages the requests at hand, as a share of the limit, up to now.
+func (q *Queue) occupy(now time.Duration) {
+	share := float64(q.Running()+q.Waiting()) / float64(q.Limit(now))
+	weight := 1 - math.Exp(-float64(now-q.occupiedAt)/float64(_loadSpan))
+	q.occupancy += (share - q.occupancy) * weight
+	q.occupiedAt = now
 }
 
 // lowest is the fewest slots that leave one for long work.
@@ -229,7 +269,8 @@
 		jitter:   r.Jitter,
 		index:    -1,
 	}
-	e.lapse = r.Deadline - min(e.run, (r.Deadline-now)/2)
+	e.arrived = now
+	e.lapse = r.Deadline - min(_runMargin*e.run, (r.Deadline-now)/2)
 	return e
 }
 
@@ -242,11 +283,16 @@
 	return class == Short || q.longRunning < q.longLimit(now, limit)
 }
 
-// longLimit is how many long requests may run at once. Beside the reserved
-// slots it leaves as many as the short requests use, but always one.
+// longLimit is how many long requests may run at once. It leaves the reserved
+// slots and as many more as the short requests need. A long request that has
+// waited as long as it runs may have one slot more, but never a reserved one.
 func (q *Queue) longLimit(now time.Duration, limit int) int {
-	reserved := max(q.limits.ReservedSlots, q.demand.slots(now))
-	return max(1, limit-reserved)
+	most := max(1, limit-q.limits.ReservedSlots)
+	usual := max(1, limit-q.demand.slots(now))
+	if head := q.waiting[Long].head; head != nil && now >= head.overdue() {
+		usual++
+	}
+	return min(most, usual)
 }
 
 // next returns the waiting request that starts now, or nil. One long request
@@ -270,6 +316,7 @@
 	q.running[e.id] = e
 	q.byID[e.id] = e
 	q.countRunning(e.class, 1)
+	e.quiet = len(q.running) <= q.lowest()
 	if len(q.running) >= q.concurrency.limit {
 		q.concurrency.window.reached = true
 	}
@@ -287,19 +334,14 @@
 // learn takes the run time of e into account.
 func (q *Queue) learn(now time.Duration, e *entry, result Result) {
 	run := now - e.started
-	if e.class == Short {
-		q.demand.add(now, run)
-	}
 	if result == Aborted {
 		return
 	}
-	ratio := 1.0
-	if known := q.routes.lookup(e.route); known.baseline > 0 {
-		ratio = float64(run) / float64(known.baseline)
-	}
+	known := q.routes.lookup(e.route)
+	ratio := known.ratio(run)
 	failed := result == Failed
 	if !failed {
-		q.routes.observe(e.route, run, q.concurrency.overloaded)
+		q.routes.observe(e.route, run, e.quiet)
 	}
 	q.concurrency.observe(ratio, failed, q.lowest(), q.limits.Slots)
 }
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,281 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionhitch.example/queue"
+)
+
+// model is the oracle of a queue: plain sets, checked after each step.
+type model struct {
+	q       *queue.Queue
+	now     time.Duration
+	limits  queue.Limits
+	drained bool
+	nextID  queue.ID
+	waiting map[queue.ID]queue.Request
+	running map[queue.ID]queue.Request
+	ended   map[queue.ID]bool
+}
+
+func (m *model) long() (n int) {
+	for _, r := range m.running {
+		if r.Class == queue.Long {
+			n++
+		}
+	}
+	return n
+}
+
+// apply checks actions against the oracle. offered is the request being
+// offered, if any.
+func (m *model) apply(t *rapid.T, actions []queue.Action, offered *queue.Request) {
+	for _, action := range actions {
+		id := action.Request()
+		r, waits := m.waiting[id]
+		if offered != nil && offered.ID == id {
+			r, waits = *offered, true
+			delete(m.waiting, id)
+		}
+		assert.Assert(t, waits, "%T for request %d, which does not wait", action, id)
+		switch a := action.(type) {
+		case queue.Start:
+			assert.Assert(t, len(m.running) < m.limits.Slots, "started over %d slots", m.limits.Slots)
+			assert.Assert(t, r.Class == queue.Short || m.long() < m.limits.Slots-m.limits.ReservedSlots, "long in a reserved slot")
+			assert.Assert(t, m.now < r.Deadline, "started after its deadline")
+			delete(m.waiting, id)
+			m.running[id] = r
+		case queue.Wait:
+			m.waiting[id] = r
+			assert.Assert(t, len(m.waiting) <= max(m.limits.Length, 0), "waiting beyond the queue's length")
+			assert.Assert(t, !m.drained || r.Bound, "waits while draining")
+		case queue.Refuse:
+			assert.Assert(t, a.Reason != 0 && a.RetryAfter >= time.Second, "%v", a)
+			delete(m.waiting, id)
+			m.ended[id] = true
+		}
+	}
+}
+
+// check states what holds between steps.
+func (m *model) check(t *rapid.T) {
+	assert.Equal(t, m.q.Running(), len(m.running))
+	assert.Equal(t, m.q.Waiting(), len(m.waiting))
+	for id, r := range m.waiting {
+		assert.Assert(t, m.now < r.Deadline, "request %d waits beyond its deadline", id)
+		free := r.Class == queue.Short && len(m.running) < m.q.Limit(m.now)
+		assert.Assert(t, !free, "short request %d waits beside a free slot", id)
+	}
+}
+
+func TestQueueKeepsItsLimitsAndLosesNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := rapid.Custom(func(t *rapid.T) queue.Limits {
+			slots := rapid.IntRange(1, 6).Draw(t, "slots")
+			return queue.Limits{
+				Slots:         slots,
+				ReservedSlots: rapid.IntRange(0, slots-1).Draw(t, "reserved"),
+				Length:        rapid.IntRange(0, 8).Draw(t, "length"),
+			}
+		})
+		m := &model{
+			limits:  limits.Draw(t, "limits"),
+			waiting: make(map[queue.ID]queue.Request),
+			running: make(map[queue.ID]queue.Request),
+			ended:   make(map[queue.ID]bool),
+		}
+		q, err := queue.New(m.limits, 0)
+		assert.NilError(t, err)
+		m.q = q
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check,
+			"offer": func(t *rapid.T) {
+				m.nextID++
+				class := rapid.SampledFrom([]queue.Class{queue.Short, queue.Long}).Draw(t, "class")
+				r := queue.Request{
+					ID:       m.nextID,
+					Route:    fmt.Sprint(class),
+					Class:    class,
+					Deadline: m.now + time.Duration(rapid.IntRange(0, 5000).Draw(t, "deadline"))*time.Millisecond,
+					MaxWait:  time.Duration(rapid.IntRange(0, 1).Draw(t, "max wait")) * time.Millisecond,
+					Bound:    rapid.Bool().Draw(t, "bound"),
+				}
+				m.apply(t, q.Offer(nil, m.now, r), &r)
+				_, waits := m.waiting[r.ID]
+				_, runs := m.running[r.ID]
+				assert.Assert(t, waits || runs || m.ended[r.ID], "no action for the offered request")
+			},
+			"finish": func(t *rapid.T) {
+				id, ok := draw(t, m.running)
+				if !ok {
+					t.Skip("nothing runs")
+				}
+				delete(m.running, id)
+				result := rapid.SampledFrom([]queue.Result{queue.Done, queue.Failed, queue.Aborted}).Draw(t, "result")
+				m.apply(t, q.Finish(nil, m.now, id, result), nil)
+			},
+			"cancel": func(t *rapid.T) {
+				id, ok := draw(t, m.waiting)
+				if !ok {
+					id, ok = draw(t, m.running)
+				}
+				if !ok {
+					t.Skip("nothing to cancel")
+				}
+				_, waited := m.waiting[id]
+				delete(m.waiting, id)
+				actions, cancelled := q.Cancel(nil, m.now, id)
+				assert.Equal(t, cancelled, waited)
+				m.apply(t, actions, nil)
+			},
+			"advance": func(t *rapid.T) {
+				span := time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+				end := m.now + span
+				for at, ok := q.NextTick(m.now); ok && at <= end; at, ok = q.NextTick(m.now) {
+					assert.Assert(t, at > m.now, "the next tick is now or past")
+					m.now = at
+					m.apply(t, q.Tick(nil, m.now), nil)
+				}
+				m.now = end
+				m.apply(t, q.Tick(nil, m.now), nil)
+			},
+			"limits": func(t *rapid.T) {
+				m.limits = limits.Draw(t, "limits")
+				actions, err := q.SetLimits(nil, m.now, m.limits)
+				assert.NilError(t, err)
+				m.apply(t, actions, nil)
+			},
+			"drain": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
+					m.drained = true
+					q.Drain()
+				}
+			},
+		})
+	})
+}
+
+// draw picks one of the requests.
+func draw(t *rapid.T, from map[queue.ID]queue.Request) (queue.ID, bool) {
+	if len(from) == 0 {
+		return 0, false
+	}
+	low, high := queue.ID(1<<62), queue.ID(0)
+	for id := range from {
+		low, high = min(low, id), max(high, id)
+	}
+	if rapid.Bool().Draw(t, "first") {
+		return low, true
+	}
+	return high, true
+}
+
+// play runs n requests of a route, busy of them at once as far as the queue
+// lets them, and returns the limit afterwards.
+func play(q *queue.Queue, now *time.Duration, id *queue.ID, n, busy int, run func(i, running int) (time.Duration, queue.Result)) int {
+	for i := 0; i < n; i += busy {
+		var started []queue.ID
+		for range busy {
+			*id++
+			for _, a := range q.Offer(nil, *now, queue.Request{ID: *id, Route: "POST/checkin", Class: queue.Short, Deadline: *now + time.Minute}) {
+				if s, ok := a.(queue.Start); ok {
+					started = append(started, s.ID)
+				}
+			}
+		}
+		for len(started) > 0 {
+			span, result := run(i, q.Running())
+			*now += span
+			var next []queue.ID
+			for _, id := range started {
+				for _, a := range q.Finish(nil, *now, id, result) {
+					if s, ok := a.(queue.Start); ok {
+						next = append(next, s.ID)
+					}
+				}
+			}
+			started = next
+		}
+	}
+	return q.Limit(*now)
+}
+
+func TestConcurrencyFollowsWhatTheUpstreamShows(t *testing.T) {
+	const ms = time.Millisecond
+	limits := queue.Limits{Slots: 8, ReservedSlots: 1, Length: 64}
+	steady := func(int, int) (time.Duration, queue.Result) { return ms, queue.Done }
+	tests := map[string]struct {
+		busy int
+		run  func(i, running int) (time.Duration, queue.Result)
+		want func(limit int) bool
+	}{
+		"no overload": {8, steady, func(l int) bool { return l == 8 }},
+		"errors":      {8, func(int, int) (time.Duration, queue.Result) { return ms, queue.Failed }, func(l int) bool { return l == 2 }},
+		"slower in load": {8, func(_, running int) (time.Duration, queue.Result) {
+			return ms * time.Duration(running*running), queue.Done
+		}, func(l int) bool { return l < 8 }},
+		"slower for good": {8, func(int, int) (time.Duration, queue.Result) { return 5 * ms, queue.Done }, func(l int) bool { return l == 8 }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			q, err := queue.New(limits, -time.Hour)
+			assert.NilError(t, err)
+			var now time.Duration
+			var id queue.ID
+			// A first run far from the rest must not become the baseline.
+			play(q, &now, &id, 1, 1, func(int, int) (time.Duration, queue.Result) { return ms / 50, queue.Done })
+			assert.Equal(t, play(q, &now, &id, 1024, 8, steady), 8)
+			limit := play(q, &now, &id, 4096, test.busy, test.run)
+			assert.Assert(t, test.want(limit), "limit %d", limit)
+			assert.Equal(t, play(q, &now, &id, 20480, 8, steady), 8, "does not recover")
+		})
+	}
+}
+
+func TestNewUpstreamGetsItsSlotsOneByOne(t *testing.T) {
+	q, err := queue.New(queue.Limits{Slots: 8, ReservedSlots: 1, Length: 8}, 0)
+	assert.NilError(t, err)
+	last := 0
+	for now := time.Duration(0); now <= 10*time.Second; now += time.Second {
+		limit := q.Limit(now)
+		assert.Assert(t, limit >= last && limit-last <= 2, "from %d to %d slots", last, limit)
+		last = limit
+	}
+	assert.Equal(t, last, 8)
+}
+
+func TestRouteOf(t *testing.T) {
+	for path, want := range map[string]string{
+		"/":                           "GET",
+		"/checkin":                    "GET/checkin",
+		"/rounds/42/sheet/":           "GET/rounds/*/sheet",
+		"/a/b/c/d/e":                  "GET/a/b/c/d",
+		"//export//2026-12-04/photos": "GET/export/*/photos",
+	} {
+		assert.Equal(t, queue.RouteOf("GET", path), want)
+	}
+}
+
+func ExampleQueue() {
+	q, err := queue.New(queue.Limits{Slots: 2, ReservedSlots: 1, Length: 1}, -time.Minute)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	for id := queue.ID(1); id <= 3; id++ {
+		export := queue.Request{ID: id, Route: "GET/export", Class: queue.Long, Deadline: time.Minute}
+		fmt.Printf("%T\n", q.Offer(nil, 0, export)[0])
+	}
+	checkin := queue.Request{ID: 4, Route: "POST/checkin", Class: queue.Short, Deadline: time.Second}
+	fmt.Printf("%T\n", q.Offer(nil, 0, checkin)[0])
+	// Output:
+	// queue.Start
+	// queue.Wait
+	// queue.Refuse
+	// queue.Start
+}
--- a/queue/routes.go
+++ b/queue/routes.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -29,8 +30,11 @@
 	// _recentWeight is the weight of the last run in a route's expected run time.
 	_recentWeight = 0.2
 	// _baselineWeight is the weight of the last run in a route's baseline.
-	_baselineWeight = 0.02
-	// _typicalQuantile is the quantile of all run times that counts as typical.
+	_baselineWeight = 0.005
+	// _baselineRuns is how many runs a baseline must rest on to be compared with.
+	_baselineRuns = 32
+	// _typicalQuantile is the quantile over requests, of the usual run times of
+	// their routes, that counts as typical.
 	_typicalQuantile = 0.25
 	// _typicalStep is the largest relative change of the typical run time by one run.
 	_typicalStep = 0.05
@@ -73,12 +77,18 @@
 
 // route is what is known of one route's run times.
 type route struct {
-	// recent is the expected run time.
+	// recent is the expected run time, the mean of recent runs.
 	recent time.Duration
-	// baseline is the run time without overload; it moves slowly.
+	// usual is the geometric mean of recent runs. It tells classes apart,
+	// because a single run out of the ordinary hardly moves it.
+	usual time.Duration
+	// baseline is the run time without overload: the mean of the first runs,
+	// and then of quiet ones.
 	baseline time.Duration
-	class    Class
-	used     uint64
+	// runs is how many runs the baseline rests on.
+	runs  int
+	class Class
+	used  uint64
 }
 
 // routes learns the run times of routes in bounded memory.
@@ -110,40 +120,48 @@
 	return rs.fresh
 }
 
+// ratio compares a run with the route's baseline; 1 if there is none yet.
+func (r *route) ratio(run time.Duration) float64 {
+	if r.runs < _baselineRuns {
+		return 1
+	}
+	return float64(run) / float64(max(r.baseline, time.Microsecond))
+}
+
 // longAfter is the run time from which a request counts as long.
 func (rs *routes) longAfter() time.Duration {
 	return max(_longFloor, _longFactor*rs.typical)
 }
 
-// observe learns from one run of the named route. With frozen set, the
-// baseline stays: the upstream is overloaded and its run times are no measure.
-func (rs *routes) observe(name string, run time.Duration, frozen bool) {
-	rs.observeTypical(run)
+// observe learns from one run of the named route. Only a quiet run, beside few
+// others, moves the baseline: a slow overload would otherwise become the
+// measure for itself.
+func (rs *routes) observe(name string, run time.Duration, quiet bool) {
 	r, ok := rs.byName[name]
 	if !ok {
-		rs.learn(&rs.fresh, run, frozen)
+		rs.learn(&rs.fresh, run, quiet)
 		r = rs.insert(name)
 	}
-	rs.learn(r, run, frozen)
+	rs.learn(r, run, quiet)
+	rs.observeTypical(r.usual)
 }
 
-// observeRunning learns that a run of the named route takes at least elapsed.
+// observeRunning learns that the first run of a route takes at least elapsed.
+// It does not change what is known of a route that ran before: one slow run
+// does not make a route long.
 func (rs *routes) observeRunning(name string, elapsed time.Duration) {
-	r, ok := rs.byName[name]
-	if !ok {
-		r = rs.insert(name)
+	if _, ok := rs.byName[name]; ok {
+		return
 	}
-	r.recent = max(r.recent, elapsed)
-	r.baseline = max(r.baseline, elapsed)
-	r.class = Long
+	*rs.insert(name) = route{recent: elapsed, usual: elapsed, baseline: elapsed, class: Long, used: rs.clock}
 }
 
 // observeTypical moves the typical run time towards the quantile.
-func (rs *routes) observeTypical(run time.Duration) {
+func (rs *routes) observeTypical(usual time.Duration) {
 	switch {
 	case rs.typical == 0:
-		rs.typical = run
-	case run < rs.typical:
+		rs.typical = usual
+	case usual < rs.typical:
 		rs.typical -= time.Duration(float64(rs.typical) * _typicalStep * (1 - _typicalQuantile))
 	default:
 		rs.typical += time.Duration(float64(rs.typical) * _typicalStep * _typicalQuantile)
@@ -151,18 +169,20 @@
 }
 
 // learn updates one route from one run.
-func (rs *routes) learn(r *route, run time.Duration, frozen bool) {
+func (rs *routes) learn(r *route, run time.Duration, quiet bool) {
 	if r.recent == 0 {
-		r.recent, r.baseline = run, run
+		r.recent, r.usual, r.baseline = run, run, run
 	}
+	r.usual = geometricMix(r.usual, run, _recentWeight)
 	r.recent = mix(r.recent, run, _recentWeight)
-	if !frozen {
-		r.baseline = mix(r.baseline, run, _baselineWeight)
+	if quiet || r.runs < _baselineRuns {
+		r.runs++
+		r.baseline = mix(r.baseline, run, max(_baselineWeight, 1/float64(r.runs)))
 	}
 	switch {
-	case r.recent >= rs.longAfter():
+	case r.usual >= rs.longAfter():
 		r.class = Long
-	case r.class == 0, r.recent < max(_longFloor, _shortFactor*rs.typical):
+	case r.class == 0, r.usual < max(_longFloor, _shortFactor*rs.typical):
 		r.class = Short
 	}
 }
@@ -190,6 +210,13 @@
 	delete(rs.byName, oldest)
 }
 
+// geometricMix returns the geometric mean of two spans, the second with the
+// given weight. Spans count as a microsecond at least.
+func geometricMix(a, b time.Duration, weight float64) time.Duration {
+	a, b = max(a, time.Microsecond), max(b, time.Microsecond)
+	return time.Duration(math.Exp(math.Log(float64(a))*(1-weight) + math.Log(float64(b))*weight))
+}
+
 // mix returns the mean of two spans, the second with the given weight.
 func mix(a, b time.Duration, weight float64) time.Duration {
 	return time.Duration(float64(a)*(1-weight) + float64(b)*weight)
