balancer: wildcard sockets without allocation

Cause: a wildcard socket parsed and built control messages on the heap for each datagram. The counter of overflowed rings goes: there is no ring.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -62,6 +62,9 @@
 	resets       *rate.Limiter
 	tomb         tomb.Tomb
 	closing      sync.Once
+	// sources are the control messages for the service addresses that replies
+	// left from: at most one for each address that was ever in a table.
+	sources sync.Map // from netip.Addr to []byte
 
 	// fronts is replaced whole under mu, so that the packet path reads it without a lock.
 	mu     sync.Mutex
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -191,46 +191,62 @@
 	assert.DeepEqual(t, answer[len(answer)-packet.ResetTokenLen:], token[:])
 }
 
-// TestWildcard serves two addresses with one socket, and answers from each.
-func TestWildcard(t *testing.T) {
-	b := newBench(t)
+// wildcard starts a balancer with a wildcard socket for two addresses.
+func (b *bench) wildcard() []netip.AddrPort {
 	var err error
 	b.balancer, err = New(Config{Addr: _loopback, Keys: b.keys, Wildcard: true})
-	assert.NilError(t, err)
-	t.Cleanup(func() { assert.NilError(t, b.balancer.Close()) })
-	var services []route.Service
+	assert.NilError(b.t, err)
+	b.t.Cleanup(func() { assert.NilError(b.t, b.balancer.Close()) })
+	var addresses []netip.AddrPort
 	for len(b.balancer.Listeners()) == 0 { // until a port is free on all addresses
-		probe, free := socket(t)
+		probe, free := socket(b.t)
 		probe.Close()
-		services = nil
+		addresses = nil
+		var services []route.Service
 		for i, ip := range []string{"127.0.7.1", "127.0.7.2"} {
 			address := netip.AddrPortFrom(netip.MustParseAddr(ip), free.Port())
+			addresses = append(addresses, address)
 			services = append(services, route.Service{ID: service.ID(i + 1), Addresses: []netip.AddrPort{address}})
 		}
 		table, err := route.New(services)
-		assert.NilError(t, err)
+		assert.NilError(b.t, err)
 		b.balancer.SetTable(table)
 		b.balancer.SetTable(table)
 	}
-	assert.Equal(t, len(b.balancer.Listeners()), 1)
-	for _, s := range services {
-		_, err := b.caller.WriteToUDPAddrPort(b.short(s.ID, 2, 100), s.Addresses[0])
+	assert.Equal(b.t, len(b.balancer.Listeners()), 1)
+	return addresses
+}
+
+// TestWildcard serves two addresses with one socket, and answers from each.
+func TestWildcard(t *testing.T) {
+	b := newBench(t)
+	for i, address := range b.wildcard() {
+		id := service.ID(i + 1)
+		_, err := b.caller.WriteToUDPAddrPort(b.short(id, 2, 100), address)
 		assert.NilError(t, err)
 		wrapped, _ := b.receive(b.agent)
 		h, _, err := packet.Unwrap(b.keys, wrapped)
 		assert.NilError(t, err)
-		assert.Check(t, h.Address == s.Addresses[0] && h.Service == s.ID)
-		h.Kind = packet.Reply
-		buf := make([]byte, packet.MaxWrapped)
-		answer, err := packet.Wrap(b.keys, &h, buf, 10)
-		assert.NilError(t, err)
-		_, err = b.agent.WriteToUDPAddrPort(answer, b.balancer.Addr())
-		assert.NilError(t, err)
-		_, from := b.receive(b.caller)
-		assert.Equal(t, from, s.Addresses[0])
+		assert.Check(t, h.Address == address && h.Service == id)
+		answer := b.reply(b.keys, func(r *packet.Header) { r.Address, r.Service = h.Address, h.Service })
+		for range 2 {
+			_, err = b.agent.WriteToUDPAddrPort(answer, b.balancer.Addr())
+			assert.NilError(t, err)
+			_, from := b.receive(b.caller)
+			assert.Equal(t, from, address)
+		}
 	}
 }
 
+func FuzzParseDestination(f *testing.F) {
+	f.Add(marshalSource(netip.MustParseAddr("10.0.0.1")))
+	f.Add([]byte{1})
+	f.Fuzz(func(t *testing.T, oob []byte) {
+		ip, ok := parseDestination(oob)
+		assert.Equal(t, ok, ip.Is4())
+	})
+}
+
 func TestDrainForwards(t *testing.T) {
 	b := newBench(t, WithQuiet(time.Hour))
 	ctx, cancel := context.WithCancel(t.Context())
--- a/balancer/bench_test.go
+++ b/balancer/bench_test.go
@@ -20,15 +20,22 @@
 // through a bare relay, one after the other in each round, under a sender that
 // never waits. The ratio is what the balancer keeps of the relay's rate.
 func BenchmarkForward(b *testing.B) {
-	for _, size := range []int{64, 1200} {
-		b.Run(fmt.Sprintf("octets=%d", size), func(b *testing.B) {
+	for _, c := range []struct {
+		octets   int
+		wildcard bool
+	}{{64, false}, {1200, false}, {1200, true}} {
+		b.Run(fmt.Sprintf("octets=%d/wildcard=%t", c.octets, c.wildcard), func(b *testing.B) {
 			bench := newBench(b)
+			front := bench.balancer.Listeners()[0]
+			if c.wildcard {
+				front = bench.wildcard()[0]
+			}
 			relay := startRelay(b, bench.agentAddr)
 			received := countOn(b, bench.agent)
-			datagram := bench.short(1, 2, size)
+			datagram := bench.short(1, 2, c.octets)
 			var through, bare float64
 			for b.Loop() {
-				through += throughput(b, bench.balancer.Listeners()[0], datagram, received)
+				through += throughput(b, front, datagram, received)
 				bare += throughput(b, relay, datagram, received)
 			}
 			b.ReportMetric(through/float64(b.N), "datagrams/s")
--- a/balancer/counts.go
+++ b/balancer/counts.go
@@ -29,8 +29,6 @@
 	Forged uint64 `json:"forged"`
 	// Foreign were genuine wrapped packets that are not replies through this balancer.
 	Foreign uint64 `json:"foreign"`
-	// Overflowed were dropped because a ring was full.
-	Overflowed uint64 `json:"overflowed"`
 	// Unsent could not be written to a socket.
 	Unsent uint64 `json:"unsent"`
 	// Dropped were dropped for a reason of package route.
@@ -40,7 +38,7 @@
 // counters are the live form of Counts.
 type counters struct {
 	byCID, byHash, replies, resets, resetsWithheld atomic.Uint64
-	tooLarge, forged, foreign, overflowed, unsent  atomic.Uint64
+	tooLarge, forged, foreign, unsent              atomic.Uint64
 	dropped                                        [route.DropReasons + 1]atomic.Uint64
 }
 
@@ -65,7 +63,6 @@
 		TooLarge:       c.tooLarge.Load(),
 		Forged:         c.forged.Load(),
 		Foreign:        c.foreign.Load(),
-		Overflowed:     c.overflowed.Load(),
 		Unsent:         c.unsent.Load(),
 		Dropped:        make(map[string]uint64, route.DropReasons),
 	}
@@ -101,7 +98,6 @@
 	report("too_large", &c.tooLarge)
 	report("forged", &c.forged)
 	report("foreign", &c.foreign)
-	report("overflowed", &c.overflowed)
 	report("unsent", &c.unsent)
 	for i := 1; i < len(c.dropped); i++ {
 		report("dropped_"+route.Drop(i).String(), &c.dropped[i])
--- a/balancer/front.go
+++ b/balancer/front.go
@@ -7,7 +7,6 @@
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
-	"golang.org/x/net/ipv4"
 
 	"dandelionhitch.example/packet"
 	"dandelionhitch.example/route"
@@ -63,7 +62,7 @@
 		f.address = f.addr
 		return nil
 	}
-	return ipv4.NewPacketConn(f.conn).SetControlMessage(ipv4.FlagDst, true)
+	return askDestination(f.conn)
 }
 
 // loop forwards callers' datagrams until the socket is closed.
@@ -86,12 +85,11 @@
 	if f.address.IsValid() {
 		return f.address
 	}
-	var control ipv4.ControlMessage
-	if err := control.Parse(oob); err != nil {
+	ip, ok := parseDestination(oob)
+	if !ok {
 		return netip.AddrPort{}
 	}
-	ip, _ := netip.AddrFromSlice(control.Dst)
-	return netip.AddrPortFrom(ip.Unmap(), f.addr.Port())
+	return netip.AddrPortFrom(ip, f.addr.Port())
 }
 
 // receive acts on the datagram of n octets in f.buf.
@@ -161,8 +159,11 @@
 		_, err := f.conn.WriteToUDPAddrPort(datagram, caller)
 		return err
 	}
-	control := ipv4.ControlMessage{Src: address.Addr().AsSlice()}
-	_, _, err := f.conn.WriteMsgUDPAddrPort(datagram, control.Marshal(), caller)
+	source, ok := f.balancer.sources.Load(address.Addr())
+	if !ok {
+		source, _ = f.balancer.sources.LoadOrStore(address.Addr(), marshalSource(address.Addr()))
+	}
+	_, _, err := f.conn.WriteMsgUDPAddrPort(datagram, source.([]byte), caller)
 	return err
 }
 
