agent: callers prove their addresses when handshakes pile up

Cause: Initials from forged addresses would hold a flow of the gate each until the handshake timeout; a drain could end while an admitted flow was about to open. Ruled out: proof for every flow, which costs each caller a round trip. The change: while 256 handshakes are open an agent answers new flows with a Retry and asks the gate only when the proof comes. Drain also waits for admissions that QUIC may yet claim. Tests of that, of a caller whose address changes, and of a change of keys under an open flow.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -103,6 +103,19 @@
 	return expired
 }
 
+// waiting returns how many admissions a connection may yet claim.
+func (s *admissions) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := 0
+	for _, a := range s.pending {
+		if a.state.Load() == _unclaimed {
+			waiting++
+		}
+	}
+	return waiting
+}
+
 // expireRest takes back all admissions that no connection has claimed.
 func (s *admissions) expireRest() int {
 	s.mu.Lock()
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -88,6 +88,8 @@
 	counters     counters
 	registration metric.Registration
 	flows        atomic.Int64
+	// handshakes counts the flows whose handshake has not ended.
+	handshakes atomic.Int64
 	// ended has room for one signal that a flow has ended.
 	ended chan struct{}
 	// open waits at the end for the release of every flow.
@@ -202,6 +204,7 @@
 		StatelessResetKey:     (*quic.StatelessResetKey)(&resetKey),
 		TokenGeneratorKey:     (*quic.TokenGeneratorKey)(&tokenKey),
 		ConnContext:           a.openFlow,
+		VerifySourceAddress:   a.isUnproved,
 	}, nil
 }
 
@@ -242,7 +245,7 @@
 // when ctx ends first. It cuts nothing.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.draining.Do(a.startDraining)
-	for a.Flows() > 0 {
+	for a.Flows() > 0 || a.admissions.waiting() > 0 {
 		select {
 		case <-a.ended:
 		case <-a.tomb.Dying():
@@ -274,9 +277,9 @@
 
 // runServer serves accepted connections until the agent ends.
 func (a *Agent) runServer() error {
-	err := a.server.ServeListener(a.listener)
+	err := a.server.ServeListener(listener{a.listener})
 	if a.tomb.Alive() && errors.Is(err, http.ErrServerClosed) {
-		err = a.late.ServeListener(a.listener)
+		err = a.late.ServeListener(listener{a.listener})
 	}
 	if a.tomb.Alive() {
 		return trace.Wrap(err, "serving HTTP/3")
@@ -320,6 +323,7 @@
 	for range a.admissions.expire(now) {
 		a.counters.unopened.Add(1)
 		a.gate.Release()
+		a.signalEnded()
 	}
 }
 
@@ -351,5 +355,6 @@
 		service:     a.service,
 		incarnation: a.incarnation,
 		state:       a.State(),
+		flooded:     a.handshakes.Load() >= int64(a.options.handshakes),
 	}
 }
--- /dev/null
+++ b/agent/bench_test.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/packet"
+	"dandelionhitch.example/service"
+)
+
+// BenchmarkFlowMemory opens flows with one request each, forgets the callers'
+// ends without telling the agent, and reports what a flow holds at the agent.
+func BenchmarkFlowMemory(b *testing.B) {
+	const flows = 1000
+	r := newRig(b, 1, 1, 1)
+	a := r.agents[0][0]
+	for b.Loop() {
+		before := heldOctets()
+		open := a.Flows()
+		r.openAndForget(b, flows)
+		held := heldOctets() - before
+		assert.Equal(b, a.Flows()-open, flows)
+		b.ReportMetric(float64(held)/flows, "octets/flow")
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+func (r *rig) openAndForget(b *testing.B, flows int) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(_loopback))
+	assert.NilError(b, err)
+	defer conn.Close()
+	transport := &quic.Transport{Conn: conn}
+	defer transport.Close()
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, 20)
+	for range flows {
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limit }()
+			assert.Check(b, r.openOne(transport))
+		})
+	}
+	wg.Wait()
+}
+
+func (r *rig) openOne(transport *quic.Transport) error {
+	config := &tls.Config{RootCAs: r.pool, ServerName: "localhost", NextProtos: []string{http3.NextProtoH3}}
+	conn, err := transport.Dial(context.Background(), net.UDPAddrFromAddrPort(r.sprayers[0].address), config, &quic.Config{})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(http.MethodGet, "https://localhost/", nil)
+	if err != nil {
+		return err
+	}
+	response, err := new(http3.Transport).NewClientConn(conn).RoundTrip(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+func heldOctets() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// BenchmarkReceive is one packet of an established flow on its way to QUIC.
+func BenchmarkReceive(b *testing.B) {
+	r := newRig(b, 1, 1, 1)
+	a := r.agents[0][0]
+	var s packet.Sealer
+	cid, err := s.Seal(r.keys, 1, packet.CID{Service: 1, Agent: a.Addr(), Incarnation: 1, Nonce: packet.MaxNonce})
+	assert.NilError(b, err)
+	buf := make([]byte, packet.MaxWrapped)
+	buf[packet.HeaderLen] = 0x40
+	copy(buf[packet.HeaderLen+1:], cid[:])
+	h := packet.Header{
+		Kind: packet.Flow, Service: service.ID(1), Caller: addrOf(1), Address: addrOf(2), Balancer: r.balancers[0].Addr(),
+	}
+	wrapped, err := packet.Wrap(r.keys, &h, buf, 1200)
+	assert.NilError(b, err)
+	c := &conn{agent: a}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.receive(wrapped)
+	}
+}
--- a/agent/conn.go
+++ b/agent/conn.go
@@ -113,6 +113,9 @@
 		}
 		p := newPath(ends, from, now)
 		return &opening{path: p, admission: a.admissions.add(key, a.options.now())}
+	case prove:
+		a.counters.unproved.Add(1)
+		return &opening{path: newPath(ends, from, now), unproved: true}
 	case refuse:
 		return &opening{path: newPath(ends, from, now), refused: true}
 	case pass:
--- a/agent/counts.go
+++ b/agent/counts.go
@@ -17,6 +17,8 @@
 	Refused uint64 `json:"refused"`
 	// Unopened are the flows that were admitted by packets that opened none.
 	Unopened uint64 `json:"unopened"`
+	// Unproved are new flows whose callers were asked to prove their address.
+	Unproved uint64 `json:"unproved"`
 	// Passed are packets of new flows passed to the next candidate.
 	Passed uint64 `json:"passed"`
 	// Resets are stateless resets sent for flows of an earlier incarnation.
@@ -29,7 +31,7 @@
 
 // counters are the live form of Counts.
 type counters struct {
-	admitted, refused, unopened, passed, resets, forged, dropped atomic.Uint64
+	admitted, refused, unopened, unproved, passed, resets, forged, dropped atomic.Uint64
 }
 
 func (c *counters) snapshot() Counts {
@@ -37,6 +39,7 @@
 		Admitted: c.admitted.Load(),
 		Refused:  c.refused.Load(),
 		Unopened: c.unopened.Load(),
+		Unproved: c.unproved.Load(),
 		Passed:   c.passed.Load(),
 		Resets:   c.resets.Load(),
 		Forged:   c.forged.Load(),
@@ -71,6 +74,7 @@
 	report("admitted", &c.admitted)
 	report("refused", &c.refused)
 	report("unopened", &c.unopened)
+	report("unproved", &c.unproved)
 	report("passed", &c.passed)
 	report("reset", &c.resets)
 	report("forged", &c.forged)
--- a/agent/decide.go
+++ b/agent/decide.go
@@ -15,6 +15,8 @@
 	state       service.State
 	// fresh is false after a pause until the agent has heard its peers.
 	fresh bool
+	// flooded says that too many flows have not ended their handshake.
+	flooded bool
 }
 
 // arrival is one genuine wrapped packet.
@@ -28,7 +30,8 @@
 	held bool
 }
 
-// action is what to do with a packet: take, admit, pass, refuse, reset or drop.
+// action is what to do with a packet: take, admit, prove,
+// pass, refuse, reset or drop.
 type action interface{ isAction() }
 
 // take hands the packet to QUIC as a packet of a flow that is held.
@@ -37,6 +40,10 @@
 // admit hands the packet to QUIC if the gate admits one more flow; else otherwise applies.
 type admit struct{ otherwise action }
 
+// prove hands the packet to QUIC to have the caller prove its address, and takes
+// up nothing for it. The gate is asked when the proof comes.
+type prove struct{}
+
 // pass sends the packet to the candidate at index hop.
 type pass struct {
 	target netip.AddrPort
@@ -67,6 +74,7 @@
 
 func (take) isAction()   {}
 func (admit) isAction()  {}
+func (prove) isAction()  {}
 func (pass) isAction()   {}
 func (refuse) isAction() {}
 func (reset) isAction()  {}
@@ -143,6 +151,8 @@
 		return take{}
 	case !s.fresh:
 		return next(a, hop, stale)
+	case s.state == service.Serving && s.flooded:
+		return prove{}
 	case s.state == service.Serving:
 		return admit{otherwise: next(a, hop, refuse{})}
 	default:
--- a/agent/decide_test.go
+++ b/agent/decide_test.go
@@ -19,7 +19,7 @@
 
 func drawSituation(t *rapid.T, self netip.AddrPort) situation {
 	return situation{
-		self: self, service: 1, incarnation: 5, fresh: rapid.Bool().Draw(t, "fresh"),
+		self: self, service: 1, incarnation: 5, fresh: rapid.Bool().Draw(t, "fresh"), flooded: rapid.Bool().Draw(t, "flooded"),
 		state: service.State(rapid.IntRange(int(service.Starting), int(service.Draining)).Draw(t, "state")),
 	}
 }
@@ -66,8 +66,10 @@
 		switch got := got.(type) {
 		case take:
 			assert.Check(t, own && (mine || a.held || a.kind == packet.OtherVersion))
+		case prove:
+			assert.Check(t, own && s.state == service.Serving && s.fresh && a.kind == packet.Initial && !a.held && s.flooded)
 		case admit:
-			assert.Check(t, own && s.state == service.Serving && s.fresh && a.kind == packet.Initial && !a.held)
+			assert.Check(t, own && s.state == service.Serving && s.fresh && a.kind == packet.Initial && !a.held && !s.flooded)
 			_, again := got.otherwise.(admit)
 			assert.Check(t, !again)
 		case refuse:
@@ -95,7 +97,9 @@
 		var held, full []bool
 		for i := range k {
 			a.header.Candidates[i] = addrOf(i)
-			situations = append(situations, drawSituation(t, addrOf(i)))
+			s := drawSituation(t, addrOf(i))
+			s.flooded = false
+			situations = append(situations, s)
 			held = append(held, rapid.Bool().Draw(t, "held"))
 			full = append(full, rapid.Bool().Draw(t, "full"))
 		}
--- a/agent/flow_test.go
+++ b/agent/flow_test.go
@@ -12,6 +12,7 @@
 	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/packet"
 	"dandelionhitch.example/route"
 	"dandelionhitch.example/service"
 )
@@ -228,9 +229,7 @@
 		defer mu.Unlock()
 		return now
 	}))
-	initial := append([]byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8, 0xff}, make([]byte, 1200)...)
-	conn := r.dial(0)
-	_, err := conn.Write(initial)
+	_, err := r.dial(0).Write(junkInitial())
 	assert.NilError(t, err)
 	for r.gates[0][0].count() == 0 {
 		time.Sleep(time.Millisecond)
@@ -244,3 +243,54 @@
 	assert.Equal(t, r.agents[0][0].Counts().Unopened, uint64(1))
 	assert.Equal(t, r.agents[0][0].Flows(), 0)
 }
+
+// TestRebind gives a caller another address in the middle of its flow.
+func TestRebind(t *testing.T) {
+	r := newRig(t, 3, 1, 2)
+	client := r.client(0)
+	for range 4 {
+		assert.NilError(t, r.call(client, 0, 50_000))
+		r.sprayers[0].rebind()
+	}
+	assert.Equal(t, r.agents[0][0].Flows()+r.agents[0][1].Flows(), 1)
+}
+
+// TestRotation changes the key under an open flow, in the order that operators do.
+func TestRotation(t *testing.T) {
+	r := newRig(t, 2, 1, 1)
+	client := r.client(0)
+	assert.NilError(t, r.call(client, 0, 1000))
+	for _, numbers := range [][]packet.KeyNumber{{1, 2}, {2, 1}} {
+		r.keys = testKeys(t, numbers...)
+		for _, b := range r.balancers {
+			b.SetKeys(r.keys)
+			assert.NilError(t, r.call(client, 0, 50_000))
+		}
+		r.agents[0][0].SetKeys(r.keys)
+		assert.NilError(t, r.call(client, 0, 50_000))
+		assert.NilError(t, r.call(r.client(0), 0, 1000))
+	}
+	old := r.agents[0][0]
+	r.kill(old)
+	r.startAgent(0, old.Addr(), 2, &gate{})
+	assertReset(t, r.call(client, 0, 10))
+	assert.NilError(t, r.call(r.client(0), 0, 1000))
+}
+
+// TestProof has callers prove their addresses while handshakes are many. Junk
+// then holds nothing, and a caller gets through.
+func TestProof(t *testing.T) {
+	r := newRig(t, 2, 1, 2, WithHandshakes(0))
+	_, err := r.dial(0).Write(junkInitial())
+	assert.NilError(t, err)
+	assert.NilError(t, r.call(r.client(0), 0, 50_000))
+	counts := [2]Counts{r.agents[0][0].Counts(), r.agents[0][1].Counts()}
+	assert.Equal(t, counts[0].Admitted+counts[1].Admitted, uint64(1))
+	assert.Check(t, counts[0].Unproved+counts[1].Unproved >= 2)
+	assert.Equal(t, r.gates[0][0].count()+r.gates[0][1].count(), 1)
+}
+
+// junkInitial is an Initial that opens no connection.
+func junkInitial() []byte {
+	return append([]byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8, 0xff}, make([]byte, 1200)...)
+}
--- a/agent/options.go
+++ b/agent/options.go
@@ -12,6 +12,8 @@
 const (
 	_defaultIdle      = 30 * time.Second
 	_defaultHandshake = 5 * time.Second
+	// _defaultHandshakes is several times what the busiest agent sees at a crest.
+	_defaultHandshakes = 256
 )
 
 // Option adjusts an Agent.
@@ -24,7 +26,9 @@
 	balancers func() []netip.AddrPort
 	idle      time.Duration
 	handshake time.Duration
-	now       func() time.Time
+	// handshakes is how many may be open before callers prove their addresses.
+	handshakes int
+	now        func() time.Time
 }
 
 type optionFunc func(*options)
@@ -59,6 +63,13 @@
 	return optionFunc(func(o *options) { o.idle = span })
 }
 
+// WithHandshakes sets how many flows may be in their handshake before each new
+// caller must first prove its address by answering a Retry. It costs the caller
+// one round trip, and a flood of Initials from forged addresses holds no flows.
+func WithHandshakes(n int) Option {
+	return optionFunc(func(o *options) { o.handshakes = n })
+}
+
 // withClock sets the clock, for tests of pauses.
 func withClock(now func() time.Time) Option {
 	return optionFunc(func(o *options) { o.now = now })
@@ -66,13 +77,14 @@
 
 func newOptions(opts []Option) options {
 	o := options{
-		logger:    zap.NewNop(),
-		meter:     noop.Meter{},
-		fresh:     func(time.Time) bool { return true },
-		balancers: func() []netip.AddrPort { return nil },
-		idle:      _defaultIdle,
-		handshake: _defaultHandshake,
-		now:       time.Now,
+		logger:     zap.NewNop(),
+		meter:      noop.Meter{},
+		fresh:      func(time.Time) bool { return true },
+		balancers:  func() []netip.AddrPort { return nil },
+		idle:       _defaultIdle,
+		handshake:  _defaultHandshake,
+		handshakes: _defaultHandshakes,
+		now:        time.Now,
 	}
 	for _, opt := range opts {
 		opt.apply(&o)
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -53,7 +53,7 @@
 	conn   *net.UDPConn
 }
 
-func newSprayer(t *testing.T, seed uint64) *sprayer {
+func newSprayer(t testing.TB, seed uint64) *sprayer {
 	front, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(_loopback))
 	assert.NilError(t, err)
 	s := &sprayer{front: front, lanes: map[netip.AddrPort]*lane{}, random: mathrand.New(mathrand.NewPCG(seed, 1))}
@@ -69,6 +69,16 @@
 	s.targets = targets
 }
 
+// rebind gives every caller another address, as a NAT that has lost track does.
+func (s *sprayer) rebind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lanes {
+		l.conn.Close()
+	}
+	clear(s.lanes)
+}
+
 func (s *sprayer) loop() error {
 	buf := make([]byte, 2048)
 	for {
@@ -159,7 +169,7 @@
 
 // rig is some balancers and services with agents on loopback.
 type rig struct {
-	t         *testing.T
+	t         testing.TB
 	keys      *packet.Keys
 	cert      tls.Certificate
 	pool      *x509.CertPool
@@ -172,7 +182,7 @@
 	killed    map[*Agent]bool
 }
 
-func newRig(t *testing.T, balancers, services, agents int, opts ...Option) *rig {
+func newRig(t testing.TB, balancers, services, agents int, opts ...Option) *rig {
 	r := &rig{t: t, keys: testKeys(t, 1), started: make(chan struct{}, 16), finish: make(chan struct{}), killed: map[*Agent]bool{}}
 	r.cert, r.pool = testCert(t)
 	for i := range services {
