settings: the tree, its inheritance, and every finding with its place

Cause: nothing yet turned an operator's JSON into what is in force for a service. The change: an immutable tree that shares nodes, edits with what was seen before, a check that reports everything at once, and a document of what is in force.

--- /dev/null
+++ b/settings/decode.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/gravitational/trace"
+)
+
+// UnmarshalJSON decodes a tree. It reports everything that is wrong with the
+// form as one Findings error; Check judges what the values say.
+func (t *Tree) UnmarshalJSON(data []byte) error {
+	var findings Findings
+	builder := newBuilder(Tree{})
+	err := eachMember(data, func(key string, raw json.RawMessage, repeated bool) {
+		path, err := ParsePath(key)
+		switch {
+		case err != nil:
+			findings.add(Path{}, "", "%v", trace.UserMessage(err))
+			return
+		case repeated:
+			findings.add(path, "", "the node is given twice")
+			return
+		}
+		values, found := decodeValues(path, raw)
+		findings = append(findings, found...)
+		builder.set(path, &values)
+	})
+	if err != nil {
+		findings.add(Path{}, "", "%v", err)
+	}
+	if err := findings.Err(); err != nil {
+		return err
+	}
+	*t = builder.tree
+	return nil
+}
+
+// MarshalJSON encodes the tree as one object from paths to values, in order.
+func (t Tree) MarshalJSON() ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.WriteByte('{')
+	for path, values := range t.All() {
+		if buffer.Len() > 1 {
+			buffer.WriteByte(',')
+		}
+		buffer.WriteByte('"')
+		buffer.WriteString(path.String())
+		buffer.WriteString(`":`)
+		buffer.Write(values.encode())
+	}
+	buffer.WriteByte('}')
+	return buffer.Bytes(), nil
+}
+
+func decodeValues(path Path, data []byte) (Values, Findings) {
+	var (
+		values   Values
+		findings Findings
+	)
+	err := eachMember(data, func(key string, raw json.RawMessage, repeated bool) {
+		f, ok := findField(Field(key))
+		switch {
+		case !ok:
+			findings.add(path, Field(key), "unknown setting")
+		case repeated:
+			findings.add(path, f.name, "given twice")
+		default:
+			if err := f.decode(&values, raw); err != nil {
+				findings.add(path, f.name, "%v", trace.UserMessage(err))
+			}
+		}
+	})
+	if err != nil {
+		findings.add(path, "", "%v", err)
+	}
+	return values, findings
+}
+
+// eachMember calls visit for every member of a JSON object.
+func eachMember(data []byte, visit func(key string, value json.RawMessage, repeated bool)) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return trace.BadParameter("want a JSON object")
+	}
+	seen := make(map[string]bool)
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return trace.BadParameter("%v", err)
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return trace.BadParameter("value of %v: %v", key, err)
+		}
+		name, _ := key.(string)
+		visit(name, value, seen[name])
+		seen[name] = true
+	}
+	if _, err := decoder.Token(); err != nil {
+		return trace.BadParameter("%v", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return trace.BadParameter("there is more after the object")
+	}
+	return nil
+}
--- /dev/null
+++ b/settings/edit.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"slices"
+
+	"github.com/gravitational/trace"
+)
+
+// Edit replaces what one node sets itself. Nil means that the node is not set.
+type Edit struct {
+	Path Path `json:"path"`
+	// Before is what the operator saw.
+	Before *Values `json:"before,omitempty"`
+	// After is what the operator wants.
+	After *Values `json:"after,omitempty"`
+}
+
+// Inverse returns the edit that undoes e.
+func (e Edit) Inverse() Edit {
+	return Edit{Path: e.Path, Before: e.After, After: e.Before}
+}
+
+// Diff returns the edits that turn t into other, in order of their paths.
+func (t Tree) Diff(other Tree) []Edit {
+	var edits []Edit
+	for path, before := range t.All() {
+		after, ok := other.Get(path)
+		switch {
+		case !ok:
+			edits = append(edits, Edit{Path: path, Before: &before})
+		case !before.Equal(after):
+			edits = append(edits, Edit{Path: path, Before: &before, After: &after})
+		}
+	}
+	for path, after := range other.All() {
+		if _, ok := t.Get(path); !ok {
+			edits = append(edits, Edit{Path: path, After: &after})
+		}
+	}
+	slices.SortFunc(edits, func(a, b Edit) int { return comparePaths(a.Path, b.Path) })
+	return edits
+}
+
+// Apply returns the tree with all edits made. It returns a CompareFailed error
+// unless each node is as its edit's Before says.
+func (t Tree) Apply(edits ...Edit) (Tree, error) {
+	b := newBuilder(t)
+	for _, edit := range edits {
+		if !sameNode(b.tree, edit.Path, edit.Before) {
+			return t, trace.CompareFailed("%s: the node is not as the edit expects", edit.Path)
+		}
+		b.set(edit.Path, edit.After)
+	}
+	return b.tree, nil
+}
+
+func sameNode(t Tree, path Path, want *Values) bool {
+	have, ok := t.Get(path)
+	if want == nil || !ok {
+		return ok == (want != nil)
+	}
+	return have.Equal(*want)
+}
