standin: the platform tests count calls without a race

Cause: TestWritesAreClassified and TestTokenIsReadForEveryCall shared a variable with their server's goroutine. The change: atomics. go test -race ./standin -run 'Platform|Writes|Reads|Watch|Stale|Client|Token' fails before and passes after.

--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,9 +123,9 @@
 		{504, true, nil},
 	}
 	for _, tt := range tests {
-		calls := 0
+		var calls atomic.Int32
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			calls++
+			calls.Add(1)
 			switch tt.status {
 			case 1:
 				panic(http.ErrAbortHandler)
@@ -148,7 +149,7 @@
 		_, err := client.Put(t.Context(), "k", []byte("1"), 1)
 		assert.Equal(t, platform.IsAmbiguous(err), tt.ambiguous, "status %d: %v", tt.status, err)
 		assert.Assert(t, tt.check == nil || tt.check(err), "status %d: %v", tt.status, err)
-		assert.Assert(t, calls <= 1, "a write is sent once")
+		assert.Assert(t, calls.Load() <= 1, "a write is sent once")
 		client.Close()
 		server.Close()
 	}
@@ -233,9 +234,9 @@
 }
 
 func TestTokenIsReadForEveryCall(t *testing.T) {
-	var got string
+	var got atomic.Value
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		got = r.Header.Get("Authorization")
+		got.Store(r.Header.Get("Authorization"))
 	}))
 	defer server.Close()
 	base, _ := url.Parse(server.URL)
@@ -245,7 +246,7 @@
 	for _, token := range []string{"one", "two"} {
 		assert.NilError(t, os.WriteFile(file, []byte(token+"\n"), 0o600))
 		_ = client.Delete(t.Context(), "k", 1)
-		assert.Equal(t, got, "Bearer "+token)
+		assert.Equal(t, got.Load(), "Bearer "+token)
 	}
 }
 
