dispatcher: nothing runs twice, and 'not run' was not run, under faults

Nothing showed yet what happens between agents. Two histories are now checked with an exact count at the upstreams: callers that repeat under a ticket through three agents, also while the first copy is on its way, and callers that send once while agents hand their requests over. Agents are killed and replaced at the same address, or paused; requests, answers and connections are lost on all ways; upstreams break off after their work. rapid draws the faults, synctest holds the clock.

Checked: an operation runs at most once; a ticket that was answered with not-run never ran, whatever copies of it were still on their way; an answer is the one to the caller's own operation.

--- /dev/null
+++ b/dispatcher/cluster_test.go
@@ -0,0 +1,308 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"dandelionhitch.example/dispatcher"
+	"dandelionhitch.example/queue"
+	"dandelionhitch.example/service"
+	"dandelionhitch.example/settings"
+	"dandelionhitch.example/ticket"
+)
+
+var (
+	errLost  = errors.New("connection lost")
+	errDead  = errors.New("agent died")
+	_keys, _ = ticket.NewKeys(1, ticket.Key{Number: 1, Ticket: []byte("a secret of octets")})
+)
+
+// cluster is a few agents of one service with their upstreams, joined by
+// transports that lose and delay. It runs in a synctest bubble.
+type cluster struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	agents map[netip.AddrPort]*agentProcess
+	all    []*agentProcess
+	runs   map[string]int // by operation
+	tries  map[string]int // by operation and ticket
+
+	loss    float64 // share of messages and answers lost, while faulty
+	faulty  bool
+	handled int // hand-overs taken
+}
+
+// agentProcess is one run of an agent.
+type agentProcess struct {
+	c           *cluster
+	addr        netip.AddrPort
+	incarnation service.Incarnation
+	d           *dispatcher.Dispatcher
+	dead        context.Context
+	kill        context.CancelFunc
+	resumed     chan struct{} // nil unless paused
+}
+
+func newCluster(seed uint64, agents int, loss float64) *cluster {
+	c := &cluster{
+		random: rand.New(rand.NewPCG(seed, 0)),
+		agents: make(map[netip.AddrPort]*agentProcess),
+		runs:   make(map[string]int),
+		tries:  make(map[string]int),
+		loss:   loss,
+		faulty: true,
+	}
+	for i := range agents {
+		c.start(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7443), 1)
+	}
+	return c
+}
+
+// start begins a new run of the agent at addr.
+func (c *cluster) start(addr netip.AddrPort, incarnation service.Incarnation) {
+	a := &agentProcess{c: c, addr: addr, incarnation: incarnation}
+	a.dead, a.kill = context.WithCancel(context.Background())
+	policy := policyOf()
+	policy.Limits = settings.Limits{Slots: 2, ReservedSlots: 1, QueueLength: 3}
+	d, err := dispatcher.New(&url.URL{Scheme: "http", Host: "upstream"}, func() settings.Service { return policy },
+		dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: addr, Incarnation: incarnation}),
+		dispatcher.WithTicketKeys(_keys),
+		dispatcher.WithTransport(transportFunc(a.upstream)),
+		dispatcher.WithPeers(a, transportFunc(c.toPeer)),
+		dispatcher.WithRandom(c.float))
+	if err != nil {
+		panic(err)
+	}
+	a.d = d
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.agents[addr] = a
+	c.all = append(c.all, a)
+}
+
+// restart kills the agent at addr and starts its next run after a while.
+func (c *cluster) restart(addr netip.AddrPort, after time.Duration) {
+	c.mu.Lock()
+	a := c.agents[addr]
+	delete(c.agents, addr)
+	c.mu.Unlock()
+	if a == nil {
+		return
+	}
+	a.kill()
+	time.Sleep(after)
+	c.start(addr, a.incarnation+1)
+}
+
+// pause freezes what goes in and out of the agent at addr.
+func (c *cluster) pause(addr netip.AddrPort, span time.Duration) {
+	c.mu.Lock()
+	a := c.agents[addr]
+	if a == nil || a.resumed != nil {
+		c.mu.Unlock()
+		return
+	}
+	resumed := make(chan struct{})
+	a.resumed = resumed
+	c.mu.Unlock()
+	time.Sleep(span)
+	c.mu.Lock()
+	a.resumed = nil
+	c.mu.Unlock()
+	close(resumed)
+}
+
+// awake waits until the agent is not paused.
+func (a *agentProcess) awake(ctx context.Context) error {
+	a.c.mu.Lock()
+	resumed := a.resumed
+	a.c.mu.Unlock()
+	if resumed == nil {
+		return nil
+	}
+	select {
+	case <-resumed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-a.dead.Done():
+		return errDead
+	}
+}
+
+func (c *cluster) float() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64()
+}
+
+// chance reports true for the given share of calls while faults are on.
+func (c *cluster) chance(share float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.faulty && c.random.Float64() < share
+}
+
+// Peers returns the agents that live, as of now.
+func (a *agentProcess) Peers() []dispatcher.Peer {
+	a.c.mu.Lock()
+	defer a.c.mu.Unlock()
+	var peers []dispatcher.Peer
+	for _, other := range a.c.all {
+		if other != a && a.c.agents[other.addr] == other {
+			peers = append(peers, dispatcher.Peer{Address: other.addr, Incarnation: other.incarnation, Load: min(other.d.Load(), queue.CrowdedLoad-1)})
+		}
+	}
+	return peers
+}
+
+// Endpoint returns the agent's address itself.
+func (a *agentProcess) Endpoint(agent netip.AddrPort) (netip.AddrPort, bool) { return agent, true }
+
+type transportFunc func(*http.Request) (*http.Response, error)
+
+func (f transportFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// toPeer carries a request from one agent to another's PeerHandler.
+func (c *cluster) toPeer(r *http.Request) (*http.Response, error) {
+	a, err := c.connect(r.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	if r.Header.Get("Dandelionhitch-Transfer") != "" {
+		c.mu.Lock()
+		c.handled++
+		c.mu.Unlock()
+	}
+	return a.carry(r, a.d.PeerHandler())
+}
+
+// fromCaller carries a caller's request to the agent with the given address.
+func (c *cluster) fromCaller(r *http.Request) (*http.Response, error) {
+	a, err := c.connect(r.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	return a.carry(r, a.d)
+}
+
+func (c *cluster) connect(host string) (*agentProcess, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.agents[netip.MustParseAddrPort(host)]
+	if a == nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
+	}
+	return a, nil
+}
+
+// carry lets the handler answer the request, with delays, and loses requests,
+// answers and connections on the way.
+func (a *agentProcess) carry(r *http.Request, handler http.Handler) (*http.Response, error) {
+	time.Sleep(time.Duration(a.c.float() * float64(3*time.Millisecond)))
+	if a.c.chance(a.c.loss / 2) {
+		return nil, errLost
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	stop := context.AfterFunc(r.Context(), cancel)
+	answered := make(chan *http.Response, 1)
+	go func() {
+		defer cancel()
+		if a.awake(ctx) != nil {
+			return
+		}
+		a.answer(r.WithContext(ctx), handler, answered)
+	}()
+	var cut <-chan time.Time
+	if a.c.chance(a.c.loss / 2) {
+		cut = time.After(time.Duration(a.c.float() * float64(60*time.Millisecond)))
+	}
+	select {
+	case response := <-answered:
+		if response == nil || a.c.chance(a.c.loss) {
+			return nil, errLost
+		}
+		time.Sleep(time.Duration(a.c.float() * float64(30*time.Millisecond)))
+		return response, nil
+	case <-cut:
+		// Whether the far side notices is open.
+		if stop(); a.c.chance(0.5) {
+			cancel()
+		}
+		return nil, errLost
+	case <-a.dead.Done():
+		return nil, errLost
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+// answer runs the handler and sends its answer, or nil if it broke off.
+func (a *agentProcess) answer(r *http.Request, handler http.Handler, answered chan<- *http.Response) {
+	recorder := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			answered <- nil
+			return
+		}
+		if a.awake(context.Background()) == nil && a.dead.Err() == nil {
+			answered <- recorder.Result()
+		}
+	}()
+	if r.Body == nil {
+		r.Body = http.NoBody
+	}
+	handler.ServeHTTP(recorder, r)
+}
+
+// upstream is the agent's upstream. It counts each run as it begins, and may
+// break off before or after its work.
+func (a *agentProcess) upstream(r *http.Request) (*http.Response, error) {
+	if err := a.awake(r.Context()); err != nil {
+		return nil, err
+	}
+	if a.dead.Err() != nil {
+		return nil, errDead
+	}
+	if r.Body != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return nil, err
+		}
+	}
+	op := r.Header.Get("Op")
+	a.c.mu.Lock()
+	a.c.runs[op]++
+	a.c.tries[op+" "+r.Header.Get("Op-Ticket")]++
+	a.c.mu.Unlock()
+	span := time.Duration((0.2 + a.c.float()) * float64(40*time.Millisecond))
+	select {
+	case <-time.After(span):
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+	if a.c.chance(a.c.loss / 4) {
+		return nil, errLost
+	}
+	answer := httptest.NewRecorder()
+	answer.WriteHeader(http.StatusCreated)
+	fmt.Fprintf(answer, "done %s", op)
+	return answer.Result(), nil
+}
+
+// close ends all runs of all agents.
+func (c *cluster) close() {
+	for _, a := range c.all {
+		a.kill()
+		_ = a.d.Close()
+	}
+}
--- /dev/null
+++ b/dispatcher/history_test.go
@@ -0,0 +1,181 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionhitch.example/dispatcher"
+)
+
+// noDeadline hides the test's deadline, which is not to be had in a synctest bubble.
+type noDeadline struct{ rapid.TB }
+
+// caller sends one operation until it is answered or given up, the way the
+// protocol asks: an answer "not-run" allows a new ticket, everything else only
+// a repetition under the same one.
+type caller struct {
+	c      *cluster
+	op     string
+	path   string
+	ticket string
+	// notRun are the tickets, or "" for none, that an agent said were not run.
+	notRun []string
+	done   bool
+	// crossed is an answer to another operation.
+	crossed string
+}
+
+// send sends the operation once and returns the answer, or nil if it was lost.
+func (k *caller) send(ctx context.Context, to netip.AddrPort, ticket string) *http.Response {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+to.String()+k.path, strings.NewReader("bin 4"))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Op", k.op)
+	r.Header.Set("Op-Ticket", ticket)
+	r.Header.Set(dispatcher.HeaderDeadline, "800")
+	if ticket != "" {
+		r.Header.Set(dispatcher.HeaderKey, ticket)
+	}
+	answer, err := k.c.fromCaller(r)
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+// run sends the operation up to attempts times, through agents in turn.
+func (k *caller) run(ctx context.Context, agents []netip.AddrPort, attempts int) {
+	for i := 0; i < attempts && !k.done; i++ {
+		answer := k.send(ctx, agents[i%len(agents)], k.ticket)
+		if k.ticket != "" && k.c.chance(0.3) {
+			// A repetition crosses the first copy through another agent.
+			k.take(k.send(ctx, agents[(i+1)%len(agents)], k.ticket), k.ticket)
+		}
+		k.take(answer, k.ticket)
+		time.Sleep(time.Duration(k.c.float() * float64(100*time.Millisecond)))
+	}
+}
+
+// take learns from the answer to a request under the given ticket.
+func (k *caller) take(answer *http.Response, ticket string) {
+	if answer == nil {
+		return
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return
+	}
+	if answer.StatusCode == http.StatusCreated {
+		k.done = true
+		if string(body) != "done "+k.op {
+			k.crossed = string(body)
+		}
+		return
+	}
+	if answer.Header.Get(dispatcher.HeaderOutcome) != dispatcher.OutcomeNotRun {
+		return
+	}
+	k.notRun = append(k.notRun, ticket)
+	if next := answer.Header.Get(dispatcher.HeaderKey); next != "" && ticket == k.ticket {
+		k.ticket = next
+	}
+}
+
+// play runs callers against a cluster under faults and returns them.
+func play(t *rapid.T, path string, attempts int) (*cluster, []*caller) {
+	c := newCluster(rapid.Uint64().Draw(t, "seed"), 3, rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "loss"))
+	var agents []netip.AddrPort
+	for _, a := range c.all {
+		agents = append(agents, a.addr)
+	}
+	var wg sync.WaitGroup
+	var callers []*caller
+	for i := range rapid.IntRange(5, 30).Draw(t, "callers") {
+		k := &caller{c: c, op: fmt.Sprint("op", i), path: path}
+		callers = append(callers, k)
+		begin := time.Duration(rapid.IntRange(0, 300).Draw(t, "begin")) * time.Millisecond
+		first := rapid.IntRange(0, 2).Draw(t, "first")
+		order := append(append([]netip.AddrPort{}, agents[first:]...), agents[:first]...)
+		wg.Go(func() {
+			time.Sleep(begin)
+			k.run(context.Background(), order, attempts)
+		})
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "faults") {
+		at := time.Duration(rapid.IntRange(0, 600).Draw(t, "at")) * time.Millisecond
+		span := time.Duration(rapid.IntRange(1, 1500).Draw(t, "span")) * time.Millisecond
+		addr := rapid.SampledFrom(agents).Draw(t, "agent")
+		fault := rapid.SampledFrom([]func(netip.AddrPort, time.Duration){c.restart, c.pause}).Draw(t, "fault")
+		wg.Go(func() {
+			time.Sleep(at)
+			fault(addr, span)
+		})
+	}
+	wg.Wait()
+	time.Sleep(5 * time.Second)
+	return c, callers
+}
+
+// judge checks the history: nothing ran twice, nothing ran that was said not to
+// have run, and nobody got another's answer.
+func judge(t *rapid.T, c *cluster, callers []*caller) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range callers {
+		assert.Check(t, c.runs[k.op] <= 1, "%s ran %d times", k.op, c.runs[k.op])
+		assert.Check(t, k.crossed == "", "%s got the answer %q", k.op, k.crossed)
+		assert.Check(t, !k.done || c.runs[k.op] == 1, "%s was answered and ran %d times", k.op, c.runs[k.op])
+		for _, ticket := range k.notRun {
+			tries := c.tries[k.op+" "+ticket]
+			assert.Check(t, tries == 0, "%s: said not run under ticket %q, ran %d times", k.op, ticket, tries)
+		}
+	}
+}
+
+func TestTicketedRequestsRunAtMostOnce(t *testing.T) {
+	done, all := 0, 0
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadline{t}, func(t *rapid.T) {
+			c, callers := play(t, "/once", 12)
+			defer c.close()
+			judge(t, c, callers)
+			for _, k := range callers {
+				all++
+				if k.done {
+					done++
+				}
+			}
+		})
+	})
+	t.Logf("%d of %d operations answered", done, all)
+	assert.Assert(t, done > all/2, "%d of %d operations answered", done, all)
+}
+
+func TestPlainRequestsAreHandedOverWithoutRepetition(t *testing.T) {
+	handled := 0
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadline{t}, func(t *rapid.T) {
+			// A plain request is sent once by its caller; only agents pass it on.
+			c, callers := play(t, "/plain", 1)
+			defer c.close()
+			judge(t, c, callers)
+			handled += c.handled
+		})
+	})
+	t.Logf("%d hand-overs", handled)
+	assert.Assert(t, handled > 0, "nothing was handed over")
+}
