keeper, announcer: heartbeats, exchanges, suspicion, verdicts and leases

Cause: balancers must know within seconds who may get new flows, without agreement and without the platform. Ruled out: counting every rumor heard again as one passed on: in a fleet of four a refutation was spent on two balancers and missed the third for more than 3 s (TestCutAgent). Rumors now note who has them, and are taken back when a call fails. Change: agents send evenly spaced heartbeats to three keepers; balancers exchange with five stable neighbours, at once while news is urgent; silence leads to suspicion and a probe, only a refused connection to a verdict; leases in the platform serve to find each other.

--- /dev/null
+++ b/announcer/network_test.go
@@ -0,0 +1,341 @@
+package announcer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/keeper"
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/roster"
+	"dandelionhitch.example/service"
+)
+
+// network carries calls between processes in one bubble, with faults.
+type network struct {
+	t  *testing.T
+	mu sync.Mutex
+	// endpoints are the keepers that listen; down and paused are processes by
+	// control address, cut are pairs of them.
+	endpoints    map[netip.AddrPort]*keeper.Endpoint
+	down, paused map[netip.AddrPort]bool
+	cut          map[[2]netip.AddrPort]bool
+	octets       map[netip.AddrPort]int
+	calls        map[string]int
+}
+
+func newNetwork(t *testing.T) *network {
+	return &network{
+		t: t, endpoints: make(map[netip.AddrPort]*keeper.Endpoint),
+		down: make(map[netip.AddrPort]bool), paused: make(map[netip.AddrPort]bool),
+		cut: make(map[[2]netip.AddrPort]bool), octets: make(map[netip.AddrPort]int), calls: make(map[string]int),
+	}
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// host is the network as one process sees it.
+type host struct {
+	*network
+	addr netip.AddrPort
+}
+
+func (n *network) reach(from, to netip.AddrPort) roster.Finding {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case n.cut[[2]netip.AddrPort{from, to}], n.cut[[2]netip.AddrPort{to, from}], n.paused[from]:
+		return roster.Silent
+	case n.down[to]:
+		return roster.Refused
+	}
+	return roster.Listening
+}
+
+// Probe tells what the host's kernel says.
+func (h host) Probe(ctx context.Context, to netip.AddrPort) roster.Finding {
+	finding := h.reach(h.addr, to)
+	if finding == roster.Silent {
+		<-ctx.Done()
+	}
+	return finding
+}
+
+// Call passes a call through its encoding.
+func (h host) Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
+	time.Sleep(time.Millisecond)
+	finding := h.reach(h.addr, to)
+	h.mu.Lock()
+	endpoint, stopped := h.endpoints[to], h.paused[to] || h.down[h.addr]
+	h.mu.Unlock()
+	switch {
+	case finding == roster.Silent || stopped:
+		<-ctx.Done()
+		return errNoAnswer
+	case finding == roster.Refused || endpoint == nil:
+		return errors.New("refused")
+	}
+	answer, err := dispatch(h, to, endpoint, method, args)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Millisecond)
+	if h.reach(h.addr, to) != roster.Listening {
+		<-ctx.Done()
+		return errNoAnswer
+	}
+	return h.transmit(to, h.addr, answer, reply)
+}
+
+func dispatch(h host, to netip.AddrPort, e *keeper.Endpoint, method string, args any) (any, error) {
+	h.mu.Lock()
+	h.calls[method]++
+	h.mu.Unlock()
+	switch method {
+	case keeper.MethodHeartbeat:
+		return handle(h, to, args, e.Heartbeat)
+	case keeper.MethodExchange:
+		return handle(h, to, args, e.Exchange)
+	case keeper.MethodSync:
+		return handle(h, to, args, e.Sync)
+	}
+	return nil, fmt.Errorf("no method %s", method)
+}
+
+func handle[Q, A any](h host, to netip.AddrPort, args any, method func(*Q, *A) error) (any, error) {
+	request, answer := new(Q), new(A)
+	if err := h.transmit(h.addr, to, args, request); err != nil {
+		return nil, err
+	}
+	return answer, method(request, answer)
+}
+
+// transmit encodes, counts, decodes and checks a message.
+func (n *network) transmit(from, to netip.AddrPort, message, into any) error {
+	data, err := cbor.Marshal(message)
+	assert.Check(n.t, err)
+	n.mu.Lock()
+	n.octets[from] += len(data)
+	n.octets[to] += len(data)
+	n.mu.Unlock()
+	assert.Check(n.t, cbor.Unmarshal(data, into))
+	assert.Check(n.t, into.(interface{ Validate() error }).Validate())
+	return nil
+}
+
+func (n *network) set(m map[netip.AddrPort]bool, addr netip.AddrPort, value bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m[addr] = value
+}
+
+func (n *network) setCut(a, b netip.AddrPort, value bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]netip.AddrPort{a, b}] = value
+}
+
+// memoryStore is the platform's store with outages.
+type memoryStore struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	next    platform.Version
+	outage  bool
+	calls   int
+}
+
+func (s *memoryStore) enter() error {
+	s.calls++
+	if s.outage {
+		return trace.ConnectionProblem(nil, "outage")
+	}
+	return nil
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, found := s.objects[key]
+	if err := s.enter(); err != nil || found {
+		return object, err
+	}
+	return object, trace.NotFound("%s", key)
+}
+
+func (s *memoryStore) List(_ context.Context, prefix string) ([]platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.Object
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, object)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	return out, s.enter()
+}
+
+func (s *memoryStore) Put(_ context.Context, key string, value json.RawMessage, expected platform.Version) (platform.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	if s.objects[key].Version != expected {
+		return 0, trace.CompareFailed("%s", key)
+	}
+	s.next++
+	s.objects[key] = platform.Object{Key: key, Value: value, Version: s.next}
+	return s.next, nil
+}
+
+func (s *memoryStore) Delete(_ context.Context, key string, expected platform.Version) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return err
+	}
+	if s.objects[key].Version != expected {
+		return trace.CompareFailed("%s", key)
+	}
+	delete(s.objects, key)
+	return nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, _ string, _ platform.Version) (platform.Object, error) {
+	<-ctx.Done()
+	return platform.Object{}, ctx.Err()
+}
+
+func (s *memoryStore) setOutage(outage bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = outage
+}
+
+// fleet is some balancers and agents.
+type fleet struct {
+	*network
+	store   *memoryStore
+	keepers map[int]*keeper.Keeper
+	agents  map[int]*Announcer
+	// gone are the incarnations of agents that have truly ended, by number.
+	gone map[int]service.Incarnation
+}
+
+func newFleet(t *testing.T, keepers, agents int) *fleet {
+	f := &fleet{
+		network: newNetwork(t), store: &memoryStore{objects: make(map[string]platform.Object)},
+		keepers: make(map[int]*keeper.Keeper), agents: make(map[int]*Announcer), gone: make(map[int]service.Incarnation),
+	}
+	for n := range keepers {
+		f.startKeeper(n, keeper.WithStore(f.store))
+	}
+	for n := range agents {
+		f.startAgent(n, 100)
+	}
+	return f
+}
+
+func memberAddr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 7000)
+}
+
+func agentAddr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(n >> 8), byte(n)}), 7000)
+}
+
+func (f *fleet) startKeeper(n int, opts ...keeper.Option) {
+	f.t.Helper()
+	addr := memberAddr(n)
+	h := host{f.network, addr}
+	opts = append(opts, keeper.WithProber(h), keeper.WithSeed(uint64(n)+1))
+	k, err := keeper.New(roster.Member{
+		Name: fmt.Sprintf("entry-%d", n), Place: service.Place(fmt.Sprintf("oslo-%c", 'a'+n%3)),
+		Data: addr, Control: addr, Incarnation: service.IncarnationAt(time.Now()),
+	}, h, opts...)
+	assert.NilError(f.t, err)
+	f.set(f.down, addr, false)
+	f.mu.Lock()
+	f.endpoints[addr] = k.Endpoint()
+	f.mu.Unlock()
+	f.keepers[n] = k
+}
+
+func (f *fleet) startAgent(n int, incarnation service.Incarnation) {
+	f.t.Helper()
+	addr := agentAddr(n)
+	a, err := New(roster.Upstream{
+		Service: service.ID(1 + n%2), Name: "orders", Place: "oslo-a", Data: addr, Control: addr,
+		Incarnation: incarnation, State: service.Serving, Weight: 1,
+	}, host{f.network, addr}, []netip.AddrPort{memberAddr(0), memberAddr(1)}, WithSeed(uint64(n)+1))
+	assert.NilError(f.t, err)
+	f.set(f.down, addr, false)
+	f.agents[n] = a
+}
+
+// kill ends a process without a word: what it still sends reaches nobody.
+func (f *fleet) kill(addr netip.AddrPort) {
+	f.mu.Lock()
+	delete(f.endpoints, addr)
+	f.mu.Unlock()
+	f.set(f.down, addr, true)
+}
+
+func (f *fleet) killAgent(n int) {
+	f.kill(agentAddr(n))
+	f.gone[n] = f.agents[n].Self().Incarnation
+	assert.NilError(f.t, f.agents[n].Close())
+	delete(f.agents, n)
+}
+
+func (f *fleet) killKeeper(n int) {
+	f.kill(memberAddr(n))
+	assert.NilError(f.t, f.keepers[n].Close())
+	delete(f.keepers, n)
+}
+
+func (f *fleet) close() {
+	for _, a := range f.agents {
+		assert.NilError(f.t, a.Close())
+	}
+	for _, k := range f.keepers {
+		assert.NilError(f.t, k.Close())
+	}
+}
+
+// eligible returns the agents that a balancer would give new flows to.
+func (f *fleet) eligible(n int) []int {
+	var out []int
+	for _, candidates := range f.keepers[n].View().Services {
+		for _, c := range candidates {
+			ip := c.Data.Addr().As4()
+			out = append(out, int(ip[2])<<8|int(ip[3]))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// checkGone is the oracle: nothing is found gone that has not ended.
+func (f *fleet) checkGone() {
+	f.t.Helper()
+	for n, k := range f.keepers {
+		for _, gone := range k.View().Gone {
+			ip := gone.Data.Addr().As4()
+			ended := max(f.gone[int(ip[2])<<8|int(ip[3])], 99)
+			assert.Check(f.t, gone.Incarnation <= ended, "balancer %d: %v has not ended", n, gone)
+		}
+	}
+}
--- /dev/null
+++ b/keeper/endpoint.go
@@ -0,0 +1,152 @@
+package keeper
+
+import (
+	"net/netip"
+	"time"
+
+	"dandelionhitch.example/roster"
+)
+
+const (
+	// _peersTold is how many upstreams of its service an agent is told of.
+	_peersTold = 3
+	// _loadLife is how long a fine load counts.
+	_loadLife = 5 * HeartbeatInterval
+)
+
+// Endpoint is the receiver of the rpc service "Keeper".
+type Endpoint struct {
+	keeper *Keeper
+}
+
+// Heartbeat hears an agent.
+func (e *Endpoint) Heartbeat(request *HeartbeatRequest, reply *HeartbeatReply) error {
+	k := e.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	k.counts.heartbeats++
+	if request.Record != nil {
+		k.absorbed(k.roster.Announce(now, *request.Record))
+	}
+	key := roster.UpstreamKey(request.Data)
+	reply.Revision = k.self.Revision
+	status, known := k.roster.Status(key)
+	at := roster.Mark{Incarnation: request.Incarnation, Seq: request.Seq}
+	switch {
+	case known && (status.Highest > at.Incarnation || status.Ended >= at.Incarnation):
+		reply.Highest = status.Highest
+		return nil
+	case !known || status.Mark.Compare(at) < 0:
+		reply.NeedRecord = true
+		k.watches.heard(now, key)
+		return nil
+	}
+	k.watches.heard(now, key)
+	k.loads[key] = fineLoad{request.Load, now}
+	reply.Suspect = status.Suspect
+	u, _ := k.roster.Upstream(key)
+	choices := k.choices(u)
+	if ChoicesHash(choices) != request.Choices {
+		reply.Choices = choices
+	}
+	if request.WantPeers {
+		reply.Peers = k.peers(u)
+	}
+	return nil
+}
+
+// Exchange hears another balancer's news and tells this one's.
+func (e *Endpoint) Exchange(request *ExchangeRequest, reply *ExchangeReply) error {
+	k := e.keeper
+	from := roster.MemberKey(request.From)
+	control := k.answerExchange(from, request, reply)
+	k.offerRevision(request.Revision, control)
+	return nil
+}
+
+// Sync compares some buckets with another balancer.
+func (e *Endpoint) Sync(request *roster.Sync, reply *roster.SyncReply) error {
+	k := e.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	*reply = k.roster.AnswerSync(k.now(), *request)
+	return nil
+}
+
+// Members lists all members.
+func (e *Endpoint) Members(_ *MembersRequest, reply *MembersReply) error {
+	k := e.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.updateRevision()
+	reply.Members = k.roster.Members()
+	return nil
+}
+
+// Records lists upstreams.
+func (e *Endpoint) Records(request *RecordsRequest, reply *RecordsReply) error {
+	k := e.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	reply.Upstreams = k.roster.Upstreams(request.Service)
+	return nil
+}
+
+func (k *Keeper) answerExchange(from roster.Key, request *ExchangeRequest, reply *ExchangeReply) netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	k.counts.exchanges++
+	k.updateRevision()
+	push, out := k.roster.AnswerPush(now, from, request.Push)
+	k.absorbed(out)
+	reply.From = k.self.Data
+	reply.Revision = k.self.Revision
+	reply.Reply = push
+	k.heardMember(now, from)
+	m, _ := k.roster.Member(from)
+	return m.Control
+}
+
+// heardMember notes a sign of life of another member. The lock is held.
+func (k *Keeper) heardMember(now time.Duration, key roster.Key) {
+	if key == k.key {
+		return
+	}
+	k.watches.heard(now, key)
+	k.exchangedAt = now
+	k.exchanged = true
+}
+
+// choices are the members to keep an upstream. The lock is held.
+func (k *Keeper) choices(u roster.Upstream) []Choice {
+	keepers := k.roster.Keepers(u)
+	out := make([]Choice, len(keepers))
+	for i, m := range keepers {
+		out[i] = Choice{Data: m.Data, Control: m.Control}
+	}
+	return out
+}
+
+// peers are upstreams of the same service with their loads. The lock is held.
+func (k *Keeper) peers(u roster.Upstream) []Peer {
+	var out []Peer
+	for _, other := range k.roster.Neighbours(u, _peersTold) {
+		out = append(out, Peer{
+			Data: other.Data, Control: other.Control, Place: other.Place,
+			Incarnation: other.Incarnation, Load: k.load(other),
+		})
+	}
+	return out
+}
+
+// load returns the fine load of an upstream, or one that its coarse level
+// stands for. The lock is held.
+func (k *Keeper) load(u roster.Upstream) uint8 {
+	fine, known := k.loads[roster.UpstreamKey(u.Data)]
+	if known && k.now()-fine.at < _loadLife {
+		return fine.percent
+	}
+	return u.Load.Percent()
+}
--- /dev/null
+++ b/keeper/judge.go
@@ -0,0 +1,155 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dandelionhitch.example/roster"
+	"dandelionhitch.example/service"
+)
+
+// _viewLife is how long a view serves while nothing changes but shares.
+const _viewLife = time.Second
+
+// loopJudge looks at the clock.
+func (k *Keeper) loopJudge() error {
+	ticker := time.NewTicker(_judgeTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			k.judge()
+		case <-k.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// judge acts on silence, forgets what is old, and tells of changes.
+func (k *Keeper) judge() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	before := k.watches.pausedAt
+	for _, a := range k.watches.tick(now, k.connected(now), concluding{k.roster, k.key}) {
+		k.act(now, a)
+	}
+	if k.watches.pausedAt != before {
+		k.options.logger.Warn("this process was paused; hearing others before judging them")
+		k.exchanged = false
+		k.hasten()
+	}
+	k.patrol(now)
+	if k.expireAt <= now {
+		k.expireAt = now + _expireInterval
+		k.forget(now)
+	}
+	if now-k.viewAt >= _viewLife || k.notified != k.roster.Version() {
+		k.notify()
+	}
+}
+
+// connected says that this balancer has a sign of not being cut off: another
+// member answered lately, or most of its agents are heard. The lock is held.
+func (k *Keeper) connected(now time.Duration) bool {
+	if k.exchanged && now-k.exchangedAt < _trustedFor {
+		return true
+	}
+	alive, all := k.watches.alive(now)
+	return all > 0 && 2*alive >= all
+}
+
+// concluding tells the watchlist what a roster concludes.
+type concluding struct {
+	roster *roster.Roster
+	self   roster.Key
+}
+
+func (c concluding) status(key roster.Key) roster.Status {
+	status, known := c.roster.Status(key)
+	if !known {
+		status.State = service.Gone
+	}
+	return status
+}
+
+func (c concluding) keeps(key roster.Key) bool {
+	if key.Kind == roster.KindMember {
+		return true
+	}
+	u, known := c.roster.Upstream(key)
+	return known && c.roster.Keeps(c.self, u)
+}
+
+// act does what the watchlist asks for. The lock is held.
+func (k *Keeper) act(now time.Duration, a action) {
+	switch a := a.(type) {
+	case suspect:
+		k.counts.suspicions++
+		k.options.logger.Info("suspected", zap.Stringer("address", a.key.Addr))
+		k.absorbed(k.roster.Suspect(now, a.key))
+	case probe:
+		select {
+		case k.probes <- a:
+		default: // It is asked for again later.
+		}
+	}
+}
+
+// patrol looks at some entries at each tick and begins to watch those that this
+// balancer keeps and has not heard: their other keepers may be gone. The lock is held.
+func (k *Keeper) patrol(now time.Duration) {
+	k.beat++
+	for _, u := range k.roster.Patrol(k.beat) {
+		key := roster.UpstreamKey(u.Data)
+		if k.watches.watches[key] == nil && k.roster.Keeps(k.key, u) {
+			k.watches.begin(now, key)
+		}
+	}
+}
+
+// forget drops what is old. The lock is held.
+func (k *Keeper) forget(now time.Duration) {
+	k.roster.Expire(now)
+	for key, load := range k.loads {
+		if now-load.at >= _loadLife {
+			delete(k.loads, key)
+		}
+	}
+}
+
+// loopProbe probes silent processes.
+func (k *Keeper) loopProbe() error {
+	for {
+		select {
+		case p := <-k.probes:
+			k.probe(p)
+		case <-k.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (k *Keeper) probe(p probe) {
+	k.mu.Lock()
+	u, isUpstream := k.roster.Upstream(p.key)
+	m, _ := k.roster.Member(p.key)
+	k.counts.probes++
+	k.mu.Unlock()
+	addr := m.Control
+	if isUpstream {
+		addr = u.Control
+	}
+	ctx, cancel := context.WithTimeout(k.tomb.Context(context.Background()), _probeTimeout)
+	defer cancel()
+	if !addr.IsValid() || k.options.prober.Probe(ctx, addr) != roster.Refused {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts.verdicts++
+	k.options.logger.Info("gone: its host refuses connections", zap.Stringer("address", p.key.Addr))
+	k.absorbed(k.roster.Confirm(k.now(), p.key, p.incarnation))
+}
--- /dev/null
+++ b/keeper/lease.go
@@ -0,0 +1,243 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/roster"
+)
+
+// LeasePrefix is what the keys of the members' leases begin with.
+const LeasePrefix = "members/"
+
+// lease is the object by which a member is found.
+type lease struct {
+	Member roster.Member `json:"member"`
+	// Renewal counts the renewals, so that each one changes the object.
+	Renewal uint64 `json:"renewal"`
+}
+
+// UnmarshalJSON decodes and checks a lease.
+func (l *lease) UnmarshalJSON(data []byte) error {
+	type plain lease
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return trace.BadParameter("lease: %v", err)
+	}
+	if err := p.Member.Validate(); err != nil {
+		return trace.Wrap(err, "lease")
+	}
+	*l = lease(p)
+	return nil
+}
+
+// sighting is one lease as this balancer has read it.
+type sighting struct {
+	version platform.Version
+	// since is when this version was first read, reads how often in a row.
+	since time.Duration
+	reads int
+}
+
+// _leaseReads is how often in a row a lease must have been read unchanged
+// before it counts as abandoned.
+const _leaseReads = 4
+
+// sightings tell abandoned leases. Members do not compare clocks: a lease is
+// abandoned when it stayed the same over several readings and the whole term.
+// A platform outage during which nobody could renew breaks the row of readings.
+type sightings struct {
+	seen   map[string]sighting
+	lastAt time.Duration
+}
+
+// read notes a reading and returns the leases that are abandoned.
+func (s *sightings) read(now time.Duration, objects []platform.Object) []platform.Object {
+	if now-s.lastAt > 2*_leaseInterval {
+		s.seen = nil
+	}
+	s.lastAt = now
+	seen := make(map[string]sighting, len(objects))
+	var abandoned []platform.Object
+	for _, object := range objects {
+		was, known := s.seen[object.Key]
+		if !known || was.version != object.Version {
+			was = sighting{version: object.Version, since: now}
+		}
+		was.reads++
+		seen[object.Key] = was
+		if was.reads >= _leaseReads && now-was.since >= _leaseTerm {
+			abandoned = append(abandoned, object)
+		}
+	}
+	s.seen = seen
+	return abandoned
+}
+
+// leaseholder is the platform's side of a keeper.
+type leaseholder struct {
+	keeper    *Keeper
+	store     platform.Store
+	version   platform.Version
+	renewal   uint64
+	sightings sightings
+}
+
+// loopLease renews the lease and reads the others, spread by jitter so that
+// the fleet's calls are even, also after an outage.
+func (k *Keeper) loopLease() error {
+	h := &leaseholder{keeper: k, store: k.options.store}
+	wait := k.jitter(_startSpread)
+	for {
+		select {
+		case <-time.After(wait):
+		case <-k.tomb.Dying():
+			h.release()
+			return nil
+		}
+		wait = _leaseInterval*3/4 + k.jitter(_leaseInterval/2)
+		if err := h.turn(); err != nil {
+			k.options.logger.Warn("the platform's leases are out of reach", zap.Error(err))
+			k.count(&k.counts.leaseFailures)
+			wait = _leaseRetry/4 + k.jitter(_leaseRetry)
+		}
+	}
+}
+
+// turn renews the lease and learns the members.
+func (h *leaseholder) turn() error {
+	ctx, cancel := context.WithTimeout(h.keeper.tomb.Context(context.Background()), _platformTimeout)
+	defer cancel()
+	if err := h.renew(ctx); err != nil {
+		return trace.Wrap(err, "renew the lease")
+	}
+	return trace.Wrap(h.learn(ctx), "read the leases")
+}
+
+func (h *leaseholder) key() string { return LeasePrefix + h.keeper.Self().Name }
+
+func (h *leaseholder) renew(ctx context.Context) error {
+	h.renewal++
+	value, err := json.Marshal(lease{Member: h.keeper.Self(), Renewal: h.renewal})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	h.keeper.count(&h.keeper.counts.leaseWrites)
+	version, err := h.store.Put(ctx, h.key(), value, h.version)
+	if err == nil {
+		h.version = version
+		return nil
+	}
+	if !trace.IsCompareFailed(err) && !trace.IsNotFound(err) && !platform.IsAmbiguous(err) {
+		return err
+	}
+	return h.settle(ctx, err)
+}
+
+// settle finds out what became of the lease when it is not as expected: the
+// answer to a write was lost, an earlier run's lease is there, or the lease was
+// taken for abandoned and removed. The next turn goes on from what it finds.
+func (h *leaseholder) settle(ctx context.Context, cause error) error {
+	object, err := h.store.Get(ctx, h.key())
+	if trace.IsNotFound(err) {
+		h.version = 0
+		return cause
+	}
+	if err != nil {
+		return err
+	}
+	var other lease
+	if err := json.Unmarshal(object.Value, &other); err == nil && other.Member.Data != h.keeper.Self().Data {
+		h.keeper.options.logger.Error("another balancer has this one's name, or had it before",
+			zap.String("name", other.Member.Name), zap.Stringer("its_address", other.Member.Data))
+	}
+	h.version = object.Version
+	if other.Renewal == h.renewal && other.Member == h.keeper.Self() {
+		return nil
+	}
+	return cause
+}
+
+// learn reads the leases of all members and removes abandoned ones.
+func (h *leaseholder) learn(ctx context.Context) error {
+	h.keeper.count(&h.keeper.counts.leaseReads)
+	objects, err := h.store.List(ctx, LeasePrefix)
+	if err != nil {
+		return err
+	}
+	k := h.keeper
+	var found []roster.Member
+	for _, object := range objects {
+		var l lease
+		if err := json.Unmarshal(object.Value, &l); err != nil {
+			k.options.logger.Warn("a lease cannot be read", zap.String("key", object.Key), zap.Error(err))
+			continue
+		}
+		found = append(found, l.Member)
+	}
+	k.found(found)
+	for _, object := range h.sightings.read(k.now(), objects) {
+		if object.Key != h.key() {
+			// Another member may be quicker, or the owner be back; either is well.
+			_ = h.store.Delete(ctx, object.Key, object.Version)
+		}
+	}
+	return nil
+}
+
+// release removes the lease.
+func (h *leaseholder) release() {
+	if h.version == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), _callTimeout)
+	defer cancel()
+	if err := h.store.Delete(ctx, h.key(), h.version); err != nil {
+		h.keeper.options.logger.Warn("the lease stays behind until others remove it", zap.Error(err))
+	}
+}
+
+// found notes the members that have leases. Their records are not taken from
+// there: a lease may be old.
+func (k *Keeper) found(members []roster.Member) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leasesRead = true
+	clear(k.strays)
+	for _, peer := range k.options.peers {
+		k.strays[peer] = struct{}{}
+	}
+	for _, m := range members {
+		if m.Data != k.self.Data && !k.outdated(m) {
+			k.strays[m.Control] = struct{}{}
+		}
+	}
+	delete(k.strays, k.self.Control)
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// outdated says that the run that a lease was made by has ended. The lock is held.
+func (k *Keeper) outdated(m roster.Member) bool {
+	status, known := k.roster.Status(roster.MemberKey(m.Data))
+	return known && status.Ended >= m.Incarnation
+}
+
+func (k *Keeper) jitter(span time.Duration) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Duration(k.random.Int64N(int64(span)))
+}
+
+func (k *Keeper) count(counter *int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	*counter++
+}
--- /dev/null
+++ b/keeper/probe.go
@@ -0,0 +1,28 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"syscall"
+
+	"dandelionhitch.example/roster"
+)
+
+// tcpProber probes by opening a TCP connection.
+type tcpProber struct{}
+
+// Probe opens a connection to addr and closes it.
+func (tcpProber) Probe(ctx context.Context, addr netip.AddrPort) roster.Finding {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+	switch {
+	case err == nil:
+		conn.Close()
+		return roster.Listening
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return roster.Refused
+	}
+	return roster.Silent
+}
--- /dev/null
+++ b/keeper/watchlist.go
@@ -0,0 +1,166 @@
+package keeper
+
+import (
+	"time"
+
+	"dandelionhitch.example/roster"
+	"dandelionhitch.example/service"
+)
+
+// action is what the watchlist asks for: a suspicion or a probe.
+type action interface{ isAction() }
+
+// suspect asks to suspect the entry's present state.
+type suspect struct{ key roster.Key }
+
+// probe asks to probe the entry's control port.
+type probe struct {
+	key         roster.Key
+	incarnation service.Incarnation
+}
+
+func (suspect) isAction() {}
+func (probe) isAction()   {}
+
+// watch is the silence of one process, as this balancer hears it.
+type watch struct {
+	base    time.Duration
+	heardAt time.Duration
+	// patience is the silence after which to suspect.
+	patience time.Duration
+	// suspected is the state that was suspected last.
+	suspected roster.Mark
+	// probeAt is when to probe next; zero is not.
+	probeAt    time.Duration
+	probeEvery time.Duration
+}
+
+// watchlist judges silence. It is pure: the time and the roster's conclusions
+// come in, actions come out.
+//
+// A balancer that was paused, or that is cut off itself, hears nobody; the
+// silence then says nothing of the others. So after a gap in its own clock it
+// gives everyone a new term, and while it has no sign of being connected it
+// judges nobody.
+type watchlist struct {
+	watches  map[roster.Key]*watch
+	lastTick time.Duration
+	// pausedAt is when the last gap ended.
+	pausedAt time.Duration
+}
+
+func newWatchlist() *watchlist {
+	return &watchlist{watches: make(map[roster.Key]*watch)}
+}
+
+// heard notes a sign of life.
+func (l *watchlist) heard(now time.Duration, key roster.Key) {
+	w := l.begin(now, key)
+	w.heardAt = now
+	w.patience = w.base
+	w.suspected = roster.Mark{}
+	w.probeAt = 0
+	w.probeEvery = 0
+}
+
+// begin starts to watch a process; its first term begins now.
+func (l *watchlist) begin(now time.Duration, key roster.Key) *watch {
+	if w := l.watches[key]; w != nil {
+		return w
+	}
+	base := Silence
+	if key.Kind == roster.KindMember {
+		base = _memberSilence
+	}
+	w := &watch{base: base, heardAt: now, patience: base}
+	l.watches[key] = w
+	return w
+}
+
+// failed notes that a call to a process failed: it is probed at once.
+func (l *watchlist) failed(now time.Duration, key roster.Key) {
+	w := l.begin(now, key)
+	if w.probeAt == 0 {
+		w.probeAt = now
+	}
+}
+
+// conclusions are what the roster concludes.
+type conclusions interface {
+	// status returns what is concluded about an entry, Gone if nothing is known.
+	status(key roster.Key) roster.Status
+	// keeps says whether this balancer has to watch an entry.
+	keeps(key roster.Key) bool
+}
+
+// tick returns what the silence up to now calls for. connected says that this
+// balancer itself is not cut off.
+func (l *watchlist) tick(now time.Duration, connected bool, known conclusions) []action {
+	paused := now-l.lastTick > _gap
+	l.lastTick = now
+	if paused {
+		l.pausedAt = now
+	}
+	if paused || !connected {
+		l.renew(now)
+		return nil
+	}
+	var actions []action
+	for key, w := range l.watches {
+		status := known.status(key)
+		if status.State == service.Gone || (w.silent(now) && !known.keeps(key)) {
+			delete(l.watches, key)
+			continue
+		}
+		actions = w.judge(now, key, status, actions)
+	}
+	return actions
+}
+
+// renew gives everyone a new term.
+func (l *watchlist) renew(now time.Duration) {
+	for _, w := range l.watches {
+		w.heardAt = now
+		w.probeAt = 0
+	}
+}
+
+// alive counts the processes that are not silent, and all of them.
+func (l *watchlist) alive(now time.Duration) (alive, all int) {
+	for key, w := range l.watches {
+		if key.Kind != roster.KindUpstream {
+			continue
+		}
+		all++
+		if !w.silent(now) {
+			alive++
+		}
+	}
+	return alive, all
+}
+
+func (w *watch) silent(now time.Duration) bool { return now-w.heardAt > w.patience }
+
+func (w *watch) judge(now time.Duration, key roster.Key, status roster.Status, actions []action) []action {
+	if w.silent(now) && !status.Suspect {
+		if refuted := w.suspected.Incarnation != 0 && status.Mark.Compare(w.suspected) > 0; refuted {
+			// Others hear it and this balancer does not: it waits longer each time.
+			w.patience = min(2*w.patience, _maxPatience)
+			w.heardAt = now
+			w.suspected = roster.Mark{}
+			w.probeAt = 0
+			return actions
+		}
+		w.suspected = status.Mark
+		actions = append(actions, suspect{key})
+		if w.probeAt == 0 {
+			w.probeAt = now
+		}
+	}
+	if w.probeAt == 0 || now < w.probeAt {
+		return actions
+	}
+	w.probeEvery = min(max(2*w.probeEvery, _probeInterval), _maxProbeInterval)
+	w.probeAt = now + w.probeEvery
+	return append(actions, probe{key, status.Mark.Incarnation})
+}
--- a/roster/exchange.go
+++ b/roster/exchange.go
@@ -96,20 +96,19 @@
 	return nil
 }
 
-// Push begins an exchange. With compare it asks what else differs.
-func (r *Roster) Push(now time.Duration, compare bool) Push {
-	p := Push{Deltas: r.Rumors(now, _maxRumors)}
+// Push begins an exchange with a process. With compare it asks what else differs.
+func (r *Roster) Push(now time.Duration, to Key, compare bool) Push {
+	p := Push{Deltas: r.Rumors(now, to, _maxRumors)}
 	if compare {
 		p.Groups = r.Groups()
 	}
 	return p
 }
 
-// AnswerPush merges a Push and answers it.
-func (r *Roster) AnswerPush(now time.Duration, p Push) (PushReply, Outcome) {
-	// The rumors are taken first, so that none goes back to where it came from.
-	reply := PushReply{Deltas: r.Rumors(now, _maxRumors)}
-	out := r.Apply(now, p.Deltas)
+// AnswerPush merges a process's Push and answers it.
+func (r *Roster) AnswerPush(now time.Duration, from Key, p Push) (PushReply, Outcome) {
+	out := r.Apply(now, from, p.Deltas)
+	reply := PushReply{Deltas: r.Rumors(now, from, _maxRumors)}
 	if len(p.Groups) != 0 {
 		reply.Buckets = r.Buckets(p.Groups)
 	}
@@ -118,8 +117,8 @@
 
 // TakePushReply merges the answer to a Push. The Sync lists some of the buckets
 // that differ; it is empty when none does.
-func (r *Roster) TakePushReply(now time.Duration, reply PushReply) (Sync, Outcome) {
-	out := r.Apply(now, reply.Deltas)
+func (r *Roster) TakePushReply(now time.Duration, from Key, reply PushReply) (Sync, Outcome) {
+	out := r.Apply(now, from, reply.Deltas)
 	differing := r.Differing(reply.Buckets)
 	if len(differing) > _maxSyncBuckets {
 		// Each exchange begins at another bucket, so that one that always differs
@@ -139,7 +138,7 @@
 
 // TakeSyncReply merges the answer to a Sync. The Push holds what the other
 // process wants; it is empty when that is nothing.
-func (r *Roster) TakeSyncReply(now time.Duration, reply SyncReply) (Push, Outcome) {
+func (r *Roster) TakeSyncReply(now time.Duration, from Key, reply SyncReply) (Push, Outcome) {
 	p := Push{Deltas: r.Deltas(now, reply.Wants)}
-	return p, r.Apply(now, reply.Deltas)
+	return p, r.Apply(now, from, reply.Deltas)
 }
--- a/roster/keepers.go
+++ b/roster/keepers.go
@@ -112,3 +112,16 @@
 }
 
 func (e *entry) nameHash() uint64 { return xxhash.Sum64String(e.member.Name) }
+
+// Patrol returns the upstreams of one bucket, so that a caller who counts turns
+// up sees all of them again and again at an even cost. Ended ones are left out.
+func (r *Roster) Patrol(turn uint) []Upstream {
+	b := r.buckets[_memberBuckets+turn%(_buckets-_memberBuckets)]
+	var out []Upstream
+	for _, e := range b.entries {
+		if e.upstream != nil && !e.ended() {
+			out = append(out, *e.upstream)
+		}
+	}
+	return out
+}
--- a/roster/load.go
+++ b/roster/load.go
@@ -46,3 +46,14 @@
 	}
 	return LoadLow
 }
+
+// Percent returns a fine load that the level stands for.
+func (l Load) Percent() uint8 {
+	switch l {
+	case LoadHigh:
+		return _highFrom
+	case LoadFull:
+		return 100
+	}
+	return _highFrom / 2
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -81,23 +81,24 @@
 	Urgent bool
 }
 
-// Apply merges what another process told.
-func (r *Roster) Apply(now time.Duration, deltas []Delta) Outcome {
+// Apply merges what another process told. The zero Key stands for one that is
+// not told of changes itself.
+func (r *Roster) Apply(now time.Duration, from Key, deltas []Delta) Outcome {
 	var out Outcome
 	for _, d := range deltas {
-		out.add(r.apply(now, d))
+		out.add(r.apply(now, from, d))
 	}
 	return out
 }
 
 // Announce merges a record that its own writer gave.
 func (r *Roster) Announce(now time.Duration, u Upstream) Outcome {
-	return r.Apply(now, []Delta{{Upstream: &u}})
+	return r.Apply(now, Key{}, []Delta{{Upstream: &u}})
 }
 
 // AnnounceMember merges a record that its own writer gave.
 func (r *Roster) AnnounceMember(now time.Duration, m Member) Outcome {
-	return r.Apply(now, []Delta{{Member: &m}})
+	return r.Apply(now, Key{}, []Delta{{Member: &m}})
 }
 
 // Suspect raises a suspicion about the entry's present state. It does nothing
@@ -108,7 +109,7 @@
 		return Outcome{}
 	}
 	at := e.mark()
-	return r.Apply(now, []Delta{{
+	return r.Apply(now, Key{}, []Delta{{
 		Kind: key.Kind, Addr: key.Addr,
 		SuspectIncarnation: at.Incarnation, SuspectSeq: at.Seq,
 	}})
@@ -120,7 +121,7 @@
 	if r.entries[key] == nil {
 		return Outcome{}
 	}
-	return r.Apply(now, []Delta{{Kind: key.Kind, Addr: key.Addr, Gone: incarnation}})
+	return r.Apply(now, Key{}, []Delta{{Kind: key.Kind, Addr: key.Addr, Gone: incarnation}})
 }
 
 // Expire forgets runs that ended, or have stayed suspected, long ago. It
@@ -204,22 +205,22 @@
 	o.Urgent = o.Urgent || other.Urgent
 }
 
-func (r *Roster) apply(now time.Duration, d Delta) Outcome {
+func (r *Roster) apply(now time.Duration, from Key, d Delta) Outcome {
 	key := d.key()
 	e := r.entries[key]
 	if e == nil {
-		return r.admit(now, key, d)
+		return r.admit(now, from, key, d)
 	}
 	before := *e
 	if !e.merge(now, d) {
-		r.heardAgain(key)
+		r.heardAgain(from, key)
 		return Outcome{}
 	}
-	return r.settle(e, before)
+	return r.settle(now, from, e, before)
 }
 
 // admit makes an entry for a key that is new.
-func (r *Roster) admit(now time.Duration, key Key, d Delta) Outcome {
+func (r *Roster) admit(now time.Duration, from, key Key, d Delta) Outcome {
 	if !d.tells() || d.Progress != nil {
 		return Outcome{}
 	}
@@ -235,17 +236,17 @@
 	r.entries[key] = e
 	b := &r.buckets[key.bucket()]
 	b.entries = append(b.entries, e)
-	return r.settle(e, entry{key: key})
+	return r.settle(now, from, e, entry{key: key})
 }
 
 // settle brings the hashes and the rumors up to an entry's change.
-func (r *Roster) settle(e *entry, before entry) Outcome {
+func (r *Roster) settle(now time.Duration, from Key, e *entry, before entry) Outcome {
 	r.withdraw(e)
 	r.offer(e)
 	r.index(e, &before)
 	r.version++
 	urgent := e.urgent(&before)
-	r.spread(e, &before, urgent)
+	r.spread(now, from, e, &before, urgent)
 	return Outcome{Changed: 1, Urgent: urgent}
 }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,6 +34,13 @@
 	}
 }
 
+// keyOf names a roster in a test.
+func keyOf(r *Roster) Key {
+	text := fmt.Sprintf("%p", r)
+	n, _ := strconv.ParseUint(text[2:], 16, 64)
+	return MemberKey(testAddr(int(n >> 4)))
+}
+
 // exchange carries one exchange between two rosters. Messages from the n-th on
 // are lost; with codec they go through their encoding, and the octets are counted.
 func exchange(t assert.TestingT, now time.Duration, a, b *Roster, compare bool, lostFrom int, octets *int) {
@@ -48,15 +56,15 @@
 		sent++
 		return sent <= lostFrom
 	}
-	p := a.Push(now, compare)
+	p := a.Push(now, keyOf(b), compare)
 	if !pass(p, &p) {
 		return
 	}
-	reply, _ := b.AnswerPush(now, p)
+	reply, _ := b.AnswerPush(now, keyOf(a), p)
 	if !pass(reply, &reply) {
 		return
 	}
-	s, _ := a.TakePushReply(now, reply)
+	s, _ := a.TakePushReply(now, keyOf(b), reply)
 	if len(s.Summaries) == 0 || !pass(s, &s) {
 		return
 	}
@@ -64,10 +72,10 @@
 	if !pass(answer, &answer) {
 		return
 	}
-	p, _ = a.TakeSyncReply(now, answer)
+	p, _ = a.TakeSyncReply(now, keyOf(b), answer)
 	if len(p.Deltas) > 0 && pass(p, &p) {
-		reply, _ = b.AnswerPush(now, p)
-		a.TakePushReply(now, reply)
+		reply, _ = b.AnswerPush(now, keyOf(a), p)
+		a.TakePushReply(now, keyOf(b), reply)
 	}
 }
 
@@ -280,8 +288,8 @@
 			return Delta{Kind: KindUpstream, Addr: u.Data, Gone: u.Incarnation}
 		}), 1, 12).Draw(t, "deltas")
 		a, b := New(), New()
-		a.Apply(0, deltas)
-		b.Apply(0, rapid.Permutation(append(deltas, deltas...)).Draw(t, "order"))
+		a.Apply(0, Key{}, deltas)
+		b.Apply(0, Key{}, rapid.Permutation(append(deltas, deltas...)).Draw(t, "order"))
 		assert.DeepEqual(t, a.Groups(), b.Groups())
 	})
 }
@@ -292,7 +300,7 @@
 	for n := range 1000 {
 		full.Announce(0, testUpstream(n))
 	}
-	for full.Rumors(0, _maxRumors) != nil {
+	for full.Rumors(0, keyOf(joiner), _maxRumors) != nil {
 	}
 	for range (_buckets - _memberBuckets) / _maxSyncBuckets {
 		exchange(t, 0, joiner, full, true, _noLoss, nil)
@@ -441,9 +449,9 @@
 	a, b := New(), New()
 	a.Announce(0, u)
 	b.AnnounceMember(0, m)
-	push := a.Push(0, true)
-	reply, _ := b.AnswerPush(0, push)
-	s, _ := a.TakePushReply(0, reply)
+	push := a.Push(0, Key{}, true)
+	reply, _ := b.AnswerPush(0, Key{}, push)
+	s, _ := a.TakePushReply(0, Key{}, reply)
 	for _, message := range []any{push, reply, s, b.AnswerSync(0, s)} {
 		data, err := cbor.Marshal(message)
 		assert.NilError(f, err)
@@ -455,11 +463,11 @@
 		r.AnnounceMember(0, testMember(1))
 		var p Push
 		if cbor.Unmarshal(data, &p) == nil && p.Validate() == nil {
-			r.AnswerPush(time.Hour, p)
+			r.AnswerPush(time.Hour, Key{}, p)
 		}
 		var q PushReply
 		if cbor.Unmarshal(data, &q) == nil && q.Validate() == nil {
-			r.TakePushReply(time.Hour, q)
+			r.TakePushReply(time.Hour, Key{}, q)
 		}
 		var s Sync
 		if cbor.Unmarshal(data, &s) == nil && s.Validate() == nil {
@@ -467,7 +475,7 @@
 		}
 		var w SyncReply
 		if cbor.Unmarshal(data, &w) == nil && w.Validate() == nil {
-			r.TakeSyncReply(time.Hour, w)
+			r.TakeSyncReply(time.Hour, Key{}, w)
 		}
 		r.View(time.Hour)
 		checkHashes(t, r)
--- a/roster/rumor.go
+++ b/roster/rumor.go
@@ -7,18 +7,25 @@
 )
 
 const (
-	// _urgentSends is how often one process passes on a change that bears on
+	// _urgentSends is how many others one process tells a change that bears on
 	// new flows.
 	_urgentSends = 5
-	// _sends is how often it passes on any other change. Digests bring the rest.
+	// _sends is how many it tells any other change. Digests bring the rest.
 	_sends = 3
+	// _rumorLife bounds how long a change is told, where there are fewer others.
+	_rumorLife = 30 * time.Second
+	// _urgentLife is how long an urgent change deserves exchanges of its own.
+	_urgentLife = 1500 * time.Millisecond
 )
 
-// rumor is a recent change that is still passed on.
+// rumor is a recent change that is still told to others.
 type rumor struct {
 	entry *entry
-	// left is how often to pass it on.
+	since time.Duration
+	// left is how many others to tell.
 	left int
+	// aware are the others that have it: they were told or told it themselves.
+	aware []Key
 	// whole says that others may lack the record.
 	whole  bool
 	urgent bool
@@ -32,10 +39,10 @@
 	return e.mark().Incarnation != before.mark().Incarnation
 }
 
-func (r *Roster) spread(e, before *entry, urgent bool) {
+// spread begins to tell a change that came from a process.
+func (r *Roster) spread(now time.Duration, from Key, e, before *entry, urgent bool) {
 	whole := !before.known() || e.mark().Incarnation != before.mark().Incarnation
-	old := r.rumors[e.key]
-	if old != nil {
+	if old := r.rumors[e.key]; old != nil {
 		whole = whole || old.whole
 		urgent = urgent || old.urgent
 	}
@@ -43,32 +50,42 @@
 	if urgent {
 		left = _urgentSends
 	}
-	r.rumors[e.key] = &rumor{entry: e, left: left, whole: whole, urgent: urgent}
+	r.rumors[e.key] = &rumor{entry: e, since: now, left: left, aware: []Key{from}, whole: whole, urgent: urgent}
 }
 
-// heardAgain counts a rumor that came back as passed on once.
-func (r *Roster) heardAgain(key Key) {
-	if old := r.rumors[key]; old != nil {
-		r.passed(key, old)
+// heardAgain notes that a process has a change that it would be told.
+func (r *Roster) heardAgain(from, key Key) {
+	if old := r.rumors[key]; old != nil && !slices.Contains(old.aware, from) {
+		old.aware = append(old.aware, from)
 	}
 }
 
-func (r *Roster) passed(key Key, old *rumor) {
-	old.left--
-	if old.left <= 0 {
-		delete(r.rumors, key)
+// Rumors returns up to limit recent changes to tell a process, urgent and less
+// told ones first, and counts them as told.
+func (r *Roster) Rumors(now time.Duration, to Key, limit int) []Delta {
+	pending := r.pending(now, to)
+	pending = pending[:min(limit, len(pending))]
+	var out []Delta
+	for _, p := range pending {
+		out = append(out, p.entry.change(now, p.whole))
+		p.aware = append(p.aware, to)
+		p.left--
+		if p.left <= 0 {
+			delete(r.rumors, p.entry.key)
+		}
 	}
+	return out
 }
 
-// Rumors returns up to limit recent changes, urgent and less told ones first,
-// and counts them as passed on.
-func (r *Roster) Rumors(now time.Duration, limit int) []Delta {
-	if len(r.rumors) == 0 {
-		return nil
-	}
-	pending := make([]*rumor, 0, len(r.rumors))
-	for _, p := range r.rumors {
-		pending = append(pending, p)
+func (r *Roster) pending(now time.Duration, to Key) []*rumor {
+	var pending []*rumor
+	for key, p := range r.rumors {
+		switch {
+		case now-p.since > _rumorLife:
+			delete(r.rumors, key)
+		case !slices.Contains(p.aware, to):
+			pending = append(pending, p)
+		}
 	}
 	slices.SortFunc(pending, func(a, b *rumor) int {
 		if a.urgent != b.urgent {
@@ -79,24 +96,34 @@
 		}
 		return cmp.Or(cmp.Compare(b.left, a.left), a.entry.key.Addr.Compare(b.entry.key.Addr))
 	})
-	pending = pending[:min(limit, len(pending))]
-	out := make([]Delta, 0, len(pending))
-	for _, p := range pending {
-		out = append(out, p.entry.change(now, p.whole))
-		r.passed(p.entry.key, p)
+	return pending
+}
+
+// Unsent takes back that a process was told what a Push held: the call failed.
+func (r *Roster) Unsent(now time.Duration, to Key, p Push) {
+	for _, d := range p.Deltas {
+		e := r.entries[d.key()]
+		if e == nil {
+			continue
+		}
+		old := r.rumors[e.key]
+		if old == nil {
+			old = &rumor{entry: e, since: now, whole: d.Progress == nil}
+			r.rumors[e.key] = old
+		}
+		old.left++
+		old.aware = slices.DeleteFunc(old.aware, func(k Key) bool { return k == to })
 	}
-	return out
 }
 
-// Pending returns how many changes are still passed on, and whether one of them
-// is urgent.
-func (r *Roster) Pending() (count int, urgent bool) {
+// Urgent says that a change deserves an exchange of its own.
+func (r *Roster) Urgent(now time.Duration) bool {
 	for _, p := range r.rumors {
-		if p.urgent {
-			return len(r.rumors), true
+		if p.urgent && now-p.since < _urgentLife {
+			return true
 		}
 	}
-	return len(r.rumors), false
+	return false
 }
 
 // ForgetRumors drops what would be passed on. A process that learned a whole
--- a/roster/view.go
+++ b/roster/view.go
@@ -183,6 +183,19 @@
 	})
 }
 
+// Present returns the balancers that are not gone, in no order.
+func (r *Roster) Present() []MemberStatus {
+	var out []MemberStatus
+	for b := range _memberBuckets {
+		for _, e := range r.buckets[b].entries {
+			if !e.ended() {
+				out = append(out, MemberStatus{Member: *e.member, Suspect: e.suspected()})
+			}
+		}
+	}
+	return out
+}
+
 // Members returns what is concluded about each balancer, ended ones included,
 // ordered by name.
 func (r *Roster) Members() []MemberStatus {
