keeper: tests of silence, probes, neighbours, budget and abandoned leases

Cause: the fleet tests reach the judgement of silence only by way of the network. Change: TestSilence compares the watchlist with an oracle under pauses of the balancer itself, being cut off, and refutations; the others cover the pure parts. Decoders get a fuzz target.

--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,224 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/roster"
+	"dandelionhitch.example/service"
+)
+
+func testKey(n int) roster.Key {
+	return roster.UpstreamKey(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1))
+}
+
+func testMember(n int, place service.Place) roster.Member {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 1)
+	return roster.Member{
+		Name: fmt.Sprintf("entry-%d", n), Place: place, Data: addr, Control: addr,
+		Incarnation: 1, Seq: 1, State: service.Serving,
+	}
+}
+
+// fixed are conclusions that a test sets.
+type fixed map[roster.Key]roster.Status
+
+func (f fixed) status(key roster.Key) roster.Status { return f[key] }
+func (f fixed) keeps(roster.Key) bool               { return true }
+
+// TestSilence compares the watchlist with an oracle: it suspects exactly when it
+// could have heard a process, has not for its patience, and ran all that time.
+func TestSilence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newWatchlist()
+		key := testKey(1)
+		known := fixed{key: {Mark: roster.Mark{Incarnation: 1, Seq: 1}, State: service.Serving}}
+		now, since, patience := time.Duration(0), time.Duration(0), Silence
+		refutable := false
+		l.heard(now, key)
+		t.Repeat(map[string]func(*rapid.T){
+			"heard": func(*rapid.T) {
+				l.heard(now, key)
+				since, patience, refutable = now, Silence, false
+			},
+			"refuted": func(*rapid.T) {
+				status := known[key]
+				if status.Suspect {
+					status.Suspect = false
+					status.Mark.Seq++
+					known[key] = status
+				}
+			},
+			"tick": func(t *rapid.T) {
+				connected := rapid.IntRange(0, 9).Draw(t, "connected") > 0
+				paused := rapid.IntRange(0, 19).Draw(t, "paused") == 0
+				now += time.Duration(rapid.IntRange(1, 4).Draw(t, "ticks")) * _judgeTick
+				if paused {
+					now += time.Hour
+				}
+				actions := l.tick(now, connected, known)
+				if paused || !connected {
+					assert.Equal(t, len(actions), 0, "a balancer that is paused or cut off judges nobody")
+					since = now
+					return
+				}
+				if now-since <= patience || known[key].Suspect {
+					assert.Assert(t, !slices.Contains(actions, action(suspect{key})))
+					return
+				}
+				if refutable && !known[key].Suspect {
+					patience, since, refutable = min(2*patience, _maxPatience), now, false
+					return
+				}
+				assert.Assert(t, slices.Contains(actions, action(suspect{key})))
+				assert.Assert(t, slices.Contains(actions, action(probe{key, 1})) || l.watches[key].probeAt > now)
+				status := known[key]
+				status.Suspect = true
+				known[key] = status
+				refutable = true
+			},
+		})
+	})
+}
+
+func TestFailedCallIsProbedAtOnce(t *testing.T) {
+	l := newWatchlist()
+	key := testKey(1)
+	known := fixed{key: {Mark: roster.Mark{Incarnation: 7, Seq: 1}, State: service.Serving}}
+	l.failed(1, key)
+	assert.Assert(t, slices.Equal(l.tick(1, true, known), []action{probe{key, 7}}))
+	assert.Equal(t, len(l.tick(time.Second/2, true, known)), 0)
+	known[key] = roster.Status{State: service.Gone}
+	l.tick(time.Second, true, known)
+	assert.Equal(t, len(l.watches), 0)
+}
+
+// TestProbe proves what a kernel says of a port that a process holds, even if it
+// never accepts, and of one that none does.
+func TestProbe(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	assert.Equal(t, tcpProber{}.Probe(context.Background(), addr), roster.Listening)
+	assert.NilError(t, l.Close())
+	assert.Equal(t, tcpProber{}.Probe(context.Background(), addr), roster.Refused)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Equal(t, tcpProber{}.Probe(ended, addr), roster.Silent)
+}
+
+func TestNeighbours(t *testing.T) {
+	for _, tt := range []struct{ near, far, wantNear, wantFar int }{
+		{0, 0, 0, 0},
+		{2, 0, 2, 0},
+		{0, 9, 0, 5},
+		{9, 0, 5, 0},
+		{9, 9, 3, 2},
+		{9, 1, 4, 1},
+		{1, 9, 1, 4},
+		{110, 550, 3, 2},
+	} {
+		var members []roster.MemberStatus
+		for n := range tt.near + tt.far {
+			place := service.Place("oslo-a")
+			if n >= tt.near {
+				place = "oslo-b"
+			}
+			members = append(members, roster.MemberStatus{Member: testMember(n+1, place)})
+		}
+		self := testMember(0, "oslo-a")
+		members = append(members, roster.MemberStatus{Member: self})
+		got := neighbours(self, members)
+		near := count(got, func(m roster.Member) bool { return m.Place == self.Place })
+		assert.Equal(t, near, tt.wantNear, "%+v", tt)
+		assert.Equal(t, len(got)-near, tt.wantFar, "%+v", tt)
+		if len(got) > 0 { // A suspected one is replaced, the others stay.
+			at := slices.IndexFunc(members, func(m roster.MemberStatus) bool { return m.Data == got[0].Data })
+			members[at].Suspect = true
+			for _, m := range neighbours(self, members) {
+				assert.Assert(t, m.Data != got[0].Data)
+			}
+		}
+	}
+}
+
+func TestBudget(t *testing.T) {
+	var b budget
+	spent := 0
+	for now := time.Duration(0); now < time.Hour; now += 100 * time.Millisecond {
+		if b.take(now, 1000) {
+			spent += 1000
+		}
+		bound := _syncBurst + 1000 + int(now.Seconds()*_syncRate)
+		assert.Assert(t, spent <= bound, "%d octets after %v", spent, now)
+	}
+	assert.Assert(t, spent >= _syncRate*3600*9/10)
+}
+
+// TestAbandonedLeases has one member renew, one vanish, and an outage during
+// which nobody could renew.
+func TestAbandonedLeases(t *testing.T) {
+	var s sightings
+	now := time.Duration(0)
+	read := func(live platform.Version) []string {
+		now += _leaseInterval
+		var keys []string
+		for _, o := range s.read(now, []platform.Object{{Key: "dead", Version: 1}, {Key: "live", Version: live}}) {
+			keys = append(keys, o.Key)
+		}
+		return keys
+	}
+	for v := range platform.Version(5) {
+		assert.Equal(t, len(read(v)), 0)
+	}
+	now += time.Hour
+	assert.Equal(t, len(read(5)), 0, "after an outage each lease gets a new term")
+	for v := range platform.Version(4) {
+		assert.Equal(t, len(read(6+v)), 0)
+	}
+	assert.DeepEqual(t, read(10), []string{"dead"})
+}
+
+func FuzzMessages(f *testing.F) {
+	addr := testKey(1).Addr
+	for _, message := range []any{
+		HeartbeatRequest{Data: addr, Incarnation: 1, Seq: 1, Load: 3, WantPeers: true},
+		HeartbeatReply{Highest: 3, Choices: []Choice{{addr, addr}}, Peers: []Peer{{Data: addr, Control: addr}}},
+		ExchangeRequest{From: addr, Push: roster.Push{Groups: make([]byte, roster.GroupsSize)}},
+		ExchangeReply{From: addr},
+		MembersReply{Members: []roster.MemberStatus{{Member: testMember(1, "oslo-a")}}},
+	} {
+		data, err := cbor.Marshal(message)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	k := &Keeper{
+		options: newOptions(nil), roster: roster.New(), watches: newWatchlist(), start: time.Now(),
+		self: testMember(0, "oslo-a"), loads: make(map[roster.Key]fineLoad), wake: make(chan struct{}, 1),
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var h HeartbeatRequest
+		if cbor.Unmarshal(data, &h) == nil && h.Validate() == nil {
+			_ = k.Endpoint().Heartbeat(&h, &HeartbeatReply{})
+		}
+		var e ExchangeRequest
+		if cbor.Unmarshal(data, &e) == nil && e.Validate() == nil {
+			_ = k.Endpoint().Exchange(&e, &ExchangeReply{})
+		}
+		for _, message := range []interface{ Validate() error }{&HeartbeatReply{}, &ExchangeReply{}, &MembersReply{}, &RecordsReply{}} {
+			if cbor.Unmarshal(data, message) == nil {
+				_ = message.Validate()
+			}
+		}
+	})
+}
