--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -46,8 +46,34 @@
 		now, since, patience := time.Duration(0), time.Duration(0), Silence
 		refutable := false
 		l.heard(now, key)
+		tick := func(paused, connected bool) {
+			now += 2 * _judgeTick
+			if paused {
+				now += time.Hour
+			}
+			actions := l.tick(now, connected, known)
+			if paused || !connected {
+				assert.Equal(t, len(actions), 0, "a balancer that is paused or cut off judges nobody")
+				since = now
+				return
+			}
+			if now-since <= patience || known[key].Suspect {
+				assert.Assert(t, !slices.Contains(actions, action(suspect{key})))
+				return
+			}
+			if refutable {
+				patience, since, refutable = min(2*patience, _maxPatience), now, false
+				return
+			}
+			assert.Assert(t, slices.Contains(actions, action(suspect{key})))
+			assert.Assert(t, slices.Contains(actions, action(probe{key, 1})) || l.watches[key].probeAt > now)
+			status := known[key]
+			status.Suspect = true
+			known[key] = status
+			refutable = true
+		}
 		t.Repeat(map[string]func(*rapid.T){
-			"heard": func(*rapid.T) {
+			"heard": func(t *rapid.T) {
 				l.heard(now, key)
 				since, patience, refutable = now, Silence, false
 			},
@@ -59,34 +85,13 @@
 					known[key] = status
 				}
 			},
-			"tick": func(t *rapid.T) {
-				connected := rapid.IntRange(0, 9).Draw(t, "connected") > 0
-				paused := rapid.IntRange(0, 19).Draw(t, "paused") == 0
-				now += time.Duration(rapid.IntRange(1, 4).Draw(t, "ticks")) * _judgeTick
-				if paused {
-					now += time.Hour
+			"ticks": func(t *rapid.T) {
+				for range rapid.IntRange(1, 60).Draw(t, "ticks") {
+					tick(false, true)
 				}
-				actions := l.tick(now, connected, known)
-				if paused || !connected {
-					assert.Equal(t, len(actions), 0, "a balancer that is paused or cut off judges nobody")
-					since = now
-					return
-				}
-				if now-since <= patience || known[key].Suspect {
-					assert.Assert(t, !slices.Contains(actions, action(suspect{key})))
-					return
-				}
-				if refutable && !known[key].Suspect {
-					patience, since, refutable = min(2*patience, _maxPatience), now, false
-					return
-				}
-				assert.Assert(t, slices.Contains(actions, action(suspect{key})))
-				assert.Assert(t, slices.Contains(actions, action(probe{key, 1})) || l.watches[key].probeAt > now)
-				status := known[key]
-				status.Suspect = true
-				known[key] = status
-				refutable = true
 			},
+			"paused":  func(*rapid.T) { tick(true, true) },
+			"cut off": func(*rapid.T) { tick(false, false) },
 		})
 	})
 }
