dispatcher: refusals, deadlines, tickets and draining, one by one

Nothing but the histories covered what a single caller sees. Now shown on a fake clock: refusals come in no time and spread their Retry-After; deadlines and cancellation reach the upstream to the millisecond; a repeated ticket gets the first answer, or 409 'done' when that was too large to keep; the run goes on when its caller goes away; a ticket is honoured by an agent whose settings do not ask for it yet; a draining agent hands new requests over, runs the tickets that only it may run, and waits for what is in progress; GET, PUT and DELETE are tried twice, POST once.

One change of behaviour: a ticket whose issuer has been replaced is answered with 409 and not 421, which clients may repeat by themselves (RFC 9110, 15.5.20).

--- /dev/null
+++ b/dispatcher/behaviour_test.go
@@ -0,0 +1,264 @@
+package dispatcher_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/dispatcher"
+	"dandelionhitch.example/settings"
+)
+
+// newAlone returns a dispatcher without peers whose upstream is serve.
+func newAlone(t testing.TB, policy settings.Service, serve func(*http.Request) (*http.Response, error)) *dispatcher.Dispatcher {
+	d, err := dispatcher.New(&url.URL{Scheme: "http", Host: "upstream"}, func() settings.Service { return policy },
+		dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: newSelf(), Incarnation: 1}),
+		dispatcher.WithTransport(transportFunc(serve)))
+	assert.NilError(t, err)
+	return d
+}
+
+// ask sends one request to d and returns the answer.
+func ask(d http.Handler, method, target, body string, header ...string) *http.Response {
+	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	d.ServeHTTP(w, r)
+	return w.Result()
+}
+
+// after answers every request with status and body after span, or when it is
+// cancelled.
+func after(span time.Duration, status int, body string) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		if r.Body != nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		select {
+		case <-time.After(span):
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+		w := httptest.NewRecorder()
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+		return w.Result(), nil
+	}
+}
+
+func outcome(answer *http.Response) string { return answer.Header.Get(dispatcher.HeaderOutcome) }
+
+func TestRefusalsAreFinalAndAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		policy := policyOf()
+		policy.Limits = settings.Limits{Slots: 1, QueueLength: 1}
+		d := newAlone(t, policy, after(time.Second, http.StatusOK, ""))
+		began := time.Now()
+		answers := make(chan *http.Response, 10)
+		for range cap(answers) {
+			go func() { answers <- ask(d, http.MethodPost, "/checkin", "") }()
+			synctest.Wait()
+		}
+		came := make(map[int]bool)
+		for range 8 {
+			answer := <-answers
+			assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, outcome(answer), dispatcher.OutcomeNotRun)
+			seconds, err := strconv.Atoi(answer.Header.Get("Retry-After"))
+			assert.NilError(t, err)
+			came[seconds] = true
+		}
+		assert.Equal(t, time.Since(began), time.Duration(0), "refusals were held back")
+		assert.Assert(t, len(came) > 1, "callers come back together: %v", came)
+		for range 2 {
+			assert.Equal(t, (<-answers).StatusCode, http.StatusOK)
+		}
+		assert.NilError(t, d.Close())
+	})
+}
+
+func TestDeadlinesAndCancellationReachTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told string
+		ended := make(chan time.Time, 1)
+		d := newAlone(t, policyOf(), func(r *http.Request) (*http.Response, error) {
+			told = r.Header.Get(dispatcher.HeaderDeadline)
+			<-r.Context().Done()
+			ended <- time.Now()
+			return nil, r.Context().Err()
+		})
+		began := time.Now()
+		answer := ask(d, http.MethodPost, "/checkin", "", dispatcher.HeaderDeadline, "250")
+		assert.Equal(t, answer.StatusCode, http.StatusGatewayTimeout)
+		assert.Equal(t, outcome(answer), dispatcher.OutcomeUnknown)
+		assert.Equal(t, told, "250")
+		assert.Equal(t, (<-ended).Sub(began), 250*time.Millisecond)
+
+		ctx, cancel := context.WithTimeout(context.Background(), 70*time.Millisecond)
+		defer cancel()
+		began = time.Now()
+		d.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodGet, "/sheet", nil))
+		assert.Equal(t, (<-ended).Sub(began), 70*time.Millisecond)
+		for _, bad := range []string{"0", "-1", "x", "1e3", "99999999999"} {
+			assert.Equal(t, ask(d, http.MethodGet, "/", "", dispatcher.HeaderDeadline, bad).StatusCode, http.StatusBadRequest)
+		}
+		assert.NilError(t, d.Close())
+	})
+}
+
+func TestTicketsOfOneAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs, body := 0, "order 12"
+		run := after(time.Second, http.StatusCreated, "")
+		d := newAlone(t, policyOf(), func(r *http.Request) (*http.Response, error) {
+			runs++
+			answer, err := run(r)
+			if err == nil {
+				answer.Body = io.NopCloser(strings.NewReader(body))
+			}
+			return answer, err
+		})
+		demand := func() string {
+			answer := ask(d, http.MethodPost, "/once/order", "2 wreaths")
+			assert.Equal(t, answer.StatusCode, http.StatusPreconditionRequired)
+			assert.Equal(t, outcome(answer), dispatcher.OutcomeNotRun)
+			return answer.Header.Get(dispatcher.HeaderKey)
+		}
+		send := func(path, key string) (int, string, string) {
+			answer := ask(d, http.MethodPost, path, "2 wreaths", dispatcher.HeaderKey, key)
+			got, err := io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+			return answer.StatusCode, outcome(answer), string(got)
+		}
+		same := func(path, key string, status int, want, wantBody string) {
+			t.Helper()
+			gotStatus, got, gotBody := send(path, key)
+			assert.Equal(t, gotStatus, status)
+			assert.Equal(t, got, want)
+			assert.Assert(t, wantBody == "" || gotBody == wantBody, "%s", gotBody)
+		}
+
+		key := demand()
+		go send("/once/order", key)
+		synctest.Wait()
+		same("/once/order", key, http.StatusCreated, "", body) // waits for the first copy
+		same("/once/order", key, http.StatusCreated, "", body)
+		same("/once/other", key, http.StatusUnprocessableEntity, "", "")
+		assert.Equal(t, runs, 1)
+
+		key, body = demand(), strings.Repeat("rose ", 2000)
+		same("/once/order", key, http.StatusCreated, "", body)
+		same("/once/order", key, http.StatusConflict, dispatcher.OutcomeDone, "")
+		same("/once/order", strings.Replace(key, "dht1.A", "dht1.B", 1), http.StatusConflict, dispatcher.OutcomeUnknown, "")
+		same("/once/order", "the caller's own key", http.StatusPreconditionRequired, dispatcher.OutcomeNotRun, "")
+
+		key = demand()
+		time.Sleep(time.Hour)
+		same("/once/order", key, http.StatusConflict, dispatcher.OutcomeUnknown, "")
+		assert.Equal(t, runs, 2)
+
+		// A caller that goes away does not end the run of its ticket.
+		key, body = demand(), "order 13"
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/once/order", nil)
+		r.Header.Set(dispatcher.HeaderKey, key)
+		go d.ServeHTTP(httptest.NewRecorder(), r)
+		time.Sleep(500 * time.Millisecond)
+		same("/once/order", key, http.StatusCreated, "", body)
+		assert.Equal(t, runs, 3)
+		assert.NilError(t, d.Close())
+	})
+}
+
+func TestTicketIsHonouredWhereSettingsLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 2, 0)
+		defer c.close()
+		key := ask(c.all[0].d, http.MethodPost, "/once", "").Header.Get(dispatcher.HeaderKey)
+		// The other agent does not know yet that the route needs tickets.
+		c.lagging.Store(true)
+		for range 3 {
+			answer := ask(c.all[1].d, http.MethodPost, "/once", "", dispatcher.HeaderKey, key, "Op", "order")
+			assert.Equal(t, answer.StatusCode, http.StatusCreated)
+		}
+		assert.Equal(t, c.runs["order"], 1)
+	})
+}
+
+func TestDrainCutsNothingAndTakesNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 2, 0)
+		defer c.close()
+		leaving, staying := c.all[0].d, c.all[1].d
+		key := ask(leaving, http.MethodPost, "/once", "").Header.Get(dispatcher.HeaderKey)
+		inProgress := make(chan int, 1)
+		go func() { inProgress <- ask(leaving, http.MethodPost, "/plain", "", "Op", "first").StatusCode }()
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- leaving.Drain(context.Background()) }()
+		synctest.Wait()
+		assert.Equal(t, leaving.Load(), 7)
+
+		assert.Equal(t, ask(leaving, http.MethodPost, "/plain", "", "Op", "second").StatusCode, http.StatusCreated)
+		assert.Equal(t, c.handled, 1, "a new request was not handed over")
+		assert.Equal(t, ask(staying, http.MethodPost, "/once", "", dispatcher.HeaderKey, key, "Op", "third").StatusCode, http.StatusCreated)
+		assert.Equal(t, <-inProgress, http.StatusCreated)
+		next := ask(leaving, http.MethodPost, "/once", "").Header.Get(dispatcher.HeaderKey)
+		assert.NilError(t, <-drained)
+		c.restart(c.all[0].addr, 0)
+		assert.Equal(t, ask(staying, http.MethodPost, "/once", "", dispatcher.HeaderKey, next, "Op", "fourth").StatusCode, http.StatusCreated)
+		for op, runs := range c.runs {
+			assert.Equal(t, runs, 1, op)
+		}
+	})
+}
+
+func TestDrainWaitsAsLongAsItMay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newAlone(t, policyOf(), after(4*time.Second, http.StatusOK, ""))
+		go ask(d, http.MethodPost, "/plain", "")
+		synctest.Wait()
+		began := time.Now()
+		short, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, d.Drain(short), context.DeadlineExceeded)
+		assert.Equal(t, time.Since(began), time.Second)
+		assert.NilError(t, d.Drain(context.Background()))
+		assert.Equal(t, time.Since(began), 4*time.Second)
+		answer := ask(d, http.MethodPost, "/plain", "")
+		assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, outcome(answer), dispatcher.OutcomeNotRun)
+		assert.NilError(t, d.Close())
+	})
+}
+
+func TestIdempotentRequestsAreTriedAgain(t *testing.T) {
+	for method, want := range map[string]int{http.MethodGet: 2, http.MethodPut: 2, http.MethodDelete: 2, http.MethodPost: 1} {
+		t.Run(method, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runs := 0
+				d := newAlone(t, policyOf(), func(*http.Request) (*http.Response, error) {
+					runs++
+					return nil, errLost
+				})
+				answer := ask(d, method, "/sheet", "")
+				assert.Equal(t, answer.StatusCode, http.StatusBadGateway)
+				assert.Equal(t, outcome(answer), dispatcher.OutcomeUnknown)
+				assert.Equal(t, runs, want)
+				assert.NilError(t, d.Close())
+			})
+		})
+	}
+}
--- a/dispatcher/cluster_test.go
+++ b/dispatcher/cluster_test.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionhitch.example/dispatcher"
@@ -39,7 +40,8 @@
 
 	loss    float64 // share of messages and answers lost, while faulty
 	faulty  bool
-	handled int // hand-overs taken
+	handled int         // hand-overs taken
+	lagging atomic.Bool // the settings mark no route
 }
 
 // agentProcess is one run of an agent.
@@ -53,6 +55,8 @@
 	resumed     chan struct{} // nil unless paused
 }
 
+func newSelf() netip.AddrPort { return netip.MustParseAddrPort("10.0.0.1:7443") }
+
 func newCluster(seed uint64, agents int, loss float64) *cluster {
 	c := &cluster{
 		random: rand.New(rand.NewPCG(seed, 0)),
@@ -74,7 +78,14 @@
 	a.dead, a.kill = context.WithCancel(context.Background())
 	policy := policyOf()
 	policy.Limits = settings.Limits{Slots: 2, ReservedSlots: 1, QueueLength: 3}
-	d, err := dispatcher.New(&url.URL{Scheme: "http", Host: "upstream"}, func() settings.Service { return policy },
+	current := func() settings.Service {
+		policy := policy
+		if c.lagging.Load() {
+			policy.Requests.NonRepeatableRoutes = nil
+		}
+		return policy
+	}
+	d, err := dispatcher.New(&url.URL{Scheme: "http", Host: "upstream"}, current,
 		dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: addr, Incarnation: incarnation}),
 		dispatcher.WithTicketKeys(_keys),
 		dispatcher.WithTransport(transportFunc(a.upstream)),
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -219,7 +219,7 @@
 // servePeer answers a request that another agent passed on.
 func (d *Dispatcher) servePeer(w http.ResponseWriter, r *http.Request) {
 	if !d.requests.enter() {
-		writeProblem(w, d.untaken(r, http.StatusServiceUnavailable, "the agent is stopping"))
+		writeProblem(w, d.untaken(r, "the agent is stopping"))
 		return
 	}
 	defer d.requests.leave()
@@ -233,7 +233,7 @@
 	w.Header().Set(_headerLoad, strconv.Itoa(d.Load()))
 	if r.Header.Get(_headerTo) != addressee(d.self.Service, d.self.Incarnation) {
 		d.telemetry.answered("misdirected")
-		writeProblem(w, d.untaken(r, http.StatusMisdirectedRequest, "the addressed agent has ended"))
+		writeProblem(w, d.untaken(r, "the addressed agent has ended"))
 		return
 	}
 	x.servePassedOn()
@@ -242,14 +242,12 @@
 // untaken answers a request that this run of the agent does not take. A
 // hand-over is sent once, so that it has not run; nothing is known here of what
 // is asked about, or of other copies under a ticket.
-func (d *Dispatcher) untaken(r *http.Request, status int, detail string) Problem {
+func (d *Dispatcher) untaken(r *http.Request, detail string) Problem {
 	handedOver := r.Header.Get(_headerTransfer) != "" && r.Header.Get(_headerAsk) == ""
 	if !handedOver {
-		return unknown(status, detail)
+		return unknown(http.StatusConflict, detail)
 	}
-	p := notRun(detail, d.retryAfter())
-	p.Status = status
-	return p
+	return notRun(detail, d.retryAfter())
 }
 
 // servePassedOn answers a request that was passed on to this run of the agent.
