limit: scripts for the faults that random steps seldom reach

Change: a work action with slow answers, lost and late writes and stale reads, and one script for each rule. The seed is fixed.

--- a/limit/holder_test.go
+++ b/limit/holder_test.go
@@ -1,6 +1,8 @@
 package limit_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -8,6 +10,20 @@
 	"pgregory.net/rapid"
 )
 
+// _seed makes the state machine take the same steps in each run, unless
+// another seed is asked for.
+const _seed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set(_seed); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // TestSharesNeverExceedTheLimit is the proof of promises 1 to 4 of the package,
 // and that demand below the limit is met once the faults are over.
 func TestSharesNeverExceedTheLimit(t *testing.T) {
@@ -51,6 +67,8 @@
 			demand := make(map[*host]int)
 			for _, h := range w.hosts {
 				demand[h] = rapid.SampledFrom([]int{0, 3, 40, 1000}).Draw(t, "demand")
+				h.fate = rapid.SampledFrom([]fate{_answered, _answered, _answered, _lost, _delayed, _stale}).Draw(t, "fate")
+				h.lag = rapid.SampledFrom([]time.Duration{0, 0, 30 * time.Second, 9 * time.Minute}).Draw(t, "lag")
 			}
 			span := rapid.SampledFrom([]time.Duration{time.Minute, 13 * time.Minute, 50 * time.Minute, 5 * time.Hour}).Draw(t, "span")
 			w.settle(span, func(h *host) int { return demand[h] })
@@ -59,8 +77,7 @@
 			if len(w.late) == 0 {
 				t.Skip("none")
 			}
-			w.put(w.late[0])
-			w.late = w.late[1:]
+			w.land()
 		},
 		"admit": running(func(t *rapid.T, h *host) {
 			for range rapid.SampledFrom([]int{1, 5, 60, 1000}).Draw(t, "flows") {
--- /dev/null
+++ b/limit/script_test.go
@@ -0,0 +1,345 @@
+package limit_test
+
+import (
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/limit"
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/settings"
+)
+
+// _limits are those of the scripts: the floor of one of four hosts is 10 flows.
+var _limits = limit.Limits{Revision: 5, Flows: 80, FlowsPerUpstream: 100, MaxHosts: 4, DrainDeadline: settings.Duration(time.Hour)}
+
+func run(host byte) limit.Run {
+	return limit.Run{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 443), Incarnation: 7}
+}
+
+func other(host byte, flows, lacking int) limit.Entry {
+	return limit.Entry{
+		Run: run(host), Seq: 1, Leased: limit.UnitsFor(flows, 80), Lacking: limit.UnitsFor(lacking, 80),
+		Term: settings.Duration(10 * time.Minute), FloorTerm: settings.Duration(time.Hour),
+	}
+}
+
+// script drives one holder by hand.
+type script struct {
+	*testing.T
+	*limit.Holder
+	now  limit.Instant
+	gone func(limit.Run) bool
+}
+
+func newScript(t *testing.T) *script {
+	s := &script{T: t, gone: func(limit.Run) bool { return false }}
+	s.Holder = limit.NewHolder(s.now, run(1), limit.DefaultPace(), 1)
+	s.SetLimits(s.now, _limits)
+	return s
+}
+
+func (s *script) elapse(d time.Duration) {
+	s.now.Mono += d
+	s.now.Wall += d
+}
+
+// act rests until the holder acts, for at most an hour.
+func (s *script) act() limit.Action {
+	s.Helper()
+	for range 100 {
+		switch a := s.Act(s.now, s.gone).(type) {
+		case limit.Rest:
+			s.elapse(max(0, a.Until-s.now.Mono))
+		default:
+			return a
+		}
+	}
+	s.Fatal("the holder does nothing")
+	return nil
+}
+
+// write answers reads with the share until the holder writes.
+func (s *script) write(share limit.Share, version int) limit.Write {
+	s.Helper()
+	for range 100 {
+		switch a := s.act().(type) {
+		case limit.Read:
+			s.Handle(s.now, read(share, version))
+		case limit.Write:
+			return a
+		}
+	}
+	s.Fatal("the holder does not write")
+	return limit.Write{}
+}
+
+// look fails writes until the holder reads, and answers that.
+func (s *script) look(share limit.Share, version int) {
+	s.Helper()
+	for range 100 {
+		switch s.act().(type) {
+		case limit.Write:
+			s.Handle(s.now, limit.Failed{})
+		case limit.Read:
+			s.Handle(s.now, read(share, version))
+			return
+		}
+	}
+	s.Fatal("the holder does not read")
+}
+
+func read(share limit.Share, version int) limit.ReadDone {
+	return limit.ReadDone{Share: share, Version: platform.Version(version)}
+}
+
+// entry is the holder's own entry with a number of flows, as last written.
+func (s *script) entry(flows int) limit.Entry {
+	entry := other(1, flows, 0)
+	entry.Floor = limit.UnitsFor(10, 80)
+	entry.Leased -= entry.Floor
+	return entry
+}
+
+// joined brings the holder to its share of the whole among the other entries,
+// in version 1, with flows open.
+func (s *script) joined(flows int, others ...limit.Entry) limit.Share {
+	s.Helper()
+	w := s.write(limit.Share{Entries: others}, 1)
+	s.Handle(s.now, limit.WriteDone{Version: 2})
+	for range flows {
+		_, err := s.TryAdmit(s.now)
+		assert.NilError(s, err)
+	}
+	return w.Share
+}
+
+func (s *script) refusedFor(want limit.Reason) {
+	s.Helper()
+	_, err := s.TryAdmit(s.now)
+	var refusal *limit.RefusalError
+	assert.Assert(s, errors.As(err, &refusal), "%v", err)
+	assert.Equal(s, refusal.Reason, want)
+}
+
+func TestScripts(t *testing.T) {
+	const term = 10 * time.Minute
+	scripts := map[string]func(s *script){
+		"no share before the platform answered": func(s *script) {
+			s.act()
+			s.refusedFor(limit.NoShare)
+		},
+		"equal part taken without need": func(s *script) {
+			s.joined(0)
+			assert.Equal(s, s.Allowance(s.now), 60)
+			assert.Equal(s, s.Snapshot(s.now).Floor, 10)
+		},
+		"fractions of a flow stay free": func(s *script) {
+			most := other(2, 70, 0)
+			most.Leased -= limit.UnitsFor(1, 80) / 2
+			s.joined(0, most)
+			assert.Equal(s, s.Allowance(s.now), 10)
+			share := s.write(limit.Share{Entries: []limit.Entry{most, s.entry(10)}}, 3).Share
+			assert.Equal(s, share.Free(), limit.UnitsFor(1, 80)/2)
+		},
+		"the term counts from before the write": func(s *script) {
+			s.write(limit.Share{}, 1)
+			s.elapse(term - time.Second)
+			s.Handle(s.now, limit.WriteDone{Version: 2})
+			assert.Equal(s, s.Allowance(s.now), 60)
+			s.elapse(time.Second)
+			assert.Equal(s, s.Allowance(s.now), 10)
+		},
+		"the term counts on the monotonic clock": func(s *script) {
+			s.joined(10)
+			s.now.Wall -= time.Hour
+			s.now.Mono += term
+			s.refusedFor(limit.LeaseLapsed)
+		},
+		"the term counts on the wall clock": func(s *script) {
+			s.joined(10)
+			s.now.Wall += term
+			s.refusedFor(limit.LeaseLapsed)
+		},
+		"units are not used while they are returned": func(s *script) {
+			s.joined(20)
+			w := s.write(limit.Share{Entries: []limit.Entry{s.entry(60), other(2, 20, 15)}}, 3)
+			assert.Equal(s, w.Share.Entries[0].Units().Flows(80), 30)
+			assert.Equal(s, s.Allowance(s.now), 30)
+
+			s.Handle(s.now, limit.Failed{})
+			s.act()
+			s.Handle(s.now, read(limit.Share{Entries: []limit.Entry{s.entry(60), other(2, 20, 0)}}, 3))
+			assert.Equal(s, s.Allowance(s.now), 30, "the lost write may yet take effect")
+			s.look(limit.Share{Entries: []limit.Entry{s.entry(60), other(2, 20, 0)}}, 4)
+			assert.Equal(s, s.Allowance(s.now), 60, "it did not and never will")
+		},
+		"a lost write that took effect renews the lease from before it was sent": func(s *script) {
+			w := s.write(limit.Share{}, 1)
+			sent := s.now
+			s.Handle(s.now, limit.Failed{})
+			s.act()
+			s.Handle(s.now, read(w.Share, 2))
+			assert.Equal(s, s.Allowance(s.now), 60)
+			assert.Equal(s, s.Snapshot(s.now).LeaseLeft, term-(s.now.Mono-sent.Mono))
+		},
+		"a stale read changes nothing": func(s *script) {
+			s.joined(0)
+			for range 2 {
+				s.look(limit.Share{Entries: []limit.Entry{s.entry(80)}}, 1)
+				assert.Equal(s, s.Allowance(s.now), 60)
+			}
+		},
+		"others that lack units get them within two looks": func(s *script) {
+			s.joined(0)
+			before := s.now.Mono
+			w := s.write(limit.Share{Entries: []limit.Entry{s.entry(60), other(2, 20, 30)}}, 3)
+			assert.Equal(s, w.Share.Free(), limit.UnitsFor(30, 80))
+			assert.Assert(s, s.now.Mono-before < 2*time.Minute)
+		},
+		"a lower limit noted in the share counts, a higher one does not": func(s *script) {
+			s.joined(0)
+			for _, noted := range []struct{ limit, allowed int }{{40, 30}, {800, 60}} {
+				s.look(limit.Share{Revision: 6, Limit: noted.limit, Entries: []limit.Entry{s.entry(60)}}, 3)
+				assert.Equal(s, s.Allowance(s.now), noted.allowed)
+			}
+		},
+		"raised and lowered back leaves no trace and needs no write": func(s *script) {
+			s.joined(30)
+			raised := _limits
+			raised.Flows *= 100
+			for _, change := range []struct {
+				limits  limit.Limits
+				allowed int
+			}{{raised, 6000}, {_limits, 60}} {
+				s.SetLimits(s.now, change.limits)
+				assert.Equal(s, s.Allowance(s.now), change.allowed)
+			}
+			_, isRest := s.Act(s.now, s.gone).(limit.Rest)
+			assert.Assert(s, isRest)
+		},
+		"a lowered limit refuses until enough flows have ended": func(s *script) {
+			s.joined(60)
+			lowered := _limits
+			lowered.Flows = 40
+			s.SetLimits(s.now, lowered)
+			for range 31 {
+				s.refusedFor(limit.Flows)
+				s.Release()
+			}
+			_, err := s.TryAdmit(s.now)
+			assert.NilError(s, err)
+			assert.Equal(s, s.Open(), 30)
+		},
+		"open flows above the part claim what is free": func(s *script) {
+			s.joined(60)
+			lowered := _limits
+			lowered.Flows = 40
+			s.SetLimits(s.now, lowered)
+			s.refusedFor(limit.Flows)
+			w := s.write(limit.Share{Entries: []limit.Entry{s.entry(60)}}, 3)
+			assert.Equal(s, w.Share.Free(), limit.Units(0))
+		},
+		"a host beyond the expected number has no floor": func(s *script) {
+			others := []limit.Entry{other(2, 0, 0), other(3, 0, 0), other(4, 0, 0), other(5, 0, 0)}
+			for i := range others {
+				others[i].Floor = limit.UnitsFor(10, 80)
+			}
+			s.joined(0, others...)
+			assert.Equal(s, s.Snapshot(s.now).Floor, 0)
+			assert.Equal(s, s.Allowance(s.now), 12)
+			s.elapse(term)
+			s.refusedFor(limit.LeaseLapsed)
+		},
+		"the limit of one upstream": func(s *script) {
+			s.joined(0)
+			single := _limits
+			single.FlowsPerUpstream = 1
+			s.SetLimits(s.now, single)
+			_, err := s.TryAdmit(s.now)
+			assert.NilError(s, err)
+			s.refusedFor(limit.FlowsPerUpstream)
+		},
+		"a draining run refuses and returns what its flows do not need": func(s *script) {
+			s.joined(20)
+			s.Drain()
+			s.refusedFor(limit.Draining)
+			w := s.write(limit.Share{Entries: []limit.Entry{s.entry(60)}}, 3)
+			assert.Equal(s, w.Share.Entries[0].Units(), limit.UnitsFor(20, 80))
+			assert.Equal(s, w.Share.Entries[0].Floor, limit.Units(0))
+		},
+		"a leaving run is done when its entry is gone": func(s *script) {
+			s.joined(0)
+			s.Leave(s.now)
+			w := s.write(limit.Share{Entries: []limit.Entry{s.entry(60)}}, 3)
+			assert.Equal(s, len(w.Share.Entries), 0)
+			s.Handle(s.now, limit.Failed{})
+			s.act()
+			s.Handle(s.now, read(w.Share, 4))
+			assert.Equal(s, s.act(), limit.Action(limit.Done{}))
+		},
+	}
+	for name, play := range scripts {
+		t.Run(name, func(t *testing.T) { play(newScript(t)) })
+	}
+}
+
+// TestReclaim says after how long a silent run's parts return, by what is
+// known of it.
+func TestReclaim(t *testing.T) {
+	const term, drain = 11 * time.Minute, time.Hour
+	later := other(2, 0, 0)
+	later.Incarnation++
+	cases := []struct {
+		name  string
+		gone  bool
+		later []limit.Entry
+		after time.Duration
+	}{
+		{"confirmed gone", true, nil, term},
+		{"replaced at its address", false, []limit.Entry{later}, term},
+		{"silent", false, nil, term + drain},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript(t)
+			s.gone = func(r limit.Run) bool { return c.gone && r == run(2) }
+			silent := other(2, 40, 0)
+			share := s.joined(0, append([]limit.Entry{silent}, c.later...)...)
+			start := s.now.Mono
+			for version := 2; ; version++ {
+				if e, _ := share.Entry(silent.Run); e.Leased == 0 {
+					break
+				}
+				share = s.write(share, version).Share
+				s.Handle(s.now, limit.WriteDone{Version: platform.Version(version + 1)})
+			}
+			waited := s.now.Mono - start
+			pace := limit.DefaultPace()
+			assert.Assert(t, waited >= c.after && waited < c.after+2*pace.Renewal, "%s", waited)
+		})
+	}
+}
+
+func FuzzShare(f *testing.F) {
+	seed, err := json.Marshal(limit.Share{Revision: 3, Limit: 80, Entries: []limit.Entry{other(1, 40, 1), other(2, 20, 0)}})
+	assert.NilError(f, err)
+	f.Add(seed)
+	f.Add([]byte(`{"entries":[{"address":"10.0.0.1:443","incarnation":1,"seq":1,"leased":5622750000000001}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var share limit.Share
+		if json.Unmarshal(data, &share) != nil {
+			return
+		}
+		again, err := json.Marshal(share)
+		assert.NilError(t, err)
+		var back limit.Share
+		assert.NilError(t, json.Unmarshal(again, &back))
+		assert.Equal(t, back.Free(), share.Free())
+		assert.Assert(t, share.Free() <= limit.Whole)
+	})
+}
