roster, keeper: rings of neighbours, and views and keepers at a tenth of the cost

Cause: with neighbours by rendezvous hashing some members were nobody's neighbour: by rumors alone an urgent change reached 658 of 660 and 29 of 30 members. A view of 6,560 records cost 6.7 ms and 3.3 MB, the choice of keepers 63 us; a view was made anew for each member that reported a settings revision. Ruled out: more rumors (they do not reach who is nobody's neighbour). Change: each neighbour is the next member on a ring of its own, so that everyone is someone's; urgent changes are told to eight others; views go over the services' lists and are not renewed for revisions; the list of members that can keep upstreams is kept.

--- /dev/null
+++ b/keeper/bench_test.go
@@ -0,0 +1,165 @@
+package keeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/roster"
+	"dandelionhitch.example/service"
+)
+
+// round is one _urgentInterval of all members, of which every tenth has its
+// regular exchange in it.
+type round struct {
+	random     *rand.Rand
+	rosters    []*roster.Roster
+	neighbours [][]int
+	number     int
+	exchanges  int
+}
+
+func newRound(members int, seed uint64) *round {
+	r := &round{random: rand.New(rand.NewPCG(seed, 1))}
+	var all []roster.MemberStatus
+	for n := range members {
+		all = append(all, roster.MemberStatus{Member: testMember(n, service.Place(fmt.Sprintf("place-%d", n%6)))})
+	}
+	for _, m := range all {
+		var indices []int
+		for _, other := range neighbours(m.Member, all) {
+			indices = append(indices, slices.IndexFunc(all, func(m roster.MemberStatus) bool { return m.Data == other.Data }))
+		}
+		r.neighbours = append(r.neighbours, indices)
+		r.rosters = append(r.rosters, roster.New())
+	}
+	return r
+}
+
+// turn has the members that are due exchange, as Keeper does.
+func (r *round) turn() {
+	now := time.Duration(r.number) * _urgentInterval
+	perExchange := int(_exchangeInterval / _urgentInterval)
+	for _, i := range r.random.Perm(len(r.rosters)) {
+		regular := (r.number+i)%perExchange == 0
+		if !regular && !r.rosters[i].Urgent(now) {
+			continue
+		}
+		compare := regular && (r.number+i)/perExchange%_compareEvery == 0
+		r.exchange(now, i, r.neighbours[i][(r.number+i)%len(r.neighbours[i])], compare)
+	}
+	r.number++
+}
+
+func (r *round) exchange(now time.Duration, i, j int, compare bool) {
+	r.exchanges++
+	a, b := r.rosters[i], r.rosters[j]
+	ka, kb := testMember(i, "p").Data, testMember(j, "p").Data
+	reply, _ := b.AnswerPush(now, roster.MemberKey(ka), a.Push(now, roster.MemberKey(kb), compare))
+	s, _ := a.TakePushReply(now, roster.MemberKey(kb), reply)
+	if len(s.Summaries) > 0 {
+		p, _ := a.TakeSyncReply(now, roster.MemberKey(kb), b.AnswerSync(now, s))
+		b.Apply(now, roster.MemberKey(ka), p.Deltas)
+	}
+}
+
+func (r *round) reached() int {
+	n := 0
+	for _, known := range r.rosters {
+		if known.Len() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// BenchmarkSpread counts the rounds until an urgent change is known to all
+// members.
+func BenchmarkSpread(b *testing.B) {
+	for _, members := range []int{3, 30, 660} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			rounds, most, exchanges, seed := 0, 0, 0, uint64(0)
+			for b.Loop() {
+				seed++
+				r := newRound(members, seed)
+				r.rosters[0].Announce(0, roster.Upstream{
+					Service: 1, Name: "orders", Place: "p", Data: testKey(1).Addr, Control: testKey(1).Addr,
+					Incarnation: 1, Seq: 1, State: service.Serving, Weight: 1, Load: 1,
+				})
+				for r.reached() < members {
+					r.turn()
+				}
+				rounds += r.number
+				most = max(most, r.number)
+				exchanges += r.exchanges
+			}
+			b.ReportMetric(float64(rounds)/float64(b.N)*_urgentInterval.Seconds(), "s/op")
+			b.ReportMetric(float64(most)*_urgentInterval.Seconds(), "s-most")
+			b.ReportMetric(float64(exchanges)/float64(b.N*members), "exchanges/member")
+		})
+	}
+}
+
+func targetKeeper(b *testing.B) *Keeper {
+	k := &Keeper{
+		options: newOptions(nil), roster: roster.New(), watches: newWatchlist(), start: time.Now(),
+		self: testMember(0, "place-0"), loads: make(map[roster.Key]fineLoad), wake: make(chan struct{}, 1),
+	}
+	for n := range 660 {
+		m := testMember(n, service.Place(fmt.Sprintf("place-%d", n%6)))
+		assert.Equal(b, k.roster.AnnounceMember(0, m).Changed, 1)
+	}
+	for n := range 5900 {
+		assert.Equal(b, k.roster.Announce(0, targetUpstream(n)).Changed, 1)
+	}
+	k.roster.ForgetRumors()
+	return k
+}
+
+func targetUpstream(n int) roster.Upstream {
+	u := roster.Upstream{
+		Service: service.ID(1 + n/5), Name: "rutetjeneste", Place: "oslo-a", Incarnation: 1, Seq: 1,
+		State: service.Serving, Weight: 1, Load: 1,
+	}
+	u.Data = testMember(1<<14+n, "p").Data
+	u.Control = u.Data
+	return u
+}
+
+// BenchmarkHeartbeat answers heartbeats at the target size.
+func BenchmarkHeartbeat(b *testing.B) {
+	k := targetKeeper(b)
+	u := targetUpstream(7)
+	request := &HeartbeatRequest{Data: u.Data, Incarnation: 1, Seq: 1, Choices: ChoicesHash(k.choices(u)), WantPeers: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		assert.NilError(b, k.Endpoint().Heartbeat(request, &HeartbeatReply{}))
+	}
+}
+
+// BenchmarkJudge looks at the clock once with 27 agents and ten members watched.
+func BenchmarkJudge(b *testing.B) {
+	k := targetKeeper(b)
+	for n := range 27 {
+		k.watches.heard(0, roster.UpstreamKey(targetUpstream(n).Data))
+	}
+	for n := range 10 {
+		k.watches.heard(0, roster.MemberKey(testMember(n+1, "p").Data))
+	}
+	k.exchanged = true
+	b.ReportAllocs()
+	for b.Loop() {
+		k.judge()
+	}
+}
+
+func BenchmarkNeighbours(b *testing.B) {
+	k := targetKeeper(b)
+	for b.Loop() {
+		neighbours(k.self, k.roster.Present())
+	}
+}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -144,7 +144,12 @@
 		self := testMember(0, "oslo-a")
 		members = append(members, roster.MemberStatus{Member: self})
 		got := neighbours(self, members)
-		near := count(got, func(m roster.Member) bool { return m.Place == self.Place })
+		near := 0
+		for _, m := range got {
+			if m.Place == self.Place {
+				near++
+			}
+		}
 		assert.Equal(t, near, tt.wantNear, "%+v", tt)
 		assert.Equal(t, len(got)-near, tt.wantFar, "%+v", tt)
 		if len(got) > 0 { // A suspected one is replaced, the others stay.
--- a/keeper/neighbours.go
+++ b/keeper/neighbours.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,39 +18,51 @@
 )
 
 // neighbours returns the members to exchange with: most in the same place, some
-// elsewhere, chosen by rendezvous hashing.
+// elsewhere.
+//
+// Each is the next member on a ring of its own, on which members are ordered by
+// a hash. So each member is itself the next one of as many others, and news
+// reaches it even if its own exchanges are late.
 func neighbours(self roster.Member, members []roster.MemberStatus) []roster.Member {
-	ranked := make([]roster.Member, 0, len(members))
+	var near, far []roster.Member
 	for _, m := range members {
-		if m.Data != self.Data && !m.Suspect && m.State != service.Draining {
-			ranked = append(ranked, m.Member)
+		switch {
+		case m.Data == self.Data || m.Suspect || m.State == service.Draining:
+		case m.Place == self.Place:
+			near = append(near, m.Member)
+		default:
+			far = append(far, m.Member)
 		}
 	}
-	score := func(m roster.Member) uint64 { return xxhash.Sum64String(self.Name + "\x00" + m.Name) }
-	slices.SortFunc(ranked, func(a, b roster.Member) int { return cmp.Compare(score(a), score(b)) })
-	near := min(_nearNeighbours, count(ranked, func(m roster.Member) bool { return m.Place == self.Place }))
-	far := min(_allNeighbours-near, count(ranked, func(m roster.Member) bool { return m.Place != self.Place }))
-	near = _allNeighbours - far
-	var out []roster.Member
-	for _, m := range ranked {
-		left := &far
-		if m.Place == self.Place {
-			left = &near
-		}
-		if *left > 0 {
-			*left--
-			out = append(out, m)
-		}
+	nearCount := min(len(near), max(_nearNeighbours, _allNeighbours-len(far)))
+	farCount := min(len(far), _allNeighbours-nearCount)
+	out := make([]roster.Member, 0, _allNeighbours)
+	for ring := range nearCount {
+		near, out = takeNext(self, ring, near, out)
+	}
+	for ring := range farCount {
+		far, out = takeNext(self, _allNeighbours+ring, far, out)
 	}
 	return out
 }
 
-func count[T any](list []T, is func(T) bool) int {
-	n := 0
-	for _, v := range list {
-		if is(v) {
-			n++
+// takeNext moves the member that is next on a ring from one list to another.
+func takeNext(self roster.Member, ring int, from, to []roster.Member) (rest, taken []roster.Member) {
+	at := place(self, ring)
+	best := 0
+	bestDistance := place(from[0], ring) - at
+	for i, m := range from {
+		if distance := place(m, ring) - at; distance < bestDistance {
+			best, bestDistance = i, distance
 		}
 	}
-	return n
+	to = append(to, from[best])
+	return slices.Delete(from, best, best+1), to
+}
+
+// place is where a member is on a ring.
+func place(m roster.Member, ring int) uint64 {
+	d := xxhash.NewWithSeed(uint64(ring))
+	_, _ = d.WriteString(m.Name)
+	return d.Sum64()
 }
--- a/roster/keepers.go
+++ b/roster/keepers.go
@@ -38,7 +38,7 @@
 		}
 		return nil
 	}
-	for len(out) < min(KeeperChoices, len(members)) {
+	for len(out) < min(KeeperChoices, len(members.entries)) {
 		if len(out)%KeeperCount == 0 {
 			byService = take(byService)
 			continue
@@ -55,8 +55,19 @@
 	return slices.ContainsFunc(keepers, func(m Member) bool { return MemberKey(m.Data) == self })
 }
 
-// keeping returns the members that can keep upstreams.
-func (r *Roster) keeping() []*entry {
+// keeperList is the members that can keep upstreams, with the hashes of their
+// names.
+type keeperList struct {
+	entries []*entry
+	hashes  []uint64
+}
+
+// keeping returns the members that can keep upstreams. The list is kept until
+// a member's state changes.
+func (r *Roster) keeping() keeperList {
+	if r.keepers.entries != nil {
+		return r.keepers
+	}
 	var serving, trusted []*entry
 	for b := range _memberBuckets {
 		for _, e := range r.buckets[b].entries {
@@ -70,9 +81,14 @@
 		}
 	}
 	if distrusted(len(serving)-len(trusted), len(serving)) {
-		return serving
+		trusted = serving
 	}
-	return trusted
+	list := keeperList{entries: trusted}
+	for _, e := range trusted {
+		list.hashes = append(list.hashes, xxhash.Sum64String(e.member.Name))
+	}
+	r.keepers = list
+	return list
 }
 
 // serviceSeed is shared by up to _serviceGroup upstreams of a service.
@@ -89,14 +105,14 @@
 }
 
 // rank returns the best n members for a seed.
-func rank(members []*entry, seed uint64, n int) []*entry {
+func rank(members keeperList, seed uint64, n int) []*entry {
 	type scored struct {
 		*entry
 		score uint64
 	}
 	best := make([]scored, 0, n+1)
-	for _, e := range members {
-		s := scored{e, mix(seed ^ e.nameHash())}
+	for i, e := range members.entries {
+		s := scored{e, mix(seed ^ members.hashes[i])}
 		if len(best) == n && s.score <= best[n-1].score {
 			continue
 		}
@@ -111,8 +127,6 @@
 	return out
 }
 
-func (e *entry) nameHash() uint64 { return xxhash.Sum64String(e.member.Name) }
-
 // Patrol returns the upstreams of one bucket, so that a caller who counts turns
 // up sees all of them again and again at an even cost. Ended ones are left out.
 func (r *Roster) Patrol(turn uint) []Upstream {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -56,7 +56,11 @@
 	rumors  map[Key]*rumor
 	// services lists the upstreams of each service.
 	services map[service.ID][]*entry
-	// version counts changes, so that a reader can tell if a View is stale.
+	// members is the number of members' entries.
+	members int
+	// keepers is the list of members that can keep upstreams, if it is up to date.
+	keepers keeperList
+	// version counts the changes that bear on a View.
 	version uint64
 	// turn is where the next sync begins among the buckets that differ.
 	turn uint
@@ -191,7 +195,7 @@
 	return Member{}, false
 }
 
-// Version counts the changes.
+// Version counts the changes that bear on a View.
 func (r *Roster) Version() uint64 { return r.version }
 
 // Len returns the number of entries, ended ones included.
@@ -236,6 +240,9 @@
 	r.entries[key] = e
 	b := &r.buckets[key.bucket()]
 	b.entries = append(b.entries, e)
+	if key.Kind == KindMember {
+		r.members++
+	}
 	return r.settle(now, from, e, entry{key: key})
 }
 
@@ -244,8 +251,13 @@
 	r.withdraw(e)
 	r.offer(e)
 	r.index(e, &before)
-	r.version++
 	urgent := e.urgent(&before)
+	if urgent || e.key.Kind == KindUpstream {
+		r.version++
+	}
+	if urgent && e.key.Kind == KindMember {
+		r.keepers = keeperList{}
+	}
 	r.spread(now, from, e, &before, urgent)
 	return Outcome{Changed: 1, Urgent: urgent}
 }
@@ -258,5 +270,8 @@
 	if e.upstream != nil {
 		r.unindex(e, e.upstream.Service)
 	}
+	if key.Kind == KindMember {
+		r.members--
+	}
 	r.version++
 }
--- a/roster/rumor.go
+++ b/roster/rumor.go
@@ -9,7 +9,7 @@
 const (
 	// _urgentSends is how many others one process tells a change that bears on
 	// new flows.
-	_urgentSends = 5
+	_urgentSends = 8
 	// _sends is how many it tells any other change. Digests bring the rest.
 	_sends = 3
 	// _rumorLife bounds how long a change is told, where there are fewer others.
--- a/roster/view.go
+++ b/roster/view.go
@@ -32,11 +32,13 @@
 	Ramping bool
 	// Services holds the eligible upstreams of each service, ordered by data address.
 	Services map[service.ID][]Candidate
-	// Gone holds, for each address where a run has ended, the highest such run.
+	// Gone holds, for each address where a run has ended, the highest such run,
+	// in no order.
 	Gone []GoneRun
-	// Members holds the balancers that are not gone, ordered by name.
+	// Members holds the balancers that are not gone, in no order. Their
+	// revisions are those of when the view last changed for another reason.
 	Members []MemberStatus
-	// Highest is the highest settings revision that any member has in force.
+	// Highest is the highest revision among Members.
 	Highest settings.Revision
 }
 
@@ -81,28 +83,30 @@
 
 // View returns the snapshot at a time.
 func (r *Roster) View(now time.Duration) View {
-	v := View{Version: r.version, Services: make(map[service.ID][]Candidate)}
-	tallies := make(map[service.ID]tally)
-	for key, e := range r.entries {
-		switch key.Kind {
-		case KindMember:
-			v.addMember(e)
-		case KindUpstream:
-			v.addGone(e)
+	v := View{Version: r.version, Services: make(map[service.ID][]Candidate, len(r.services))}
+	for id, entries := range r.services {
+		var t tally
+		for _, e := range entries {
 			if e.state() == service.Serving {
-				tallies[e.upstream.Service] = tallies[e.upstream.Service].with(now, e)
+				t = t.with(now, e)
 			}
 		}
-	}
-	for key, e := range r.entries {
-		if key.Kind != KindUpstream || e.state() != service.Serving {
-			continue
+		candidates := make([]Candidate, 0, t.trusted+t.fresh+t.stale)
+		for _, e := range entries {
+			if e.state() == service.Serving && t.admits(now, e) {
+				candidates = append(candidates, v.candidate(now, e))
+			}
 		}
-		if tallies[e.upstream.Service].admits(now, e) {
-			v.addCandidate(now, e)
+		if len(candidates) > 0 {
+			slices.SortFunc(candidates, func(a, b Candidate) int { return a.Data.Compare(b.Data) })
+			v.Services[id] = candidates
 		}
 	}
-	v.sort()
+	v.Gone = r.goneRuns()
+	v.Members = r.Present()
+	for _, m := range v.Members {
+		v.Highest = max(v.Highest, m.Revision)
+	}
 	return v
 }
 
@@ -142,25 +146,24 @@
 // likely at fault than they are.
 func distrusted(suspected, all int) bool { return 2*suspected > all }
 
-func (v *View) addMember(e *entry) {
-	if e.ended() {
-		return
-	}
-	v.Members = append(v.Members, MemberStatus{Member: *e.member, Suspect: e.suspected()})
-	v.Highest = max(v.Highest, e.member.Revision)
-}
-
-func (v *View) addGone(e *entry) {
-	highest := e.gone
-	if run := e.mark().Incarnation; run > 0 {
-		highest = max(highest, run-1)
-	}
-	if highest > 0 {
-		v.Gone = append(v.Gone, GoneRun{e.key.Addr, highest})
+func (r *Roster) goneRuns() []GoneRun {
+	out := make([]GoneRun, 0, len(r.entries))
+	for b := range r.buckets[_memberBuckets:] {
+		for _, e := range r.buckets[_memberBuckets+b].entries {
+			highest := e.gone
+			if run := e.mark().Incarnation; run > 0 {
+				highest = max(highest, run-1)
+			}
+			if highest > 0 {
+				out = append(out, GoneRun{e.key.Addr, highest})
+			}
+		}
 	}
+	return out
 }
 
-func (v *View) addCandidate(now time.Duration, e *entry) {
+// candidate returns an eligible upstream with its share.
+func (v *View) candidate(now time.Duration, e *entry) Candidate {
 	ramp := Ramp(now - e.servingAt)
 	if ramp < ShareScale {
 		v.Ramping = true
@@ -169,23 +172,12 @@
 	if e.upstream.Load == LoadFull {
 		share /= _fullDivisor
 	}
-	id := e.upstream.Service
-	v.Services[id] = append(v.Services[id], Candidate{*e.upstream, max(share, 1)})
-}
-
-func (v *View) sort() {
-	for _, candidates := range v.Services {
-		slices.SortFunc(candidates, func(a, b Candidate) int { return a.Data.Compare(b.Data) })
-	}
-	slices.SortFunc(v.Gone, func(a, b GoneRun) int { return a.Data.Compare(b.Data) })
-	slices.SortFunc(v.Members, func(a, b MemberStatus) int {
-		return cmp.Or(cmp.Compare(a.Name, b.Name), a.Data.Compare(b.Data))
-	})
+	return Candidate{*e.upstream, max(share, 1)}
 }
 
-// Present returns the balancers that are not gone, in no order.
+// Present returns the balancers that are not gone, ordered by bucket.
 func (r *Roster) Present() []MemberStatus {
-	var out []MemberStatus
+	out := make([]MemberStatus, 0, r.members)
 	for b := range _memberBuckets {
 		for _, e := range r.buckets[b].entries {
 			if !e.ended() {
