follower: holds the settings in force and never goes back

Cause: processes restart while the store lags or is down, and must not put an older revision in force. The change: at the start the highest revision of a few processes and the store is taken; afterwards changes come with the head or from a process that mentions a higher revision; a tree is checked whole and against its digest first. Ruled out: reading the store alone at the start (a stale read sets a restarted balancer back). Seen failing: TestRestartWithALaggingStore without the other processes, TestFollowersNeverRevert without the comparison of revisions; and an earlier form of the latter, which asked three processes whether they answered or not, came back with revision 5 after 19.

--- a/follower/archive.go
+++ b/follower/archive.go
@@ -38,12 +38,11 @@
 	return head, nil
 }
 
-// tree returns the tree of the head's revision. It starts from the known tree
-// if the head's changes reach back to it, else from the snapshot.
-func (a archive) tree(ctx context.Context, head audit.Head, known *settings.Document) (settings.Tree, error) {
-	tree, from := known.Tree(), known.Revision()
-	changes, whole := head.After(from)
-	if !whole || from > head.Revision {
+// tree returns the tree of the head's revision. It starts from the tree of a
+// known revision if the head's changes reach back to it, else from the snapshot.
+func (a archive) tree(ctx context.Context, head audit.Head, known settings.Revision, tree settings.Tree) (settings.Tree, error) {
+	changes, whole := head.After(known)
+	if !whole || known > head.Revision {
 		var err error
 		tree, err = a.snapshot(ctx, head.Snapshot)
 		if err != nil {
--- a/follower/editor.go
+++ b/follower/editor.go
@@ -109,7 +109,7 @@
 	e.mu.Lock()
 	known := e.known
 	e.mu.Unlock()
-	tree, err := e.archive.tree(ctx, head, known)
+	tree, err := e.archive.tree(ctx, head, known.Revision(), known.Tree())
 	if err != nil {
 		return State{}, err
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -1,79 +1,113 @@
-// Package follower holds the settings in force in one process, and writes
-// accepted changes.
+// Package follower holds the settings in force in one process, and commits the
+// changes of operators.
+//
+// A Follower learns of a new revision from a watch of the head in the
+// platform's store, from another process that mentions its own revision
+// (Offer), or by asking one now and then. The changes since its own revision
+// come along with the head or out of another process; only a process that is
+// far behind reads a whole tree. The tree is checked whole before it is used,
+// and only ever replaced by one of a higher revision. So a lagging store, a
+// late answer or an outage leave it where it is.
+//
+// An Editor writes. The two share no state but the platform's.
 package follower
 
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
 
-	"dandelionhitch.example/platform"
+	"dandelionhitch.example/audit"
 	"dandelionhitch.example/service"
 	"dandelionhitch.example/settings"
 )
 
-// Fetch asks the process at addr for its settings: the rpc Settings.Fetch.
-type Fetch func(ctx context.Context, addr netip.AddrPort, request FetchRequest) (FetchReply, error)
-
-// Option changes a Follower.
-type Option func(*options)
+// Follower holds the document in force. It only ever moves to a higher
+// revision. It is safe for concurrent use.
+type Follower struct {
+	tomb    tomb.Tomb
+	options options
+	archive archive
+	updates chan struct{}
+	offers  chan offer
 
-type options struct {
-	store   platform.Store
-	watches func() bool
-	fetch   Fetch
-	peers   func() []netip.AddrPort
-	path    settings.Path
-	logger  *zap.Logger
+	mu      sync.Mutex
+	current inForce
+	refused Refusal
 }
 
-// WithStore makes the follower read the head from the platform.
-func WithStore(store platform.Store) Option { return func(o *options) { o.store = store } }
-
-// WithWatch limits the watching of the head to the times when watches returns
-// true, so that a few processes of a place watch for the others.
-func WithWatch(watches func() bool) Option { return func(o *options) { o.watches = watches } }
-
-// WithFetch sets how settings are fetched from another process.
-func WithFetch(fetch Fetch) Option { return func(o *options) { o.fetch = fetch } }
-
-// WithPeers names processes to ask at the start and now and then after it.
-func WithPeers(peers func() []netip.AddrPort) Option { return func(o *options) { o.peers = peers } }
+// inForce is the document in force with what other processes may ask for.
+type inForce struct {
+	document *settings.Document
+	since    time.Time
+	recent   recentChanges
+	past     []*settings.Document
+}
 
-// WithService makes the follower hold only one service at one place.
-func WithService(path settings.Path) Option { return func(o *options) { o.path = path } }
+// Status says what a follower has in force.
+type Status struct {
+	// Revision is the revision in force; zero before the first.
+	Revision settings.Revision
+	// Since is when it was put in force.
+	Since time.Time
+	// Refused is the last document that did not pass the check.
+	Refused Refusal
+}
 
-// WithLogger sets the logger.
-func WithLogger(logger *zap.Logger) Option { return func(o *options) { o.logger = logger } }
+// Refusal is a document that was not put in force.
+type Refusal struct {
+	// Revision is the document's revision; zero if there was none.
+	Revision settings.Revision
+	// Err carries the findings.
+	Err error
+}
 
-// Follower holds the document in force. It only ever moves to a higher revision.
-type Follower struct {
-	options options
-	updates chan struct{}
+// offer says that a process has a revision in force.
+type offer struct {
+	revision settings.Revision
+	addr     netip.AddrPort
 }
 
 // New starts a follower.
 func New(opts ...Option) *Follower {
-	o := options{logger: zap.NewNop()}
-	for _, opt := range opts {
-		opt(&o)
+	f := &Follower{
+		options: newOptions(opts),
+		updates: make(chan struct{}, 1),
+		offers:  make(chan offer, _offerRing),
 	}
-	return &Follower{options: o, updates: make(chan struct{}, 1)}
+	f.archive = archive{store: f.options.store}
+	f.observe()
+	f.tomb.Go(f.run)
+	return f
 }
 
-// Close stops the follower and waits for its goroutines.
-func (f *Follower) Close() error { return nil }
+// Close stops the follower and waits for its goroutines. The document stays.
+func (f *Follower) Close() error {
+	f.tomb.Kill(nil)
+	return f.tomb.Wait()
+}
 
 // Current returns the document in force, nil before the first.
-func (f *Follower) Current() *settings.Document { return nil }
+func (f *Follower) Current() *settings.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.document
+}
 
 // Revision returns the revision in force, zero before the first.
 func (f *Follower) Revision() settings.Revision { return f.Current().Revision() }
 
-// Since returns when the revision in force was put in force.
-func (f *Follower) Since() time.Time { return time.Time{} }
+// Status returns the revision in force, since when, and what was refused.
+func (f *Follower) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Status{Revision: f.current.document.Revision(), Since: f.current.since, Refused: f.refused}
+}
 
 // Service returns what is in force for one service at one place.
 func (f *Follower) Service(region service.Region, place service.Place, name service.Name) (settings.Service, bool) {
@@ -84,8 +118,82 @@
 // capacity is one: several changes may show as one.
 func (f *Follower) Updates() <-chan struct{} { return f.updates }
 
-// Offer says that the process at addr has a revision in force.
-func (f *Follower) Offer(revision settings.Revision, addr netip.AddrPort) {}
+// Offer says that the process at addr has a revision in force. It returns at
+// once; an offer is dropped while too many wait.
+func (f *Follower) Offer(revision settings.Revision, addr netip.AddrPort) {
+	if revision <= f.Revision() {
+		return
+	}
+	select {
+	case f.offers <- offer{revision: revision, addr: addr}:
+	default:
+	}
+}
+
+// candidate is a tree that may be put in force.
+type candidate struct {
+	revision settings.Revision
+	tree     settings.Tree
+	changes  []audit.Change
+}
+
+// adopt puts a candidate in force if its revision is higher and it passes the check.
+func (f *Follower) adopt(c candidate) error {
+	if c.revision <= f.Revision() {
+		return nil
+	}
+	document, err := settings.NewDocument(c.revision, c.tree)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.refused = Refusal{Revision: c.revision, Err: err}
+		f.options.logger.Error("settings refused", zap.Uint64("revision", uint64(c.revision)), zap.Error(err))
+		return trace.Wrap(err)
+	}
+	if document.Revision() <= f.current.document.Revision() {
+		return nil
+	}
+	f.current = f.current.with(document, c.changes)
+	f.options.logger.Info("settings in force", zap.Uint64("revision", uint64(c.revision)))
+	select {
+	case f.updates <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// with returns the state after a newer document was put in force.
+func (s inForce) with(document *settings.Document, changes []audit.Change) inForce {
+	next := inForce{document: document, since: time.Now()}
+	next.recent = s.recent.with(s.document.Revision(), changes)
+	if s.document != nil {
+		next.past = append(next.past, s.document)
+	}
+	next.past = append(next.past, s.past...)
+	if len(next.past) > _pastDocuments {
+		next.past = next.past[:_pastDocuments]
+	}
+	return next
+}
+
+// at returns the document of a revision if it is in force or was lately.
+func (s inForce) at(revision settings.Revision) (*settings.Document, bool) {
+	if s.document.Revision() == revision {
+		return s.document, s.document != nil
+	}
+	for _, document := range s.past {
+		if document.Revision() == revision {
+			return document, true
+		}
+	}
+	return nil, false
+}
+
+func (f *Follower) snapshot() inForce {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
 
-// Endpoint returns the receiver to register as the rpc service "Settings".
-func (f *Follower) Endpoint() *Endpoint { return &Endpoint{follower: f} }
+// context returns a context that ends when the follower does.
+func (f *Follower) context() context.Context { return f.tomb.Context(context.Background()) }
