limit: scripts for the margin and for both terms of the floor

Change: TestReclaim measures both parts to within two looks, and a script lets the floor's term pass.

--- a/limit/script_test.go
+++ b/limit/script_test.go
@@ -34,6 +34,8 @@
 	*limit.Holder
 	now  limit.Instant
 	gone func(limit.Run) bool
+	// version is that of the last write that was answered.
+	version platform.Version
 }
 
 func newScript(t *testing.T) *script {
@@ -110,7 +112,8 @@
 func (s *script) joined(flows int, others ...limit.Entry) limit.Share {
 	s.Helper()
 	w := s.write(limit.Share{Entries: others}, 1)
-	s.Handle(s.now, limit.WriteDone{Version: 2})
+	s.version = 2
+	s.Handle(s.now, limit.WriteDone{Version: s.version})
 	for range flows {
 		_, err := s.TryAdmit(s.now)
 		assert.NilError(s, err)
@@ -133,6 +136,13 @@
 			s.act()
 			s.refusedFor(limit.NoShare)
 		},
+		"the floor outlasts the lease, and lapses after its own term": func(s *script) {
+			s.joined(0)
+			s.elapse(limit.DefaultPace().FloorTerm - 10*time.Minute)
+			assert.Equal(s, s.Allowance(s.now), 10)
+			s.elapse(10 * time.Minute)
+			assert.Equal(s, s.Allowance(s.now), 0)
+		},
 		"equal part taken without need": func(s *script) {
 			s.joined(0)
 			assert.Equal(s, s.Allowance(s.now), 60)
@@ -291,36 +301,45 @@
 // TestReclaim says after how long a silent run's parts return, by what is
 // known of it.
 func TestReclaim(t *testing.T) {
-	const term, drain = 11 * time.Minute, time.Hour
+	const term, floorTerm, drain = 11 * time.Minute, 66 * time.Minute, time.Hour
 	later := other(2, 0, 0)
 	later.Incarnation++
 	cases := []struct {
-		name  string
-		gone  bool
-		later []limit.Entry
-		after time.Duration
+		name          string
+		gone          bool
+		later         []limit.Entry
+		leased, floor time.Duration
 	}{
-		{"confirmed gone", true, nil, term},
-		{"replaced at its address", false, []limit.Entry{later}, term},
-		{"silent", false, nil, term + drain},
+		{"confirmed gone", true, nil, term, term},
+		{"replaced at its address", false, []limit.Entry{later}, term, term},
+		{"silent", false, nil, term + drain, floorTerm + drain},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := newScript(t)
+			pace := limit.DefaultPace()
+			pace.Look, pace.Renewal = 10*time.Second, 10*time.Second
+			s.Holder = limit.NewHolder(s.now, run(1), pace, 1)
+			s.SetLimits(s.now, _limits)
 			s.gone = func(r limit.Run) bool { return c.gone && r == run(2) }
 			silent := other(2, 40, 0)
+			silent.Floor = limit.UnitsFor(10, 80)
 			share := s.joined(0, append([]limit.Entry{silent}, c.later...)...)
 			start := s.now.Mono
-			for version := 2; ; version++ {
-				if e, _ := share.Entry(silent.Run); e.Leased == 0 {
-					break
+			waits := func(after time.Duration, part func(limit.Entry) limit.Units) {
+				for version := int(s.version) + 1; ; version++ {
+					if entry, _ := share.Entry(silent.Run); part(entry) == 0 {
+						break
+					}
+					share = s.write(share, version-1).Share
+					s.version = platform.Version(version)
+					s.Handle(s.now, limit.WriteDone{Version: s.version})
 				}
-				share = s.write(share, version).Share
-				s.Handle(s.now, limit.WriteDone{Version: platform.Version(version + 1)})
+				waited := s.now.Mono - start
+				assert.Assert(t, waited >= after && waited < after+2*pace.Look, "%s", waited)
 			}
-			waited := s.now.Mono - start
-			pace := limit.DefaultPace()
-			assert.Assert(t, waited >= c.after && waited < c.after+2*pace.Renewal, "%s", waited)
+			waits(c.leased, func(e limit.Entry) limit.Units { return e.Leased })
+			waits(c.floor, func(e limit.Entry) limit.Units { return e.Floor })
 		})
 	}
 }
