queue: a new route's first request is a probe

Cause: a route that never ran counted as long until some route had run. On a new upstream, which begins with one slot beside the reserved ones, the first export then held up the first check-in for its whole run, though the reserved slot was free.

Ruled out: counting unknown routes as short; a burst of exports then takes all slots before the first has ended.

Now one request at a time on an unknown route goes as short, and others beside it as long. TestUnknownWorkCannotTakeTheReservedSlots is red on both of the other rules (2 and 4 exports started for 3). What new routes have in common is no longer learned; nothing uses it.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -255,9 +255,12 @@
 // newEntry classes a request and estimates its run time.
 func (q *Queue) newEntry(now time.Duration, r Request) *entry {
 	known := q.routes.lookup(r.Route)
-	class := known.class
-	if r.Class != 0 {
-		class = r.Class
+	class := r.Class
+	if class == 0 {
+		class = known.class
+	}
+	if class == 0 {
+		class = q.probe(r.Route)
 	}
 	e := &entry{
 		id:       r.ID,
@@ -274,6 +277,23 @@
 	return e
 }
 
+// probe returns the class of a request on a route that never ran: one at a time
+// goes as short, to learn from, and others beside it as long, so that a burst
+// of unknown work cannot take the reserved slots.
+func (q *Queue) probe(route string) Class {
+	for _, e := range q.running {
+		if e.route == route {
+			return Long
+		}
+	}
+	for e := q.waiting[Short].head; e != nil; e = e.next {
+		if e.route == route {
+			return Long
+		}
+	}
+	return Short
+}
+
 // free reports whether a request of the class may start now.
 func (q *Queue) free(now time.Duration, class Class) bool {
 	limit := q.Limit(now)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -237,6 +237,24 @@
 	}
 }
 
+func TestUnknownWorkCannotTakeTheReservedSlots(t *testing.T) {
+	q, err := queue.New(queue.Limits{Slots: 4, ReservedSlots: 2, Length: 8}, -time.Hour)
+	assert.NilError(t, err)
+	offer := func(id queue.ID, route string) bool {
+		actions := q.Offer(nil, 0, queue.Request{ID: id, Route: route, Deadline: time.Minute})
+		_, started := actions[len(actions)-1].(queue.Start)
+		return started
+	}
+	started := 0
+	for id := range queue.ID(5) {
+		if offer(id, "GET/export") {
+			started++
+		}
+	}
+	assert.Equal(t, started, 3, "a probe and two in slots that are not reserved")
+	assert.Assert(t, offer(5, "POST/checkin"), "another new route is held up")
+}
+
 func TestNewUpstreamGetsItsSlotsOneByOne(t *testing.T) {
 	q, err := queue.New(queue.Limits{Slots: 8, ReservedSlots: 1, Length: 8}, 0)
 	assert.NilError(t, err)
--- a/queue/routes.go
+++ b/queue/routes.go
@@ -93,10 +93,7 @@
 
 // routes learns the run times of routes in bounded memory.
 type routes struct {
-	byName map[string]*route
-	// fresh is what first runs of routes have in common; it stands for routes
-	// that have not run yet.
-	fresh   route
+	byName  map[string]*route
 	typical time.Duration
 	clock   uint64
 }
@@ -105,19 +102,16 @@
 	return routes{byName: make(map[string]*route)}
 }
 
-// lookup returns what is known of the named route. A route that never ran
-// counts as long until new routes have shown to be short, so that a burst of
-// unknown work cannot take the reserved slots.
+// lookup returns what is known of the named route. The class of a route that
+// never ran is zero, and its run time the typical one.
 func (rs *routes) lookup(name string) route {
-	if r, ok := rs.byName[name]; ok {
-		rs.clock++
-		r.used = rs.clock
-		return *r
-	}
-	if rs.fresh.class == 0 {
-		return route{class: Long}
+	r, ok := rs.byName[name]
+	if !ok {
+		return route{recent: rs.typical}
 	}
-	return rs.fresh
+	rs.clock++
+	r.used = rs.clock
+	return *r
 }
 
 // ratio compares a run with the route's baseline; 1 if there is none yet.
@@ -139,7 +133,6 @@
 func (rs *routes) observe(name string, run time.Duration, quiet bool) {
 	r, ok := rs.byName[name]
 	if !ok {
-		rs.learn(&rs.fresh, run, quiet)
 		r = rs.insert(name)
 	}
 	rs.learn(r, run, quiet)
