dandelionhitch: the whole path, as processes and in one process

Cause: the modules stood alone; a request had to pass caller, fabric, balancer, agent and upstream, with settings from the platform.

Left: flows are refused while agents still wait for their first share, and placement at the start is uneven for the same reason.

--- /dev/null
+++ b/dandelionhitch/balancer.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"dandelionhitch.example/balancer"
+	"dandelionhitch.example/follower"
+	"dandelionhitch.example/keeper"
+	"dandelionhitch.example/roster"
+	"dandelionhitch.example/service"
+)
+
+// _balancerDrain bounds how long a stopping balancer waits for the fabric to
+// hand it no more datagrams.
+const _balancerDrain = 30 * time.Second
+
+// balancerConfig is what a balancer is told at its start.
+type balancerConfig struct {
+	nodeConfig
+	name string
+	// listeners are sockets towards a fabric that rewrites addresses; without
+	// any, a wildcard socket serves each port of the service addresses.
+	listeners []balancer.Listener
+}
+
+// balancerNode is a running balancer: the data path, the keeper, the settings
+// in force, and the calls of other processes.
+type balancerNode struct {
+	tomb     tomb.Tomb
+	config   balancerConfig
+	log      *zap.Logger
+	control  *controlNode
+	follower *follower.Follower
+	keeper   *keeper.Keeper
+	balancer *balancer.Balancer
+	// members are those of the last view, nil before the first.
+	members atomic.Pointer[[]roster.MemberStatus]
+}
+
+func balancerCommand(stderr io.Writer) *ffcli.Command {
+	flags := newNodeFlags("balancer", stderr)
+	config := &balancerConfig{}
+	flags.StringVar(&config.name, "name", "", "name of this balancer, unique in the fleet")
+	flags.Func("listen", "IP:PORT=ADDRESS:PORT pairs separated by commas, for a fabric that rewrites a service address to IP:PORT; not set: a wildcard socket for each port", func(value string) error {
+		flags.add("-listen", config.parseListeners(value))
+		return nil
+	})
+	flags.require("name")
+	return &ffcli.Command{
+		Name:       "balancer",
+		ShortUsage: "dandelionhitch balancer -config FILE",
+		ShortHelp:  "Forward callers' datagrams; runs on an entry VM.",
+		FlagSet:    flags.FlagSet,
+		Options:    flags.options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if config.name != "" {
+				flags.add("-name", service.CheckLabel("member name", config.name))
+			}
+			if err := flags.check(args); err != nil {
+				return err
+			}
+			config.nodeConfig = flags.config
+			return runBalancer(ctx, flags, *config)
+		},
+	}
+}
+
+// parseListeners reads IP:PORT=ADDRESS:PORT pairs.
+func (c *balancerConfig) parseListeners(value string) error {
+	var findings []error
+	for item := range strings.SplitSeq(value, ",") {
+		bind, address, ok := strings.Cut(strings.TrimSpace(item), "=")
+		if !ok {
+			findings = append(findings, trace.BadParameter("%q: want IP:PORT=ADDRESS:PORT", item))
+			continue
+		}
+		local, err := netip.ParseAddrPort(bind)
+		findings = append(findings, err)
+		public, err := netip.ParseAddrPort(address)
+		findings = append(findings, err)
+		c.listeners = append(c.listeners, balancer.Listener{Bind: local, Address: public})
+	}
+	return trace.NewAggregate(findings...)
+}
+
+// runBalancer runs a balancer until ctx ends, then drains it.
+func runBalancer(ctx context.Context, flags *nodeFlags, config balancerConfig) error {
+	parts, closeParts, err := flags.openNode(func() bool { return ctx.Err() == nil })
+	if err != nil {
+		return err
+	}
+	defer closeParts()
+	node, err := newBalancerNode(config, parts)
+	if err != nil {
+		return err
+	}
+	parts.log.Info("balancer started", zap.String("name", config.name), zap.Stringer("data", config.data))
+	select {
+	case <-ctx.Done():
+	case <-node.tomb.Dead():
+	}
+	parts.log.Info("balancer stopping")
+	deadline, cancel := context.WithTimeout(context.Background(), _balancerDrain)
+	defer cancel()
+	return node.Stop(deadline)
+}
+
+// newBalancerNode starts a balancer. It forwards as soon as it knows the
+// settings and upstreams.
+func newBalancerNode(config balancerConfig, parts nodeParts) (_ *balancerNode, err error) {
+	n := &balancerNode{config: config, log: parts.log.With(zap.String("balancer", config.name))}
+	defer func() {
+		if err != nil {
+			_ = n.closeParts()
+		}
+	}()
+	if n.control, err = newControlNode(config.control, parts); err != nil {
+		return nil, err
+	}
+	n.follower = n.newFollower(parts)
+	if n.keeper, err = n.newKeeper(parts); err != nil {
+		return nil, err
+	}
+	n.balancer, err = balancer.New(balancer.Config{
+		Addr:      config.data,
+		Keys:      parts.keys.packet,
+		Listeners: config.listeners,
+		Wildcard:  len(config.listeners) == 0,
+	}, balancer.WithLogger(n.log), balancer.WithMeter(parts.meter))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	findings := []error{
+		n.keeper.Register(n.control.server),
+		n.control.server.Register("Settings", n.follower.Endpoint()),
+	}
+	if err := trace.NewAggregate(findings...); err != nil {
+		return nil, err
+	}
+	n.control.start()
+	n.tomb.Go(n.run)
+	return n, nil
+}
+
+func (n *balancerNode) newFollower(parts nodeParts) *follower.Follower {
+	options := []follower.Option{
+		follower.WithLogger(n.log),
+		follower.WithFetch(n.control.fetch),
+		follower.WithPeers(func() []netip.AddrPort { return n.config.peers }),
+	}
+	if parts.store != nil {
+		options = append(options, follower.WithStore(parts.store), follower.WithWatch(n.isWatcher))
+	}
+	return follower.New(options...)
+}
+
+func (n *balancerNode) newKeeper(parts nodeParts) (*keeper.Keeper, error) {
+	self := roster.Member{
+		Name:        n.config.name,
+		Place:       n.config.place,
+		Data:        n.config.data,
+		Control:     n.config.control,
+		Incarnation: service.IncarnationAt(time.Now()),
+		State:       service.Serving,
+	}
+	options := []keeper.Option{
+		keeper.WithPeers(n.config.peers...),
+		keeper.WithRevision(n.follower.Revision),
+		keeper.WithHigherRevision(n.follower.Offer),
+		keeper.WithLogger(n.log),
+		keeper.WithMeter(parts.meter),
+	}
+	if parts.store != nil {
+		options = append(options, keeper.WithStore(parts.store))
+	}
+	k, err := keeper.New(self, n.control.client, options...)
+	return k, trace.Wrap(err)
+}
+
+// run keeps the routing table in step with the settings and the roster.
+func (n *balancerNode) run() error {
+	for {
+		n.updateTable()
+		select {
+		case <-n.follower.Updates():
+			n.keeper.RevisionChanged()
+		case <-n.keeper.Updates():
+		case <-n.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (n *balancerNode) updateTable() {
+	view := n.keeper.View()
+	n.members.Store(&view.Members)
+	table, err := newTable(n.follower.Current(), view, n.config.region)
+	if err != nil {
+		n.log.Error("routing table refused, the last one stays", zap.Error(err))
+		return
+	}
+	n.balancer.SetTable(table)
+}
+
+// Stop leaves the members, keeps forwarding until the fabric sends nothing more
+// or ctx ends, and closes.
+func (n *balancerNode) Stop(ctx context.Context) error {
+	if err := n.keeper.Drain(ctx); err != nil {
+		n.log.Warn("the other members were not told of the stop", zap.Error(err))
+	}
+	if err := n.balancer.Drain(ctx); err != nil {
+		n.log.Warn("datagrams still came at the end of the stop", zap.Error(err))
+	}
+	return n.Close()
+}
+
+// Close stops at once and waits for all goroutines.
+func (n *balancerNode) Close() error {
+	n.tomb.Kill(nil)
+	err := n.tomb.Wait()
+	return trace.NewAggregate(err, n.closeParts())
+}
+
+func (n *balancerNode) closeParts() error {
+	var errs []error
+	if n.balancer != nil {
+		errs = append(errs, n.balancer.Close())
+	}
+	if n.keeper != nil {
+		errs = append(errs, n.keeper.Close())
+	}
+	if n.follower != nil {
+		errs = append(errs, n.follower.Close())
+	}
+	if n.control != nil {
+		errs = append(errs, n.control.Close())
+	}
+	return trace.NewAggregate(errs...)
+}
--- /dev/null
+++ b/dandelionhitch/flags.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"encoding"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3"
+)
+
+// _envPrefix begins the name of every environment variable that sets a flag.
+const _envPrefix = "DANDELIONHITCH"
+
+// usageError says that a command was called with settings that it refuses.
+// It holds all findings, each with the flag or file key that it is about.
+type usageError struct {
+	findings []finding
+}
+
+// finding is one thing wrong with one setting.
+type finding struct {
+	place string
+	err   error
+}
+
+// Error lists all findings, one a line.
+func (e *usageError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d settings refused:", len(e.findings))
+	for _, f := range e.findings {
+		fmt.Fprintf(&b, "\n  %s: %v", f.place, f.err)
+	}
+	return b.String()
+}
+
+// flagSet is the checked settings of one command. A value comes from the
+// command line, else from the environment, else from the JSON file named by
+// -config; there its key is the flag's name in snake case. Nothing is refused
+// before all values are read, so that one start reports all findings.
+type flagSet struct {
+	*flag.FlagSet
+	file     string
+	findings []finding
+	required []string
+}
+
+func newFlagSet(name string, output io.Writer) *flagSet {
+	s := &flagSet{FlagSet: flag.NewFlagSet(name, flag.ContinueOnError)}
+	s.SetOutput(output)
+	s.StringVar(&s.file, "config", "", "JSON file that sets flags by their names in snake case")
+	return s
+}
+
+// options returns how ff reads the set.
+func (s *flagSet) options() []ff.Option {
+	return []ff.Option{
+		ff.WithEnvVarPrefix(_envPrefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(s.parseFile),
+	}
+}
+
+// text adds a flag that target decodes and checks.
+func (s *flagSet) text(target encoding.TextUnmarshaler, name, usage string) {
+	s.Func(name, usage, func(value string) error {
+		s.add("-"+name, target.UnmarshalText([]byte(value)))
+		return nil
+	})
+}
+
+// addresses adds a flag that takes IP:PORT pairs separated by commas.
+func (s *flagSet) addresses(target *[]netip.AddrPort, name, usage string) {
+	s.Func(name, usage, func(value string) error {
+		for item := range strings.SplitSeq(value, ",") {
+			address, err := netip.ParseAddrPort(strings.TrimSpace(item))
+			s.add("-"+name, err)
+			*target = append(*target, address)
+		}
+		return nil
+	})
+}
+
+// require names the flags that must be set.
+func (s *flagSet) require(names ...string) {
+	s.required = append(s.required, names...)
+}
+
+// add notes a finding unless err is nil.
+func (s *flagSet) add(place string, err error) {
+	if err != nil {
+		s.findings = append(s.findings, finding{place: place, err: err})
+	}
+}
+
+// check returns a usageError with all findings, or nil.
+func (s *flagSet) check(args []string) error {
+	set := make(map[string]bool)
+	s.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for _, name := range s.required {
+		if !set[name] {
+			s.add("-"+name, trace.BadParameter("not set"))
+		}
+	}
+	for _, arg := range args {
+		s.add(fmt.Sprintf("argument %q", arg), trace.BadParameter("not expected"))
+	}
+	if len(s.findings) > 0 {
+		return &usageError{findings: s.findings}
+	}
+	return nil
+}
+
+// parseFile reads a JSON object and sets a flag for each key.
+func (s *flagSet) parseFile(r io.Reader, set func(name, value string) error) error {
+	decoder := json.NewDecoder(r)
+	decoder.UseNumber()
+	var values map[string]any
+	if err := decoder.Decode(&values); err != nil {
+		s.add(s.file, trace.Wrap(err, "want one JSON object"))
+		return nil
+	}
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		place := s.file + ": " + key
+		name := strings.ReplaceAll(key, "_", "-")
+		if strings.Contains(key, "-") || s.Lookup(name) == nil {
+			s.add(place, trace.NotFound("no such setting"))
+			continue
+		}
+		text, err := flagText(values[key])
+		if err != nil {
+			s.add(place, err)
+			continue
+		}
+		s.add(place, set(name, text))
+	}
+	return nil
+}
+
+// flagText returns a JSON value as a flag takes it.
+func flagText(value any) (string, error) {
+	switch v := value.(type) {
+	case string:
+		return v, nil
+	case bool, json.Number:
+		return fmt.Sprint(v), nil
+	case []any:
+		items := make([]string, 0, len(v))
+		for _, item := range v {
+			text, err := flagText(item)
+			if err != nil {
+				return "", err
+			}
+			items = append(items, text)
+		}
+		return strings.Join(items, ","), nil
+	default:
+		return "", trace.BadParameter("want a string, number, boolean, or a list of these")
+	}
+}
--- /dev/null
+++ b/dandelionhitch/fleet.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"math"
+	"net/url"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/metric/noop"
+	"go.uber.org/zap"
+
+	"dandelionhitch.example/audit"
+	"dandelionhitch.example/follower"
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/service"
+	"dandelionhitch.example/settings"
+	"dandelionhitch.example/standin"
+)
+
+// Times of the stand-in upstreams of a fleet.
+const (
+	_shortWork = 5 * time.Millisecond
+	_longWork  = 100 * _shortWork
+)
+
+// fleet is a whole plan running in this process: the stand-ins around it, the
+// balancers and the agents.
+type fleet struct {
+	plan      *plan
+	log       *zap.Logger
+	authority *authority
+	keyData   []byte
+	parts     nodeParts
+	platform  *standin.Platform
+	client    *platform.Client
+	fabric    *standin.Fabric
+	balancers []*balancerNode
+	killed    map[int]bool
+	upstreams []*standin.Upstream
+	agents    []*agentNode
+}
+
+// newFleet starts the stand-ins and accepts the first settings. Nothing is
+// forwarded before startBalancers and startAgents.
+func newFleet(ctx context.Context, p *plan, limits settings.Values, log *zap.Logger) (_ *fleet, err error) {
+	f := &fleet{plan: p, log: log, fabric: standin.NewFabric(1), killed: make(map[int]bool)}
+	defer func() {
+		if err != nil {
+			_ = f.Close()
+		}
+	}()
+	if f.platform, err = standin.NewPlatform(); err != nil {
+		return nil, err
+	}
+	f.client = platform.NewClient(f.platform.URL())
+	if f.parts, err = f.newParts(); err != nil {
+		return nil, err
+	}
+	if err := f.startUpstreams(); err != nil {
+		return nil, err
+	}
+	for _, s := range p.services {
+		if err := f.fabric.Open(s.address); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.accept(ctx, "first settings", p.edits(limits)...)
+}
+
+// newParts makes the keys and certificates that all processes share.
+func (f *fleet) newParts() (nodeParts, error) {
+	var err error
+	if f.authority, err = newAuthority(); err != nil {
+		return nodeParts{}, err
+	}
+	cert, err := f.authority.issue("control")
+	if err != nil {
+		return nodeParts{}, err
+	}
+	if f.keyData, err = newKeyFile(); err != nil {
+		return nodeParts{}, err
+	}
+	parsed, err := parseKeys(f.keyData)
+	if err != nil {
+		return nodeParts{}, err
+	}
+	return nodeParts{
+		log:   f.log,
+		meter: noop.NewMeterProvider().Meter(_meterName),
+		keys:  parsed,
+		tls:   mutualConfig(cert, f.authority.pool),
+		store: f.client,
+	}, nil
+}
+
+func (f *fleet) startUpstreams() error {
+	for i, host := range f.plan.hosts {
+		upstream, err := standin.NewUpstream(host.config.service, host.label,
+			standin.WithShort(_shortWork), standin.WithLong(_longWork))
+		if err != nil {
+			return err
+		}
+		f.upstreams = append(f.upstreams, upstream)
+		if f.plan.hosts[i].config.upstream, err = url.Parse(upstream.URL()); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// startBalancers starts all balancers and hands them the callers' datagrams.
+func (f *fleet) startBalancers() error {
+	for _, config := range f.plan.balancers {
+		node, err := newBalancerNode(config, f.parts)
+		if err != nil {
+			return trace.Wrap(err, "start %s", config.name)
+		}
+		f.balancers = append(f.balancers, node)
+	}
+	f.fabric.SetBalancers(f.plan.balancerAddresses()...)
+	return nil
+}
+
+// startAgents starts all agents, each with a certificate of its service.
+func (f *fleet) startAgents(ctx context.Context) error {
+	certs := make(map[service.Name]*tls.Config)
+	for _, s := range f.plan.services {
+		cert, err := f.authority.issue(string(s.name))
+		if err != nil {
+			return err
+		}
+		certs[s.name] = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+	}
+	for _, host := range f.plan.hosts {
+		node, err := newAgentNode(ctx, host.config, f.parts, certs[host.config.service])
+		if err != nil {
+			return trace.Wrap(err, "start agent %s", host.label)
+		}
+		f.agents = append(f.agents, node)
+	}
+	return nil
+}
+
+// callerTLS returns what a caller needs to verify a service.
+func (f *fleet) callerTLS() *tls.Config {
+	return &tls.Config{RootCAs: f.authority.pool, MinVersion: tls.VersionTLS13}
+}
+
+// killBalancer stops a balancer without warning; the fabric goes on handing it
+// datagrams, which are lost, until the balancer is taken out.
+func (f *fleet) killBalancer(i int) error {
+	f.killed[i] = true
+	return f.balancers[i].Close()
+}
+
+// removeBalancer takes a balancer out of the fabric.
+func (f *fleet) removeBalancer(i int) {
+	addresses := f.plan.balancerAddresses()
+	f.fabric.SetBalancers(append(addresses[:i], addresses[i+1:]...)...)
+}
+
+// Close stops everything and waits.
+func (f *fleet) Close() error {
+	var errs []error
+	for _, a := range f.agents {
+		errs = append(errs, a.Close())
+	}
+	for i, b := range f.balancers {
+		if !f.killed[i] {
+			errs = append(errs, b.Close())
+		}
+	}
+	errs = append(errs, f.fabric.Close())
+	for _, u := range f.upstreams {
+		errs = append(errs, u.Close())
+	}
+	if f.client != nil {
+		errs = append(errs, f.client.Close())
+	}
+	if f.platform != nil {
+		errs = append(errs, f.platform.Close())
+	}
+	return trace.NewAggregate(errs...)
+}
+
+// accept submits a change of the settings and returns once it is accepted.
+func (f *fleet) accept(ctx context.Context, reason string, edits ...settings.Edit) error {
+	editor := follower.NewEditor(f.client)
+	state, err := editor.Load(ctx)
+	if err != nil {
+		return err
+	}
+	var random [16]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = editor.Submit(ctx, audit.Change{
+		ID:     audit.NewChangeID(random),
+		Base:   state.Document.Revision(),
+		Author: "try",
+		Time:   time.Now(),
+		Reason: reason,
+		Edits:  edits,
+	})
+	return err
+}
+
+// awaitRevision waits until the revision accepted last is in force on every
+// balancer that is alive and at every agent, and returns how long that took.
+func (f *fleet) awaitRevision(ctx context.Context, limit time.Duration) (time.Duration, bool) {
+	start := time.Now()
+	state, err := follower.NewEditor(f.client).Load(ctx)
+	if err != nil {
+		return time.Since(start), false
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for f.lowestRevision() < state.Document.Revision() {
+		if !sleepContext(ctx, _revisionPoll) {
+			return time.Since(start), false
+		}
+	}
+	return time.Since(start), true
+}
+
+// _revisionPoll is how often a fleet looks for a revision.
+const _revisionPoll = 5 * time.Millisecond
+
+func (f *fleet) lowestRevision() settings.Revision {
+	lowest := settings.Revision(math.MaxUint64)
+	for i, b := range f.balancers {
+		if !f.killed[i] {
+			lowest = min(lowest, b.follower.Revision())
+		}
+	}
+	for _, a := range f.agents {
+		lowest = min(lowest, a.follower.Revision())
+	}
+	return lowest
+}
--- /dev/null
+++ b/dandelionhitch/keys.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"dandelionhitch.example/packet"
+	"dandelionhitch.example/ticket"
+)
+
+// keys are the secrets shared by balancers and agents, out of one key file.
+// Each part reads the members of the file that it needs.
+type keys struct {
+	packet *packet.Keys
+	ticket *ticket.Keys
+}
+
+// keyFile is the JSON form of keys.
+type keyFile struct {
+	Current uint8     `json:"current"`
+	Keys    []keySpec `json:"keys"`
+}
+
+// keySpec is one numbered key; its parts are in base64.
+type keySpec struct {
+	Number uint8  `json:"number"`
+	CID    []byte `json:"cid"`
+	MAC    []byte `json:"mac"`
+	Reset  []byte `json:"reset"`
+	Token  []byte `json:"token"`
+	Ticket []byte `json:"ticket"`
+}
+
+// Lengths of the parts of a key in octets.
+const (
+	_shortKeyOctets = 16
+	_longKeyOctets  = 32
+)
+
+func readKeys(path string) (keys, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return keys{}, trace.Wrap(trace.ConvertSystemError(err), "read keys")
+	}
+	parsed, err := parseKeys(data)
+	return parsed, trace.Wrap(err, "key file %s", path)
+}
+
+func parseKeys(data []byte) (keys, error) {
+	packetKeys, packetErr := packet.ParseKeys(data)
+	ticketKeys, ticketErr := ticket.ParseKeys(data)
+	if err := trace.NewAggregate(packetErr, ticketErr); err != nil {
+		return keys{}, err
+	}
+	return keys{packet: packetKeys, ticket: ticketKeys}, nil
+}
+
+// newKeyFile returns a key file with one random key.
+func newKeyFile() ([]byte, error) {
+	spec := keySpec{
+		Number: 1,
+		CID:    make([]byte, _shortKeyOctets),
+		MAC:    make([]byte, _shortKeyOctets),
+		Reset:  make([]byte, _longKeyOctets),
+		Token:  make([]byte, _longKeyOctets),
+		Ticket: make([]byte, _longKeyOctets),
+	}
+	for _, part := range [][]byte{spec.CID, spec.MAC, spec.Reset, spec.Token, spec.Ticket} {
+		if _, err := rand.Read(part); err != nil {
+			return nil, trace.Wrap(err, "make random keys")
+		}
+	}
+	data, err := json.MarshalIndent(keyFile{Current: spec.Number, Keys: []keySpec{spec}}, "", "  ")
+	return data, trace.Wrap(err)
+}
--- /dev/null
+++ b/dandelionhitch/metrics.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"gopkg.in/tomb.v2"
+)
+
+// _meterName is the instrumentation scope of all metrics.
+const _meterName = "dandelionhitch"
+
+// _metricsReadTimeout bounds how long a reader of metrics may take to ask.
+const _metricsReadTimeout = 5 * time.Second
+
+// metricsServer serves a process's metrics over HTTP at /metrics.
+type metricsServer struct {
+	tomb     tomb.Tomb
+	provider *sdkmetric.MeterProvider
+	listener net.Listener
+	server   *http.Server
+}
+
+// newMetricsServer serves at address; a zero address collects without serving.
+// Beside the metrics, /ready answers 200 while ready returns true and 503 else,
+// which is what a fabric asks before it hands packets to a balancer.
+func newMetricsServer(address netip.AddrPort, ready func() bool) (*metricsServer, error) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reader, err := exporter.New(exporter.WithRegisterer(registry))
+	if err != nil {
+		return nil, trace.Wrap(err, "start metrics")
+	}
+	m := &metricsServer{provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader))}
+	if !address.IsValid() {
+		return m, nil
+	}
+	m.listener, err = net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, trace.Wrap(err, "start metrics at %s", address)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /ready", readiness(ready))
+	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: _metricsReadTimeout}
+	m.tomb.Go(m.run)
+	return m, nil
+}
+
+// meter returns the meter that the process's modules count with.
+func (m *metricsServer) meter() metric.Meter { return m.provider.Meter(_meterName) }
+
+// Close stops serving and waits for the server's goroutine.
+func (m *metricsServer) Close() error {
+	errs := []error{m.provider.Shutdown(context.Background())}
+	if m.server != nil {
+		errs = append(errs, m.server.Close(), m.tomb.Wait())
+	}
+	return trace.NewAggregate(errs...)
+}
+
+func (m *metricsServer) run() error {
+	if err := m.server.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err, "serve metrics")
+	}
+	return nil
+}
+
+func readiness(ready func() bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
--- /dev/null
+++ b/dandelionhitch/peers.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gopkg.in/tomb.v2"
+
+	"dandelionhitch.example/announcer"
+	"dandelionhitch.example/dispatcher"
+)
+
+// _peerReadTimeout bounds how long a peer may take to send a request's header.
+const _peerReadTimeout = 5 * time.Second
+
+// peers tells the dispatcher of the other agents of its service. An agent
+// answers its peers over TCP at the IP address and port number of its data
+// address, so that a ticket's address is enough to find its issuer.
+type peers struct {
+	announcer *announcer.Announcer
+}
+
+var _ dispatcher.Peers = peers{}
+
+// Peers returns a few other agents that are serving.
+func (p peers) Peers() []dispatcher.Peer {
+	known := p.announcer.Peers()
+	out := make([]dispatcher.Peer, 0, len(known))
+	for _, peer := range known {
+		out = append(out, dispatcher.Peer{
+			Address:     peer.Data,
+			Incarnation: peer.Incarnation,
+			Load:        int(peer.Load) * _maxLoad / _percent,
+		})
+	}
+	return out
+}
+
+// Endpoint returns where the agent with the given data address answers peers.
+func (p peers) Endpoint(agent netip.AddrPort) (netip.AddrPort, bool) { return agent, true }
+
+// newPeerTransport returns HTTP/2 over mutual TLS.
+func newPeerTransport(config *tls.Config) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	return &http.Transport{
+		TLSClientConfig: config.Clone(),
+		Protocols:       protocols,
+	}
+}
+
+// peerServer answers the other agents of the service.
+type peerServer struct {
+	tomb     tomb.Tomb
+	listener net.Listener
+	server   *http.Server
+}
+
+func newPeerServer(address netip.AddrPort, config *tls.Config, handler http.Handler) (*peerServer, error) {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for peers at %s", address)
+	}
+	p := &peerServer{
+		listener: listener,
+		server: &http.Server{
+			Handler:           handler,
+			TLSConfig:         config.Clone(),
+			ReadHeaderTimeout: _peerReadTimeout,
+		},
+	}
+	p.tomb.Go(p.run)
+	return p, nil
+}
+
+func (p *peerServer) run() error {
+	if err := p.server.ServeTLS(p.listener, "", ""); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err, "serve peers")
+	}
+	return nil
+}
+
+// Close cuts the peers' requests and waits for the server.
+func (p *peerServer) Close() error {
+	return trace.NewAggregate(p.server.Close(), p.tomb.Wait())
+}
--- /dev/null
+++ b/dandelionhitch/process_test.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"dandelionhitch.example/service"
+	"dandelionhitch.example/standin"
+)
+
+// _asProgram makes the test binary run as the program itself.
+const _asProgram = "DANDELIONHITCH_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(_asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// processFleet is a fleet whose balancers and agents are processes of their own.
+type processFleet struct {
+	*fleet
+	t         *testing.T
+	dir       string
+	processes map[string]*exec.Cmd
+}
+
+// startProcesses starts 3 balancers and 2 services with 2 agents each.
+func startProcesses(t *testing.T) *processFleet {
+	t.Helper()
+	layout, err := newPlan("oslo", []service.Place{"oslo-a", "oslo-b"}, 3,
+		plannedService{name: "rutetjeneste", hosts: 2, slots: 4},
+		plannedService{name: "fotoarkiv", hosts: 2, slots: 4})
+	assert.NilError(t, err)
+	t.Cleanup(func() { layout.Close() })
+	inner, err := newFleet(t.Context(), layout, tryValues(_tryFlowLimit), zap.NewNop())
+	assert.NilError(t, err)
+	f := &processFleet{fleet: inner, t: t, dir: t.TempDir(), processes: make(map[string]*exec.Cmd)}
+	t.Cleanup(f.close)
+	f.writeCredentials()
+	for _, b := range layout.balancers {
+		f.start("balancer", b.name, f.balancerFile(b))
+	}
+	for _, host := range layout.hosts {
+		f.start("agent", host.label, f.agentFile(host))
+	}
+	f.fabric.SetBalancers(layout.balancerAddresses()...)
+	return f
+}
+
+func (f *processFleet) writeCredentials() {
+	f.write("keys.json", f.keyData)
+	f.write("ca.pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: f.authority.cert.Raw}))
+	f.writeCert("control", f.parts.tls.Certificates[0])
+	for _, s := range f.plan.services {
+		cert, err := f.authority.issue(string(s.name))
+		assert.NilError(f.t, err)
+		f.writeCert(string(s.name), cert)
+	}
+}
+
+func (f *processFleet) writeCert(name string, cert tls.Certificate) {
+	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	assert.NilError(f.t, err)
+	f.write(name+".pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert.Certificate[0]}))
+	f.write(name+".key", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}))
+}
+
+func (f *processFleet) write(name string, data []byte) {
+	assert.NilError(f.t, os.WriteFile(f.path(name), data, 0o600))
+}
+
+func (f *processFleet) path(name string) string { return filepath.Join(f.dir, name) }
+
+func (f *processFleet) nodeSettings(c nodeConfig) map[string]any {
+	return map[string]any{
+		"region": c.region, "place": c.place, "data": c.data, "control": c.control,
+		"platform": f.platform.URL().String(), "keys": f.path("keys.json"), "log_level": "warn",
+		"control_cert": f.path("control.pem"), "control_key": f.path("control.key"), "control_ca": f.path("ca.pem"),
+	}
+}
+
+func (f *processFleet) balancerFile(b balancerConfig) map[string]any {
+	values := f.nodeSettings(b.nodeConfig)
+	values["name"] = b.name
+	listen := []string{}
+	for _, l := range b.listeners {
+		listen = append(listen, fmt.Sprintf("%s=%s", l.Bind, l.Address))
+	}
+	values["listen"] = listen
+	if len(b.peers) > 0 {
+		values["peers"] = b.peers
+	}
+	return values
+}
+
+func (f *processFleet) agentFile(host plannedHost) map[string]any {
+	values := f.nodeSettings(host.config.nodeConfig)
+	values["service"] = host.config.service
+	values["upstream"] = host.config.upstream.String()
+	values["peers"] = host.config.peers
+	values["caller_cert"] = f.path(string(host.config.service) + ".pem")
+	values["caller_key"] = f.path(string(host.config.service) + ".key")
+	return values
+}
+
+// start runs one process of the program with a settings file.
+func (f *processFleet) start(role, name string, values map[string]any) {
+	f.t.Helper()
+	data, err := json.Marshal(values)
+	assert.NilError(f.t, err)
+	f.write(name+".json", data)
+	command := exec.Command(os.Args[0], role, "-config", f.path(name+".json"))
+	command.Env = append(os.Environ(), _asProgram+"=1")
+	command.Stderr = os.Stderr
+	assert.NilError(f.t, command.Start())
+	f.processes[name] = command
+}
+
+// signal sends a signal to one process.
+func (f *processFleet) signal(name string, signal syscall.Signal) {
+	f.t.Helper()
+	assert.NilError(f.t, f.processes[name].Process.Signal(signal))
+}
+
+// wait waits until a process has ended and returns its error.
+func (f *processFleet) wait(name string) error {
+	err := f.processes[name].Wait()
+	delete(f.processes, name)
+	return err
+}
+
+func (f *processFleet) close() {
+	for _, command := range f.processes {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	}
+	_ = f.fleet.Close()
+}
+
+// dial opens a flow to a service, trying until there is one to have.
+func (f *processFleet) dial(s plannedService) *standin.Caller {
+	f.t.Helper()
+	var caller *standin.Caller
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		ctx, cancel := context.WithTimeout(f.t.Context(), 2*time.Second)
+		defer cancel()
+		var err error
+		if caller, err = standin.Dial(ctx, s.name, s.address, f.callerTLS()); err != nil {
+			return poll.Continue("dial %s: %v", s.name, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+	f.t.Cleanup(caller.Close)
+	return caller
+}
+
+// request sends one request and returns which upstream answered it.
+func (f *processFleet) request(caller *standin.Caller, number uint64) string {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 20*time.Second)
+	defer cancel()
+	answer, err := caller.Do(ctx, standin.Work{Number: number, Path: standin.PathShort, Upload: 50_000, Download: 200_000})
+	assert.NilError(f.t, err)
+	assert.Equal(f.t, answer.Status, 200)
+	return answer.Upstream
+}
+
+// TestRequestsPassWhileProcessesComeAndGo starts the real program as 3 balancers
+// and 4 agents. Every answer must be whole and of its own service, and no flow
+// may break, while a balancer is killed, another is replaced, one agent is
+// paused, and one is told to stop.
+func TestRequestsPassWhileProcessesComeAndGo(t *testing.T) {
+	f := startProcesses(t)
+	const flows = 6
+	callers := make([][]*standin.Caller, len(f.plan.services))
+	for i, s := range f.plan.services {
+		for range flows {
+			callers[i] = append(callers[i], f.dial(s))
+		}
+	}
+	number := uint64(0)
+	all := func(step string) {
+		t.Helper()
+		for i := range callers {
+			for _, caller := range callers[i] {
+				number++
+				f.request(caller, number)
+			}
+		}
+		t.Logf("%s: %d requests whole", step, number)
+	}
+	all("at the start")
+
+	f.signal("balancer-3", syscall.SIGKILL)
+	assert.ErrorContains(t, f.wait("balancer-3"), "killed")
+	f.removeBalancer(2)
+	all("after a balancer was killed")
+
+	f.signal("balancer-2", syscall.SIGTERM)
+	f.fabric.SetBalancers(f.plan.balancerAddresses()[0])
+	assert.NilError(t, f.wait("balancer-2"))
+	all("after a balancer was told to stop")
+
+	f.start("balancer", "balancer-3", f.balancerFile(f.plan.balancers[2]))
+	f.fabric.SetBalancers(f.plan.balancerAddresses()[0], f.plan.balancerAddresses()[2])
+	all("after a balancer joined")
+
+	paused := f.plan.hosts[0].label
+	f.signal(paused, syscall.SIGSTOP)
+	f.dial(f.plan.services[0])
+	f.signal(paused, syscall.SIGCONT)
+	all("after an agent was paused")
+}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -171,3 +172,24 @@
 	var reset *quic.StatelessResetError
 	return errors.As(err, &reset)
 }
+
+// IsGoAway reports whether err says that the service has asked the caller to
+// open another flow, and that the request was not sent.
+func IsGoAway(err error) bool {
+	var application *quic.ApplicationError
+	if errors.As(err, &application) {
+		return application.ErrorCode == quic.ApplicationErrorCode(http3.ErrCodeNoError)
+	}
+	var h3 *http3.Error
+	if errors.As(err, &h3) {
+		return h3.ErrorCode == http3.ErrCodeNoError
+	}
+	// The library has no exported error for a request that meets a GOAWAY.
+	return err != nil && strings.Contains(err.Error(), "connection in graceful shutdown")
+}
+
+// IsRefused reports whether err says that the service refused a new flow.
+func IsRefused(err error) bool {
+	var transport *quic.TransportError
+	return errors.As(err, &transport) && transport.ErrorCode == quic.ConnectionRefused
+}
