dandelionhitch: an agent serves once it has a share of the flow limit

Change: it stays starting until it may admit; its run has a random nonce, which the rule for reclaimed shares relies on; the try lets callers in once every balancer offers flows to every upstream, and leaves stopped agents out of the check of the revision in force. Found: with 3 hosts of a service at a place and max_hosts 10, the first run takes three quarters of the limit, the second the rest, and the third has neither floor nor lease; the try now stops there. Not mended here.

--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"math/rand/v2"
 	"net/netip"
 	"net/url"
 	"time"
@@ -25,8 +26,9 @@
 )
 
 const (
-	// _loadInterval is how often an agent's load is passed on.
-	_loadInterval = 500 * time.Millisecond
+	// _loadInterval is how often an agent's load is passed on, and how often a
+	// starting agent looks whether it has a share of the flow limit.
+	_loadInterval = 200 * time.Millisecond
 	// _maxLoad is the highest value of Dispatcher.Load.
 	_maxLoad = 7
 	// _percent is a whole in percent.
@@ -167,8 +169,6 @@
 		return nil, err
 	}
 	n.control.start()
-	n.agent.Serve()
-	n.announcer.SetState(service.Serving)
 	n.tomb.Go(n.run)
 	return n, nil
 }
@@ -219,7 +219,7 @@
 // serve starts the request and flow side.
 func (n *agentNode) serve(policy settings.Service, parts nodeParts, callers *tls.Config) error {
 	incarnation := n.announcer.Self().Incarnation
-	run := limit.Run{Address: n.config.data, Incarnation: incarnation}
+	run := limit.Run{Address: n.config.data, Incarnation: incarnation, Nonce: rand.Uint32()}
 	var err error
 	n.leaseholder, err = leaseholder.New(parts.store, n.config.path(), run, n.policy,
 		leaseholder.WithLogger(n.log), leaseholder.WithMeter(parts.meter))
@@ -255,11 +255,17 @@
 	return trace.Wrap(err)
 }
 
-// run passes the load on until the agent stops.
+// run begins to serve once flows can be admitted, and passes the load on until
+// the agent stops.
 func (n *agentNode) run() error {
 	ticker := time.NewTicker(_loadInterval)
 	defer ticker.Stop()
 	for {
+		if n.agent.State() == service.Starting && n.leaseholder.Status().Allowed > 0 {
+			n.agent.Serve()
+			n.announcer.SetState(service.Serving)
+			n.log.Info("agent serves")
+		}
 		select {
 		case <-ticker.C:
 			n.announcer.SetLoad(uint8(n.dispatcher.Load() * _percent / _maxLoad))
--- a/dandelionhitch/fleet.go
+++ b/dandelionhitch/fleet.go
@@ -144,6 +144,29 @@
 	return nil
 }
 
+// awaitServing waits until every balancer offers new flows to every upstream.
+func (f *fleet) awaitServing(ctx context.Context) error {
+	for !f.isServing() {
+		if !sleepContext(ctx, _fleetPoll) {
+			return trace.Wrap(ctx.Err(), "wait until all upstreams are known to all balancers")
+		}
+	}
+	return nil
+}
+
+func (f *fleet) isServing() bool {
+	for _, b := range f.balancers {
+		known := 0
+		for _, candidates := range b.keeper.View().Services {
+			known += len(candidates)
+		}
+		if known < len(f.agents) {
+			return false
+		}
+	}
+	return true
+}
+
 // callerTLS returns what a caller needs to verify a service.
 func (f *fleet) callerTLS() *tls.Config {
 	return &tls.Config{RootCAs: f.authority.pool, MinVersion: tls.VersionTLS13}
@@ -219,15 +242,15 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for f.lowestRevision() < state.Document.Revision() {
-		if !sleepContext(ctx, _revisionPoll) {
+		if !sleepContext(ctx, _fleetPoll) {
 			return time.Since(start), false
 		}
 	}
 	return time.Since(start), true
 }
 
-// _revisionPoll is how often a fleet looks for a revision.
-const _revisionPoll = 5 * time.Millisecond
+// _fleetPoll is how often a fleet is looked at while waiting for it.
+const _fleetPoll = 5 * time.Millisecond
 
 func (f *fleet) lowestRevision() settings.Revision {
 	lowest := settings.Revision(math.MaxUint64)
@@ -237,7 +260,9 @@
 		}
 	}
 	for _, a := range f.agents {
-		lowest = min(lowest, a.follower.Revision())
+		if a.tomb.Alive() {
+			lowest = min(lowest, a.follower.Revision())
+		}
 	}
 	return lowest
 }
--- a/dandelionhitch/try.go
+++ b/dandelionhitch/try.go
@@ -28,6 +28,8 @@
 	_maxTryCallers = 2000
 	// _tryRampUp is the span over which the callers start.
 	_tryRampUp = time.Second
+	// _tryStartWithin bounds the time until the fleet serves.
+	_tryStartWithin = 20 * time.Second
 	// _inForceWithin is how soon an accepted change must be in force on every balancer.
 	_inForceWithin = 6 * time.Second
 	// _noNewFlowsAfter is how soon a draining upstream must get no new flows.
@@ -102,13 +104,26 @@
 	if err := t.fleet.startAgents(ctx); err != nil {
 		return err
 	}
-	t.say("all processes are up")
+	if err := t.awaitServing(ctx); err != nil {
+		return err
+	}
 	if err := t.disturb(ctx, callers); err != nil {
 		return err
 	}
 	return t.report()
 }
 
+// awaitServing waits until callers can be let in.
+func (t *trial) awaitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, _tryStartWithin)
+	defer cancel()
+	if err := t.fleet.awaitServing(ctx); err != nil {
+		return err
+	}
+	t.say("every balancer knows every upstream")
+	return nil
+}
+
 // tryValues are the settings of the region.
 func tryValues(flows int) settings.Values {
 	reserved, queue, hosts, upstream := 1, 64, 10, 2000
