queue, dispatcher: what counts against an upstream, and a load that falls

Four faults found on reading, each with a test seen red on the code as it was: - Callers choose their deadlines, and each run that one ended counted as a failure: a few with a deadline of a millisecond put an upstream down to its lowest limit and its load up to 'refusing'. A run that timed out now counts only if it had four times its baseline ('hasty deadlines' and 'hanging' in TestConcurrencyFollowsWhatTheUpstreamShows). - A load was reckoned only when a request came or went, so that an upstream that nobody chose for its old load stayed at it (TestLoadRisesAndFalls: 2 for 0 after a minute). - /x/../once went past the mark on /once (TestMarksHoldForRoundaboutPaths: 200 for 428). - Any 5xx counted as a failure of the upstream; 500 often lies in the request (502, 503 and 504 count now; read, not tested by itself).

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -14,6 +14,8 @@
 const (
 	// _admissionRing bounds the messages to the admission loop.
 	_admissionRing = 1024
+	// _loadTick is how often a load is reckoned anew when nothing else happens.
+	_loadTick = 250 * time.Millisecond
 )
 
 // _fallbackLimits are in force until the settings give valid ones.
@@ -204,8 +206,7 @@
 	}
 }
 
-// advance ticks the queue, sends its actions out and sets the timer for the
-// next time that it has something to do.
+// advance ticks the queue and sends its actions out.
 func (a *admission) advance(timer *time.Timer) {
 	now := a.now()
 	a.actions = a.queue.Tick(a.actions, now)
@@ -215,7 +216,17 @@
 	}
 	a.actions = a.actions[:0]
 	a.load.Store(int32(a.queue.Load(now)))
-	if at, ok := a.queue.NextTick(now); ok {
+	a.setTimer(timer, now)
+}
+
+// setTimer sets the timer for the next time that the queue has something to
+// do. A load that is not zero falls by the passing of time.
+func (a *admission) setTimer(timer *time.Timer, now time.Duration) {
+	at, ok := a.queue.NextTick(now)
+	if a.load.Load() > 0 && (!ok || at > now+_loadTick) {
+		at, ok = now+_loadTick, true
+	}
+	if ok {
 		timer.Reset(at - now)
 	} else {
 		timer.Stop()
--- a/dispatcher/behaviour_test.go
+++ b/dispatcher/behaviour_test.go
@@ -244,6 +244,32 @@
 	})
 }
 
+func TestLoadRisesAndFalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newAlone(t, policyOf(), after(4*time.Second, http.StatusOK, ""))
+		for range 3 {
+			go ask(d, http.MethodPost, "/plain", "")
+		}
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, d.Load() >= 2, "load %d", d.Load())
+		time.Sleep(time.Minute)
+		assert.Equal(t, d.Load(), 0)
+		assert.NilError(t, d.Close())
+	})
+}
+
+func TestMarksHoldForRoundaboutPaths(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newAlone(t, policyOf(), after(0, http.StatusOK, ""))
+		for path, want := range map[string]int{
+			"/once": 428, "/once/a": 428, "//once": 428, "/./once": 428, "/x/../once": 428, "/%6fnce": 428, "/x/once": 200,
+		} {
+			assert.Equal(t, ask(d, http.MethodPost, path, "").StatusCode, want, path)
+		}
+		assert.NilError(t, d.Close())
+	})
+}
+
 func TestIdempotentRequestsAreTriedAgain(t *testing.T) {
 	for method, want := range map[string]int{http.MethodGet: 2, http.MethodPut: 2, http.MethodDelete: 2, http.MethodPost: 1} {
 		t.Run(method, func(t *testing.T) {
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"path"
 	"strings"
 	"time"
 
@@ -154,10 +155,12 @@
 	return false
 }
 
-// hasPrefix reports whether path begins with one of the prefixes.
-func hasPrefix(path string, prefixes []string) bool {
+// hasPrefix reports whether the path begins with one of the prefixes, also if
+// it is written in a roundabout way.
+func hasPrefix(requested string, prefixes []string) bool {
+	clean := path.Clean("/" + requested)
 	for _, prefix := range prefixes {
-		if strings.HasPrefix(path, prefix) {
+		if strings.HasPrefix(clean, prefix) || strings.HasPrefix(clean+"/", prefix) {
 			return true
 		}
 	}
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -62,16 +62,15 @@
 	setDeadline(request.Header, time.Until(x.deadline))
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		if x.ctx.Err() == nil {
-			result = queue.Failed
-		}
-		return sendError(ctx, err)
+		err = sendError(ctx, err)
+		result = resultOf(err)
+		return err
 	}
 	defer response.Body.Close()
 	ctx.answered(x)
 	stripOwn(response.Header)
 	result = queue.Done
-	if response.StatusCode >= http.StatusInternalServerError {
+	if unavailable(response.StatusCode) {
 		result = queue.Failed
 	}
 	x.d.telemetry.answered("upstream")
@@ -79,6 +78,27 @@
 	return nil
 }
 
+// resultOf says what an error of a run tells about the upstream.
+func resultOf(err error) queue.Result {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return queue.TimedOut
+	case errors.Is(err, context.Canceled):
+		return queue.Aborted
+	}
+	return queue.Failed
+}
+
+// unavailable reports whether a status says that the upstream cannot work.
+// Other errors may lie in the request.
+func unavailable(status int) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
 // sendError says what an error of a transport means for the request.
 func sendError(ctx context.Context, err error) error {
 	var op *net.OpError
--- a/queue/action.go
+++ b/queue/action.go
@@ -92,6 +92,10 @@
 	// Failed says that the upstream broke off, could not be reached, or
 	// answered that it failed.
 	Failed
+	// TimedOut says that the request's deadline ended the run. It counts against
+	// the upstream only if the run got much more time than it usually takes:
+	// callers choose their deadlines.
+	TimedOut
 	// Aborted says that the run was ended from this side, so that its run
 	// time says nothing about the upstream.
 	Aborted
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -356,10 +356,13 @@
 // learn takes the run time of e into account.
 func (q *Queue) learn(now time.Duration, e *entry, result Result) {
 	run := now - e.started
-	if result == Aborted {
+	known := q.routes.lookup(e.route)
+	if result == TimedOut && known.runs > 0 && run >= _runMargin*known.baseline {
+		result = Failed
+	}
+	if result == Aborted || result == TimedOut {
 		return
 	}
-	known := q.routes.lookup(e.route)
 	ratio := known.ratio(run)
 	failed := result == Failed
 	if !failed {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -214,8 +214,10 @@
 		run  func(i, running int) (time.Duration, queue.Result)
 		want func(limit int) bool
 	}{
-		"no overload": {8, steady, func(l int) bool { return l == 8 }},
-		"errors":      {8, func(int, int) (time.Duration, queue.Result) { return ms, queue.Failed }, func(l int) bool { return l == 2 }},
+		"no overload":     {8, steady, func(l int) bool { return l == 8 }},
+		"errors":          {8, func(int, int) (time.Duration, queue.Result) { return ms, queue.Failed }, func(l int) bool { return l == 2 }},
+		"hanging":         {8, func(int, int) (time.Duration, queue.Result) { return 9 * ms, queue.TimedOut }, func(l int) bool { return l == 2 }},
+		"hasty deadlines": {8, func(int, int) (time.Duration, queue.Result) { return ms / 9, queue.TimedOut }, func(l int) bool { return l == 8 }},
 		"slower in load": {8, func(_, running int) (time.Duration, queue.Result) {
 			return ms * time.Duration(running*running), queue.Done
 		}, func(l int) bool { return l < 8 }},
