queue, dispatcher: smaller files

The loopback tests of the dispatcher share their set-up, and the hand-over test drains the sender instead of filling its only slot.

--- a/dispatcher/behaviour_test.go
+++ b/dispatcher/behaviour_test.go
@@ -24,6 +24,7 @@
 		dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: newSelf(), Incarnation: 1}),
 		dispatcher.WithTransport(transportFunc(serve)))
 	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, d.Close()) })
 	return d
 }
 
@@ -84,7 +85,6 @@
 		for range 2 {
 			assert.Equal(t, (<-answers).StatusCode, http.StatusOK)
 		}
-		assert.NilError(t, d.Close())
 	})
 }
 
@@ -113,7 +113,6 @@
 		for _, bad := range []string{"0", "-1", "x", "1e3", "99999999999"} {
 			assert.Equal(t, ask(d, http.MethodGet, "/", "", dispatcher.HeaderDeadline, bad).StatusCode, http.StatusBadRequest)
 		}
-		assert.NilError(t, d.Close())
 	})
 }
 
@@ -178,7 +177,6 @@
 		time.Sleep(500 * time.Millisecond)
 		same("/once/order", key, http.StatusCreated, "", body)
 		assert.Equal(t, runs, 3)
-		assert.NilError(t, d.Close())
 	})
 }
 
@@ -240,7 +238,6 @@
 		answer := ask(d, http.MethodPost, "/plain", "")
 		assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
 		assert.Equal(t, outcome(answer), dispatcher.OutcomeNotRun)
-		assert.NilError(t, d.Close())
 	})
 }
 
@@ -254,7 +251,6 @@
 		assert.Assert(t, d.Load() >= 2, "load %d", d.Load())
 		time.Sleep(time.Minute)
 		assert.Equal(t, d.Load(), 0)
-		assert.NilError(t, d.Close())
 	})
 }
 
@@ -266,7 +262,6 @@
 		} {
 			assert.Equal(t, ask(d, http.MethodPost, path, "").StatusCode, want, path)
 		}
-		assert.NilError(t, d.Close())
 	})
 }
 
@@ -283,7 +278,6 @@
 				assert.Equal(t, answer.StatusCode, http.StatusBadGateway)
 				assert.Equal(t, outcome(answer), dispatcher.OutcomeUnknown)
 				assert.Equal(t, runs, want)
-				assert.NilError(t, d.Close())
 			})
 		})
 	}
--- a/dispatcher/loopback_test.go
+++ b/dispatcher/loopback_test.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -16,6 +17,52 @@
 	"dandelionhitch.example/settings"
 )
 
+// policyOf returns settings with 4 slots, 1 of them reserved, and /once as
+// non-repeatable.
+func policyOf() settings.Service {
+	return settings.Service{
+		ID:       7,
+		Limits:   settings.Limits{Slots: 4, ReservedSlots: 1, QueueLength: 64},
+		Requests: settings.Requests{NonRepeatableRoutes: []string{"/once"}, Timeout: settings.Duration(5 * time.Second)},
+	}
+}
+
+func TestRequestsAreForwardedWholeOverLoopback(t *testing.T) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(dispatcher.HeaderDeadline) == "" {
+			t.Error("the upstream got no deadline")
+		}
+		w.Header().Set("Trailer", "Sum")
+		_, _ = io.Copy(w, r.Body)
+		w.Header().Set("Sum", r.Method)
+	}))
+	defer upstream.Close()
+	front := httptest.NewServer(newBefore(t, upstream))
+	defer front.Close()
+
+	sent := strings.Repeat("round ", 100_000)
+	for range 3 {
+		answer, err := http.Post(front.URL+"/checkin?bin=4", "text/plain", strings.NewReader(sent))
+		assert.NilError(t, err)
+		got, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		answer.Body.Close()
+		assert.Assert(t, string(got) == sent)
+		assert.Equal(t, answer.Trailer.Get("Sum"), http.MethodPost)
+	}
+}
+
+// newBefore returns a dispatcher in front of a server.
+func newBefore(t testing.TB, upstream *httptest.Server, opts ...dispatcher.Option) *dispatcher.Dispatcher {
+	target, err := url.Parse(upstream.URL)
+	assert.NilError(t, err)
+	opts = append([]dispatcher.Option{dispatcher.WithTicketKeys(_keys)}, opts...)
+	d, err := dispatcher.New(target, policyOf, opts...)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, d.Close()) })
+	return d
+}
+
 // onePeer knows one other agent, which is idle.
 type onePeer struct{ addr netip.AddrPort }
 
@@ -27,69 +74,39 @@
 	return p.addr, agent == p.addr
 }
 
-// newPair returns a dispatcher whose requests go to a peer over HTTP/2 and TLS
-// on loopback because its own upstream is taken, and what it was told.
+// newPair returns a dispatcher that drains, so that its requests go to a peer
+// over HTTP/2 and TLS on loopback.
 func newPair(t testing.TB, upstream http.Handler) http.Handler {
 	back := httptest.NewServer(upstream)
 	t.Cleanup(back.Close)
-	target, err := url.Parse(back.URL)
-	assert.NilError(t, err)
-
 	peerServer := httptest.NewUnstartedServer(nil)
 	addr := netip.MustParseAddrPort(peerServer.Listener.Addr().String())
-	peer, err := dispatcher.New(target, policyOf,
-		dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: addr, Incarnation: 1}), dispatcher.WithTicketKeys(_keys))
-	assert.NilError(t, err)
+	peer := newBefore(t, back, dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: addr, Incarnation: 1}))
 	peerServer.Config.Handler = peer.PeerHandler()
 	peerServer.EnableHTTP2 = true
 	peerServer.StartTLS()
 	t.Cleanup(peerServer.Close)
 
-	d, err := dispatcher.New(target, func() settings.Service {
-		full := policyOf()
-		full.Limits = settings.Limits{Slots: 1}
-		return full
-	}, dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: newSelf(), Incarnation: 1}),
-		dispatcher.WithTicketKeys(_keys), dispatcher.WithPeers(onePeer{addr}, peerServer.Client().Transport))
-	assert.NilError(t, err)
-	t.Cleanup(func() {
-		assert.Check(t, d.Close())
-		assert.Check(t, peer.Close())
-	})
+	d := newBefore(t, back, dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: newSelf(), Incarnation: 1}),
+		dispatcher.WithPeers(onePeer{addr}, peerServer.Client().Transport))
+	assert.NilError(t, d.Drain(t.Context()))
 	return d
 }
 
 func TestHandOverOverLoopback(t *testing.T) {
-	const requests = 2
-	arrived, release := make(chan struct{}, requests), make(chan struct{})
 	d := newPair(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		arrived <- struct{}{}
-		<-release
 		// An HTTP/1 server drops what it has not read when it begins to answer.
 		body, err := io.ReadAll(r.Body)
 		assert.Check(t, err)
 		_, _ = w.Write(body)
 	}))
 	sent := strings.Repeat("round ", 50_000)
-	answers := make(chan *http.Response, requests)
-	// The first takes the only slot here, the second goes to the peer.
-	for range requests {
-		go func() { answers <- ask(d, http.MethodPost, "/checkin", sent) }()
-		select {
-		case <-arrived:
-		case answer := <-answers:
-			t.Fatalf("answered with %s before it ran", answer.Status)
-		}
-	}
-	close(release)
-	for range requests {
-		answer := <-answers
-		assert.Equal(t, answer.StatusCode, http.StatusOK)
-		got, err := io.ReadAll(answer.Body)
-		assert.NilError(t, err)
-		assert.Assert(t, string(got) == sent)
-		assert.Equal(t, answer.Header.Get("Dandelionhitch-Load"), "")
-	}
+	answer := ask(d, http.MethodPost, "/checkin", sent)
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+	got, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, string(got) == sent)
+	assert.Equal(t, answer.Header.Get("Dandelionhitch-Load"), "")
 }
 
 // BenchmarkRequest measures requests through a dispatcher to an upstream on
@@ -99,11 +116,7 @@
 		_, _ = io.WriteString(w, "done")
 	}))
 	defer upstream.Close()
-	target, err := url.Parse(upstream.URL)
-	assert.NilError(b, err)
-	d, err := dispatcher.New(target, policyOf, dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: newSelf(), Incarnation: 1}))
-	assert.NilError(b, err)
-	defer d.Close()
+	d := newBefore(b, upstream, dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: newSelf(), Incarnation: 1}))
 	keyOf := func() string {
 		return ask(d, http.MethodPost, "/once", "").Header.Get(dispatcher.HeaderKey)
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -23,19 +23,6 @@
 	"time"
 )
 
-const (
-	// _maxShortWait is the longest wait of a short request whose run is shorter
-	// than that. It bounds the queue that a crest of demand leaves behind.
-	_maxShortWait = 250 * time.Millisecond
-	// _runMargin is how many times its expected run time a waiting request
-	// keeps for its run: nearly all runs end within that.
-	_runMargin = 4
-	// _demandSpan is the time over which the demand of short work is averaged.
-	_demandSpan = 2 * time.Second
-	// _loadSpan is the time over which the load is averaged.
-	_loadSpan = 500 * time.Millisecond
-)
-
 // Request is one request that asks to run.
 type Request struct {
 	ID ID
@@ -279,59 +266,6 @@
 	return e
 }
 
-// probe returns the class of a request on a route that never ran: one at a time
-// goes as short, to learn from, and others beside it as long, so that a burst
-// of unknown work cannot take the reserved slots.
-func (q *Queue) probe(route string) Class {
-	for _, e := range q.running {
-		if e.route == route {
-			return Long
-		}
-	}
-	for e := q.waiting[Short].head; e != nil; e = e.next {
-		if e.route == route {
-			return Long
-		}
-	}
-	return Short
-}
-
-// free reports whether a request of the class may start now.
-func (q *Queue) free(now time.Duration, class Class) bool {
-	limit := q.Limit(now)
-	if len(q.running) >= limit {
-		return false
-	}
-	return class == Short || q.longRunning < q.longLimit(now, limit)
-}
-
-// longLimit is how many long requests may run at once. It leaves the reserved
-// slots and as many more as the short requests need. A long request that has
-// waited as long as it runs may have one slot more, but never a reserved one.
-func (q *Queue) longLimit(now time.Duration, limit int) int {
-	most := max(1, limit-q.limits.ReservedSlots)
-	usual := max(1, limit-q.demand.slots(now))
-	if head := q.waiting[Long].head; head != nil && now >= head.overdue() {
-		usual++
-	}
-	return min(most, usual)
-}
-
-// next returns the waiting request that starts now, or nil. One long request
-// goes first if none runs, so that short ones never starve it; then short
-// ones, then other long ones.
-func (q *Queue) next(now time.Duration) *entry {
-	long, short := q.waiting[Long].head, q.waiting[Short].head
-	longFree := long != nil && q.free(now, Long)
-	if longFree && (q.longRunning == 0 || short == nil) {
-		return long
-	}
-	if short != nil && q.free(now, Short) {
-		return short
-	}
-	return nil
-}
-
 // start gives e a slot.
 func (q *Queue) start(now time.Duration, e *entry) Action {
 	e.started = now
@@ -389,69 +323,6 @@
 	}
 }
 
-// expectedWait is how long the last request in the class will probably wait.
-func (q *Queue) expectedWait(now time.Duration, class Class) time.Duration {
-	limit := q.Limit(now)
-	slots := max(1, limit-q.longRunning)
-	if class == Long {
-		slots = q.longLimit(now, limit)
-	}
-	run := q.meanRun(class)
-	return run * time.Duration(q.waiting[class].len+1) / time.Duration(slots)
-}
-
-// meanRun is the mean expected run time of the requests of a class at hand.
-func (q *Queue) meanRun(class Class) time.Duration {
-	sum, n := q.waiting[class].runs, q.waiting[class].len
-	for _, e := range q.running {
-		if e.class == class {
-			sum += e.run
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return sum / time.Duration(n)
-}
-
-// reject returns why e cannot wait, or zero.
-func (q *Queue) reject(now time.Duration, e *entry, expected time.Duration) Reason {
-	switch {
-	case len(q.lapses) >= q.limits.Length:
-		return Full
-	case e.class == Long && q.waiting[Long].len >= q.limits.longLength():
-		return Full
-	case e.lapse <= now+expected:
-		return Late
-	case e.class == Short && expected > max(_maxShortWait, e.run):
-		return Overloaded
-	}
-	return 0
-}
-
-const (
-	// _minRetryAfter is the least time after which a refused caller comes back.
-	_minRetryAfter = time.Second
-	// _retrySpread is the least span over which refused callers come back.
-	_retrySpread = 4 * time.Second
-)
-
-// RetryAfter is when a refused caller should come back: once the expected wait
-// is over, spread over a span by jitter, a random number in [0, 1), so that
-// callers do not come back together.
-func RetryAfter(expected time.Duration, jitter float64) time.Duration {
-	base := max(_minRetryAfter, expected)
-	spread := max(_retrySpread, base)
-	return base + time.Duration(jitter*float64(spread))
-}
-
-// refusal refuses e.
-func (q *Queue) refusal(now time.Duration, e *entry, reason Reason) Action {
-	expected := q.expectedWait(now, e.class)
-	return Refuse{ID: e.id, Reason: reason, RetryAfter: RetryAfter(expected, e.jitter)}
-}
-
 // enqueue puts e at the end of its class.
 func (q *Queue) enqueue(e *entry) {
 	e.queued = true
