audit: a service's number is never given to another service

Cause: connection IDs carry the number, and callers may hold them longer than the service is in the tree. The change: the head remembers numbers that a node gave up, and Judge refuses them for another name. Ruled out: forgetting a number while another place still has it; the tree's own check refuses it there, so the scan of the tree bought nothing.

--- a/audit/head.go
+++ b/audit/head.go
@@ -30,6 +30,8 @@
 	Snapshot Snapshot `json:"snapshot"`
 	// Recent are the latest changes, in order, ending with Revision.
 	Recent []Change `json:"recent"`
+	// RetiredIDs are the numbers that no other service may get.
+	RetiredIDs RetiredIDs `json:"retired_ids,omitempty"`
 }
 
 // Snapshot says where the tree of one revision is kept.
@@ -142,13 +144,20 @@
 
 func (h Head) isExpired(r RetiredShard) bool { return r.At+_retention <= h.Revision }
 
-// With returns the head after an accepted change that leads to a tree.
-func (h Head) With(change Change, tree settings.Tree) Head {
-	h.Revision++
+// With returns the head after an accepted change that leads to a tree, and the
+// change as it was accepted. The head holds it without its edits if they have
+// to be kept apart.
+func (h Head) With(change Change, tree settings.Tree) (Head, Change, error) {
+	change.Revision = h.Revision + 1
+	compact, _, err := change.Compact()
+	if err != nil {
+		return h, change, err
+	}
+	h.Revision = change.Revision
 	h.Digest = tree.Digest()
-	change.Revision = h.Revision
-	h.Recent = append(slices.Clone(h.Recent), change)
-	return h
+	h.RetiredIDs = h.RetiredIDs.with(change.Edits)
+	h.Recent = append(slices.Clone(h.Recent), compact)
+	return h, change, nil
 }
 
 // Batch is a run of accepted changes, kept in one object.
--- a/audit/judge.go
+++ b/audit/judge.go
@@ -46,8 +46,8 @@
 func (Accepted) isVerdict() {}
 func (Already) isVerdict()  {}
 
-// Judge decides on a proposed change. The tree is the one in force; later are
-// all accepted changes above the change's base, with their edits.
+// Judge decides on a proposed change. The tree is the head's; later are all
+// accepted changes above the change's base, with their edits.
 //
 // A branch is a node with all its ancestors and descendants. An author who
 // edits a node relied on what it inherits and decided what lies below it, so a
@@ -57,7 +57,7 @@
 // findings refuse the later one.
 //
 // The error is a ConflictError, or carries settings.Findings.
-func Judge(tree settings.Tree, change Change, later []Change) (Verdict, error) {
+func Judge(head Head, tree settings.Tree, change Change, later []Change) (Verdict, error) {
 	conflict := &ConflictError{Mine: change}
 	for _, accepted := range later {
 		if accepted.ID == change.ID {
@@ -74,7 +74,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "change %s does not fit revision %d", change.ID, change.Base)
 	}
-	if err := next.Check().Err(); err != nil {
+	findings := append(next.Check(), head.RetiredIDs.check(change.Edits)...)
+	if err := findings.Err(); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return Accepted{Tree: next}, nil
--- a/follower/editor.go
+++ b/follower/editor.go
@@ -80,11 +80,10 @@
 		return change, err
 	}
 	s := submission{editor: e, change: change}
-	compact, apart, err := change.Compact()
+	_, apart, err := change.Compact()
 	if err != nil {
 		return change, err
 	}
-	s.compact = compact
 	if apart != nil {
 		if err := e.archive.keepEdits(ctx, change.ID, apart); err != nil {
 			return change, trace.Wrap(err, "keep the edits of change %s", change.ID)
--- a/follower/submission.go
+++ b/follower/submission.go
@@ -18,9 +18,8 @@
 
 // submission is one change on its way to being accepted or refused.
 type submission struct {
-	editor  *Editor
-	change  audit.Change
-	compact audit.Change
+	editor *Editor
+	change audit.Change
 	// floor is the lowest version of the head that is not known to be replaced.
 	floor platform.Version
 	// unanswered is true while an attempt at version unsettled may have
@@ -43,7 +42,7 @@
 	if err != nil {
 		return s.change, retryable(err)
 	}
-	verdict, err := audit.Judge(state.Document.Tree(), s.change, later)
+	verdict, err := audit.Judge(state.Head, state.Document.Tree(), s.change, later)
 	if already, ok := verdict.(audit.Already); ok {
 		return already.Change, nil
 	}
@@ -69,7 +68,10 @@
 			return s.change, retryable(err)
 		}
 	}
-	next := head.With(s.compact, tree)
+	next, accepted, err := head.With(s.change, tree)
+	if err != nil {
+		return s.change, backoff.Permanent(err)
+	}
 	data, err := json.Marshal(next)
 	if err != nil {
 		return s.change, backoff.Permanent(trace.Wrap(err, "encode settings head"))
@@ -77,8 +79,7 @@
 	_, err = s.editor.archive.store.Put(ctx, audit.HeadKey, data, state.version)
 	switch {
 	case err == nil:
-		s.change.Revision = next.Revision
-		return s.change, nil
+		return accepted, nil
 	case platform.IsAmbiguous(err):
 		s.unanswered, s.unsettled = true, state.version
 	case trace.IsCompareFailed(err):
