agent: flows go to the less loaded of their candidates

Cause: with hash placement alone the most loaded of 7 agents has 1.32 times the mean at 50 flows each; the users' target is 1.10. Ruled out: load in the roster, which lags by seconds and is coarse; asking a candidate for each flow, which waits for the dead. The change: an agent that takes an offer tells the offer's other candidates its load (at most 20 notices a second). A caller that repeats its Initial after 100 ms gets it taken at once, and the silent peer is no longer believed. The wrapped header has room for 4 candidates (50 octets, overhead 66).

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -16,6 +16,9 @@
 	_holdTime = 15 * time.Second
 	// _holdCapacity bounds each of the two generations of remembered flows.
 	_holdCapacity = 1 << 15
+	// _repeatAfter is when an Initial that was passed on and comes again is one
+	// that the caller repeats for want of an answer.
+	_repeatAfter = 100 * time.Millisecond
 	// _maxDCID is the longest connection ID that a caller chooses, in octets.
 	_maxDCID = 20
 )
@@ -52,29 +55,53 @@
 	return key
 }
 
-// admissions remembers the new flows that were taken. It is bounded: of two
+// outcome is what became of a new flow lately.
+type outcome struct {
+	at time.Time
+	// held is false for a flow that was passed on.
+	held bool
+	to   pass
+}
+
+// admissions remembers the outcomes of new flows. It is bounded: of two
 // generations the older is dropped when the younger is full or old enough.
 type admissions struct {
 	mu      sync.Mutex
-	young   map[initialKey]struct{}
-	old     map[initialKey]struct{}
+	young   map[initialKey]outcome
+	old     map[initialKey]outcome
 	turned  time.Time
 	pending []*admission
 }
 
 func newAdmissions(now time.Time) *admissions {
-	return &admissions{young: make(map[initialKey]struct{}), turned: now}
+	return &admissions{young: make(map[initialKey]outcome), turned: now}
+}
+
+// recall returns what became of the flow lately, if anything.
+func (s *admissions) recall(key initialKey) (outcome, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.find(key)
 }
 
-// holds reports whether the flow was taken lately.
-func (s *admissions) holds(key initialKey) bool {
+// pass notes that the flow was passed on at now. The time of the first pass
+// counts until the caller repeats its Initial.
+func (s *admissions) pass(key initialKey, to pass, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.young[key]; ok {
-		return true
+	s.turn(now)
+	if known, ok := s.find(key); ok && known.to == to {
+		now = known.at
+	}
+	s.young[key] = outcome{at: now, to: to}
+}
+
+func (s *admissions) find(key initialKey) (outcome, bool) {
+	if known, ok := s.young[key]; ok {
+		return known, true
 	}
-	_, ok := s.old[key]
-	return ok
+	known, ok := s.old[key]
+	return known, ok
 }
 
 // add notes that the flow was taken at now and returns its admission.
@@ -82,7 +109,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.turn(now)
-	s.young[key] = struct{}{}
+	s.young[key] = outcome{at: now, held: true}
 	a := &admission{admitted: now}
 	s.pending = append(s.pending, a)
 	return a
@@ -129,7 +156,7 @@
 	if len(s.young) < _holdCapacity && now.Sub(s.turned) < _holdTime {
 		return
 	}
-	s.old, s.young, s.turned = s.young, make(map[initialKey]struct{}), now
+	s.old, s.young, s.turned = s.young, make(map[initialKey]outcome), now
 }
 
 func expireAll(pending []*admission) int {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -84,6 +84,7 @@
 	admissions *admissions
 	paths      *paths
 	resets     *rate.Limiter
+	notices    *rate.Limiter
 
 	counters     counters
 	registration metric.Registration
@@ -123,6 +124,7 @@
 		options:     newOptions(opts),
 		paths:       newPaths(),
 		resets:      rate.NewLimiter(_resetRate, _resetRate),
+		notices:     rate.NewLimiter(_noticeRate, _noticeRate),
 		ended:       make(chan struct{}, 1),
 		drain:       make(chan struct{}),
 	}
@@ -348,13 +350,3 @@
 	defer a.freshMu.Unlock()
 	return a.freshness.observe(now, a.options.fresh)
 }
-
-func (a *Agent) situation() situation {
-	return situation{
-		self:        a.addr,
-		service:     a.service,
-		incarnation: a.incarnation,
-		state:       a.State(),
-		flooded:     a.handshakes.Load() >= int64(a.options.handshakes),
-	}
-}
--- a/agent/conn.go
+++ b/agent/conn.go
@@ -23,10 +23,11 @@
 type conn struct {
 	agent *Agent
 	udp   *net.UDPConn
-	// in, sealer and out are used by ReadFrom alone, which QUIC calls from one goroutine.
+	// in, out, sealer and peers are used by ReadFrom alone, which QUIC calls from one goroutine.
 	in      [packet.MaxWrapped + 1]byte
 	out     [packet.MaxWrapped]byte
 	sealer  packet.Sealer
+	peers   peers
 	buffers sync.Pool
 }
 
@@ -79,6 +80,10 @@
 		a.counters.forged.Add(1)
 		return nil, nil
 	}
+	if header.Kind == packet.Notice {
+		c.hearPeer(header, datagram)
+		return nil, nil
+	}
 	parsed, err := packet.ParseQUIC(datagram)
 	if err != nil {
 		a.counters.dropped.Add(1)
@@ -87,16 +92,33 @@
 	in := arrival{header: header, kind: parsed.Type}
 	in.cid, err = c.sealer.Open(keys, parsed.DCID)
 	in.ours = err == nil
+	s := situation{self: a.addr, service: a.service, incarnation: a.incarnation, fresh: true}
 	var key initialKey
 	if in.kind == packet.Initial {
 		key = newInitialKey(header.Caller, parsed.DCID)
-		in.held = a.admissions.holds(key)
+		c.consider(&s, &in, key)
 	}
-	s := a.situation()
-	s.fresh = parsed.Type == packet.Short || a.isFresh(a.options.now())
 	return datagram, c.act(decide(s, in), in, key, datagram)
 }
 
+// consider adds what only the decision about an Initial needs.
+func (c *conn) consider(s *situation, in *arrival, key initialKey) {
+	a := c.agent
+	now := a.options.now()
+	if known, ok := a.admissions.recall(key); ok {
+		in.held, in.passed, in.to = known.held, !known.held, known.to
+		in.repeated = in.passed && now.Sub(known.at) >= _repeatAfter
+	}
+	if in.repeated {
+		c.peers.forget(in.to.target)
+	}
+	in.estimates = c.peers.estimate(&in.header, now.Sub(a.start))
+	s.state = a.State()
+	s.fresh = a.isFresh(now)
+	s.flooded = a.handshakes.Load() >= int64(a.options.handshakes)
+	s.level, s.unit = a.level(), a.unit()
+}
+
 // act carries out an action. It returns the address under which QUIC takes the
 // packet, or nil.
 func (c *conn) act(what action, in arrival, key initialKey, datagram []byte) net.Addr {
@@ -108,17 +130,19 @@
 	case take:
 		return a.paths.note(ends, from, now)
 	case admit:
-		if err := a.gate.TryAdmit(); err != nil {
+		err := a.gate.TryAdmit()
+		c.tellPeers(in.header, err == nil, now)
+		if err != nil {
 			return c.act(what.otherwise, in, key, datagram)
 		}
-		p := newPath(ends, from, now)
-		return &opening{path: p, admission: a.admissions.add(key, a.options.now())}
+		return &opening{path: newPath(ends, from, now), admission: a.admissions.add(key, a.start.Add(now))}
 	case prove:
 		a.counters.unproved.Add(1)
 		return &opening{path: newPath(ends, from, now), unproved: true}
 	case refuse:
 		return &opening{path: newPath(ends, from, now), refused: true}
 	case pass:
+		a.admissions.pass(key, what, a.start.Add(now))
 		c.pass(what, in.header, datagram)
 	case reset:
 		c.reset(newPath(ends, from, now), in.header.Service, datagram)
@@ -130,7 +154,7 @@
 
 // pass sends an offer on to another candidate.
 func (c *conn) pass(to pass, header packet.Header, datagram []byte) {
-	header.Kind, header.Hop = packet.Offer, to.hop
+	header = withPass(header, to, c.agent.addr)
 	n := copy(c.out[packet.HeaderLen:], datagram)
 	wrapped, err := packet.Wrap(c.agent.keys.Load(), &header, c.out[:], n)
 	if err != nil {
--- a/agent/decide.go
+++ b/agent/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"dandelionhitch.example/packet"
 	"dandelionhitch.example/service"
@@ -17,6 +18,8 @@
 	fresh bool
 	// flooded says that too many flows have not ended their handshake.
 	flooded bool
+	// level is the load now, and unit that of one flow.
+	level, unit uint32
 }
 
 // arrival is one genuine wrapped packet.
@@ -28,6 +31,13 @@
 	ours bool
 	// held says that the agent has taken the flow that this Initial opens.
 	held bool
+	// passed says that the agent has passed this Initial on, as to describes.
+	passed bool
+	to     pass
+	// repeated says that this was a while ago, and the caller has had no answer.
+	repeated bool
+	// estimates are what is believed of the candidates' loads.
+	estimates [packet.MaxCandidates]estimate
 }
 
 // action is what to do with a packet: take, admit, prove,
@@ -44,10 +54,14 @@
 // up nothing for it. The gate is asked when the proof comes.
 type prove struct{}
 
-// pass sends the packet to the candidate at index hop.
+// pass sends the packet to the candidate at index hop. With detour the agent
+// would take the flow, but prefers the target, which is less loaded; it puts
+// itself behind the last candidate, so that the flow is refused only if no
+// candidate takes it.
 type pass struct {
 	target netip.AddrPort
 	hop    uint8
+	detour bool
 }
 
 // refuse tells the caller at once that there is no room.
@@ -151,19 +165,67 @@
 		return take{}
 	case !s.fresh:
 		return next(a, hop, stale)
-	case s.state == service.Serving && s.flooded:
-		return prove{}
-	case s.state == service.Serving:
-		return admit{otherwise: next(a, hop, refuse{})}
-	default:
+	case s.state != service.Serving:
 		return next(a, hop, refuse{})
+	case s.flooded:
+		return prove{}
+	case a.passed && hop < a.to.hop && !a.repeated:
+		// Another part of the same Initial goes the same way.
+		return a.to
+	}
+	if to, ok := lighter(s, a, hop); ok {
+		return pass{target: a.header.Candidates[to], hop: hop + 1, detour: true}
 	}
+	return admit{otherwise: next(a, hop, refuse{})}
 }
 
-// next passes a packet to the candidate behind hop, if there is one.
+// next passes a packet to a candidate behind hop, if there is one. A repeated
+// packet goes further than the last time, as that candidate may be dead.
 func next(a arrival, hop uint8, otherwise action) action {
-	if hop+1 >= a.header.Count {
+	last := a.header.Count - 1
+	if hop >= last {
 		return otherwise
 	}
-	return pass{target: a.header.Candidates[hop+1], hop: hop + 1}
+	to := hop + 1
+	if a.repeated && !a.to.detour {
+		to = min(max(to, a.to.hop+1), last)
+	}
+	return pass{target: a.header.Candidates[to], hop: to}
+}
+
+// lighter returns the index of the candidate behind hop that is believed to be
+// the least loaded, if that is enough below this agent to be worth the way
+// there. A flow makes one detour at most.
+func lighter(s situation, a arrival, hop uint8) (uint8, bool) {
+	const slackShift = 5
+	if a.passed || a.header.Count >= packet.MaxCandidates {
+		return 0, false
+	}
+	least, found := s.level, false
+	var at uint8
+	for i := hop + 1; i < a.header.Count; i++ {
+		e := a.estimates[i]
+		if e.known && e.load.Room && e.load.Level < least {
+			least, at, found = e.load.Level, i, true
+		}
+	}
+	return at, found && s.level > least+least>>slackShift+s.unit
+}
+
+// withPass returns the header of a packet that is passed on. The candidate at
+// the new hop is the target.
+func withPass(h packet.Header, to pass, self netip.AddrPort) packet.Header {
+	h.Kind, h.Hop = packet.Offer, to.hop
+	if !to.detour {
+		return h
+	}
+	at := slices.Index(h.Candidates[:h.Count], to.target)
+	if at < int(to.hop) || int(h.Count) >= len(h.Candidates) {
+		return h
+	}
+	copy(h.Candidates[to.hop+1:at+1], h.Candidates[to.hop:at])
+	h.Candidates[to.hop] = to.target
+	h.Candidates[h.Count] = self
+	h.Count++
+	return h
 }
--- a/agent/options.go
+++ b/agent/options.go
@@ -26,6 +26,7 @@
 	balancers func() []netip.AddrPort
 	idle      time.Duration
 	handshake time.Duration
+	weight    uint16
 	// handshakes is how many may be open before callers prove their addresses.
 	handshakes int
 	now        func() time.Time
@@ -63,6 +64,12 @@
 	return optionFunc(func(o *options) { o.idle = span })
 }
 
+// WithWeight sets the agent's capacity relative to others of its service, from 1.
+// Agents compare their flows in proportion to their weights.
+func WithWeight(weight uint16) Option {
+	return optionFunc(func(o *options) { o.weight = weight })
+}
+
 // WithHandshakes sets how many flows may be in their handshake before each new
 // caller must first prove its address by answering a Retry. It costs the caller
 // one round trip, and a flood of Initials from forged addresses holds no flows.
--- /dev/null
+++ b/agent/peers.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"dandelionhitch.example/packet"
+)
+
+const (
+	// _peerCapacity bounds the peers whose load is remembered.
+	_peerCapacity = 64
+	// _loadFresh is how long a peer's load is believed.
+	_loadFresh = 3 * time.Second
+	// _levelUnit is the level of one flow at an agent of weight one.
+	_levelUnit = 256
+	// _noticeRate bounds the notices that an agent sends in one second.
+	_noticeRate = 20
+)
+
+// peerLoad is the load that a peer last told.
+type peerLoad struct {
+	addr netip.AddrPort
+	load packet.Load
+	at   time.Duration
+}
+
+// peers remembers the loads of the service's other agents that were heard last.
+// In a large service they are a sample.
+type peers struct {
+	list []peerLoad
+	next int
+}
+
+// hear notes the load of the peer at addr.
+func (p *peers) hear(addr netip.AddrPort, load packet.Load, now time.Duration) {
+	heard := peerLoad{addr: addr, load: load, at: now}
+	for i := range p.list {
+		if p.list[i].addr == addr {
+			p.list[i] = heard
+			return
+		}
+	}
+	if len(p.list) < _peerCapacity {
+		p.list = append(p.list, heard)
+		return
+	}
+	p.list[p.next] = heard
+	p.next = (p.next + 1) % _peerCapacity
+}
+
+// forget drops what the peer at addr told.
+func (p *peers) forget(addr netip.AddrPort) {
+	for i := range p.list {
+		if p.list[i].addr == addr {
+			p.list[i].at = -_loadFresh - 1
+		}
+	}
+}
+
+// estimate returns what is believed of the candidates' loads: what a candidate
+// told lately, else the mean of what others told lately, else nothing.
+func (p *peers) estimate(header *packet.Header, now time.Duration) [packet.MaxCandidates]estimate {
+	var out [packet.MaxCandidates]estimate
+	var sum, count uint64
+	for i := range p.list {
+		peer := &p.list[i]
+		if now-peer.at > _loadFresh {
+			continue
+		}
+		sum += uint64(peer.load.Level)
+		count++
+		for j := range header.Count {
+			if header.Candidates[j] == peer.addr {
+				out[j] = estimate{known: true, load: peer.load}
+			}
+		}
+	}
+	for j := range header.Count {
+		if !out[j].known && count > 0 {
+			out[j] = estimate{known: true, load: packet.Load{Level: uint32(sum / count), Room: true}}
+		}
+	}
+	return out
+}
+
+// estimate is what is believed of a candidate's load.
+type estimate struct {
+	known bool
+	load  packet.Load
+}
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -179,11 +179,13 @@
 	gates     [][]*gate
 	started   chan struct{}
 	finish    chan struct{}
+	release   func()
 	killed    map[*Agent]bool
 }
 
 func newRig(t testing.TB, balancers, services, agents int, opts ...Option) *rig {
 	r := &rig{t: t, keys: testKeys(t, 1), started: make(chan struct{}, 16), finish: make(chan struct{}), killed: map[*Agent]bool{}}
+	r.release = sync.OnceFunc(func() { close(r.finish) })
 	r.cert, r.pool = testCert(t)
 	for i := range services {
 		r.sprayers = append(r.sprayers, newSprayer(t, uint64(i)))
@@ -198,6 +200,7 @@
 	for range balancers {
 		r.addBalancer()
 	}
+	t.Cleanup(r.release)
 	return r
 }
 
--- a/packet/fuzz_test.go
+++ b/packet/fuzz_test.go
@@ -80,3 +80,17 @@
 		assert.Check(t, err != nil || keys.find(keys.Current()) != nil)
 	})
 }
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add([]byte{0, 0, 1, 2, 1})
+	f.Add([]byte{0, 0, 1, 2, 2})
+	f.Fuzz(func(t *testing.T, octets []byte) {
+		load, err := ParseLoad(octets)
+		if err != nil {
+			return
+		}
+		var again [LoadLen]byte
+		load.Put(again[:])
+		assert.DeepEqual(t, again[:], octets)
+	})
+}
--- a/packet/header.go
+++ b/packet/header.go
@@ -19,10 +19,15 @@
 	Offer
 	// Reply goes from an agent to a balancer, for the caller.
 	Reply
+	// Notice goes from an agent to another of its service. Caller, Address and
+	// Balancer are the sender, and in place of a datagram there is a Load.
+	Notice
 )
 
-// MaxCandidates is the most candidates that a wrapped packet carries.
-const MaxCandidates = 3
+// MaxCandidates is the most candidates that a wrapped packet carries: one more
+// than a balancer ranks, for the agent that prefers another and takes the flow
+// if that one does not.
+const MaxCandidates = 4
 
 // The layout of a wrapped packet in octets: the header, the caller's or the
 // agent's datagram, the MAC over both. With the MAC at the end one pass of the
@@ -141,7 +146,7 @@
 }
 
 func (h *Header) valid() bool {
-	if h.Kind < Flow || h.Kind > Reply || h.Service == 0 || h.Count > MaxCandidates {
+	if h.Kind < Flow || h.Kind > Notice || h.Service == 0 || h.Count > MaxCandidates {
 		return false
 	}
 	if h.Kind == Offer && h.Hop >= h.Count {
--- a/route/rank.go
+++ b/route/rank.go
@@ -11,7 +11,10 @@
 	"dandelionhitch.example/service"
 )
 
-// Ranking is the first candidates for one new flow, the best first.
+// Ranked is the most candidates that a new flow is offered to.
+const Ranked = 3
+
+// Ranking is the first candidates for one new flow, the best first: at most Ranked.
 type Ranking struct {
 	Candidates [packet.MaxCandidates]netip.AddrPort
 	Count      uint8
@@ -27,8 +30,8 @@
 // logarithm.
 func (e *entry) rank(key uint64) Ranking {
 	var out Ranking
-	var scores [packet.MaxCandidates]float64
-	last := &scores[packet.MaxCandidates-1]
+	var scores [Ranked]float64
+	last := &scores[Ranked-1]
 	for i := range e.draws {
 		d := &e.draws[i]
 		u := uniform(mix(key ^ d.seed))
@@ -40,7 +43,7 @@
 	return out
 }
 
-func (r *Ranking) insert(scores *[packet.MaxCandidates]float64, score float64, addr netip.AddrPort) {
+func (r *Ranking) insert(scores *[Ranked]float64, score float64, addr netip.AddrPort) {
 	at := int(r.Count)
 	for at > 0 && scores[at-1] < score {
 		at--
@@ -48,10 +51,10 @@
 	if at > 0 && r.Candidates[at-1] == addr {
 		return // listed twice with one weight
 	}
-	if at == packet.MaxCandidates {
+	if at == Ranked {
 		return
 	}
-	last := min(int(r.Count), packet.MaxCandidates-1)
+	last := min(int(r.Count), Ranked-1)
 	for i := last; i > at; i-- {
 		scores[i], r.Candidates[i] = scores[i-1], r.Candidates[i-1]
 	}
