dispatcher: peers that are gone or silent

Cause, found on reading how the agent puts the transport together: a hand-over to a host that is gone waited for its dial as long as the request's deadline, each request found that out anew, and a connection gone silent was used for every later one.

Leave hands requests over without waiting, so that an agent can do so while its flows are still open.

--- a/dispatcher/behaviour_test.go
+++ b/dispatcher/behaviour_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -241,6 +242,27 @@
 	})
 }
 
+func TestPeerThatDoesNotAnswerIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		d, err := dispatcher.New(&url.URL{Scheme: "http", Host: "upstream"}, policyOf,
+			dispatcher.WithPeers(onePeer{newSelf()}, transportFunc(func(*http.Request) (*http.Response, error) {
+				dials++
+				return nil, &net.OpError{Op: "dial", Err: errDead}
+			})))
+		assert.NilError(t, err)
+		defer d.Close()
+		d.Leave()
+		for want, pause := range []time.Duration{0, time.Second} {
+			time.Sleep(pause)
+			for range 5 {
+				assert.Equal(t, outcome(ask(d, http.MethodPost, "/plain", "")), dispatcher.OutcomeNotRun)
+			}
+			assert.Equal(t, dials, want+1)
+		}
+	})
+}
+
 func TestLoadRisesAndFalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newAlone(t, policyOf(), after(4*time.Second, http.StatusOK, ""))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -150,12 +150,18 @@
 // Load returns how loaded the upstream is, from 0 (idle) to 7 (refusing).
 func (d *Dispatcher) Load() int { return int(d.admission.load.Load()) }
 
-// Drain hands all requests to other agents from now on, except those that only
-// this one may run, and waits until none is in progress or ctx ends. The
-// Dispatcher still answers afterwards, until Close.
-func (d *Dispatcher) Drain(ctx context.Context) error {
+// Leave hands requests to other agents from now on, except those that only
+// this one may run. It is called as soon as the agent is to stop, while flows
+// are still open.
+func (d *Dispatcher) Leave() {
 	d.draining.Store(true)
 	d.admission.send(drain{})
+}
+
+// Drain leaves and waits until no request is in progress or ctx ends. The
+// Dispatcher still answers afterwards, until Close.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.Leave()
 	issued := time.Unix(0, d.lastIssue.Load())
 	grace := time.NewTimer(time.Until(issued.Add(_ticketGrace)))
 	defer grace.Stop()
--- a/dispatcher/loopback_test.go
+++ b/dispatcher/loopback_test.go
@@ -88,8 +88,8 @@
 	t.Cleanup(peerServer.Close)
 
 	d := newBefore(t, back, dispatcher.WithSelf(dispatcher.Self{Service: 7, Address: newSelf(), Incarnation: 1}),
-		dispatcher.WithPeers(onePeer{addr}, peerServer.Client().Transport))
-	assert.NilError(t, d.Drain(t.Context()))
+		dispatcher.WithPeers(onePeer{addr}, dispatcher.NewPeerTransport(peerServer.Client().Transport.(*http.Transport).TLSClientConfig)))
+	d.Leave()
 	return d
 }
 
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -39,9 +39,13 @@
 // learn takes the load of a peer from its answer.
 func (l *peerLoads) learn(agent netip.AddrPort, header http.Header) {
 	load, err := strconv.Atoi(header.Get(_headerLoad))
-	if err != nil || load < 0 || load > queue.MaxLoad {
-		return
+	if err == nil && load >= 0 && load <= queue.MaxLoad {
+		l.note(agent, load)
 	}
+}
+
+// note remembers the load of a peer; one that does not answer counts as full.
+func (l *peerLoads) note(agent netip.AddrPort, load int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.known[agent] = peerLoad{load: load, at: time.Now()}
@@ -85,11 +89,11 @@
 		return Peer{}, false
 	}
 	peers := d.peers.Peers()
-	if len(peers) == 0 {
+	i, ok := queue.Choose(d.loads.loads(peers), queue.MaxLoad, d.random(), d.random())
+	if !ok {
 		return Peer{}, false
 	}
-	peer := peers[int(d.random()*float64(len(peers)))]
-	return peer, peer.Load < queue.MaxLoad
+	return peers[i], true
 }
 
 // handOver passes the request to a peer and relays its answer. It returns
@@ -145,6 +149,9 @@
 	}
 	response, err := x.d.peerTransport.RoundTrip(request)
 	if err != nil {
+		if x.ctx.Err() == nil {
+			x.d.loads.note(agent, queue.MaxLoad)
+		}
 		err = sendError(ctx, err)
 		var notStarted *notStartedError
 		if errors.As(err, &notStarted) {
