limit: takes bounded steps, so that a swing and a common start settle sooner

Change: the part that is taken without need counts the expected hosts too; a request asks for what was refused since the last one and takes at most two hosts' parts of what is free; a run with a share waits a look, not 2 s, after a failure, and one without a share never more than a look.

Ruled out: returning less often (the figures came from taking, not returning); a longer spread of the first request (single restarts would join later).

--- /dev/null
+++ b/leaseholder/bench_test.go
@@ -0,0 +1,75 @@
+package leaseholder_test
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/leaseholder"
+	"dandelionhitch.example/limit"
+	"dandelionhitch.example/settings"
+)
+
+func benchHolder(b *testing.B, flows int) *leaseholder.Leaseholder {
+	policy := func() settings.Service {
+		return settings.Service{Limits: settings.Limits{Flows: flows, FlowsPerUpstream: flows, MaxHosts: 1}}
+	}
+	pace := limit.DefaultPace()
+	pace.Join = 0
+	run := limit.Run{Address: netip.MustParseAddrPort("127.0.0.1:443"), Incarnation: 1}
+	l, err := leaseholder.New(&memoryStore{}, _path, run, policy, leaseholder.WithPace(pace))
+	assert.NilError(b, err)
+	b.Cleanup(func() { _ = l.Close() })
+	for l.Status().Share == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return l
+}
+
+// BenchmarkTryAdmit measures one admission and release, against a baseline that
+// only reads the clock and locks a mutex twice.
+func BenchmarkTryAdmit(b *testing.B) {
+	b.Run("baseline", func(b *testing.B) {
+		var mu sync.Mutex
+		start := time.Now()
+		for b.Loop() {
+			mu.Lock()
+			_ = time.Since(start)
+			mu.Unlock()
+			mu.Lock()
+			_ = start
+			mu.Unlock()
+		}
+	})
+	b.Run("admitted", func(b *testing.B) {
+		l := benchHolder(b, 1000)
+		b.ReportAllocs()
+		for b.Loop() {
+			if l.TryAdmit() == nil {
+				l.Release()
+			}
+		}
+	})
+	b.Run("refused", func(b *testing.B) {
+		l := benchHolder(b, 1000)
+		l.Drain()
+		b.ReportAllocs()
+		for b.Loop() {
+			_ = l.TryAdmit()
+		}
+	})
+	b.Run("parallel", func(b *testing.B) {
+		l := benchHolder(b, 1000)
+		b.ReportAllocs()
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				if l.TryAdmit() == nil {
+					l.Release()
+				}
+			}
+		})
+	})
+}
--- /dev/null
+++ b/limit/bench_test.go
@@ -0,0 +1,245 @@
+package limit_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"dandelionhitch.example/limit"
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/settings"
+)
+
+// Sizes of the simulated fleet, and what the platform takes.
+const (
+	_fleetPlaces   = 590
+	_fleetHosts    = 10 // of each place
+	_fleetLimit    = 20000
+	_fleetWrites   = 300  // a second
+	_fleetReads    = 1500 // a second
+	_fleetCapacity = _fleetPlaces * _fleetHosts
+)
+
+// fleet is many services with one platform that refuses calls above its rates,
+// in virtual time.
+type fleet struct {
+	now    time.Duration
+	places []*fleetPlace
+	down   bool
+	// second is what the platform was asked in this second, peak the most in one.
+	second, peak, total calls
+	// met is when the fleet first had all the demanded flows; zero before.
+	met time.Duration
+}
+
+type calls struct{ reads, writes, refused int }
+
+type fleetPlace struct {
+	share   limit.Share
+	version platform.Version
+	hosts   []*limit.Holder
+}
+
+func newFleet() *fleet {
+	f := &fleet{}
+	for i := range _fleetPlaces {
+		p := &fleetPlace{}
+		for j := range _fleetHosts {
+			run := limit.Run{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), byte(j)}), 443), Incarnation: 1}
+			h := limit.NewHolder(limit.Instant{}, run, limit.DefaultPace(), uint64(i*_fleetHosts+j))
+			h.SetLimits(limit.Instant{}, limit.Limits{
+				Revision: 1, Flows: _fleetLimit, FlowsPerUpstream: _fleetLimit,
+				MaxHosts: _fleetHosts, DrainDeadline: settings.Duration(time.Hour),
+			})
+			p.hosts = append(p.hosts, h)
+		}
+		f.places = append(f.places, p)
+	}
+	return f
+}
+
+// run lets time pass while each host has its part of a demand for flows.
+func (f *fleet) run(d time.Duration, demand func(host int) int) {
+	for end := f.now + d; f.now < end; f.now += time.Second {
+		f.second = calls{}
+		for _, p := range f.places {
+			for i, h := range p.hosts {
+				f.serve(h, demand(i))
+				for f.act(p, h) {
+				}
+			}
+		}
+		if f.met == 0 && f.missing(demand) == 0 {
+			f.met = f.now
+		}
+		f.peak.reads = max(f.peak.reads, f.second.reads)
+		f.peak.writes = max(f.peak.writes, f.second.writes)
+		f.total.reads += f.second.reads
+		f.total.writes += f.second.writes
+		f.total.refused += f.second.refused
+	}
+}
+
+func (f *fleet) serve(h *limit.Holder, demand int) {
+	for h.Open() > demand {
+		h.Release()
+	}
+	for h.Open() < demand {
+		if _, err := h.TryAdmit(f.instant()); err != nil {
+			return
+		}
+	}
+}
+
+func (f *fleet) instant() limit.Instant { return limit.Instant{Mono: f.now, Wall: f.now} }
+
+func (f *fleet) act(p *fleetPlace, h *limit.Holder) bool {
+	switch a := h.Act(f.instant(), func(limit.Run) bool { return false }).(type) {
+	case limit.Read:
+		f.second.reads++
+		if f.down || f.second.reads > _fleetReads {
+			f.second.refused++
+			h.Handle(f.instant(), limit.Failed{})
+			break
+		}
+		h.Handle(f.instant(), limit.ReadDone{Share: p.share, Version: p.version})
+	case limit.Write:
+		f.second.writes++
+		if f.down || f.second.writes > _fleetWrites {
+			f.second.refused++
+			h.Handle(f.instant(), limit.Failed{})
+			break
+		}
+		p.share, p.version = a.Share, p.version+1
+		h.Handle(f.instant(), limit.WriteDone{Version: p.version})
+	default:
+		return false
+	}
+	return true
+}
+
+// missing is how many of the demanded flows the fleet has not admitted.
+func (f *fleet) missing(demand func(host int) int) (flows int) {
+	for _, p := range f.places {
+		for i, h := range p.hosts {
+			flows += demand(i) - h.Open()
+		}
+	}
+	return flows
+}
+
+func even(part float64) func(int) int {
+	return func(int) int { return int(part * _fleetLimit / _fleetHosts) }
+}
+
+// uneven gives the hosts from none to twice the mean.
+func uneven(part float64) func(int) int {
+	return func(host int) int {
+		return int(part * _fleetLimit / _fleetHosts * 2 * float64(host) / (_fleetHosts - 1))
+	}
+}
+
+// BenchmarkFleet measures what a fleet of 5,900 hosts asks of the platform.
+func BenchmarkFleet(b *testing.B) {
+	phases := []struct {
+		name   string
+		before func(f *fleet)
+		span   time.Duration
+		demand func(int) int
+	}{
+		{"start of all at once", func(*fleet) {}, 10 * time.Minute, even(0.3)},
+		{"steady", func(f *fleet) { f.run(time.Hour, even(0.3)) }, time.Hour, even(0.3)},
+		{"even swing from 0.3 to 0.9", func(f *fleet) { f.run(time.Hour, even(0.3)) }, 10 * time.Minute, even(0.9)},
+		{"uneven swing from 0.3 to 0.6", func(f *fleet) { f.run(time.Hour, even(0.3)) }, 10 * time.Minute, uneven(0.6)},
+		{"demand of twice the limit", func(f *fleet) { f.run(time.Hour, even(0.3)) }, time.Hour, even(2)},
+		{"outage of an hour", func(f *fleet) {
+			f.run(time.Hour, even(0.6))
+			f.down = true
+		}, time.Hour, even(0.6)},
+		{"after the outage", func(f *fleet) {
+			f.run(time.Hour, even(0.6))
+			f.down = true
+			f.run(time.Hour, even(0.6))
+			f.down = false
+		}, 10 * time.Minute, even(0.6)},
+	}
+	for _, phase := range phases {
+		b.Run(phase.name, func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet()
+				phase.before(f)
+				f.peak, f.total, f.met = calls{}, calls{}, 0
+				start := f.now
+				f.run(phase.span, phase.demand)
+				hostSeconds := _fleetCapacity * phase.span.Seconds()
+				b.ReportMetric(float64(f.total.writes)/hostSeconds, "writes/s/host")
+				b.ReportMetric(float64(f.total.reads)/hostSeconds, "reads/s/host")
+				b.ReportMetric(float64(f.peak.writes), "peak-writes/s")
+				b.ReportMetric(float64(f.peak.reads), "peak-reads/s")
+				b.ReportMetric(float64(f.total.refused), "refused-calls")
+				if f.met > 0 {
+					b.ReportMetric((f.met - start).Seconds(), "s-to-meet-demand")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkShare measures the share object by its number of hosts.
+func BenchmarkShare(b *testing.B) {
+	for _, hosts := range []int{10, 100, 1000} {
+		var share limit.Share
+		for i := range hosts {
+			entry := other(1, 4, 0)
+			entry.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 20, byte(i >> 8), byte(i)}), 8443)
+			entry.Incarnation, entry.Nonce, entry.Seq = 304_000_000, 4_000_000_000, 10_000
+			entry.Leased, entry.Floor, entry.Open = limit.UnitsFor(333, 1000)/limit.Units(hosts), limit.Whole/2/limit.Units(hosts), 2000
+			share.Entries = append(share.Entries, entry)
+		}
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				data, err := json.Marshal(share)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var decoded limit.Share
+				if err := json.Unmarshal(data, &decoded); err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size)/float64(hosts), "bytes/host")
+		})
+	}
+}
+
+// BenchmarkPlan measures the decision on one write by the number of hosts.
+func BenchmarkPlan(b *testing.B) {
+	for _, hosts := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			var share limit.Share
+			for i := range hosts {
+				entry := other(1, 0, 0)
+				entry.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 20, byte(i >> 8), byte(i)}), 8443)
+				entry.Leased = limit.Whole / 2 / limit.Units(hosts)
+				share.Entries = append(share.Entries, entry)
+			}
+			pace := limit.DefaultPace()
+			pace.Join = 0
+			gone := func(limit.Run) bool { return false }
+			b.ReportAllocs()
+			for b.Loop() {
+				h := limit.NewHolder(limit.Instant{}, run(1), pace, 1)
+				h.Act(limit.Instant{}, gone)
+				h.Handle(limit.Instant{}, limit.ReadDone{Share: share, Version: 1})
+				if _, ok := h.Act(limit.Instant{}, gone).(limit.Write); !ok {
+					b.Fatal("no write")
+				}
+			}
+		})
+	}
+}
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -19,6 +19,8 @@
 
 	open     int
 	refusals refusals
+	// unmet counts the flows refused for want of units since the run settled.
+	unmet int
 
 	// floorFlows and allFlows are the flows of the floor and of both parts.
 	floorFlows int
@@ -65,12 +67,19 @@
 	reason := g.refusal(now)
 	if reason != 0 {
 		g.refusals.add(now.Mono, reason)
+		g.want(reason)
 		return _refusals[reason]
 	}
 	g.open++
 	return nil
 }
 
+func (g *gate) want(reason Reason) {
+	if reason >= NoShare {
+		g.unmet++
+	}
+}
+
 func (g *gate) refusal(now Instant) Reason {
 	switch {
 	case g.draining:
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -183,7 +183,7 @@
 func (h *Holder) settle(now Instant) {
 	h.phase = _idle
 	h.failures, h.conflicts = 0, 0
-	h.urgent = false
+	h.urgent, h.gate.unmet = false, 0
 	h.settled = now.Mono
 	h.due = min(now.Mono+h.about(h.pace.Look), max(h.renewal, now.Mono))
 }
@@ -194,23 +194,32 @@
 	h.phase = _idle
 	if e.Conflict {
 		h.conflicts++
-		h.due = now.Mono + h.within(h.doubled(_conflictWait, h.conflicts))
+		h.due = now.Mono + h.within(doubled(_conflictWait, h.conflicts, h.pace.Look))
 		return
 	}
-	wait := h.doubled(h.pace.Retry, h.failures)
+	wait := h.patience()
 	h.failures++
 	h.due = now.Mono + wait/2 + h.within(wait/2)
 }
 
+// patience is the wait after a failure. A run that has a share waits until its
+// next look at least, so that an outage does not multiply the fleet's calls.
+func (h *Holder) patience() time.Duration {
+	if h.gate.joined && !h.leaving {
+		return doubled(h.pace.Look, h.failures, h.pace.Renewal)
+	}
+	return doubled(h.pace.Retry, h.failures, h.pace.Look)
+}
+
 // _conflictWait is the span over which the first retries after a conflict are spread.
 const _conflictWait = 20 * time.Millisecond
 
 // _maxDoublings keeps doubled waits far from overflow.
 const _maxDoublings = 20
 
-// doubled is the wait after a number of doublings, at most a renewal's.
-func (h *Holder) doubled(wait time.Duration, times int) time.Duration {
-	return min(wait<<min(times, _maxDoublings), h.pace.Renewal)
+// doubled is the wait after a number of doublings, at most longest.
+func doubled(wait time.Duration, times int, longest time.Duration) time.Duration {
+	return min(wait<<min(times, _maxDoublings), longest)
 }
 
 // within is a random part of span.
--- a/limit/pace.go
+++ b/limit/pace.go
@@ -21,7 +21,8 @@
 	Look time.Duration
 	// Join is the span over which new runs spread their first request.
 	Join time.Duration
-	// Retry is the first wait after a failure; it doubles up to Renewal.
+	// Retry is the first wait of a run without a share after a failure; it
+	// doubles up to Look. For others it is Look, and doubles up to Renewal.
 	Retry time.Duration
 }
 
--- a/limit/plan.go
+++ b/limit/plan.go
@@ -14,7 +14,9 @@
 	maxHosts int
 	open     int
 	// refused reports that flows were refused, or nearly, for want of units.
-	refused  bool
+	refused bool
+	// unmet is how many flows were refused so.
+	unmet    int
 	draining bool
 }
 
@@ -43,11 +45,7 @@
 	free := p.share.Free()
 	have := p.own.Units()
 	want := p.want(have, free)
-	reach := have + free
-	if !p.refused {
-		reach = have + free.less(p.lacking)
-	}
-	units := p.trim(min(want, reach))
+	units := p.trim(min(want, have+p.reach(free)))
 
 	next := p.own
 	next.Floor = min(p.floor(), units)
@@ -60,6 +58,20 @@
 	return next
 }
 
+// reach is how many of the free units the run may take. One that needs them
+// leaves the larger part to others that a swing of demand may have hit as well;
+// one that does not leaves what others lack.
+func (p plan) reach(free Units) Units {
+	if !p.refused {
+		return free.less(p.lacking)
+	}
+	part := free / Units(max(p.hosts, 1)) * _reachHosts
+	return min(free, max(part, UnitsFor(p.open+p.chunk(), p.limit).less(p.own.Units())))
+}
+
+// _reachHosts is how many hosts' equal parts of the free units a run takes at once.
+const _reachHosts = 2
+
 // want is what the run would have if enough were free.
 func (p plan) want(have, free Units) Units {
 	covered := UnitsFor(p.open, p.limit)
@@ -105,20 +117,26 @@
 
 // need covers the open flows and those that may come before the next renewal.
 func (p plan) need() Units {
-	chunk := max(p.limit/(_chunkDivisor*max(p.hosts, 1)), 1)
-	headroom := max(p.open/_headroomDivisor, chunk)
+	headroom := max(p.open/_headroomDivisor, p.chunk())
 	if p.refused && p.lacking == 0 {
-		headroom = max(p.open, chunk)
+		headroom = max(headroom, min(p.unmet, p.open))
 	}
 	if p.refused && p.lacking > 0 {
-		headroom = chunk
+		headroom = p.chunk()
 	}
 	return UnitsFor(p.open+headroom, p.limit)
 }
 
-// fair is the part that the run takes without need.
+// chunk is the least number of flows that a run asks for.
+func (p plan) chunk() int {
+	return max(p.limit/(_chunkDivisor*max(p.hosts, 1)), 1)
+}
+
+// fair is the part that the run takes without need. It leaves the parts of
+// expected hosts that have not joined, so that hosts that start together do not
+// wait for the first one to give back.
 func (p plan) fair() Units {
-	return Whole / _fairDenominator * _fairNumerator / Units(max(p.hosts, 1))
+	return Whole / _fairDenominator * _fairNumerator / Units(max(p.hosts, p.maxHosts, 1))
 }
 
 // floor is the part that outlasts an outage: an equal part for each of the
--- a/limit/write.go
+++ b/limit/write.go
@@ -74,6 +74,7 @@
 		maxHosts: h.gate.limits.MaxHosts,
 		open:     h.gate.open,
 		refused:  h.urgent,
+		unmet:    h.gate.unmet,
 		draining: h.gate.draining,
 	}
 	for _, entry := range share.Entries {
