dispatcher, queue: retries that were none, and one false 'not run'

Found on reading; each seen red on a copy with the old rule.

- A PUT whose first run broke off, and whose second could not reach the upstream, was answered not-run, though the first may have run (TestNoAnswerNotRunAfterARunThatBrokeOff).
Once an attempt may have run, no answer of the exchange says not-run any more.
- A GET was never tried again, nor served here after a hand-over that failed: to find that it has no body the transport reads it, and a body that was read is not sent twice.
Over HTTP/3 a GET comes without a length, so that it looked like one with a body (-1, seen with quic-go).
An empty body can now be sent again, and one of unknown length is looked at first (TestBrokenRequestWithoutBodyIsTriedAgainOverLoopback, 502 for 200).
The test before used a transport that does not read; the fakes of the histories do.
- An upstream whose runs mostly failed showed 'refusing' until 64 more requests had come, which others then did not send.
After 5 s without news it is tried again.
- A hand-over with a malformed Max-Wait stayed in progress for good (read, not tested).
HeaderReason was documented and never sent.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -19,6 +19,8 @@
 	Detail string `json:"detail"`
 	// Outcome is the same as HeaderOutcome.
 	Outcome string `json:"outcome,omitempty"`
+	// Reason is the same as HeaderReason.
+	Reason string `json:"reason,omitempty"`
 	// RetryAfterMS is when to come back, in milliseconds from now.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 	// RanStatus is the status of an answer that was too large to remember.
@@ -41,6 +43,9 @@
 	if p.Outcome != "" {
 		header.Set(HeaderOutcome, p.Outcome)
 	}
+	if p.Reason != "" {
+		header.Set(HeaderReason, p.Reason)
+	}
 	if p.RetryAfterMS > 0 {
 		seconds := math.Ceil(float64(p.RetryAfterMS) / 1000)
 		header.Set("Retry-After", strconv.Itoa(int(seconds)))
@@ -54,8 +59,9 @@
 func refusalOf(refuse queue.Refuse) Problem {
 	return Problem{
 		Status:       http.StatusServiceUnavailable,
-		Detail:       "the request was refused: " + refuse.Reason.String(),
+		Detail:       "the request was refused before it started",
 		Outcome:      OutcomeNotRun,
+		Reason:       refuse.Reason.String(),
 		RetryAfterMS: refuse.RetryAfter.Milliseconds(),
 	}
 }
--- a/dispatcher/behaviour_test.go
+++ b/dispatcher/behaviour_test.go
@@ -287,6 +287,20 @@
 	})
 }
 
+func TestNoAnswerNotRunAfterARunThatBrokeOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := 0
+		d := newAlone(t, policyOf(), func(*http.Request) (*http.Response, error) {
+			if runs++; runs == 1 {
+				return nil, errLost
+			}
+			return nil, &net.OpError{Op: "dial", Err: errDead}
+		})
+		assert.Equal(t, outcome(ask(d, http.MethodPut, "/sheet", "")), dispatcher.OutcomeUnknown)
+		assert.Equal(t, runs, 2)
+	})
+}
+
 func TestIdempotentRequestsAreTriedAgain(t *testing.T) {
 	for method, want := range map[string]int{http.MethodGet: 2, http.MethodPut: 2, http.MethodDelete: 2, http.MethodPost: 1} {
 		t.Run(method, func(t *testing.T) {
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -23,7 +23,7 @@
 	r        *http.Request
 	requests settings.Requests
 	body     *body
-	// ctx ends at the deadline, when the caller goes away, or with Close.
+	// ctx ends when the caller goes away or with Close.
 	ctx      context.Context
 	cancel   context.CancelFunc
 	unlink   func() bool
@@ -39,6 +39,9 @@
 	// offers and handOvers count how often the request asked for a slot here
 	// and was handed to another agent.
 	offers, handOvers int
+	// mayHaveRun is set once a run has begun without an answer. From then on
+	// no answer says that the request did not run.
+	mayHaveRun bool
 	// ticket is the number of the ticket that the request runs under.
 	ticket ticket.Number
 	// settle records the outcome where someone may ask for it. It is called
@@ -61,12 +64,16 @@
 	if left <= 0 {
 		left = _defaultTimeout
 	}
+	content, err := newBody(r)
+	if err != nil {
+		return nil, err
+	}
 	x := &exchange{
 		d:        d,
 		w:        w,
 		r:        r,
 		requests: policy,
-		body:     &body{source: r.Body},
+		body:     content,
 		deadline: time.Now().Add(left),
 		bounded:  bounded && r.Header.Get(_headerBegin) == "",
 		settle:   func(ticket.Outcome) {},
@@ -301,7 +308,7 @@
 // runPlain runs the request, and once more if that is harmless.
 func (x *exchange) runPlain(id queue.ID) {
 	err := x.run(id)
-	if err != nil && x.mayRetry(err) {
+	if err != nil && x.mayRetry() {
 		if peer, ok := x.d.anyPeer(); ok && x.handOver(peer, 0) {
 			return
 		}
@@ -325,15 +332,18 @@
 }
 
 // mayRetry reports whether a failed run may be followed by another.
-func (x *exchange) mayRetry(err error) bool {
-	var notStarted *notStartedError
-	if !errors.As(err, &notStarted) && !x.idempotent() {
+func (x *exchange) mayRetry() bool {
+	if x.mayHaveRun && !x.idempotent() {
 		return false
 	}
 	if x.fromPeer || x.ctx.Err() != nil || !time.Now().Before(x.deadline) {
 		return false
 	}
-	return x.body.withdraw() && x.d.admission.withdraw(_budgetRetry)
+	budget := _budgetRetry
+	if !x.mayHaveRun {
+		budget = _budgetHandOver
+	}
+	return x.body.withdraw() && x.d.admission.withdraw(budget)
 }
 
 // answerAbandoned answers a request whose caller went away while it waited.
@@ -354,8 +364,13 @@
 	}
 }
 
-// answerNotRun settles the request as not run and says so.
+// answerNotRun settles the request as not run and says so, unless an earlier
+// attempt may have run it.
 func (x *exchange) answerNotRun(how string, p Problem) {
+	if x.mayHaveRun {
+		x.answerUnknown(how, unknown(http.StatusBadGateway, "an attempt at the request broke off"))
+		return
+	}
 	x.d.telemetry.answered(how)
 	x.settle(ticket.NotRun{})
 	if x.renew {
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -64,6 +64,8 @@
 	if err != nil {
 		err = sendError(ctx, err)
 		result = resultOf(err)
+		var notStarted *notStartedError
+		x.mayHaveRun = x.mayHaveRun || !errors.As(err, &notStarted)
 		return err
 	}
 	defer response.Body.Close()
--- a/dispatcher/loopback_test.go
+++ b/dispatcher/loopback_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,26 @@
 	}
 }
 
+func TestBrokenRequestWithoutBodyIsTriedAgainOverLoopback(t *testing.T) {
+	var runs atomic.Int32
+	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if runs.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer upstream.Close()
+	d := newBefore(t, upstream)
+	for _, length := range []int64{0, -1} { // -1 as over HTTP/3
+		runs.Store(0)
+		r := httptest.NewRequest(http.MethodGet, "/sheet", nil)
+		r.ContentLength = length
+		w := httptest.NewRecorder()
+		d.ServeHTTP(w, r)
+		assert.Equal(t, w.Code, http.StatusOK)
+		assert.Equal(t, runs.Load(), int32(2))
+	}
+}
+
 // newBefore returns a dispatcher in front of a server.
 func newBefore(t testing.TB, upstream *httptest.Server, opts ...dispatcher.Option) *dispatcher.Dispatcher {
 	target, err := url.Parse(upstream.URL)
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -178,11 +178,12 @@
 }
 
 // relayPeer relays a peer's answer, unless it says that a request handed over
-// did not run.
+// did not run. That it wants a ticket is for the caller to know.
 func (x *exchange) relayPeer(response *http.Response, header http.Header) bool {
 	outcome := response.Header.Get(HeaderOutcome)
 	handedOver := header.Get(_headerTransfer) != ""
-	if handedOver && outcome == OutcomeNotRun && response.StatusCode != http.StatusPreconditionRequired {
+	wantsTicket := response.StatusCode == http.StatusPreconditionRequired && !x.mayHaveRun
+	if handedOver && outcome == OutcomeNotRun && !wantsTicket {
 		return false
 	}
 	response.Header.Del(_headerLoad)
@@ -296,6 +297,11 @@
 
 // takeOver serves a request that was handed over.
 func (x *exchange) takeOver(key transferKey) {
+	var err error
+	if x.maxWait, err = maxWaitOf(x.r.Header); err != nil {
+		x.answerUnknown("malformed", unknown(http.StatusBadRequest, err.Error()))
+		return
+	}
 	reply := x.d.transfers.admit(key)
 	if _, ok := reply.verdict.(ticket.Run); !ok {
 		if reply.err != nil {
@@ -305,11 +311,6 @@
 		x.answerVerdict(reply.verdict, reply.wait)
 		return
 	}
-	var err error
-	if x.maxWait, err = maxWaitOf(x.r.Header); err != nil {
-		x.answerUnknown("malformed", unknown(http.StatusBadRequest, err.Error()))
-		return
-	}
 	settled := false
 	x.settle = func(outcome ticket.Outcome) {
 		if !settled {
--- a/queue/concurrency.go
+++ b/queue/concurrency.go
@@ -9,6 +9,9 @@
 	_slowRatio = 1.8
 	// _failedShare is the share of failed runs that counts as overload.
 	_failedShare = 0.5
+	// _failingFor is how long an upstream whose runs mostly failed counts as
+	// failing without a new window. After that others try it again.
+	_failingFor = 5 * time.Second
 	// _helpRatio is to what part of the earlier ratio the run times must fall
 	// for a lowered limit to count as the cure.
 	_helpRatio = 0.9
@@ -33,8 +36,9 @@
 	limit int
 	// norm is the ratio of run time to baseline that is accepted as normal; 1 or more.
 	norm float64
-	// failing is set while most runs fail.
-	failing bool
+	// failed is when the last window ended in which most runs failed; zero if
+	// a later one was better.
+	failed time.Duration
 	// before is the state before the last decrease, for its verdict.
 	before struct {
 		limit int
@@ -66,7 +70,7 @@
 
 // observe counts one run that took ratio times its baseline, and moves the
 // limit between lowest and highest at the end of a window.
-func (c *concurrency) observe(ratio float64, failed bool, lowest, highest int) {
+func (c *concurrency) observe(now time.Duration, ratio float64, failed bool, lowest, highest int) {
 	w := &c.window
 	w.runs++
 	if failed {
@@ -77,15 +81,21 @@
 	if w.runs < _windowRuns {
 		return
 	}
-	c.judge(lowest, highest)
+	c.judge(now, lowest, highest)
 	c.window = window{}
 }
 
+// failing reports whether most runs failed of late.
+func (c *concurrency) failing(now time.Duration) bool {
+	return c.failed != 0 && now-c.failed < _failingFor
+}
+
 // judge moves the limit by what the window shows.
-func (c *concurrency) judge(lowest, highest int) {
+func (c *concurrency) judge(now time.Duration, lowest, highest int) {
 	w := c.window
-	c.failing = float64(w.failed) >= _failedShare*float64(w.runs)
-	if c.failing {
+	c.failed = 0
+	if float64(w.failed) >= _failedShare*float64(w.runs) {
+		c.failed = now
 		c.lower(lowest, 0)
 		return
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -213,7 +213,7 @@
 // about a second from now. Long requests that wait leave slots free for short
 // ones and do not count.
 func (q *Queue) Load(now time.Duration) int {
-	if q.draining || q.concurrency.failing {
+	if q.draining || q.concurrency.failing(now) {
 		return MaxLoad
 	}
 	q.occupy(now)
@@ -302,7 +302,7 @@
 	if !failed {
 		q.routes.observe(e.route, run, e.quiet)
 	}
-	q.concurrency.observe(ratio, failed, q.lowest(), q.limits.Slots)
+	q.concurrency.observe(now, ratio, failed, q.lowest(), q.limits.Slots)
 }
 
 // reclass counts short requests that have run long as long ones, before the
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -234,6 +234,11 @@
 			assert.Equal(t, play(q, &now, &id, 1024, 8, steady), 8)
 			limit := play(q, &now, &id, 4096, test.busy, test.run)
 			assert.Assert(t, test.want(limit), "limit %d", limit)
+			if name == "errors" || name == "hanging" {
+				assert.Equal(t, q.Load(now), queue.MaxLoad)
+				now += 10 * time.Second
+				assert.Equal(t, q.Load(now), 0, "nobody tries it again")
+			}
 			assert.Equal(t, play(q, &now, &id, 20480, 8, steady), 8, "does not recover")
 		})
 	}
