explain: says which limits are in force, who holds them and why flows were refused

Cause: an operator who raised a limit in a bad hour has to see what would follow from lowering it, and who set it, when and why.

--- a/dandelionhitch/explain.go
+++ b/dandelionhitch/explain.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
+	"flag"
 	"io"
-	"time"
+	"slices"
+	"strings"
 
+	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"dandelionhitch.example/follower"
 	"dandelionhitch.example/leaseholder"
 	"dandelionhitch.example/limit"
 	"dandelionhitch.example/platform"
+	"dandelionhitch.example/service"
 	"dandelionhitch.example/settings"
 )
 
@@ -17,17 +23,104 @@
 type explainEnvironment struct {
 	// stdout receives the command's output.
 	stdout io.Writer
-	// store opens the platform's object API.
+	// store opens the platform's object API. It is called once the flags are parsed.
 	store func() (platform.Store, error)
 	// status asks one agent for its view of its share by the control rpc
-	// "Limits.Status"; nil when agents cannot be reached.
+	// "Limits.Status"; nil if there is no way to ask them.
 	status func(ctx context.Context, run limit.Run, path settings.Path) (leaseholder.Status, error)
-	// now is the clock; time.Now when nil.
-	now func() time.Time
+	// flags adds flags of the surroundings; may be nil.
+	flags func(*flag.FlagSet)
 }
 
-// explainCommand is the operator's subcommand that says which limit of a
-// service is in force, where it comes from, who holds it, and why flows were refused.
+// explainCommand is the operator's command that says which limits of a service
+// are in force, where they come from, who holds which share, and why flows
+// were refused.
 func explainCommand(env explainEnvironment) *ffcli.Command {
-	return &ffcli.Command{Name: "explain", ShortUsage: "dandelionhitch explain <region/place/service>"}
+	flags := flag.NewFlagSet("explain", flag.ContinueOnError)
+	asJSON := flags.Bool("json", false, "print JSON")
+	if env.flags != nil {
+		env.flags(flags)
+	}
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "dandelionhitch explain [flags] SERVICE | REGION/PLACE/SERVICE",
+		ShortHelp:  "Say which limits of a service are in force, who holds them, and why flows were refused.",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return trace.BadParameter("want one service, got %d arguments; flags go before it", len(args))
+			}
+			store, err := env.store()
+			if err != nil {
+				return trace.Wrap(err, "explain")
+			}
+			explanations, err := env.explain(ctx, store, args[0])
+			if err != nil {
+				return trace.Wrap(err, "explain %s", args[0])
+			}
+			return env.print(explanations, *asJSON)
+		},
+	}
+}
+
+// explain explains the service at each place that the name stands for.
+func (env explainEnvironment) explain(ctx context.Context, store platform.Store, name string) ([]explanation, error) {
+	editor := follower.NewEditor(store)
+	state, err := editor.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	paths, err := servicePaths(state.Document, name)
+	if err != nil {
+		return nil, err
+	}
+	gatherer := explainGatherer{env: env, store: store, editor: editor, state: state}
+	explanations := make([]explanation, 0, len(paths))
+	for _, path := range paths {
+		facts, err := gatherer.gather(ctx, path)
+		if err != nil {
+			return nil, err
+		}
+		explanations = append(explanations, explainLimits(facts))
+	}
+	return explanations, nil
+}
+
+// servicePaths returns the services that a path or a name stands for, in order.
+func servicePaths(document *settings.Document, name string) ([]settings.Path, error) {
+	if strings.Contains(name, "/") {
+		path, err := settings.ParsePath(name)
+		if err != nil {
+			return nil, err
+		}
+		if _, ok := document.Service(path); !ok {
+			return nil, trace.NotFound("%s: no such service in revision %d", path, document.Revision())
+		}
+		return []settings.Path{path}, nil
+	}
+	var paths []settings.Path
+	for s := range document.Services() {
+		if s.Name == service.Name(name) {
+			paths = append(paths, settings.Path{Region: s.Region, Place: s.Place, Name: s.Name})
+		}
+	}
+	if len(paths) == 0 {
+		return nil, trace.NotFound("%s: no such service in revision %d", name, document.Revision())
+	}
+	slices.SortFunc(paths, func(a, b settings.Path) int { return strings.Compare(a.String(), b.String()) })
+	return paths, nil
+}
+
+func (env explainEnvironment) print(explanations []explanation, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(env.stdout)
+		encoder.SetIndent("", "  ")
+		return trace.Wrap(encoder.Encode(explanations))
+	}
+	for _, e := range explanations {
+		if _, err := io.WriteString(env.stdout, e.String()); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
 }
--- a/limit/reclaim.go
+++ b/limit/reclaim.go
@@ -46,7 +46,7 @@
 
 // lapsed reports whether the entry's run has surely stopped using its leased part.
 func (w *watch) lapsed(entry Entry) bool {
-	return w.silent(entry) >= reclaimAfter(entry.Term)
+	return w.silent(entry) >= ReclaimAfter(entry.Term)
 }
 
 // reclaimer takes back the parts of silent runs.
@@ -75,9 +75,9 @@
 	switch {
 	case r.gone(entry.Run) || r.replaced(share, entry):
 		return share.WithoutRun(entry.Run)
-	case silent >= reclaimAfter(entry.FloorTerm)+r.drain:
+	case silent >= ReclaimAfter(entry.FloorTerm)+r.drain:
 		return share.WithoutRun(entry.Run)
-	case silent >= reclaimAfter(entry.Term)+r.drain && entry.Leased > 0:
+	case silent >= ReclaimAfter(entry.Term)+r.drain && entry.Leased > 0:
 		entry.Leased = 0
 		entry.Lacking = 0
 		return share.WithEntry(entry)
@@ -101,9 +101,9 @@
 	return r.self.Address == entry.Address && share.index(r.self) < 0
 }
 
-// reclaimAfter is how long an entry has to be seen unchanged before a part
+// ReclaimAfter is how long an entry has to be seen unchanged before a part
 // with this term may be reclaimed. The margin covers clocks whose rates differ.
-func reclaimAfter(term settings.Duration) time.Duration {
+func ReclaimAfter(term settings.Duration) time.Duration {
 	return time.Duration(term + term/_marginDivisor)
 }
 
--- a/limit/refusal.go
+++ b/limit/refusal.go
@@ -72,3 +72,8 @@
 	LeaseLapsed:      {LeaseLapsed},
 	Flows:            {Flows},
 }
+
+// Reasons returns all reasons, in the order in which they are checked.
+func Reasons() []Reason {
+	return []Reason{Draining, FlowsPerUpstream, NoShare, LeaseLapsed, Flows}
+}
