standin: a request that crosses a GOAWAY was not run

Ruled out: a cut by the agent; the answer is the one that RFC 9114 4.1.1 gives a request sent while the GOAWAY was on its way, and says that it was not processed. Change: the stand-in caller moves to another flow then, as HTTP/3 clients do.

--- a/standin/caller.go
+++ b/standin/caller.go
@@ -182,7 +182,9 @@
 	}
 	var h3 *http3.Error
 	if errors.As(err, &h3) {
-		return h3.ErrorCode == http3.ErrCodeNoError
+		// A request that crosses a GOAWAY is rejected: it was not processed
+		// and may be sent again on another flow (RFC 9114, section 4.1.1).
+		return h3.ErrorCode == http3.ErrCodeNoError || h3.ErrorCode == http3.ErrCodeRequestRejected
 	}
 	// The library has no exported error for a request that meets a GOAWAY.
 	return err != nil && strings.Contains(err.Error(), "connection in graceful shutdown")
