--- a/dandelionhitch/try.go
+++ b/dandelionhitch/try.go
@@ -32,8 +32,7 @@
 	_tryStartWithin = 20 * time.Second
 	// _inForceWithin is how soon an accepted change must be in force on every balancer.
 	_inForceWithin = 6 * time.Second
-	// _noNewFlowsAfter is how soon a draining upstream must get no new flows.
-	_noNewFlowsAfter = 3 * time.Second
+
 	// _tryFlowLimit is the flow limit of each service at each place.
 	_tryFlowLimit = 2000
 )
--- a/dandelionhitch/try_report.go
+++ b/dandelionhitch/try_report.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/gravitational/trace"
@@ -65,11 +68,11 @@
 
 func (t *trial) printRequests() {
 	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprint(w, "\nservice\trequests\tserved\trefused\tfailed\tp50 ms\tp99 ms\t\n")
+	fmt.Fprint(w, "\nservice\trequests\tserved\trefused\tfailed\tp50 ms\tp99 ms\trefused because\t\n")
 	for _, class := range t.results.sortedClasses() {
 		c := t.results.classes[class]
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%.1f\t%.1f\t\n", class.service, class.path, c.served, c.refused, c.failed,
-			milliseconds(c.latency.ValueAtQuantile(50)), milliseconds(c.latency.ValueAtQuantile(99)))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%.1f\t%.1f\t%s\t\n", class.service, class.path, c.served, c.refused, c.failed,
+			milliseconds(c.latency.ValueAtQuantile(50)), milliseconds(c.latency.ValueAtQuantile(99)), c.reasonsText())
 	}
 	_ = w.Flush()
 }
@@ -99,4 +102,13 @@
 	return broken
 }
 
+// reasonsText lists the reasons of refusals with their counts.
+func (c *classResults) reasonsText() string {
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(c.reasons)) {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, c.reasons[reason]))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func milliseconds(microseconds int64) float64 { return float64(microseconds) / 1000 }
--- a/dandelionhitch/try_results.go
+++ b/dandelionhitch/try_results.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"dandelionhitch.example/dispatcher"
 	"dandelionhitch.example/service"
 	"dandelionhitch.example/standin"
 )
@@ -43,7 +44,9 @@
 // classResults counts the requests of one class.
 type classResults struct {
 	served, refused, failed int
-	latency                 *hdrhistogram.Histogram
+	// reasons counts the refusals by the reason that was given.
+	reasons map[string]int
+	latency *hdrhistogram.Histogram
 }
 
 // flowResults counts the flows of one service.
@@ -72,7 +75,8 @@
 		_ = class.latency.RecordValue(max(_minLatency, answer.Duration.Microseconds()))
 	case answer.Refused():
 		class.refused++
-		r.unserved[number] = answer.Header.Get("Dandelionhitch-Outcome") == "not-run"
+		class.reasons[answer.Header.Get(dispatcher.HeaderReason)]++
+		r.unserved[number] = answer.Header.Get(dispatcher.HeaderOutcome) == dispatcher.OutcomeNotRun
 	default:
 		class.failed++
 	}
@@ -148,7 +152,10 @@
 func (r *trialResults) class(class trialClass) *classResults {
 	c, ok := r.classes[class]
 	if !ok {
-		c = &classResults{latency: hdrhistogram.New(_minLatency, _maxLatency, _latencyDigits)}
+		c = &classResults{
+			reasons: make(map[string]int),
+			latency: hdrhistogram.New(_minLatency, _maxLatency, _latencyDigits),
+		}
 		r.classes[class] = c
 	}
 	return c
