queue: the longest wait of short work grows with its run time

Cause: short work was refused from an expected wait of 250 ms on. That is 12 runs of 20 ms, but hardly two of 100 ms, so that a queue of 64 would never have been used.

Ruled out: one longer bound for all.

Now it is five runs, from 250 ms to 1 s. The crest is also played with deadlines of 5 s, which do not shorten the queue by themselves.

With 20 ms runs nothing changes otherwise.

--- a/queue/policy.go
+++ b/queue/policy.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// _maxShortWait is the longest wait of a short request whose run is shorter
-	// than that. It bounds the queue that a crest of demand leaves behind.
-	_maxShortWait = 250 * time.Millisecond
+	// _minShortWait and _maxShortWait bound how long a short request may be
+	// expected to wait, and with it the queue that a crest of demand leaves
+	// behind. Between them it may wait _waitRuns times its run.
+	_minShortWait = 250 * time.Millisecond
+	_maxShortWait = time.Second
+	_waitRuns     = 5
 	// _runMargin is how many times its expected run time a waiting request
 	// keeps for its run: nearly all runs end within that.
 	_runMargin = 4
@@ -103,12 +106,19 @@
 		return Full
 	case e.lapse <= now+expected:
 		return Late
-	case e.class == Short && expected > max(_maxShortWait, e.run):
+	case e.class == Short && expected > longestWait(e.run):
 		return Overloaded
 	}
 	return 0
 }
 
+// longestWait is the longest expected wait with which a short request that runs
+// for run is queued.
+func longestWait(run time.Duration) time.Duration {
+	wait := min(_maxShortWait, max(_minShortWait, _waitRuns*run))
+	return max(wait, run)
+}
+
 const (
 	// _minRetryAfter is the least time after which a refused caller comes back.
 	_minRetryAfter = time.Second
--- a/queue/policy_test.go
+++ b/queue/policy_test.go
@@ -18,10 +18,12 @@
 	_warmUp     = 10 * _s
 	// _timeout is the callers' deadline where long work is in play.
 	_timeout = 30 * _s
-	// _crestTimeout is the callers' deadline at the crest of demand.
-	_crestTimeout = 300 * time.Millisecond
 )
 
+// _crestTimeouts are the callers' deadlines at the crest of demand: one shorter
+// and one longer than a full queue takes.
+var _crestTimeouts = []time.Duration{300 * time.Millisecond, 5 * _s}
+
 var _limits = queue.Limits{Slots: 4, ReservedSlots: 1, Length: 64}
 
 // mixed plays short and long work, given as shares of the slots.
@@ -32,11 +34,11 @@
 }
 
 // crest plays a demand of three times the capacity for ten seconds.
-func crest(plain bool) *fleet {
+func crest(plain bool, timeout time.Duration) *fleet {
 	f := newFleet(1, 7, _limits, plain)
-	f.run(load{to: 10 * _s, short: 0.5, timeout: _crestTimeout},
-		load{from: 10 * _s, to: 20 * _s, short: 3, timeout: _crestTimeout},
-		load{from: 20 * _s, to: 30 * _s, short: 0.5, timeout: _crestTimeout})
+	f.run(load{to: 10 * _s, short: 0.5, timeout: timeout},
+		load{from: 10 * _s, to: 20 * _s, short: 3, timeout: timeout},
+		load{from: 20 * _s, to: 30 * _s, short: 0.5, timeout: timeout})
 	return f
 }
 
@@ -60,12 +62,14 @@
 }
 
 func TestCrestOfDemand(t *testing.T) {
-	f := crest(false)
-	assert.Check(t, f.goodput(10*_s, 20*_s) >= 0.9, "goodput %v", f.goodput(10*_s, 20*_s))
-	before, after := f.figures(false, 5*_s, 10*_s), f.figures(false, 22*_s, 30*_s)
-	assert.Check(t, after.inTime >= before.inTime-0.01, "in time %v before, %v after", before, after)
-	assert.Check(t, after.waitP99 <= 2*before.waitP99, "waits %v before, %v after", before, after)
-	assert.Check(t, f.peak <= _limits.Length)
+	for _, timeout := range _crestTimeouts {
+		f := crest(false, timeout)
+		assert.Check(t, f.goodput(10*_s, 20*_s) >= 0.9, "goodput %v", f.goodput(10*_s, 20*_s))
+		before, after := f.figures(false, 5*_s, 10*_s), f.figures(false, 22*_s, 30*_s)
+		assert.Check(t, after.inTime >= before.inTime-0.01, "in time %v before, %v after", before, after)
+		assert.Check(t, after.waitP99 <= 2*before.waitP99, "waits %v before, %v after", before, after)
+		assert.Check(t, f.peak <= _limits.Length)
+	}
 }
 
 func policyName(plain bool) string {
@@ -103,18 +107,21 @@
 
 // BenchmarkCrest prints the service at the crest of demand and after it.
 func BenchmarkCrest(b *testing.B) {
-	for _, plain := range []bool{true, false} {
-		b.Run(policyName(plain), func(b *testing.B) {
-			var f *fleet
-			for b.Loop() {
-				f = crest(plain)
-			}
-			b.ReportMetric(f.goodput(10*_s, 20*_s), "goodput_crest")
-			b.ReportMetric(f.figures(false, 10*_s, 20*_s).inTime*100, "%_in_time_crest")
-			b.ReportMetric(f.figures(false, 20*_s, 22*_s).inTime*100, "%_in_time_2s_after")
-			b.ReportMetric(f.figures(false, 20*_s, 30*_s).inTime*100, "%_in_time_10s_after")
-			b.ReportMetric(float64(f.peak), "peak_queue")
-		})
+	for _, timeout := range _crestTimeouts {
+		for _, plain := range []bool{true, false} {
+			b.Run(fmt.Sprintf("timeout=%v/%s", timeout, policyName(plain)), func(b *testing.B) {
+				var f *fleet
+				for b.Loop() {
+					f = crest(plain, timeout)
+				}
+				b.ReportMetric(f.goodput(10*_s, 20*_s), "goodput_crest")
+				b.ReportMetric(f.figures(false, 10*_s, 20*_s).inTime*100, "%_in_time_crest")
+				b.ReportMetric(f.figures(false, 20*_s, 22*_s).inTime*100, "%_in_time_2s_after")
+				b.ReportMetric(f.figures(false, 20*_s, 30*_s).inTime*100, "%_in_time_10s_after")
+				b.ReportMetric(f.figures(false, 22*_s, 30*_s).waitP99.Seconds()*1e3, "ms_wait_p99_from_2s_after")
+				b.ReportMetric(float64(f.peak), "peak_queue")
+			})
+		}
 	}
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -165,14 +167,7 @@
 	if len(from) == 0 {
 		return 0, false
 	}
-	low, high := queue.ID(1<<62), queue.ID(0)
-	for id := range from {
-		low, high = min(low, id), max(high, id)
-	}
-	if rapid.Bool().Draw(t, "first") {
-		return low, true
-	}
-	return high, true
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(from))).Draw(t, "request"), true
 }
 
 // play runs n requests of a route, busy of them at once as far as the queue
