dandelionhitch: settings and explain as commands of the program

Cause: the operators' commands were not reachable from the program. Change: one place gives both what they need: the platform, and the balancers and agents behind -peers, with flags from the command line, environment or a file.

--- a/dandelionhitch/main.go
+++ b/dandelionhitch/main.go
@@ -32,15 +32,15 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	status := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
 	stop()
 	os.Exit(status)
 }
 
 // run parses args, runs the chosen command, and returns the exit status.
 // The context ends when the process is told to stop.
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	root := rootCommand(stdout, stderr)
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	root := rootCommand(stdin, stdout, stderr)
 	err := root.ParseAndRun(ctx, args)
 	var usage *usageError
 	switch {
@@ -57,7 +57,7 @@
 	}
 }
 
-func rootCommand(stdout, stderr io.Writer) *ffcli.Command {
+func rootCommand(stdin io.Reader, stdout, stderr io.Writer) *ffcli.Command {
 	flags := flag.NewFlagSet("dandelionhitch", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	return &ffcli.Command{
@@ -65,11 +65,10 @@
 		ShortUsage: "dandelionhitch <command> [flags]",
 		ShortHelp:  "A layer-4 load balancer for small operators.",
 		FlagSet:    flags,
-		Subcommands: []*ffcli.Command{
-			balancerCommand(stderr),
-			agentCommand(stderr),
-			tryCommand(stdout, stderr),
-		},
+		Subcommands: append(
+			[]*ffcli.Command{balancerCommand(stderr), agentCommand(stderr), tryCommand(stdout, stderr)},
+			operatorCommands(stdin, stdout, stderr)...,
+		),
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/dandelionhitch/process_test.go
+++ b/dandelionhitch/process_test.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 	"gotest.tools/v3/poll"
 
 	"dandelionhitch.example/service"
@@ -123,9 +124,7 @@
 // start runs one process of the program with a settings file.
 func (f *processFleet) start(role, name string, values map[string]any) {
 	f.t.Helper()
-	data, err := json.Marshal(values)
-	assert.NilError(f.t, err)
-	f.write(name+".json", data)
+	f.write(name+".json", mustJSON(f.t, values))
 	command := exec.Command(os.Args[0], role, "-config", f.path(name+".json"))
 	command.Env = append(os.Environ(), _asProgram+"=1")
 	command.Stderr = os.Stderr
@@ -172,6 +171,26 @@
 	return caller
 }
 
+// operate runs an operator's command to its end and returns what it printed.
+func (f *processFleet) operate(args ...string) string {
+	f.t.Helper()
+	f.write("operator.json", mustJSON(f.t, map[string]any{
+		"platform": f.platform.URL().String(), "peers": f.plan.hosts[0].config.peers,
+		"control_cert": f.path("control.pem"), "control_key": f.path("control.key"), "control_ca": f.path("ca.pem"),
+	}))
+	command := exec.Command(os.Args[0], args...)
+	command.Env = append(os.Environ(), _asProgram+"=1", "DANDELIONHITCH_CONFIG="+f.path("operator.json"))
+	out, err := command.CombinedOutput()
+	assert.NilError(f.t, err, "%s", out)
+	return string(out)
+}
+
+func mustJSON(t *testing.T, value any) []byte {
+	data, err := json.Marshal(value)
+	assert.NilError(t, err)
+	return data
+}
+
 // request sends one request and returns which upstream answered it.
 func (f *processFleet) request(caller *standin.Caller, number uint64) string {
 	f.t.Helper()
@@ -229,3 +248,22 @@
 	f.signal(paused, syscall.SIGCONT)
 	all("after an agent was paused")
 }
+
+// TestOperatorsChangeAndUndoALimit drives the operators' commands against real
+// processes: a limit is raised, explained, and lowered again under open flows.
+func TestOperatorsChangeAndUndoALimit(t *testing.T) {
+	f := startProcesses(t)
+	caller := f.dial(f.plan.services[0])
+	f.dial(f.plan.services[1])
+	change := func(limit string) string {
+		return f.operate("settings", "set", "-author", "ada", "-reason", "dawn", "-wait", "oslo", "max_flows="+limit)
+	}
+	t.Log(change("4000"))
+	explained := f.operate("explain", "oslo/oslo-a/rutetjeneste")
+	t.Log(explained)
+	assert.Assert(t, cmp.Contains(explained, "4000"))
+	assert.Assert(t, cmp.Contains(explained, "ada"))
+	t.Log(change("2000"))
+	assert.Assert(t, cmp.Contains(f.operate("settings", "history"), "dawn"))
+	f.request(caller, 1)
+}
