agent: a silent path tries every other balancer before the last one again

Cause: QUIC doubles the time between probes, and a silent path could give the second probe to the dead balancer again.

--- a/agent/decide_test.go
+++ b/agent/decide_test.go
@@ -267,17 +267,23 @@
 	}
 	slices.Sort(addrs)
 	assert.DeepEqual(t, addrs, []int{1, 2, 3})
-	used := map[*relay]bool{}
-	p := newPath(pathKey{caller: addrOf(9), address: addrOf(8)}, last, 0)
-	for slot := range time.Duration(3) {
-		now := time.Minute + slot*_relaySlot
-		turn := p.nextTurn(now)
-		assert.Equal(t, p.nextTurn(now+_relaySlot-1), turn, "a burst is spread")
-		assert.Check(t, choose(last, *s.usable.Load(), _pathFresh, turn) == last)
-		used[choose(last, *s.usable.Load(), _pathFresh+1, turn)] = true
+	for start := range uint16(7) {
+		p := newPath(pathKey{caller: addrOf(9), address: addrOf(8)}, last, 0)
+		used := map[*relay]bool{}
+		for slot := range time.Duration(3) {
+			now := time.Minute + slot*_relaySlot
+			turn := p.nextTurn(now)
+			assert.Equal(t, p.nextTurn(now+_relaySlot-1), turn, "a burst is spread")
+			assert.Check(t, choose(last, *s.usable.Load(), _pathFresh, turn, start) == last)
+			r := choose(last, *s.usable.Load(), _pathFresh+1, turn, start)
+			assert.Equal(t, r == last, slot == 2, "the silent balancer comes last")
+			used[r] = true
+			choose(&relay{}, *s.usable.Load(), time.Hour, turn, start)
+		}
+		assert.Equal(t, len(used), 3)
+		assert.Check(t, choose(last, nil, time.Hour, 1, start) == last)
+		assert.Check(t, choose(last, []*relay{last}, time.Hour, 1, start) == last)
 	}
-	assert.Equal(t, len(used), 3)
-	assert.Check(t, choose(last, nil, time.Hour, 0) == last)
 	s.refresh(_relayForget + 1)
 	assert.Check(t, s.hear(addrOf(4), time.Hour) != forgotten)
 	for i := range 2 * _relayCapacity {
--- a/agent/flow.go
+++ b/agent/flow.go
@@ -117,5 +117,5 @@
 	p = a.paths.current(p)
 	now := a.age()
 	silence := now - time.Duration(p.heard.Load())
-	return choose(p.relay.Load(), *a.relays.usable.Load(), silence, p.nextTurn(now)).addr
+	return choose(p.relay.Load(), *a.relays.usable.Load(), silence, p.nextTurn(now), p.caller.Port()).addr
 }
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -26,7 +26,7 @@
 	relay atomic.Pointer[relay]
 	heard atomic.Int64
 	// slot is the last slot of time in which the silent path sent a packet, and
-	// turn counts these slots.
+	// turn counts these slots since the last packet came.
 	slot atomic.Int64
 	turn atomic.Uint32
 	// flows counts the connections opened on this path; guarded by paths.mu.
@@ -71,7 +71,6 @@
 // newPath returns a path that is in no table.
 func newPath(key pathKey, from *relay, now time.Duration) *path {
 	p := &path{pathKey: key, name: key.caller.String()}
-	p.turn.Store(uint32(key.caller.Port()))
 	p.hear(from, now)
 	return p
 }
@@ -80,7 +79,7 @@
 func (p *path) nextTurn(now time.Duration) uint32 {
 	slot := int64(now / _relaySlot)
 	if p.slot.Swap(slot) == slot {
-		return p.turn.Load()
+		return max(p.turn.Load(), 1)
 	}
 	return p.turn.Add(1)
 }
@@ -88,6 +87,7 @@
 func (p *path) hear(from *relay, now time.Duration) {
 	p.relay.Store(from)
 	p.heard.Store(int64(now))
+	p.turn.Store(0)
 }
 
 // note notes that a balancer has brought a packet on the path.
--- a/agent/relays.go
+++ b/agent/relays.go
@@ -91,11 +91,20 @@
 
 // choose returns the balancer for a packet to a caller. While packets come on
 // the path it is the one that brought the last. On a silent path that balancer
-// may be dead, and QUIC's probes would die with it, so each turn of the path
-// takes the next usable balancer until the caller is heard again.
-func choose(last *relay, usable []*relay, silence time.Duration, turn uint32) *relay {
-	if silence <= _pathFresh || len(usable) == 0 {
+// may be dead, and QUIC's probes would die with it, so each turn of the path,
+// from 1, takes another usable balancer: all others first, then the last one.
+func choose(last *relay, usable []*relay, silence time.Duration, turn uint32, start uint16) *relay {
+	n := len(usable)
+	if silence <= _pathFresh || n == 0 {
 		return last
 	}
-	return usable[int(turn)%len(usable)]
+	step := int(turn-1) % n
+	at := slices.IndexFunc(usable, func(r *relay) bool { return r.addr == last.addr })
+	if at < 0 {
+		return usable[(int(start)+step)%n]
+	}
+	if step == n-1 {
+		return last
+	}
+	return usable[(at+1+(int(start)+step)%(n-1))%n]
 }
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -193,6 +193,7 @@
 
 // wildcard starts a balancer with a wildcard socket for two addresses.
 func (b *bench) wildcard() []netip.AddrPort {
+	assert.NilError(b.t, b.balancer.Close())
 	var err error
 	b.balancer, err = New(Config{Addr: _loopback, Keys: b.keys, Wildcard: true})
 	assert.NilError(b.t, err)
--- /dev/null
+++ b/balancer/main_test.go
@@ -0,0 +1,9 @@
+package balancer
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
