dandelionhitch: what the dispatcher asks of its agent

Cause: load levels lost one on the way through heartbeats (5 arrived as 4), so busy agents seemed to have a free slot; a hand-over to a host that is gone hung until the deadline; a leaving agent went on running requests of old flows. Change: levels are rounded up into percents; the peer transport that gives up soon; Leave is called first on a stop.

--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -226,7 +226,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	transport := newPeerTransport(parts.tls)
+	transport := dispatcher.NewPeerTransport(parts.tls)
 	n.dispatcher, err = dispatcher.New(n.config.upstream, n.policy,
 		dispatcher.WithSelf(dispatcher.Self{Service: policy.ID, Address: n.config.data, Incarnation: incarnation}),
 		dispatcher.WithTicketKeys(parts.keys.ticket),
@@ -268,7 +268,7 @@
 		}
 		select {
 		case <-ticker.C:
-			n.announcer.SetLoad(uint8(n.dispatcher.Load() * _percent / _maxLoad))
+			n.announcer.SetLoad(percentOf(n.dispatcher.Load()))
 		case <-n.tomb.Dying():
 			return nil
 		}
@@ -285,6 +285,7 @@
 func (n *agentNode) Stop(ctx context.Context) error {
 	n.leaseholder.Drain()
 	n.announcer.SetState(service.Draining)
+	n.dispatcher.Leave()
 	if err := n.agent.Drain(ctx); err != nil {
 		n.log.Warn("flows were still open at the drain deadline", zap.Int("flows", n.agent.Flows()), zap.Error(err))
 	}
--- a/dandelionhitch/peers.go
+++ b/dandelionhitch/peers.go
@@ -35,7 +35,7 @@
 		out = append(out, dispatcher.Peer{
 			Address:     peer.Data,
 			Incarnation: peer.Incarnation,
-			Load:        int(peer.Load) * _maxLoad / _percent,
+			Load:        levelOf(peer.Load),
 		})
 	}
 	return out
@@ -44,15 +44,11 @@
 // Endpoint returns where the agent with the given data address answers peers.
 func (p peers) Endpoint(agent netip.AddrPort) (netip.AddrPort, bool) { return agent, true }
 
-// newPeerTransport returns HTTP/2 over mutual TLS.
-func newPeerTransport(config *tls.Config) *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP2(true)
-	return &http.Transport{
-		TLSClientConfig: config.Clone(),
-		Protocols:       protocols,
-	}
-}
+// percentOf and levelOf carry a dispatcher's load, 0 to 7, in the percents of
+// heartbeats and back without loss.
+func percentOf(level int) uint8 { return uint8((level*_percent + _maxLoad - 1) / _maxLoad) }
+
+func levelOf(percent uint8) int { return int(percent) * _maxLoad / _percent }
 
 // peerServer answers the other agents of the service.
 type peerServer struct {
