--- a/follower/store_test.go
+++ b/follower/store_test.go
@@ -27,6 +27,8 @@
 	changed chan struct{}
 	reads   int
 	writes  int
+	octets  int  // written
+	instant bool // calls take no time
 }
 
 type faults struct {
@@ -61,7 +63,9 @@
 	s.mu.Lock()
 	pause := time.Duration(1+s.random.IntN(5)) * time.Millisecond
 	s.mu.Unlock()
-	time.Sleep(pause)
+	if !s.instant {
+		time.Sleep(pause)
+	}
 	s.mu.Lock()
 	if s.faults.outage || s.chance(s.faults.refuse) {
 		s.mu.Unlock()
@@ -102,6 +106,7 @@
 	}
 	defer s.mu.Unlock()
 	s.writes++
+	s.octets += len(w.value)
 	if s.chance(s.faults.lose) {
 		if s.chance(0.5) {
 			s.late = append(s.late, w)
