--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -250,6 +252,41 @@
 	}
 }
 
+// TestMutualTLS speaks to a server that asks for a client's certificate.
+func TestMutualTLS(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.TLS = &tls.Config{ClientAuth: tls.RequireAnyClientCert}
+	server.StartTLS()
+	defer server.Close()
+	base, _ := url.Parse(server.URL)
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	config := &tls.Config{RootCAs: roots}
+	for _, certificates := range [][]tls.Certificate{nil, server.TLS.Certificates} {
+		config.Certificates = certificates
+		client := platform.NewClient(base, platform.WithTLS(config.Clone()), platform.WithReadBudget(time.Millisecond))
+		_, err := client.Get(t.Context(), "k")
+		assert.Equal(t, trace.IsNotFound(err), certificates != nil, "%v", err)
+		client.Close()
+	}
+}
+
+func FuzzObject(f *testing.F) {
+	f.Add([]byte(`{"key":"a/b","value":{"x":1},"version":7}`))
+	f.Add([]byte(`{"key":"../a","value":null,"version":0}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var object platform.Object
+		if json.Unmarshal(data, &object) != nil {
+			return
+		}
+		assert.NilError(t, platform.CheckKey(object.Key))
+		again, err := json.Marshal(object)
+		assert.NilError(t, err)
+		var back platform.Object
+		assert.NilError(t, json.Unmarshal(again, &back))
+	})
+}
+
 func FuzzParseTag(f *testing.F) {
 	f.Add(`"1"`)
 	f.Add(`"`)
