--- a/standin/platform.go
+++ b/standin/platform.go
@@ -141,6 +141,7 @@
 		case <-r.Context().Done():
 			return
 		case <-outage:
+			p.faults.count(func(c *PlatformCounts) { c.Cut++ })
 			panic(http.ErrAbortHandler)
 		case <-p.tomb.Dying():
 			http.Error(w, "closing", http.StatusServiceUnavailable)
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -30,6 +30,8 @@
 	Watches int
 	// Waiting is the number of watches that wait now.
 	Waiting int
+	// Cut is the number of calls that an outage cut.
+	Cut int
 	// Lost is the number of writes whose answer was cut.
 	Lost int
 	// Stale is the number of reads that returned an older version.
@@ -122,6 +124,7 @@
 			return
 		}
 		if faults.Outage {
+			p.faults.count(func(c *PlatformCounts) { c.Cut++ })
 			panic(http.ErrAbortHandler)
 		}
 		if refuse {
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -22,6 +22,7 @@
 	"github.com/gravitational/trace"
 	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"dandelionhitch.example/platform"
@@ -175,19 +176,36 @@
 	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
 }
 
+// until waits until a count of the stand-in is as wanted.
+func until(t *testing.T, p *standin.Platform, wanted func(standin.PlatformCounts) bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if counts := p.Counts(); !wanted(counts) {
+			return poll.Continue("%+v", counts)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// TestWatchGoesOnThroughAnOutage watches an object that does not change, for
+// longer than one call lasts, then through an outage that cuts the waiting call.
 func TestWatchGoesOnThroughAnOutage(t *testing.T) {
-	p, c := newPlatform(t)
+	p, _ := newPlatform(t)
+	c := platform.NewClient(p.URL(), platform.WithWatchTimeout(10*time.Millisecond))
+	defer c.Close()
 	version, err := c.Put(t.Context(), "k", []byte("1"), 0)
 	assert.NilError(t, err)
-	p.SetFaults(standin.PlatformFaults{Outage: true})
 	w := &watcher{client: c, after: version}
 	w.tomb.Go(w.run)
+	until(t, p, func(c standin.PlatformCounts) bool { return c.Watches > 2 })
+	p.SetFaults(standin.PlatformFaults{Outage: true})
+	until(t, p, func(c standin.PlatformCounts) bool { return c.Cut > 2 })
+	assert.Equal(t, p.Counts().Waiting, 0)
 	p.SetFaults(standin.PlatformFaults{})
 	_, err = c.Put(t.Context(), "k", []byte("2"), version)
 	assert.NilError(t, err)
 	assert.NilError(t, w.tomb.Wait())
 	assert.Equal(t, string(w.seen.Value), "2")
-	assert.Equal(t, p.Counts().Waiting, 0)
 }
 
 type watcher struct {
