leaseholder: asks in the background whether a silent run is gone

Cause: without a confirmation, the share of a lost host is out of use until the drain deadline has passed, eight hours by default. The verdict is known to the members, which an agent has to call, and the holder must not wait for a call.

Change: WithConfirm takes a function that may block; a goroutine asks it about runs whose lease has lapsed, at most once in 30 s for each, and the holder goes by the remembered answers. It replaces WithGone.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -36,6 +36,8 @@
 	// metrics ends the registration of the metrics.
 	metrics metric.Registration
 	calls   calls
+	// confirmer knows which silent runs are gone.
+	confirmer *confirmer
 
 	mu     sync.Mutex
 	holder *limit.Holder
@@ -65,8 +67,10 @@
 	if err := l.registerMetrics(); err != nil {
 		return nil, trace.Wrap(err, "leaseholder metrics")
 	}
+	l.confirmer = newConfirmer(l.opts.confirm, l.opts.log)
 	l.Refresh()
 	l.tomb.Go(l.loop)
+	l.tomb.Go(l.loopConfirm)
 	return l, nil
 }
 
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -1,6 +1,7 @@
 package leaseholder_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -27,11 +28,12 @@
 	*testing.T
 	store   memoryStore
 	flows   atomic.Int64
+	drain   time.Duration
 	holders []*leaseholder.Leaseholder
 }
 
 func newPlace(t *testing.T, hosts int, opts ...leaseholder.Option) *place {
-	p := &place{T: t}
+	p := &place{T: t, drain: time.Hour}
 	p.flows.Store(320)
 	for i := range hosts {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 443)
@@ -46,8 +48,9 @@
 func (p *place) policy() settings.Service {
 	flows := int(p.flows.Load())
 	return settings.Service{
-		Revision: settings.Revision(flows),
-		Limits:   settings.Limits{Flows: flows, FlowsPerUpstream: 1000, MaxHosts: 4},
+		Revision:      settings.Revision(flows),
+		DrainDeadline: settings.Duration(p.drain),
+		Limits:        settings.Limits{Flows: flows, FlowsPerUpstream: 1000, MaxHosts: 4},
 	}
 }
 
@@ -129,6 +132,37 @@
 	})
 }
 
+// TestSilentRunsAreAskedAbout leaves the entry of a run that ended, and expects
+// its share back within minutes once it is confirmed gone, and not before.
+func TestSilentRunsAreAskedAbout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var questions atomic.Int64
+		var gone atomic.Bool
+		confirm := func(_ context.Context, run limit.Run) (bool, error) {
+			questions.Add(1)
+			assert.Equal(t, run.Address.Addr(), netip.AddrFrom4([4]byte{127, 0, 0, 1}))
+			return gone.Load(), nil
+		}
+		p := newPlace(t, 2, leaseholder.WithConfirm(confirm))
+		time.Sleep(time.Minute)
+		p.store.set(_down)
+		assert.ErrorContains(t, p.holders[0].Close(), "down")
+		p.store.set(_fair)
+
+		entries := func() int {
+			share, err := p.store.share()
+			assert.NilError(t, err)
+			return len(share.Entries)
+		}
+		time.Sleep(30 * time.Minute)
+		assert.Equal(t, entries(), 2)
+		assert.Assert(t, questions.Load() > 0)
+		gone.Store(true)
+		time.Sleep(7 * time.Minute)
+		assert.Equal(t, entries(), 1)
+	})
+}
+
 // worker opens and ends flows, and notes when more are open than may be. It
 // counts a flow after it was admitted and until before it is released.
 type worker struct {
--- a/leaseholder/loop.go
+++ b/leaseholder/loop.go
@@ -22,6 +22,9 @@
 	return l.leave()
 }
 
+// loopConfirm asks about silent runs until the tomb dies.
+func (l *Leaseholder) loopConfirm() error { return l.confirmer.loop(&l.tomb) }
+
 // leave returns the share, or gives up.
 func (l *Leaseholder) leave() error {
 	l.mu.Lock()
@@ -45,7 +48,7 @@
 // step asks the holder what to do and does it, unless it is to rest.
 func (l *Leaseholder) step(ctx context.Context) limit.Action {
 	l.mu.Lock()
-	action := l.holder.Act(l.now(), l.opts.gone)
+	action := l.holder.Act(l.now(), l.confirmer.gone)
 	l.mu.Unlock()
 
 	switch a := action.(type) {
--- a/leaseholder/options.go
+++ b/leaseholder/options.go
@@ -1,6 +1,7 @@
 package leaseholder
 
 import (
+	"context"
 	"time"
 
 	"go.opentelemetry.io/otel/metric"
@@ -14,16 +15,16 @@
 	log     *zap.Logger
 	meter   metric.Meter
 	pace    limit.Pace
-	gone    func(limit.Run) bool
+	confirm Confirm
 	updates <-chan struct{}
 }
 
 func defaults() options {
 	return options{
-		log:   zap.NewNop(),
-		meter: noop.Meter{},
-		pace:  limit.DefaultPace(),
-		gone:  func(limit.Run) bool { return false },
+		log:     zap.NewNop(),
+		meter:   noop.Meter{},
+		pace:    limit.DefaultPace(),
+		confirm: func(context.Context, limit.Run) (bool, error) { return false, nil },
 	}
 }
 
@@ -39,10 +40,10 @@
 // WithPace sets the pace; the default is limit.DefaultPace.
 func WithPace(pace limit.Pace) Option { return func(o *options) { o.pace = pace } }
 
-// WithGone sets what confirms that a run is gone for good: callers can no
-// longer reach it, so it neither admits flows nor keeps any. It must not block.
-// The default confirms nothing.
-func WithGone(gone func(limit.Run) bool) Option { return func(o *options) { o.gone = gone } }
+// WithConfirm sets how to ask whether a silent run is gone for good, so that its
+// share returns within minutes and not only after the drain deadline. The
+// default confirms nothing.
+func WithConfirm(confirm Confirm) Option { return func(o *options) { o.confirm = confirm } }
 
 // WithUpdates sets a channel that receives a value when the policy may have
 // changed. Its only receiver is the Leaseholder.
