agent, packet: refusals at once, also for a crowd

Cause: QUIC keeps 4 refusals under way and drops what comes meanwhile, so that of 300 callers who came at once to a full service some waited for their second or third Initial. Ruled out: pacing what QUIC gets, which must wake a reader that waits on the socket and still holds answers back. The change: packet.AppendRefusal answers an Initial of version 1 or 2 with CONNECTION_REFUSED by its own connection ID, as RFC 9001 lays down, on the standard library's ciphers; the agent sends it itself, at most 5,000 a second. The test callers of QUIC read it in both versions.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,6 +38,8 @@
 	_packetSize = 1280
 	// _resetRate bounds the stateless resets that an agent sends in one second.
 	_resetRate = 1000
+	// _refusalRate bounds the refusals that an agent sends in one second.
+	_refusalRate = 5000
 )
 
 var errRefused = errors.New("agent: flow refused")
@@ -84,6 +86,7 @@
 	admissions *admissions
 	paths      *paths
 	resets     *rate.Limiter
+	refusals   *rate.Limiter
 	notices    *rate.Limiter
 
 	counters     counters
@@ -124,6 +127,7 @@
 		options:     newOptions(opts),
 		paths:       newPaths(),
 		resets:      rate.NewLimiter(_resetRate, _resetRate),
+		refusals:    rate.NewLimiter(_refusalRate, _refusalRate),
 		notices:     rate.NewLimiter(_noticeRate, _noticeRate),
 		ended:       make(chan struct{}, 1),
 		drain:       make(chan struct{}),
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
@@ -99,3 +101,30 @@
 		c.receive(wrapped)
 	}
 }
+
+// BenchmarkRefuse has a crowd of callers come at once to a service that is full,
+// and reports how long they wait for the refusal.
+func BenchmarkRefuse(b *testing.B) {
+	const callers = 300
+	for b.Loop() {
+		r := newRig(b, 3, 1, 2)
+		for _, a := range r.agents[0] {
+			a.draining.Do(a.startDraining)
+		}
+		spans := make([]time.Duration, callers)
+		var wg sync.WaitGroup
+		for i := range spans {
+			client := r.client(0)
+			wg.Go(func() {
+				start := time.Now()
+				assert.Check(b, r.call(client, 0, 10) != nil)
+				spans[i] = time.Since(start)
+			})
+		}
+		wg.Wait()
+		slices.Sort(spans)
+		b.ReportMetric(spans[callers/2].Seconds()*1000, "p50-ms")
+		b.ReportMetric(spans[callers-1].Seconds()*1000, "max-ms")
+	}
+	b.ReportMetric(0, "ns/op")
+}
--- a/agent/conn.go
+++ b/agent/conn.go
@@ -140,7 +140,7 @@
 		a.counters.unproved.Add(1)
 		return &opening{path: newPath(ends, from, now), unproved: true}
 	case refuse:
-		return &opening{path: newPath(ends, from, now), refused: true}
+		c.refuse(newPath(ends, from, now), datagram)
 	case pass:
 		a.admissions.pass(key, what, a.start.Add(now))
 		c.pass(what, in.header, datagram)
@@ -166,13 +166,29 @@
 	}
 }
 
+// refuse answers an Initial at once. QUIC would do it too, but drops what comes
+// while a few answers are under way, and refusals come in crowds.
+func (c *conn) refuse(p *path, datagram []byte) {
+	if !c.agent.refusals.Allow() {
+		return
+	}
+	answer, err := packet.AppendRefusal(c.out[:0], datagram)
+	if err != nil {
+		c.agent.counters.dropped.Add(1)
+		return
+	}
+	if err := c.reply(answer, p, c.agent.service, p.relay.Load().addr); err == nil {
+		c.agent.counters.refused.Add(1)
+	}
+}
+
 // reset answers a packet of an earlier run. Its token is derived under the key
 // that its connection ID names, which need not be the one of this run.
 func (c *conn) reset(p *path, id service.ID, datagram []byte) {
 	if !c.agent.resets.Allow() {
 		return
 	}
-	answer, err := packet.AppendReset(c.out[:0:packet.HeaderLen], c.agent.keys.Load(), datagram)
+	answer, err := packet.AppendReset(c.out[:0], c.agent.keys.Load(), datagram)
 	if err != nil {
 		c.agent.counters.dropped.Add(1)
 		return
--- a/agent/flow.go
+++ b/agent/flow.go
@@ -46,9 +46,6 @@
 func (a *Agent) admitted(addr net.Addr) (*path, error) {
 	switch addr := addr.(type) {
 	case *opening:
-		if addr.refused {
-			return nil, errRefused
-		}
 		if addr.admission != nil && addr.admission.claim() {
 			return addr.path, nil
 		}
--- a/agent/flow_test.go
+++ b/agent/flow_test.go
@@ -122,7 +122,10 @@
 	for _, a := range r.agents[0] {
 		_ = a.Drain(ctx)
 	}
-	assertRefused(t, r.call(r.client(0), 0, 10))
+	for _, version := range []quic.Version{quic.Version1, quic.Version2} {
+		r.versions = []quic.Version{version}
+		assertRefused(t, r.call(r.client(0), 0, 10))
+	}
 }
 
 // TestFull passes flows on until both agents are full, then refuses, and takes
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -47,9 +47,8 @@
 // outcome of the decision about the flow to where QUIC opens the connection.
 type opening struct {
 	*path
-	// admission is the flow's, unless it is refused or unproved.
+	// admission is the flow's, unless it is unproved.
 	admission *admission
-	refused   bool
 	// unproved says that the caller must prove its address first.
 	unproved bool
 }
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -146,6 +146,7 @@
 	finish    chan struct{}
 	release   func()
 	killed    map[*Agent]bool
+	versions  []quic.Version
 }
 
 func newRig(t testing.TB, balancers, services, agents int, opts ...Option) *rig {
@@ -258,7 +259,9 @@
 	first := make(chan *quic.Conn, 1)
 	transport := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: r.pool, ServerName: _serverName},
-		QUICConfig:      &quic.Config{HandshakeIdleTimeout: 5 * time.Second, InitialPacketSize: 1250, DisablePathMTUDiscovery: true},
+		QUICConfig: &quic.Config{
+			HandshakeIdleTimeout: 5 * time.Second, InitialPacketSize: 1250, DisablePathMTUDiscovery: true, Versions: r.versions,
+		},
 		Dial: func(ctx context.Context, _ string, t *tls.Config, q *quic.Config) (*quic.Conn, error) {
 			conn, err := quic.DialAddr(ctx, address, t, q)
 			select {
--- a/packet/fuzz_test.go
+++ b/packet/fuzz_test.go
@@ -67,6 +67,8 @@
 		assert.Check(t, err != nil || parsed.Type >= Short && parsed.Type <= OtherVersion)
 		answer, err := AppendReset(nil, keys, datagram)
 		assert.Check(t, err != nil || len(answer) < len(datagram))
+		refusal, err := AppendRefusal(nil, datagram)
+		assert.Check(t, err != nil || len(refusal) <= 100)
 	})
 }
 
--- a/packet/packet_test.go
+++ b/packet/packet_test.go
@@ -307,6 +307,8 @@
 	datagram := append([]byte{0x40, 1<<_rotationShift | _blockLen}, make([]byte, 100)...)
 	keys := testKeys(b, 1)
 	all["reset"] = func() { _, _ = AppendReset(nil, keys, datagram) }
+	initial := append([]byte{0xc0, 0, 0, 0, 1, 8}, make([]byte, 1200)...)
+	all["refusal"] = func() { _, _ = AppendRefusal(nil, initial) }
 	for name, f := range all {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
