dandelionhitch: keys are made and rotated by a command, and read again on SIGHUP

Cause: nothing made a key file, and a new key needed a restart of every process. Change: keys new, add, use and drop print the next state of a file, checked; balancers and agents read theirs again on SIGHUP, and keep the old keys if it is refused. An agent issues connection IDs under the key of its start.

--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -130,6 +130,8 @@
 		return err
 	}
 	parts.log.Info("agent started", zap.Stringer("service", config.path()), zap.Stringer("data", config.data))
+	reloader := newKeyReloader(flags.keyFile, parts.log, node.setKeys)
+	defer reloader.Close()
 	select {
 	case <-ctx.Done():
 	case <-node.tomb.Dead():
@@ -275,6 +277,10 @@
 	}
 }
 
+// setKeys replaces the keys that are accepted. Connection IDs and tickets are
+// issued under the keys of the start, so an agent uses a new key from its next run on.
+func (n *agentNode) setKeys(k keys) { n.agent.SetKeys(k.packet) }
+
 // drainContext ends at the operator's drain deadline.
 func (n *agentNode) drainContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), time.Duration(n.policy().DrainDeadline))
--- a/dandelionhitch/balancer.go
+++ b/dandelionhitch/balancer.go
@@ -105,6 +105,8 @@
 		return err
 	}
 	parts.log.Info("balancer started", zap.String("name", config.name), zap.Stringer("data", config.data))
+	reloader := newKeyReloader(flags.keyFile, parts.log, node.setKeys)
+	defer reloader.Close()
 	select {
 	case <-ctx.Done():
 	case <-node.tomb.Dead():
@@ -212,6 +214,8 @@
 	n.balancer.SetTable(table)
 }
 
+func (n *balancerNode) setKeys(k keys) { n.balancer.SetKeys(k.packet) }
+
 // Stop leaves the members, keeps forwarding until the fabric sends nothing more
 // or ctx ends, and closes.
 func (n *balancerNode) Stop(ctx context.Context) error {
--- a/dandelionhitch/fleet.go
+++ b/dandelionhitch/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
@@ -80,9 +81,11 @@
 	if err != nil {
 		return nodeParts{}, err
 	}
-	if f.keyData, err = newKeyFile(); err != nil {
+	var file bytes.Buffer
+	if err := printNewKeys(&file); err != nil {
 		return nodeParts{}, err
 	}
+	f.keyData = file.Bytes()
 	parsed, err := parseKeys(f.keyData)
 	if err != nil {
 		return nodeParts{}, err
--- /dev/null
+++ b/dandelionhitch/fleet_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/service"
+	"dandelionhitch.example/standin"
+)
+
+// startFleet starts 2 balancers and 2 hosts of one service in this process.
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	layout, err := newPlan("akl", []service.Place{"akl-a"}, 2, plannedService{name: "orders", hosts: 2, slots: 2})
+	assert.NilError(t, err)
+	t.Cleanup(func() { layout.Close() })
+	f, err := newFleet(t.Context(), layout, tryValues(_tryFlowLimit), zap.NewNop())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = f.Close() })
+	assert.NilError(t, f.startBalancers())
+	assert.NilError(t, f.startAgents(t.Context()))
+	assert.NilError(t, f.awaitServing(t.Context()))
+	return f
+}
+
+func (f *fleet) dialTest(t *testing.T) *standin.Caller {
+	t.Helper()
+	s := f.plan.services[0]
+	caller, err := standin.Dial(t.Context(), s.name, s.address, f.callerTLS())
+	assert.NilError(t, err)
+	t.Cleanup(caller.Close)
+	return caller
+}
+
+func requestTest(t *testing.T, caller *standin.Caller, number uint64) {
+	t.Helper()
+	answer, err := caller.Do(t.Context(), standin.Work{Number: number, Path: standin.PathShort, Download: 1000})
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, 200)
+}
+
+// setKeys brings a changed key file to every process.
+func (f *fleet) setKeys(t *testing.T, change func(*keyFile, uint8) error, number uint8) {
+	t.Helper()
+	var file keyFile
+	assert.NilError(t, json.Unmarshal(f.keyData, &file))
+	assert.NilError(t, change(&file, number))
+	var out bytes.Buffer
+	assert.NilError(t, file.print(&out))
+	f.keyData = out.Bytes()
+	parsed, err := parseKeys(f.keyData)
+	assert.NilError(t, err)
+	for _, a := range f.agents {
+		a.setKeys(parsed)
+	}
+	for _, b := range f.balancers {
+		b.setKeys(parsed)
+	}
+}
+
+// TestFlowsSurviveAKeyRotation adds a key and puts it in use. A flow from
+// before must go on, and new ones must be taken.
+func TestFlowsSurviveAKeyRotation(t *testing.T) {
+	f := startFleet(t)
+	before := f.dialTest(t)
+	requestTest(t, before, 1)
+	f.setKeys(t, addKey, 0)
+	requestTest(t, before, 2)
+	f.setKeys(t, useKey, 2)
+	requestTest(t, before, 3)
+	requestTest(t, f.dialTest(t), 4)
+}
+
+// TestFleetServesThroughAPlatformOutage cuts the platform off. Flows from
+// before go on, new ones are taken, and a settings change made afterwards is in
+// force everywhere.
+func TestFleetServesThroughAPlatformOutage(t *testing.T) {
+	f := startFleet(t)
+	before := f.dialTest(t)
+	f.platform.SetFaults(standin.PlatformFaults{Outage: true})
+	requestTest(t, before, 1)
+	requestTest(t, f.dialTest(t), 2)
+	f.platform.SetFaults(standin.PlatformFaults{})
+	raised, lower := tryValues(2*_tryFlowLimit), tryValues(_tryFlowLimit)
+	edits := f.plan.edits(raised)[:1]
+	edits[0].Before = &lower
+	assert.NilError(t, f.accept(t.Context(), "after the outage", edits...))
+	_, ok := f.awaitRevision(t.Context(), time.Minute)
+	assert.Assert(t, ok)
+	requestTest(t, before, 3)
+}
--- a/dandelionhitch/keys.go
+++ b/dandelionhitch/keys.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/rand"
-	"encoding/json"
 	"os"
 
 	"github.com/gravitational/trace"
@@ -58,10 +57,10 @@
 	return keys{packet: packetKeys, ticket: ticketKeys}, nil
 }
 
-// newKeyFile returns a key file with one random key.
-func newKeyFile() ([]byte, error) {
+// newKeySpec returns a random key.
+func newKeySpec(number uint8) (keySpec, error) {
 	spec := keySpec{
-		Number: 1,
+		Number: number,
 		CID:    make([]byte, _shortKeyOctets),
 		MAC:    make([]byte, _shortKeyOctets),
 		Reset:  make([]byte, _longKeyOctets),
@@ -70,9 +69,8 @@
 	}
 	for _, part := range [][]byte{spec.CID, spec.MAC, spec.Reset, spec.Token, spec.Ticket} {
 		if _, err := rand.Read(part); err != nil {
-			return nil, trace.Wrap(err, "make random keys")
+			return keySpec{}, trace.Wrap(err, "make random keys")
 		}
 	}
-	data, err := json.MarshalIndent(keyFile{Current: spec.Number, Keys: []keySpec{spec}}, "", "  ")
-	return data, trace.Wrap(err)
+	return spec, nil
 }
--- a/dandelionhitch/main.go
+++ b/dandelionhitch/main.go
@@ -66,9 +66,12 @@
 		ShortHelp:  "A layer-4 load balancer for small operators.",
 		FlagSet:    flags,
 		Subcommands: append(
-			[]*ffcli.Command{balancerCommand(stderr), agentCommand(stderr), tryCommand(stdout, stderr)},
+			[]*ffcli.Command{balancerCommand(stderr), agentCommand(stderr), tryCommand(stdout, stderr), keysCommand(stdout)},
 			operatorCommands(stdin, stdout, stderr)...,
 		),
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: helpExec,
 	}
 }
+
+// helpExec makes a command that only has subcommands print its usage.
+func helpExec(context.Context, []string) error { return flag.ErrHelp }
--- a/dandelionhitch/process_test.go
+++ b/dandelionhitch/process_test.go
@@ -151,7 +151,7 @@
 		_ = command.Process.Kill()
 		_ = command.Wait()
 	}
-	_ = f.fleet.Close()
+	_ = f.Close()
 }
 
 // dial opens a flow to a service, trying until there is one to have.
