leaseholder: a changed limit counts within a second, also if nobody tells of it

Cause: an agent that neither calls Refresh nor passes a channel of updates went by the limits of its start for ever, since they were read only then.

Change: the loop looks at the policy at least every second. Releasing more flows than are open no longer makes room for more.

Proof: TestChangedSettingsAreFollowed raises the limit in an outage of the platform; without the look every second the untold host still allowed 60 flows, where 600 are due.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -68,7 +68,7 @@
 		return nil, trace.Wrap(err, "leaseholder metrics")
 	}
 	l.confirmer = newConfirmer(l.opts.confirm, l.opts.log)
-	l.Refresh()
+	l.follow()
 	l.tomb.Go(l.loop)
 	l.tomb.Go(l.loopConfirm)
 	return l, nil
@@ -100,13 +100,10 @@
 	l.mu.Unlock()
 }
 
-// Refresh takes the settings in force from the policy. It is called when these
-// may have changed, unless WithUpdates is given.
+// Refresh takes the settings in force from the policy at once. Without it, and
+// without WithUpdates, a change counts within a second.
 func (l *Leaseholder) Refresh() {
-	limits := limit.LimitsOf(l.policy())
-	l.mu.Lock()
-	l.holder.SetLimits(l.now(), limits)
-	l.mu.Unlock()
+	l.follow()
 	l.rouse()
 }
 
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -119,6 +119,24 @@
 	})
 }
 
+func TestChangedSettingsAreFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		updates := make(chan struct{}, 1)
+		told := newPlace(t, 1, leaseholder.WithUpdates(updates))
+		untold := newPlace(t, 1)
+		time.Sleep(time.Minute)
+		for _, p := range []*place{told, untold} {
+			p.store.set(_down)
+			p.flows.Store(3200)
+		}
+		updates <- struct{}{}
+		synctest.Wait()
+		assert.Equal(t, told.holders[0].Status().Allowed, 600)
+		time.Sleep(time.Second)
+		assert.Equal(t, untold.holders[0].Status().Allowed, 600)
+	})
+}
+
 func TestCloseGivesUpInAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPlace(t, 1)
--- a/leaseholder/loop.go
+++ b/leaseholder/loop.go
@@ -60,17 +60,26 @@
 	return action
 }
 
-// rest waits until the monotonic clock has come to until, or something happened.
+// rest waits until the monotonic clock has come to until, or something happened,
+// for at most the time between two looks at the policy.
 func (l *Leaseholder) rest(until time.Duration) {
-	timer := time.NewTimer(until - l.now().Mono)
+	timer := time.NewTimer(min(until-l.now().Mono, _policyInterval))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-l.wake:
 	case <-l.opts.updates:
-		l.Refresh()
 	case <-l.tomb.Dying():
 	}
+	l.follow()
+}
+
+// follow brings the settings in force to the holder.
+func (l *Leaseholder) follow() {
+	limits := limit.LimitsOf(l.policy())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holder.SetLimits(l.now(), limits)
 }
 
 // pause waits like rest but reports false when ctx ended first.
--- a/leaseholder/options.go
+++ b/leaseholder/options.go
@@ -50,6 +50,8 @@
 func WithUpdates(updates <-chan struct{}) Option { return func(o *options) { o.updates = updates } }
 
 const (
+	// _policyInterval is the longest time between two looks at the policy.
+	_policyInterval = time.Second
 	// _callTimeout bounds one call of the platform.
 	_callTimeout = 5 * time.Second
 	// _leaveTimeout bounds the return of the share at the end.
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -107,9 +107,9 @@
 	return h.hurry(now), err
 }
 
-// Release gives back the place of one flow.
+// Release gives back the place of one flow. Without an open flow it does nothing.
 func (h *Holder) Release() {
-	h.gate.open--
+	h.gate.open = max(h.gate.open-1, 0)
 }
 
 // Drain refuses all flows from now on. The units return as flows end.
