agent, route: flows hold under balancers that share no view

Cause: that balancers' views may differ arbitrarily was proved for single decisions only. Conclusion: nothing had to change.

--- a/agent/flow_test.go
+++ b/agent/flow_test.go
@@ -65,6 +65,25 @@
 	wg.Wait()
 }
 
+// TestViews has two balancers that know nothing of each other's agents.
+func TestViews(t *testing.T) {
+	r := newRig(t, 2, 1, 2)
+	for i, b := range r.balancers {
+		table, err := route.New([]route.Service{{
+			ID: 1, Addresses: []netip.AddrPort{r.sprayers[0].address},
+			Candidates: []route.Candidate{{Addr: r.agents[0][i].Addr(), Weight: 1}},
+		}})
+		assert.NilError(t, err)
+		b.SetTable(table)
+	}
+	for range 5 {
+		client := r.client(0)
+		for range 3 {
+			assert.NilError(t, r.call(client, 0, 50_000))
+		}
+	}
+}
+
 // TestQuietCaller kills the balancer that carried a request while the caller
 // waits for the answer, and lets nothing more of the caller through until the
 // agent has found another balancer.
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -259,9 +259,7 @@
 	first := make(chan *quic.Conn, 1)
 	transport := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: r.pool, ServerName: _serverName},
-		QUICConfig: &quic.Config{
-			HandshakeIdleTimeout: 5 * time.Second, InitialPacketSize: 1250, DisablePathMTUDiscovery: true, Versions: r.versions,
-		},
+		QUICConfig:      &quic.Config{HandshakeIdleTimeout: 5 * time.Second, Versions: r.versions},
 		Dial: func(ctx context.Context, _ string, t *tls.Config, q *quic.Config) (*quic.Conn, error) {
 			conn, err := quic.DialAddr(ctx, address, t, q)
 			select {
