dandelionhitch: fleet tests end by themselves

Cause: with agents that lack the new key the test of a rotation hung instead of failing. Change: dials and requests have 20 s. Seen failing then.

--- a/dandelionhitch/fleet_test.go
+++ b/dandelionhitch/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -13,6 +14,9 @@
 	"dandelionhitch.example/standin"
 )
 
+// _testTimeout ends a test that would else wait for an answer that never comes.
+const _testTimeout = 20 * time.Second
+
 // startFleet starts 2 balancers and 2 hosts of one service in this process.
 func startFleet(t *testing.T) *fleet {
 	t.Helper()
@@ -31,7 +35,9 @@
 func (f *fleet) dialTest(t *testing.T) *standin.Caller {
 	t.Helper()
 	s := f.plan.services[0]
-	caller, err := standin.Dial(t.Context(), s.name, s.address, f.callerTLS())
+	ctx, cancel := context.WithTimeout(t.Context(), _testTimeout)
+	defer cancel()
+	caller, err := standin.Dial(ctx, s.name, s.address, f.callerTLS())
 	assert.NilError(t, err)
 	t.Cleanup(caller.Close)
 	return caller
@@ -39,7 +45,9 @@
 
 func requestTest(t *testing.T, caller *standin.Caller, number uint64) {
 	t.Helper()
-	answer, err := caller.Do(t.Context(), standin.Work{Number: number, Path: standin.PathShort, Download: 1000})
+	ctx, cancel := context.WithTimeout(t.Context(), _testTimeout)
+	defer cancel()
+	answer, err := caller.Do(ctx, standin.Work{Number: number, Path: standin.PathShort, Download: 1000})
 	assert.NilError(t, err)
 	assert.Equal(t, answer.Status, 200)
 }
