--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -159,6 +159,7 @@
 		follower.WithFetch(n.control.fetch),
 		follower.WithPeers(func() []netip.AddrPort { return config.peers }),
 		follower.WithLogger(n.log),
+		follower.WithMeter(parts.meter),
 	)
 	policy, err := n.awaitSettings(ctx)
 	if err != nil {
--- a/dandelionhitch/balancer.go
+++ b/dandelionhitch/balancer.go
@@ -157,6 +157,7 @@
 func (n *balancerNode) newFollower(parts nodeParts) *follower.Follower {
 	options := []follower.Option{
 		follower.WithLogger(n.log),
+		follower.WithMeter(parts.meter),
 		follower.WithFetch(n.control.fetch),
 		follower.WithPeers(func() []netip.AddrPort { return n.config.peers }),
 	}
--- a/dandelionhitch/process_test.go
+++ b/dandelionhitch/process_test.go
@@ -1,15 +1,21 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
 	"encoding/pem"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"syscall"
 	"testing"
 	"time"
@@ -92,11 +98,28 @@
 func (f *processFleet) nodeSettings(c nodeConfig) map[string]any {
 	return map[string]any{
 		"region": c.region, "place": c.place, "data": c.data, "control": c.control,
+		"metrics": metricsAddress(c),
 		"platform": f.platform.URL().String(), "keys": f.path("keys.json"), "log_level": "warn",
 		"control_cert": f.path("control.pem"), "control_key": f.path("control.key"), "control_ca": f.path("ca.pem"),
 	}
 }
 
+func metricsAddress(c nodeConfig) netip.AddrPort {
+	const port = 7002
+	return netip.AddrPortFrom(c.data.Addr(), port)
+}
+
+// metrics returns what a process shows at /metrics.
+func (f *processFleet) metrics(c nodeConfig) string {
+	f.t.Helper()
+	response, err := http.Get(fmt.Sprintf("http://%s/metrics", metricsAddress(c)))
+	assert.NilError(f.t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(f.t, err)
+	return string(body)
+}
+
 func (f *processFleet) balancerFile(b balancerConfig) map[string]any {
 	values := f.nodeSettings(b.nodeConfig)
 	values["name"] = b.name
@@ -267,3 +290,36 @@
 	assert.Assert(t, cmp.Contains(f.operate("settings", "history"), "dawn"))
 	f.request(caller, 1)
 }
+
+// TestBadDatagramsAreCountedAndDropped sends what no caller or balancer sends.
+func TestBadDatagramsAreCountedAndDropped(t *testing.T) {
+	f := startProcesses(t)
+	caller := f.dial(f.plan.services[0])
+	b, host := f.plan.balancers[0], f.plan.hosts[0]
+	tests := []struct {
+		name string
+		to   netip.AddrPort
+		node nodeConfig
+		want string
+	}{
+		{"to a balancer as from a caller", b.listeners[0].Bind, b.nodeConfig, `dandelionhitch_balancer_datagrams_total{.*result="dropped_not_quic".*} [1-9]`},
+		{"to a balancer as from an agent", b.data, b.nodeConfig, `dandelionhitch_balancer_datagrams_total{.*result="forged".*} [1-9]`},
+		{"to an agent", host.config.data, host.config.nodeConfig, `dandelionhitch_agent_events_total{.*result="forged".*} [1-9]`},
+	}
+	for _, tt := range tests {
+		conn, err := net.Dial("udp4", tt.to.String())
+		assert.NilError(t, err)
+		for _, datagram := range [][]byte{{}, {0}, make([]byte, 17), bytes.Repeat([]byte{0xff}, 1500)} {
+			_, err = conn.Write(datagram)
+			assert.NilError(t, err)
+		}
+		conn.Close()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if ok, _ := regexp.MatchString(tt.want, f.metrics(tt.node)); !ok {
+				return poll.Continue("%s: not counted", tt.name)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second))
+	}
+	f.request(caller, 1)
+}
