--- a/leaseholder/bench_test.go
+++ b/leaseholder/bench_test.go
@@ -1,6 +1,7 @@
 package leaseholder_test
 
 import (
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -23,7 +24,7 @@
 	l, err := leaseholder.New(&memoryStore{}, _path, run, policy, leaseholder.WithPace(pace))
 	assert.NilError(b, err)
 	b.Cleanup(func() { _ = l.Close() })
-	for l.Status().Share == 0 {
+	for !l.Status().Joined {
 		time.Sleep(time.Millisecond)
 	}
 	return l
@@ -44,31 +45,25 @@
 			mu.Unlock()
 		}
 	})
-	b.Run("admitted", func(b *testing.B) {
-		l := benchHolder(b, 1000)
-		b.ReportAllocs()
-		for b.Loop() {
-			if l.TryAdmit() == nil {
-				l.Release()
-			}
-		}
-	})
-	b.Run("refused", func(b *testing.B) {
-		l := benchHolder(b, 1000)
-		l.Drain()
-		b.ReportAllocs()
-		for b.Loop() {
-			_ = l.TryAdmit()
+	admit := func(l *leaseholder.Leaseholder) {
+		if l.TryAdmit() == nil {
+			l.Release()
 		}
-	})
+	}
+	for _, flows := range []int{1000, 0} {
+		b.Run(fmt.Sprintf("limit=%d", flows), func(b *testing.B) {
+			l := benchHolder(b, flows)
+			b.ReportAllocs()
+			for b.Loop() {
+				admit(l)
+			}
+		})
+	}
 	b.Run("parallel", func(b *testing.B) {
 		l := benchHolder(b, 1000)
-		b.ReportAllocs()
 		b.RunParallel(func(pb *testing.PB) {
 			for pb.Next() {
-				if l.TryAdmit() == nil {
-					l.Release()
-				}
+				admit(l)
 			}
 		})
 	})
--- /dev/null
+++ b/leaseholder/example_test.go
@@ -0,0 +1,35 @@
+package leaseholder_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"dandelionhitch.example/leaseholder"
+	"dandelionhitch.example/limit"
+	"dandelionhitch.example/settings"
+)
+
+// An agent asks before it takes a flow. Without a share it admits none.
+func Example() {
+	store := &memoryStore{}
+	path := settings.Path{Region: "akl", Place: "akl-a", Name: "orders"}
+	run := limit.Run{Address: netip.MustParseAddrPort("127.0.0.1:443"), Incarnation: 1, Nonce: 7}
+	policy := func() settings.Service {
+		return settings.Service{Limits: settings.Limits{Flows: 100, FlowsPerUpstream: 50, MaxHosts: 2}}
+	}
+	pace := limit.DefaultPace()
+	pace.Join = time.Hour
+	holder, err := leaseholder.New(store, path, run, policy, leaseholder.WithPace(pace))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer holder.Close()
+	if err := holder.TryAdmit(); err != nil {
+		fmt.Println(err)
+	} else {
+		defer holder.Release()
+	}
+	// Output: flow refused: no_share
+}
--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"dandelionhitch.example/limit"
 	"dandelionhitch.example/platform"
 	"dandelionhitch.example/settings"
@@ -130,6 +132,15 @@
 	return flows
 }
 
+func (f *fleet) demanded(demand func(host int) int) (flows int) {
+	for _, p := range f.places {
+		for i := range p.hosts {
+			flows += demand(i)
+		}
+	}
+	return flows
+}
+
 func even(part float64) func(int) int {
 	return func(int) int { return int(part * _fleetLimit / _fleetHosts) }
 }
@@ -172,13 +183,16 @@
 				phase.before(f)
 				f.peak, f.total, f.met = calls{}, calls{}, 0
 				start := f.now
-				f.run(phase.span, phase.demand)
+				f.run(30*time.Second, phase.demand)
+				early := 1 - float64(f.missing(phase.demand))/float64(f.demanded(phase.demand))
+				f.run(phase.span-30*time.Second, phase.demand)
 				hostSeconds := _fleetCapacity * phase.span.Seconds()
 				b.ReportMetric(float64(f.total.writes)/hostSeconds, "writes/s/host")
 				b.ReportMetric(float64(f.total.reads)/hostSeconds, "reads/s/host")
 				b.ReportMetric(float64(f.peak.writes), "peak-writes/s")
 				b.ReportMetric(float64(f.peak.reads), "peak-reads/s")
 				b.ReportMetric(float64(f.total.refused), "refused-calls")
+				b.ReportMetric(early, "demand-met-in-30s")
 				if f.met > 0 {
 					b.ReportMetric((f.met - start).Seconds(), "s-to-meet-demand")
 				}
@@ -187,58 +201,47 @@
 	}
 }
 
-// BenchmarkShare measures the share object by its number of hosts.
+// manyHosts is a share with entries of usual length.
+func manyHosts(hosts int) (share limit.Share) {
+	for i := range hosts {
+		entry := other(1, 0, 0)
+		entry.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 20, byte(i >> 8), byte(i)}), 8443)
+		entry.Incarnation, entry.Nonce, entry.Seq, entry.Open = 304_000_000, 4_000_000_000, 10_000, 2000
+		entry.Floor = limit.Whole / 2 / limit.Units(hosts)
+		entry.Leased = limit.Whole / 3 / limit.Units(hosts)
+		share.Entries = append(share.Entries, entry)
+	}
+	return share
+}
+
+// BenchmarkShare measures the share object and the decision on one write, by
+// the number of hosts.
 func BenchmarkShare(b *testing.B) {
 	for _, hosts := range []int{10, 100, 1000} {
-		var share limit.Share
-		for i := range hosts {
-			entry := other(1, 4, 0)
-			entry.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 20, byte(i >> 8), byte(i)}), 8443)
-			entry.Incarnation, entry.Nonce, entry.Seq = 304_000_000, 4_000_000_000, 10_000
-			entry.Leased, entry.Floor, entry.Open = limit.UnitsFor(333, 1000)/limit.Units(hosts), limit.Whole/2/limit.Units(hosts), 2000
-			share.Entries = append(share.Entries, entry)
-		}
-		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+		share := manyHosts(hosts)
+		data, err := json.Marshal(share)
+		assert.NilError(b, err)
+		b.Run(fmt.Sprintf("encode/hosts=%d", hosts), func(b *testing.B) {
 			b.ReportAllocs()
-			size := 0
 			for b.Loop() {
-				data, err := json.Marshal(share)
-				if err != nil {
-					b.Fatal(err)
-				}
-				var decoded limit.Share
-				if err := json.Unmarshal(data, &decoded); err != nil {
-					b.Fatal(err)
-				}
-				size = len(data)
+				_, _ = json.Marshal(share)
 			}
-			b.ReportMetric(float64(size)/float64(hosts), "bytes/host")
+			b.ReportMetric(float64(len(data))/float64(hosts), "bytes/host")
 		})
-	}
-}
-
-// BenchmarkPlan measures the decision on one write by the number of hosts.
-func BenchmarkPlan(b *testing.B) {
-	for _, hosts := range []int{10, 1000} {
-		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			var share limit.Share
-			for i := range hosts {
-				entry := other(1, 0, 0)
-				entry.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 20, byte(i >> 8), byte(i)}), 8443)
-				entry.Leased = limit.Whole / 2 / limit.Units(hosts)
-				share.Entries = append(share.Entries, entry)
+		b.Run(fmt.Sprintf("decode/hosts=%d", hosts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				var decoded limit.Share
+				_ = json.Unmarshal(data, &decoded)
 			}
-			pace := limit.DefaultPace()
-			pace.Join = 0
-			gone := func(limit.Run) bool { return false }
+		})
+		b.Run(fmt.Sprintf("plan/hosts=%d", hosts), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				h := limit.NewHolder(limit.Instant{}, run(1), pace, 1)
-				h.Act(limit.Instant{}, gone)
+				h := limit.NewHolder(limit.Instant{}, run(1), limit.Pace{}, 1)
+				h.Act(limit.Instant{}, nil)
 				h.Handle(limit.Instant{}, limit.ReadDone{Share: share, Version: 1})
-				if _, ok := h.Act(limit.Instant{}, gone).(limit.Write); !ok {
-					b.Fatal("no write")
-				}
+				h.Act(limit.Instant{}, nil)
 			}
 		})
 	}
