announcer: finds members in the platform when all that it knew are gone

Ruled out: listing more seeds (all VMs are replaced at any time). Change: with a store, an agent that can reach none of its members reads their leases, at most about every 10 s; nothing else needs the platform.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -10,7 +10,7 @@
 // some upstreams of its own service with their loads.
 //
 // The first heartbeat goes to a seed, which may be any member. The platform is
-// never needed.
+// of use only to an agent none of whose members can be reached any more.
 package announcer
 
 import (
@@ -82,6 +82,9 @@
 
 // New starts to announce self to the members that seeds, control addresses,
 // lead to. The record's Seq and Load may be zero; the announcer numbers the states.
+//
+// The agent must listen at its control address before New and until Close has
+// returned: a keeper takes a refused connection there for the end of the run.
 func New(self roster.Upstream, client Caller, seeds []netip.AddrPort, opts ...Option) (*Announcer, error) {
 	self.Seq = 1
 	self.Load = max(self.Load, roster.LoadLow)
@@ -115,6 +118,9 @@
 	for _, s := range a.slots {
 		a.tomb.Go(s.loop)
 	}
+	if a.options.store != nil {
+		a.tomb.Go(a.loopSeeds)
+	}
 	return nil
 }
 
--- a/announcer/fleet_test.go
+++ b/announcer/fleet_test.go
@@ -163,6 +163,11 @@
 	}
 	for seed := range seeds {
 		synctest.Test(t, func(t *testing.T) {
+			defer func() {
+				if t.Failed() {
+					t.Logf("seed %d", seed)
+				}
+			}()
 			random := rand.New(rand.NewPCG(seed, 1))
 			f := newFleet(t, 4, 6)
 			defer f.close()
@@ -190,9 +195,6 @@
 				}
 			}
 			f.assertEligible(alive...)
-			if t.Failed() {
-				t.Logf("seed %d", seed)
-			}
 		})
 	}
 }
--- a/announcer/options.go
+++ b/announcer/options.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/metric/noop"
 	"go.uber.org/zap"
 
+	"dandelionhitch.example/platform"
 	"dandelionhitch.example/service"
 	"dandelionhitch.example/settings"
 )
@@ -18,6 +19,7 @@
 	higherRevision func(settings.Revision, netip.AddrPort)
 	newIncarnation func(service.Incarnation)
 	revision       func() settings.Revision
+	store          platform.Store
 	logger         *zap.Logger
 	meter          metric.Meter
 	seed           uint64
@@ -56,6 +58,10 @@
 	return func(o *options) { o.newIncarnation = f }
 }
 
+// WithStore has the announcer look for members' leases in the platform while
+// it can reach none of the members that it knows. Nothing else needs it.
+func WithStore(store platform.Store) Option { return func(o *options) { o.store = store } }
+
 // WithLogger sets the logger.
 func WithLogger(logger *zap.Logger) Option { return func(o *options) { o.logger = logger } }
 
--- a/announcer/slot.go
+++ b/announcer/slot.go
@@ -46,7 +46,7 @@
 		a.mu.Lock()
 		a.plan.failed(a.now(), addr)
 		a.mu.Unlock()
-		return s.spread(_retryInterval)
+		return a.spread(_retryInterval)
 	}
 	a.take(addr, request, reply)()
 	a.offerRevision(reply.Revision, addr)
@@ -54,7 +54,7 @@
 	told := a.acknowledged(addr)
 	a.mu.Unlock()
 	if !told {
-		return s.spread(_retryInterval)
+		return a.spread(_retryInterval)
 	}
 	return s.aligned()
 }
@@ -94,11 +94,3 @@
 	}
 	return keeper.HeartbeatInterval - phase
 }
-
-// spread returns about the interval.
-func (s *slot) spread(interval time.Duration) time.Duration {
-	a := s.announcer
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return interval*3/4 + time.Duration(a.random.Int64N(int64(interval/2)))
-}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -116,6 +116,9 @@
 // New starts a keeper for the balancer that self describes. The record's Seq
 // and State may be zero; the keeper numbers the states and serves once it has
 // heard another member, or found none for some seconds.
+//
+// The balancer must listen at its control address before New and until Close
+// has returned: others take a refused connection there for its end.
 func New(self roster.Member, client Caller, opts ...Option) (*Keeper, error) {
 	self.Seq = 1
 	self.State = service.Starting
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -171,14 +172,9 @@
 		return err
 	}
 	k := h.keeper
-	var found []roster.Member
-	for _, object := range objects {
-		var l lease
-		if err := json.Unmarshal(object.Value, &l); err != nil {
-			k.options.logger.Warn("a lease cannot be read", zap.String("key", object.Key), zap.Error(err))
-			continue
-		}
-		found = append(found, l.Member)
+	found, findings := members(objects)
+	if len(findings) > 0 {
+		k.options.logger.Warn("leases that cannot be read", zap.Error(trace.NewAggregate(findings...)))
 	}
 	k.found(found)
 	for _, object := range h.sightings.read(k.now(), objects) {
@@ -190,6 +186,34 @@
 	return nil
 }
 
+// members returns the members that have leases, and what is wrong with leases
+// that cannot be read.
+func members(objects []platform.Object) (found []roster.Member, findings []error) {
+	for _, object := range objects {
+		var l lease
+		if err := json.Unmarshal(object.Value, &l); err != nil {
+			findings = append(findings, trace.Wrap(err, "lease %s", object.Key))
+			continue
+		}
+		found = append(found, l.Member)
+	}
+	return found, findings
+}
+
+// Leased returns the control addresses of the members that have leases.
+func Leased(ctx context.Context, store platform.Store) ([]netip.AddrPort, error) {
+	objects, err := store.List(ctx, LeasePrefix)
+	if err != nil {
+		return nil, trace.Wrap(err, "read the members' leases")
+	}
+	found, _ := members(objects)
+	out := make([]netip.AddrPort, len(found))
+	for i, m := range found {
+		out[i] = m.Control
+	}
+	return out, nil
+}
+
 // release removes the lease.
 func (h *leaseholder) release() {
 	if h.version == 0 {
