follower: edits are kept apart only once a change is judged good

Cause: the edits of a large change were written before it was judged, so that each refusal left an object behind; and a change id given again with other edits was answered as if they were accepted. The change: edits are written between verdict and commit, and deleted if a conflict refuses the change after that; an id whose accepted edits differ is refused. The editor keeps its document while the head stays. Ruled out: deleting them after any refusal; findings may be gone at the next attempt with the same id, a conflict stays in the history.

--- a/audit/judge.go
+++ b/audit/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -61,7 +62,7 @@
 	conflict := &ConflictError{Mine: change}
 	for _, accepted := range later {
 		if accepted.ID == change.ID {
-			return Already{Change: accepted}, nil
+			return already(change, accepted)
 		}
 		if change.Overlaps(accepted) {
 			conflict.Theirs = append(conflict.Theirs, accepted)
@@ -80,3 +81,12 @@
 	}
 	return Accepted{Tree: next}, nil
 }
+
+// already returns the accepted change if it is the proposed one.
+func already(change, accepted Change) (Verdict, error) {
+	same := slices.EqualFunc(change.Edits, accepted.Edits, settings.Edit.Equal)
+	if !same {
+		return nil, trace.BadParameter("change id %s was used for other edits at revision %d", change.ID, accepted.Revision)
+	}
+	return Already{Change: accepted}, nil
+}
--- a/follower/editor.go
+++ b/follower/editor.go
@@ -80,19 +80,13 @@
 		return change, err
 	}
 	s := submission{editor: e, change: change}
-	_, apart, err := change.Compact()
-	if err != nil {
-		return change, err
-	}
-	if apart != nil {
-		if err := e.archive.keepEdits(ctx, change.ID, apart); err != nil {
-			return change, trace.Wrap(err, "keep the edits of change %s", change.ID)
-		}
-	}
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval = _submitPause, _submitPauseMost
 	accepted, err := backoff.Retry(ctx, func() (audit.Change, error) { return s.attempt(ctx) },
 		backoff.WithBackOff(pauses), backoff.WithMaxElapsedTime(_submitBudget))
+	if err != nil {
+		s.discard(ctx, err)
+	}
 	return accepted, s.outcome(err)
 }
 
@@ -108,6 +102,9 @@
 	e.mu.Lock()
 	known := e.known
 	e.mu.Unlock()
+	if known != nil && known.Revision() == head.Revision && known.Tree().Digest() == head.Digest {
+		return State{Head: head, Document: known, version: version}, nil
+	}
 	tree, err := e.archive.tree(ctx, head, known.Revision(), known.Tree())
 	if err != nil {
 		return State{}, err
--- a/follower/submission.go
+++ b/follower/submission.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
@@ -20,6 +21,8 @@
 type submission struct {
 	editor *Editor
 	change audit.Change
+	// apart is true once the edits are kept in an object of their own.
+	apart bool
 	// floor is the lowest version of the head that is not known to be replaced.
 	floor platform.Version
 	// unanswered is true while an attempt at version unsettled may have
@@ -60,6 +63,9 @@
 	if err := s.checkShards(tree); err != nil {
 		return s.change, backoff.Permanent(err)
 	}
+	if err := s.keepEdits(ctx); err != nil {
+		return s.change, retryable(err)
+	}
 	head := state.Head
 	if head.IsFull() {
 		var err error
@@ -90,6 +96,39 @@
 	return s.change, err
 }
 
+// keepEdits writes edits that are too large for the head. It refuses an id
+// under which other edits are kept.
+func (s *submission) keepEdits(ctx context.Context) error {
+	_, edits, err := s.change.Compact()
+	if edits == nil || err != nil || s.apart {
+		return err
+	}
+	store, key := s.editor.archive.store, audit.EditsKey(s.change.ID)
+	if err := putOnce(ctx, store, key, edits); err != nil {
+		return err
+	}
+	object, err := store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(object.Value, edits) {
+		return trace.BadParameter("change id %s is used by other edits", s.change.ID)
+	}
+	s.apart = true
+	return nil
+}
+
+// discard deletes edits that were kept for a change that is refused for good:
+// whatever is in its way came before it in the accepted history and stays there.
+func (s *submission) discard(ctx context.Context, err error) {
+	var conflict *audit.ConflictError
+	if !s.apart || !errors.As(err, &conflict) {
+		return
+	}
+	// What is left when this fails takes space and does no other harm.
+	_ = remove(ctx, s.editor.archive.store, audit.EditsKey(s.change.ID))
+}
+
 // checkShards refuses a tree of which a shard would be too large to be kept.
 func (s *submission) checkShards(tree settings.Tree) error {
 	shards := tree.Shards()
@@ -171,23 +210,6 @@
 	return shards, nil
 }
 
-// keepEdits writes edits that are too large for the head. It refuses an id
-// under which other edits are kept.
-func (a archive) keepEdits(ctx context.Context, id audit.ChangeID, edits json.RawMessage) error {
-	key := audit.EditsKey(id)
-	if err := putOnce(ctx, a.store, key, edits); err != nil {
-		return err
-	}
-	object, err := a.store.Get(ctx, key)
-	if err != nil {
-		return err
-	}
-	if !bytes.Equal(object.Value, edits) {
-		return trace.BadParameter("the change id is used by other edits")
-	}
-	return nil
-}
-
 // putOnce creates an object that is never changed. It is done if the object
 // is there already: only the same content is ever written under its key.
 func putOnce(ctx context.Context, store platform.Store, key string, value json.RawMessage) error {
--- a/settings/edit.go
+++ b/settings/edit.go
@@ -20,6 +20,11 @@
 	return Edit{Path: e.Path, Before: e.After, After: e.Before}
 }
 
+// Equal reports whether both edits change the same node in the same way.
+func (e Edit) Equal(other Edit) bool {
+	return e.Path == other.Path && sameValues(e.Before, other.Before) && sameValues(e.After, other.After)
+}
+
 // Diff returns the edits that turn t into other, in order of their paths.
 func (t Tree) Diff(other Tree) []Edit {
 	var edits []Edit
@@ -56,8 +61,15 @@
 
 func sameNode(t Tree, path Path, want *Values) bool {
 	have, ok := t.Get(path)
-	if want == nil || !ok {
-		return ok == (want != nil)
+	if !ok {
+		return want == nil
+	}
+	return sameValues(&have, want)
+}
+
+func sameValues(a, b *Values) bool {
+	if a == nil || b == nil {
+		return a == b
 	}
-	return have.Equal(*want)
+	return a.Equal(*b)
 }
