--- a/limit/holder_test.go
+++ b/limit/holder_test.go
@@ -42,7 +42,7 @@
 // the package exists for. Nothing is cut, the open flows only fall until they
 // are below the lowered limit, and in the end each host has what it had before.
 func TestRaisedInABadHourAndLoweredAgain(t *testing.T) {
-	w := &world{t: t, pace: _testPace(), store: make([]limit.ReadDone, 1)}
+	w := newPlainWorld(t, _testPace(), 0, _hosts, limit.Limits{})
 	set := func(flows int) {
 		limits := limit.Limits{Revision: settings.Revision(len(w.accepted) + 1), Flows: flows, FlowsPerUpstream: 1000, MaxHosts: _hosts}
 		w.accepted = append(w.accepted, limits)
@@ -51,13 +51,8 @@
 			h.holder.SetLimits(w.clock(h), limits)
 		}
 	}
-	open := func() (flows int) {
-		for _, h := range w.hosts {
-			flows += h.flows
-		}
-		return flows
-	}
 	each := func(flows int) func(*host) int { return func(*host) int { return flows } }
+	open := func() int { return -w.missing(each(0)) }
 	shares := func() (units []limit.Units) {
 		for _, h := range w.hosts {
 			entry, _ := w.store[len(w.store)-1].Share.Entry(h.run)
@@ -66,12 +61,6 @@
 		return units
 	}
 
-	w.accepted = []limit.Limits{{}}
-	for range _hosts {
-		h := &host{rate: 1}
-		w.hosts = append(w.hosts, h)
-		w.start(h)
-	}
 	set(100)
 	w.settle(time.Hour, each(20))
 	before := shares()
--- a/limit/world_test.go
+++ b/limit/world_test.go
@@ -87,6 +87,18 @@
 	return w
 }
 
+// newPlainWorld returns hosts with exact clocks. The limits' revision is 1.
+func newPlainWorld(t assert.TestingT, pace limit.Pace, seed uint32, hosts int, limits limit.Limits) *world {
+	w := &world{t: t, pace: pace, store: make([]limit.ReadDone, 1), runs: seed}
+	w.accepted = append(w.accepted, limits)
+	for range hosts {
+		h := &host{rate: 1}
+		w.hosts = append(w.hosts, h)
+		w.start(h)
+	}
+	return w
+}
+
 func (w *world) start(h *host) {
 	w.runs++
 	address := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:443", w.index(h)+1))
@@ -251,18 +263,31 @@
 	const tick = 20 * time.Second
 	for end := w.now + d; w.now < end; w.elapse(tick) {
 		w.land()
-		for _, h := range w.hosts {
-			for h.holder != nil && !h.paused && w.act(h, h.fate) {
-			}
+		w.work(demand)
+		w.check()
+	}
+}
+
+// work lets each run that is not paused do what is due, and then admit flows.
+func (w *world) work(demand func(*host) int) {
+	for _, h := range w.hosts {
+		for h.holder != nil && !h.paused && w.act(h, h.fate) {
 		}
-		for _, h := range w.hosts {
-			for h.holder != nil && !h.paused && h.flows < demand(h) && w.admit(h) {
-			}
+	}
+	for _, h := range w.hosts {
+		for h.holder != nil && !h.paused && h.flows < demand(h) && w.admit(h) {
 		}
-		w.check()
 	}
 }
 
+// missing is how many of the demanded flows are not open.
+func (w *world) missing(demand func(*host) int) (flows int) {
+	for _, h := range w.hosts {
+		flows += demand(h) - h.flows
+	}
+	return flows
+}
+
 // land lets the oldest late write reach the store.
 func (w *world) land() {
 	if len(w.late) > 0 {
