--- a/dandelionhitch/settings_test.go
+++ b/dandelionhitch/settings_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/audit"
 	"dandelionhitch.example/platform"
 	"dandelionhitch.example/settings"
 	"dandelionhitch.example/standin"
@@ -135,6 +136,14 @@
 	assert.Equal(t, strings.Count(out, id), 1)
 }
 
+// TestUnknownOutcomeNamesTheCommand expects the flags that settle the outcome.
+func TestUnknownOutcomeNamesTheCommand(t *testing.T) {
+	run := &settingsRun{}
+	err := run.explainRefusal(&platform.AmbiguousError{Op: "put", Key: audit.HeadKey, Err: context.DeadlineExceeded}, audit.Change{ID: "00ff", Base: 7})
+	assert.ErrorContains(t, err, "-change-id 00ff -revision 7")
+	assert.Assert(t, platform.IsAmbiguous(err))
+}
+
 func TestApplyReportsAllFindingsAndPrunes(t *testing.T) {
 	d := newOperatorDesk(t)
 	_, err := d.run("apply -author kari -reason first -")
