explain: an agent that was not asked is not called silent

Cause: without -peers, explain said of each host that it does not answer and when its share would return, as if it were lost.

Change: if the command lacks what it needs to ask, one note says so instead.

Proof: TestExplain, which failed before with five notes for three hosts where one is due (go test -race ./dandelionhitch -run TestExplain).

--- a/dandelionhitch/explain_limits.go
+++ b/dandelionhitch/explain_limits.go
@@ -4,8 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"dandelionhitch.example/audit"
 	"dandelionhitch.example/leaseholder"
 	"dandelionhitch.example/limit"
@@ -146,12 +149,24 @@
 	if len(e.Hosts) == 0 {
 		notes = append(notes, "No host has joined: the service admits no flows here.")
 	}
+	if i := slices.IndexFunc(facts.failures, isNotAsked); i >= 0 {
+		notes = append(notes, fmt.Sprintf("Not all agents were asked: %v.", facts.failures[i]))
+	}
 	for i, host := range e.Hosts {
+		if isNotAsked(facts.failures[i]) {
+			continue
+		}
 		notes = append(notes, host.notes(facts, facts.share.Entries[i])...)
 	}
 	return notes
 }
 
+// isNotAsked reports whether an agent was not asked because the command lacks
+// what it needs for that, which says nothing of the agent.
+func isNotAsked(err error) bool {
+	return trace.IsBadParameter(err) || trace.IsNotImplemented(err)
+}
+
 func (h explainedHost) notes(facts explainFacts, entry limit.Entry) []string {
 	if h.Status == nil {
 		return []string{fmt.Sprintf("%s does not answer (%s). Its share returns %s after its last renewal once it is confirmed gone, else %s later.",
--- a/dandelionhitch/explain_test.go
+++ b/dandelionhitch/explain_test.go
@@ -100,12 +100,13 @@
 	_, err = d.client.Put(t.Context(), limit.Key(path), value, 0)
 	assert.NilError(t, err)
 
+	status := explainStatus
 	explain := func(line string) (string, error) {
 		var out bytes.Buffer
 		command := explainCommand(explainEnvironment{
 			stdout: &out,
 			store:  func() (platform.Store, error) { return d.client, nil },
-			status: explainStatus,
+			status: status,
 		})
 		err := command.ParseAndRun(t.Context(), strings.Fields(line))
 		return out.String(), err
@@ -120,6 +121,11 @@
 	assert.NilError(t, json.Unmarshal([]byte(text), &decoded))
 	assert.Equal(t, decoded[0].String(), _explained)
 
+	status = nil
+	text, err = explain("rutetjeneste")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(text, "NOTES\n  Not all agents were asked: agents cannot be asked from here.\n"), text)
+
 	text, err = explain("fotoarkiv")
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(text, "No host has joined"), text)
