agent: the parts of one Initial share its fate

A ClientHello with a post-quantum key share takes two datagrams; when a flow ended between them, the second part of a refused caller could take the freed place and hold it until the handshake timeout. Ruled out: a shorter handshake timeout, which cuts slow callers. The gate has a flow back before the flow stops counting, so that a drain ends with nothing held. Conclusion: a freed place goes to a caller that still wants it.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -58,9 +58,10 @@
 // outcome is what became of a new flow lately.
 type outcome struct {
 	at time.Time
-	// held is false for a flow that was passed on.
-	held bool
-	to   pass
+	// held, refused and passed on, as to describes, exclude each other.
+	held    bool
+	refused bool
+	to      pass
 }
 
 // admissions remembers the outcomes of new flows. It is bounded: of two
@@ -84,16 +85,18 @@
 	return s.find(key)
 }
 
-// pass notes that the flow was passed on at now. The time of the first pass
-// counts until the caller repeats its Initial.
-func (s *admissions) pass(key initialKey, to pass, now time.Time) {
+// note notes that the flow was passed on or refused. While the parts of one
+// Initial come, the time of the first counts.
+func (s *admissions) note(key initialKey, what outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.turn(now)
-	if known, ok := s.find(key); ok && known.to == to {
-		now = known.at
+	s.turn(what.at)
+	known, ok := s.find(key)
+	same := ok && known.refused == what.refused && known.to == what.to
+	if same && what.at.Sub(known.at) < _repeatAfter {
+		what.at = known.at
 	}
-	s.young[key] = outcome{at: now, to: to}
+	s.young[key] = what
 }
 
 func (s *admissions) find(key initialKey) (outcome, bool) {
--- a/agent/conn.go
+++ b/agent/conn.go
@@ -106,10 +106,11 @@
 	a := c.agent
 	now := a.options.now()
 	if known, ok := a.admissions.recall(key); ok {
-		in.held, in.passed, in.to = known.held, !known.held, known.to
-		in.repeated = in.passed && now.Sub(known.at) >= _repeatAfter
+		in.held, in.refused, in.to = known.held, known.refused, known.to
+		in.passed = !known.held && !known.refused
+		in.repeated = !known.held && now.Sub(known.at) >= _repeatAfter
 	}
-	if in.repeated {
+	if in.repeated && in.passed {
 		c.peers.forget(in.to.target)
 	}
 	in.estimates = c.peers.estimate(&in.header, now.Sub(a.start))
@@ -140,9 +141,10 @@
 		a.counters.unproved.Add(1)
 		return &opening{path: newPath(ends, from, now), unproved: true}
 	case refuse:
+		a.admissions.note(key, outcome{at: a.start.Add(now), refused: true})
 		c.refuse(newPath(ends, from, now), datagram)
 	case pass:
-		a.admissions.pass(key, what, a.start.Add(now))
+		a.admissions.note(key, outcome{at: a.start.Add(now), to: what})
 		c.pass(what, in.header, datagram)
 	case reset:
 		c.reset(newPath(ends, from, now), in.header.Service, datagram)
--- a/agent/decide.go
+++ b/agent/decide.go
@@ -34,6 +34,8 @@
 	// passed says that the agent has passed this Initial on, as to describes.
 	passed bool
 	to     pass
+	// refused says that the agent has refused the flow.
+	refused bool
 	// repeated says that this was a while ago, and the caller has had no answer.
 	repeated bool
 	// estimates are what is believed of the candidates' loads.
@@ -172,6 +174,10 @@
 	case a.passed && hop < a.to.hop && !a.repeated:
 		// Another part of the same Initial goes the same way.
 		return a.to
+	case a.refused && !a.repeated:
+		// So does a part behind one that was refused: it would hold a flow that
+		// its caller has given up.
+		return refuse{}
 	}
 	if to, ok := lighter(s, a, hop); ok {
 		return pass{target: a.header.Candidates[to], hop: hop + 1, detour: true}
--- a/agent/flow.go
+++ b/agent/flow.go
@@ -82,8 +82,8 @@
 	defer a.open.Done()
 	f.shake()
 	a.paths.unpin(f.path)
-	a.flows.Add(-1)
 	a.gate.Release()
+	a.flows.Add(-1)
 	a.signalEnded()
 }
 
