keeper: a balancer that hears nobody still probes

Cause: TestLoopback, written to run both ends over TLS, hung: a lone balancer whose only agent had died had no sign of being connected and judged nobody for good. The same would befall the last balancer of a fleet when all its agents died. Ruled out: judging silence regardless (a balancer cut off would suspect all its agents and tell so once the cut heals). Change: without a sign of being connected it suspects nobody, but probes those that are silent: a refused connection means the same whoever hears it, and any answer is a sign of being connected. When the connection comes back, everyone gets a new term. Seen failing: TestLoopback hung before the change. Faults put in (judging after a pause, judging while cut off, no new term after a cut) fail TestSilence and TestCutOffBalancerProbes.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -76,6 +76,8 @@
 	load    roster.LoadFilter
 	peers   []Peer
 	random  *rand.Rand
+	// heard is when the latest heartbeat that a keeper answered was sent.
+	heard time.Time
 	// acked is closed and replaced at each acknowledgement.
 	acked chan struct{}
 }
@@ -247,9 +249,12 @@
 
 // take deals with the answer of a keeper to a heartbeat that told sent. It
 // returns what to call once the lock is released.
-func (a *Announcer) take(addr netip.AddrPort, sent *keeper.HeartbeatRequest, reply *keeper.HeartbeatReply) func() {
+func (a *Announcer) take(addr netip.AddrPort, sent *keeper.HeartbeatRequest, at time.Time, reply *keeper.HeartbeatReply) func() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if at.After(a.heard) {
+		a.heard = at
+	}
 	a.plan.answered(a.now(), addr)
 	a.told[addr] = roster.Mark{Incarnation: sent.Incarnation, Seq: sent.Seq}
 	after := func() {}
--- /dev/null
+++ b/announcer/loopback_test.go
@@ -0,0 +1,152 @@
+package announcer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/control"
+	"dandelionhitch.example/keeper"
+	"dandelionhitch.example/roster"
+	"dandelionhitch.example/service"
+)
+
+func loopbackConfig(t testing.TB) *tls.Config {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	pool := x509.NewCertPool()
+	certificate, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	pool.AddCert(certificate)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: pool, ClientCAs: pool,
+	}
+}
+
+// loopback is one balancer's control plane on real connections.
+type loopback struct {
+	server *control.Server
+	client *control.Client
+	keeper *keeper.Keeper
+	addr   netip.AddrPort
+	done   chan error
+}
+
+func newLoopback(t testing.TB) *loopback {
+	t.Helper()
+	config := loopbackConfig(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &loopback{
+		server: control.NewServer(config), client: control.NewClient(config),
+		addr: netip.MustParseAddrPort(listener.Addr().String()), done: make(chan error, 1),
+	}
+	l.keeper, err = keeper.New(roster.Member{
+		Name: "entry", Place: "oslo-a", Data: l.addr, Control: l.addr, Incarnation: 1,
+	}, l.client)
+	assert.NilError(t, err)
+	assert.NilError(t, l.keeper.Register(l.server))
+	go l.run(listener)
+	return l
+}
+
+func (l *loopback) run(listener net.Listener) { l.done <- l.server.Serve(listener) }
+
+func (l *loopback) close(t testing.TB) {
+	assert.NilError(t, l.keeper.Close())
+	assert.NilError(t, l.client.Close())
+	assert.NilError(t, l.server.Close())
+	assert.NilError(t, <-l.done)
+}
+
+// await waits until the view has n eligible upstreams.
+func (l *loopback) await(n int) {
+	for len(l.keeper.View().Services[1]) != n {
+		<-l.keeper.Updates()
+	}
+}
+
+// TestLoopback runs both ends over TLS, the end of a run by a refused connection included.
+func TestLoopback(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l := newLoopback(t)
+	<-l.keeper.Joined()
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := netip.MustParseAddrPort(port.Addr().String())
+	record := roster.Upstream{
+		Service: 1, Name: "orders", Place: "oslo-a", Data: addr, Control: addr, Incarnation: 7,
+		State: service.Serving, Weight: 1,
+	}
+	a, err := New(record, l.client, []netip.AddrPort{l.addr})
+	assert.NilError(t, err)
+	l.await(1)
+
+	// The process vanishes without a word: its port is closed, its heartbeats end.
+	a.tomb.Kill(nil)
+	assert.NilError(t, a.tomb.Wait())
+	port.Close()
+	l.await(0)
+	for gone := l.keeper.View().Gone; gone[0].Incarnation != 7; gone = l.keeper.View().Gone {
+		<-l.keeper.Updates()
+	}
+
+	record.Incarnation = 8
+	a, err = New(record, l.client, []netip.AddrPort{l.addr})
+	assert.NilError(t, err)
+	l.await(1)
+	assert.NilError(t, a.Drain(context.Background()))
+	l.await(0)
+	var records keeper.RecordsReply
+	assert.NilError(t, l.client.Call(context.Background(), l.addr, keeper.MethodRecords, &keeper.RecordsRequest{}, &records))
+	assert.Equal(t, records.Upstreams[0].State, service.Draining)
+	assert.NilError(t, a.Close())
+	var members keeper.MembersReply
+	assert.NilError(t, l.client.Call(context.Background(), l.addr, keeper.MethodMembers, &keeper.MembersRequest{}, &members))
+	assert.Equal(t, members.Members[0].Name, "entry")
+	l.close(t)
+}
+
+// BenchmarkHeartbeat sends heartbeats over TLS on loopback. Octets are those of
+// the TCP streams.
+func BenchmarkHeartbeat(b *testing.B) {
+	l := newLoopback(b)
+	defer l.close(b)
+	<-l.keeper.Joined()
+	ctx := context.Background()
+	record := roster.Upstream{
+		Service: 1, Name: "orders", Place: "oslo-a", Data: l.addr, Control: l.addr, Incarnation: 90_000_000, Seq: 1,
+		State: service.Serving, Weight: 1, Load: 1,
+	}
+	request := &keeper.HeartbeatRequest{Data: l.addr, Incarnation: record.Incarnation, Seq: 1, Record: &record, WantPeers: true, Load: 50}
+	reply := &keeper.HeartbeatReply{}
+	assert.NilError(b, l.client.Call(ctx, l.addr, keeper.MethodHeartbeat, request, reply))
+	request.Choices = keeper.ChoicesHash(reply.Choices)
+	request.Record = nil
+	before := l.client.Counters()
+	b.ReportAllocs()
+	for b.Loop() {
+		assert.NilError(b, l.client.Call(ctx, l.addr, keeper.MethodHeartbeat, request, &keeper.HeartbeatReply{}))
+	}
+	after := l.client.Counters()
+	b.ReportMetric(float64(after.BytesOut-before.BytesOut)/float64(b.N), "B-out/op")
+	b.ReportMetric(float64(after.BytesIn-before.BytesIn)/float64(b.N), "B-in/op")
+}
--- a/announcer/slot.go
+++ b/announcer/slot.go
@@ -41,6 +41,7 @@
 	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), _callTimeout)
 	defer cancel()
 	reply := &keeper.HeartbeatReply{}
+	sent := time.Now()
 	if err := a.client.Call(ctx, addr, keeper.MethodHeartbeat, request, reply); err != nil {
 		a.options.logger.Debug("heartbeat failed", zap.Stringer("keeper", addr), zap.Error(err))
 		a.mu.Lock()
@@ -48,7 +49,7 @@
 		a.mu.Unlock()
 		return a.spread(_retryInterval)
 	}
-	a.take(addr, request, reply)()
+	a.take(addr, request, sent, reply)()
 	a.offerRevision(reply.Revision, addr)
 	a.mu.Lock()
 	told := a.acknowledged(addr)
--- a/keeper/judge.go
+++ b/keeper/judge.go
@@ -39,6 +39,7 @@
 	if k.watches.pausedAt != before {
 		k.options.logger.Warn("this process was paused; hearing others before judging them")
 		k.exchanged = false
+		k.answered = false
 		k.hasten()
 	}
 	k.patrol(now)
@@ -52,11 +53,15 @@
 }
 
 // connected says that this balancer has a sign of not being cut off: another
-// member answered lately, or most of its agents are heard. The lock is held.
+// member or a probed host answered lately, or most of its agents are heard. The
+// lock is held.
 func (k *Keeper) connected(now time.Duration) bool {
 	if k.exchanged && now-k.exchangedAt < _trustedFor {
 		return true
 	}
+	if k.answered && now-k.answeredAt < _trustedFor {
+		return true
+	}
 	alive, all := k.watches.alive(now)
 	return all > 0 && 2*alive >= all
 }
@@ -156,11 +161,19 @@
 	}
 	ctx, cancel := context.WithTimeout(k.tomb.Context(context.Background()), _probeTimeout)
 	defer cancel()
-	if !addr.IsValid() || k.options.prober.Probe(ctx, addr) != roster.Refused {
+	if !addr.IsValid() {
 		return
 	}
+	finding := k.options.prober.Probe(ctx, addr)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if finding != roster.Silent {
+		k.answered = true
+		k.answeredAt = k.now()
+	}
+	if finding != roster.Refused {
+		return
+	}
 	k.counts.verdicts++
 	k.options.logger.Info("gone: its host refuses connections", zap.Stringer("address", p.key.Addr))
 	k.absorbed(k.roster.Confirm(k.now(), p.key, p.incarnation))
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -93,6 +93,9 @@
 	// exchangedAt is when an exchange with another member last succeeded.
 	exchangedAt time.Duration
 	exchanged   bool
+	// answeredAt is when a probed host last answered.
+	answeredAt time.Duration
+	answered   bool
 	// hurry is how many exchanges are still to be made without delay.
 	hurry int
 	// turn counts exchanges.
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -44,7 +44,7 @@
 		key := testKey(1)
 		known := fixed{key: {Mark: roster.Mark{Incarnation: 1, Seq: 1}, State: service.Serving}}
 		now, since, patience := time.Duration(0), time.Duration(0), Silence
-		refutable := false
+		refutable, cutOff := false, false
 		l.heard(now, key)
 		tick := func(paused, connected bool) {
 			now += 2 * _judgeTick
@@ -52,9 +52,13 @@
 				now += time.Hour
 			}
 			actions := l.tick(now, connected, known)
-			if paused || !connected {
-				assert.Equal(t, len(actions), 0, "a balancer that is paused or cut off judges nobody")
-				since = now
+			if paused || (cutOff && connected) {
+				assert.Equal(t, len(actions), 0, "who was paused or cut off gives everyone a new term")
+				since, cutOff = now, false
+				return
+			}
+			if cutOff = !connected; cutOff {
+				assert.Assert(t, !slices.Contains(actions, action(suspect{key})))
 				return
 			}
 			if now-since <= patience || known[key].Suspect {
@@ -90,12 +94,30 @@
 					tick(false, true)
 				}
 			},
-			"paused":  func(*rapid.T) { tick(true, true) },
-			"cut off": func(*rapid.T) { tick(false, false) },
+			"paused": func(*rapid.T) { tick(true, true) },
+			"cut off": func(t *rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "ticks") {
+					tick(false, false)
+				}
+			},
 		})
 	})
 }
 
+// TestCutOffBalancerProbes has a balancer without any sign of being connected:
+// it suspects nobody, but finds out who has ended.
+func TestCutOffBalancerProbes(t *testing.T) {
+	l := newWatchlist()
+	key := testKey(1)
+	known := fixed{key: {Mark: roster.Mark{Incarnation: 7, Seq: 1}, State: service.Serving}}
+	l.heard(1, key)
+	var actions []action
+	for now := _judgeTick; now <= Silence+2*_judgeTick; now += _judgeTick {
+		actions = append(actions, l.tick(now, false, known)...)
+	}
+	assert.Assert(t, slices.Equal(actions, []action{probe{key, 7}}), "%v", actions)
+}
+
 func TestFailedCallIsProbedAtOnce(t *testing.T) {
 	l := newWatchlist()
 	key := testKey(1)
--- a/keeper/watchlist.go
+++ b/keeper/watchlist.go
@@ -41,12 +41,15 @@
 // A balancer that was paused, or that is cut off itself, hears nobody; the
 // silence then says nothing of the others. So after a gap in its own clock it
 // gives everyone a new term, and while it has no sign of being connected it
-// judges nobody.
+// suspects nobody. It still probes then: a refused connection means the same
+// whoever hears it, and any answer is a sign of being connected.
 type watchlist struct {
 	watches  map[roster.Key]*watch
 	lastTick time.Duration
 	// pausedAt is when the last gap ended.
 	pausedAt time.Duration
+	// cutOff says that there was no sign of being connected.
+	cutOff bool
 }
 
 func newWatchlist() *watchlist {
@@ -101,10 +104,12 @@
 	if paused {
 		l.pausedAt = now
 	}
-	if paused || !connected {
+	if paused || (connected && l.cutOff) {
+		l.cutOff = false
 		l.renew(now)
 		return nil
 	}
+	l.cutOff = !connected
 	var actions []action
 	for key, w := range l.watches {
 		status := known.status(key)
@@ -112,7 +117,13 @@
 			delete(l.watches, key)
 			continue
 		}
-		actions = w.judge(now, key, status, actions)
+		if connected {
+			actions = w.judge(now, key, status, actions)
+		}
+		if w.silent(now) && w.probeAt == 0 {
+			w.probeAt = now
+		}
+		actions = w.probe(now, key, status, actions)
 	}
 	return actions
 }
@@ -141,22 +152,25 @@
 
 func (w *watch) silent(now time.Duration) bool { return now-w.heardAt > w.patience }
 
+// judge suspects a process that is silent.
 func (w *watch) judge(now time.Duration, key roster.Key, status roster.Status, actions []action) []action {
-	if w.silent(now) && !status.Suspect {
-		if refuted := w.suspected.Incarnation != 0 && status.Mark.Compare(w.suspected) > 0; refuted {
-			// Others hear it and this balancer does not: it waits longer each time.
-			w.patience = min(2*w.patience, _maxPatience)
-			w.heardAt = now
-			w.suspected = roster.Mark{}
-			w.probeAt = 0
-			return actions
-		}
-		w.suspected = status.Mark
-		actions = append(actions, suspect{key})
-		if w.probeAt == 0 {
-			w.probeAt = now
-		}
+	if !w.silent(now) || status.Suspect {
+		return actions
 	}
+	if refuted := w.suspected.Incarnation != 0 && status.Mark.Compare(w.suspected) > 0; refuted {
+		// Others hear it and this balancer does not: it waits longer each time.
+		w.patience = min(2*w.patience, _maxPatience)
+		w.heardAt = now
+		w.suspected = roster.Mark{}
+		w.probeAt = 0
+		return actions
+	}
+	w.suspected = status.Mark
+	return append(actions, suspect{key})
+}
+
+// probe probes a process when it is time to.
+func (w *watch) probe(now time.Duration, key roster.Key, status roster.Status, actions []action) []action {
 	if w.probeAt == 0 || now < w.probeAt {
 		return actions
 	}
