limit: flows of a silent run count no longer once the drain deadline has passed

Cause: when the leased part of a silent run was reclaimed, its entry kept the number of flows that it had last written. With its part down to the floor these looked like flows above the part, and cut the leased parts of all others until the floor lapsed too, a week later.

Change: reclaiming the leased part clears the number.

--- a/limit/reclaim.go
+++ b/limit/reclaim.go
@@ -78,8 +78,7 @@
 	case silent >= ReclaimAfter(entry.FloorTerm)+r.drain:
 		return share.WithoutRun(entry.Run)
 	case silent >= ReclaimAfter(entry.Term)+r.drain && entry.Leased > 0:
-		entry.Leased = 0
-		entry.Lacking = 0
+		entry.Leased, entry.Lacking, entry.Open = 0, 0, 0
 		return share.WithEntry(entry)
 	default:
 		return share
--- a/limit/script_test.go
+++ b/limit/script_test.go
@@ -325,6 +325,7 @@
 			s.gone = func(r limit.Run) bool { return c.gone && r == run(2) }
 			silent := other(2, 40, 0)
 			silent.Floor = limit.UnitsFor(40, 320)
+			silent.Open = 300
 			share := s.joined(0, append([]limit.Entry{silent}, c.later...)...)
 			start := s.now.Mono
 			waits := func(after time.Duration, part func(limit.Entry) limit.Units) {
@@ -340,6 +341,7 @@
 				assert.Assert(t, waited >= after && waited < after+2*pace.Look, "%s", waited)
 			}
 			waits(c.leased, func(e limit.Entry) limit.Units { return e.Leased })
+			assert.Equal(t, s.Allowance(s.now), 60, "flows past the drain deadline count no longer")
 			waits(c.floor, func(e limit.Entry) limit.Units { return e.Floor })
 		})
 	}
