queue: long work waits twice its run time for a slot of short work

Cause: with a quarter of long work, the number of long runs per host swings between one and two; hosts with two are where short requests waited longest. A long request got the second slot once it had waited as long as it runs.

Now it waits twice as long.

Long work is never starved: the first long request in the line takes the next slot that comes free if no other runs, so it starts at the latest when those before it have run one after the other, each after one more run in progress.

--- a/queue/entry.go
+++ b/queue/entry.go
@@ -33,8 +33,8 @@
 	index      int
 }
 
-// overdue is when a waiting request has waited as long as it runs.
-func (e *entry) overdue() time.Duration { return e.arrived + e.run }
+// overdue is when a waiting long request may have a slot more.
+func (e *entry) overdue() time.Duration { return e.arrived + _overdueRuns*e.run }
 
 // list is a queue of entries in the order of their arrival.
 type list struct {
--- a/queue/fleet_test.go
+++ b/queue/fleet_test.go
@@ -24,6 +24,7 @@
 	events events
 	hosts  []*host
 	jobs   []*job
+	marked bool // requests come with their class
 	plain  bool // first come first served, no reserved slot, no hand-over
 	peak   int
 	// lowered counts the times that a host had fewer slots than it was given.
@@ -56,6 +57,13 @@
 	tried    map[*host]bool // the hosts that it was handed to
 }
 
+func (j *job) class() queue.Class {
+	if j.long {
+		return queue.Long
+	}
+	return queue.Short
+}
+
 type event struct {
 	at  time.Duration
 	seq int
@@ -191,8 +199,12 @@
 	if j.long {
 		route = "GET/export"
 	}
+	var class queue.Class
+	if f.marked {
+		class = j.class()
+	}
 	f.apply(h, h.queue.Offer(nil, f.now, queue.Request{
-		ID: j.id, Route: route, Deadline: j.deadline, Jitter: f.random.Float64(), MaxWait: maxWait, Again: j.moved > 0,
+		ID: j.id, Route: route, Class: class, Deadline: j.deadline, Jitter: f.random.Float64(), MaxWait: maxWait, Again: j.moved > 0,
 	}))
 }
 
--- a/queue/policy.go
+++ b/queue/policy.go
@@ -12,6 +12,9 @@
 	// _runMargin is how many times its expected run time a waiting request
 	// keeps for its run: nearly all runs end within that.
 	_runMargin = 4
+	// _overdueRuns is how many times its run time a long request waits before
+	// it may take a slot that short requests need on average.
+	_overdueRuns = 2
 	// _demandSpan is the time over which the demand of short work is averaged.
 	_demandSpan = 2 * time.Second
 	// _loadSpan is the time over which the load is averaged.
@@ -48,8 +51,10 @@
 }
 
 // longLimit is how many long requests may run at once. It leaves the reserved
-// slots and as many more as the short requests need. A long request that has
-// waited as long as it runs may have one slot more, but never a reserved one.
+// slots and as many more as the short requests need. A long request that is
+// overdue may have one slot more, but never a reserved one. One may always run,
+// so that a long request starts at the latest when those before it have run one
+// after the other, each after one more run that was in progress.
 func (q *Queue) longLimit(now time.Duration, limit int) int {
 	most := max(1, limit-q.limits.ReservedSlots)
 	usual := max(1, limit-q.demand.slots(now))
--- a/queue/policy_test.go
+++ b/queue/policy_test.go
@@ -62,6 +62,36 @@
 	}
 }
 
+// TestLongWorkIsNeverStarved plays more short work than a host can do.
+func TestLongWorkIsNeverStarved(t *testing.T) {
+	for _, limits := range []queue.Limits{{Slots: 1, Length: 64}, {Slots: 2, ReservedSlots: 1, Length: 64}, {Slots: 4, ReservedSlots: 1, Length: 64}, {Slots: 4, ReservedSlots: 3, Length: 64}} {
+		f := newFleet(1, 1, limits, false)
+		f.marked = true
+		f.run(load{to: _playFor, short: 3, long: 0.5, timeout: _timeout})
+		var longest, bound time.Duration
+		for _, j := range f.jobs {
+			if !j.long {
+				longest = max(longest, j.run)
+			}
+		}
+		ran := 0
+		for _, j := range f.jobs {
+			if !j.long || j.refused {
+				continue
+			}
+			ran++
+			bound = longest
+			for _, before := range f.jobs {
+				if before.long && before.arrival < j.arrival && before.ended > j.arrival {
+					bound += before.run + longest
+				}
+			}
+			assert.Check(t, j.started-j.arrival <= bound, "%+v: waited %v of at most %v", limits, j.started-j.arrival, bound)
+		}
+		assert.Check(t, ran > 0, "%+v: no long work ran", limits)
+	}
+}
+
 func TestCrestOfDemand(t *testing.T) {
 	for _, timeout := range _crestTimeouts {
 		f := crest(false, timeout)
