keeper: tests of the lease, and of a balancer that finds nobody

Cause: outages of the platform, lost answers and leases left behind were only met by chance in the fleet's tests. Change: TestLease takes a lease through each of them; TestAlone starts without and with peers that do not answer; leases get a fuzz target. Seen failing: with the lost answer not recognized, the version kept after a removal, and an earlier run's version not taken over, TestLease fails, each.

--- /dev/null
+++ b/keeper/lease_test.go
@@ -0,0 +1,145 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/service"
+)
+
+// oneLease is a store with room for one object. Its next write fails as fault says.
+type oneLease struct {
+	platform.Store
+	object platform.Object
+	fault  error
+	writes int
+}
+
+func (s *oneLease) List(context.Context, string) ([]platform.Object, error) {
+	return []platform.Object{s.object}, nil
+}
+
+func (s *oneLease) Get(context.Context, string) (platform.Object, error) {
+	if s.object.Version == 0 {
+		return platform.Object{}, trace.NotFound("lease")
+	}
+	return s.object, nil
+}
+
+func (s *oneLease) Put(_ context.Context, key string, value json.RawMessage, expected platform.Version) (platform.Version, error) {
+	fault := s.fault
+	s.fault = nil
+	if fault != nil && !platform.IsAmbiguous(fault) {
+		return 0, fault
+	}
+	if s.object.Version != expected {
+		return 0, trace.CompareFailed("lease")
+	}
+	s.writes++
+	s.object = platform.Object{Key: key, Value: value, Version: s.object.Version + 1}
+	return s.object.Version, fault
+}
+
+func (s *oneLease) Delete(_ context.Context, _ string, expected platform.Version) error {
+	if s.object.Version != expected {
+		return trace.CompareFailed("lease")
+	}
+	s.object = platform.Object{}
+	return nil
+}
+
+// TestLease renews a lease through an outage, a lost answer, an earlier run's
+// lease, and its removal by another member.
+func TestLease(t *testing.T) {
+	earlier, err := json.Marshal(lease{Member: testMember(0, "oslo-b"), Renewal: 9})
+	assert.NilError(t, err)
+	lost := &platform.AmbiguousError{Op: "put", Key: "lease", Err: errors.New("cut")}
+	for name, tt := range map[string]struct {
+		store  oneLease
+		remove bool
+		// turns are how many turns it takes at most, writes how many writes.
+		turns, writes int
+	}{
+		"first":       {turns: 1, writes: 1},
+		"outage":      {store: oneLease{fault: trace.ConnectionProblem(nil, "down")}, turns: 2, writes: 1},
+		"lost answer": {store: oneLease{fault: lost}, turns: 1, writes: 1},
+		"earlier run": {store: oneLease{object: platform.Object{Value: earlier, Version: 4}}, turns: 2, writes: 1},
+		"removed":     {remove: true, turns: 3, writes: 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			k, err := New(testMember(0, "oslo-a"), nil, WithPeers(), WithSeed(1))
+			assert.NilError(t, err)
+			defer k.Close()
+			h := &leaseholder{keeper: k, store: &tt.store}
+			turns := 0
+			settle := func() {
+				for turns++; h.turn() != nil; turns++ {
+					assert.Assert(t, turns <= tt.turns, name)
+				}
+			}
+			settle()
+			if tt.remove {
+				tt.store.object = platform.Object{}
+				settle()
+			}
+			assert.Assert(t, turns <= tt.turns, name)
+			assert.Equal(t, tt.store.writes, tt.writes, name)
+			var l lease
+			assert.NilError(t, json.Unmarshal(tt.store.object.Value, &l))
+			assert.Equal(t, l.Member.Place, service.Place("oslo-a"))
+			h.release()
+			assert.Equal(t, tt.store.object.Version, platform.Version(0))
+		})
+	}
+}
+
+func FuzzLease(f *testing.F) {
+	data, err := json.Marshal(lease{Member: testMember(0, "oslo-b"), Renewal: 9})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte(`{"member":{}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		found, findings := members([]platform.Object{{Key: "members/x", Value: data}})
+		assert.Equal(t, len(found)+len(findings), 1)
+		for _, m := range found {
+			assert.NilError(t, m.Validate())
+		}
+	})
+}
+
+// TestAlone has a balancer with nobody to ask serve at once, and one whose peers
+// do not answer after a while.
+func TestAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		alone, err := New(testMember(0, "oslo-a"), unreachable{}, WithSeed(1))
+		assert.NilError(t, err)
+		lost, err := New(testMember(1, "oslo-a"), unreachable{}, WithSeed(1), WithPeers(testMember(2, "p").Control))
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, alone.Self().State, service.Serving)
+		assert.Equal(t, lost.Self().State, service.Starting)
+		time.Sleep(2 * _joinTimeout)
+		assert.Equal(t, lost.Self().State, service.Serving)
+		assert.Equal(t, len(lost.View().Members), 1)
+		assert.NilError(t, alone.Close())
+		assert.NilError(t, lost.Close())
+	})
+}
+
+// unreachable is a network without anybody.
+type unreachable struct{}
+
+// Call waits for an answer in vain.
+func (unreachable) Call(ctx context.Context, _ netip.AddrPort, _ string, _, _ any) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -174,6 +174,7 @@
 	r.Suspect(0, UpstreamKey(testAddr(1)))
 	assert.Equal(t, len(r.View(PanicTime - 1).Services[1]), 3)
 	assert.Equal(t, len(r.View(PanicTime).Services[1]), 1)
+	assert.Assert(t, r.View(PanicTime-1).Ramping && !r.View(PanicTime).Ramping)
 	r.Suspect(PanicTime, UpstreamKey(testAddr(2)))
 	assert.Equal(t, len(r.View(PanicTime).Services[1]), 1)
 	assert.Equal(t, len(r.View(2 * PanicTime).Services[1]), 3, "nothing else is left")
--- a/roster/view.go
+++ b/roster/view.go
@@ -28,7 +28,8 @@
 type View struct {
 	// Version is the roster's version that the view was taken from.
 	Version uint64
-	// Ramping says that a share grows as time goes by.
+	// Ramping says that the view changes as time goes by: a share grows, or a
+	// fresh suspicion will cease to count for the panic rule.
 	Ramping bool
 	// Services holds the eligible upstreams of each service, ordered by data address.
 	Services map[service.ID][]Candidate
@@ -91,6 +92,7 @@
 				t = t.with(now, e)
 			}
 		}
+		v.Ramping = v.Ramping || t.fresh > 0
 		candidates := make([]Candidate, 0, t.trusted+t.fresh+t.stale)
 		for _, e := range entries {
 			if e.state() == service.Serving && t.admits(now, e) {
