agent: one detour for a flow

The change: a header that names its last candidate twice has made its detour. Conclusion: a flow is refused only if no candidate takes it.

--- a/agent/decide.go
+++ b/agent/decide.go
@@ -204,7 +204,7 @@
 // there. A flow makes one detour at most.
 func lighter(s situation, a arrival, hop uint8) (uint8, bool) {
 	const slackShift = 5
-	if a.passed || a.header.Count >= packet.MaxCandidates {
+	if a.passed || hasDetour(&a.header) {
 		return 0, false
 	}
 	least, found := s.level, false
@@ -218,6 +218,15 @@
 	return at, found && s.level > least+least>>slackShift+s.unit
 }
 
+// hasDetour reports whether an agent has put itself behind the last candidate.
+func hasDetour(h *packet.Header) bool {
+	if h.Count == 0 || int(h.Count) == len(h.Candidates) {
+		return true
+	}
+	last := h.Candidates[h.Count-1]
+	return slices.Contains(h.Candidates[:h.Count-1], last)
+}
+
 // withPass returns the header of a packet that is passed on. The candidate at
 // the new hop is the target.
 func withPass(h packet.Header, to pass, self netip.AddrPort) packet.Header {
@@ -226,7 +235,7 @@
 		return h
 	}
 	at := slices.Index(h.Candidates[:h.Count], to.target)
-	if at < int(to.hop) || int(h.Count) >= len(h.Candidates) {
+	if hasDetour(&h) || at < int(to.hop) {
 		return h
 	}
 	copy(h.Candidates[to.hop+1:at+1], h.Candidates[to.hop:at])
--- a/agent/decide_test.go
+++ b/agent/decide_test.go
@@ -17,22 +17,29 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
 }
 
+// mostly draws usual rather than one of the others most of the time.
+func mostly[T any](t *rapid.T, name string, usual T, others ...T) T {
+	all := append([]T{usual, usual, usual, usual, usual, usual}, others...)
+	return rapid.SampledFrom(all).Draw(t, name)
+}
+
 func drawSituation(t *rapid.T, self netip.AddrPort) situation {
 	return situation{
-		self: self, service: 1, incarnation: 5, fresh: rapid.Bool().Draw(t, "fresh"), flooded: rapid.Bool().Draw(t, "flooded"),
+		self: self, service: 1, incarnation: 5,
+		fresh: mostly(t, "fresh", true, false), flooded: mostly(t, "flooded", false, true),
 		level: rapid.Uint32Range(0, 9).Draw(t, "level"), unit: 1,
-		state: service.State(rapid.IntRange(int(service.Starting), int(service.Draining)).Draw(t, "state")),
+		state: mostly(t, "state", service.Serving, service.Starting, service.Draining, service.Draining),
 	}
 }
 
 func drawArrival(t *rapid.T) arrival {
 	a := arrival{
-		kind: packet.Type(rapid.IntRange(int(packet.Short), int(packet.OtherVersion)).Draw(t, "type")),
+		kind: mostly(t, "type", packet.Initial, packet.Short, packet.Short, packet.Handshake, packet.EarlyData, packet.OtherVersion),
 		ours: rapid.Bool().Draw(t, "ours"),
-		held: rapid.Bool().Draw(t, "held"),
+		held: mostly(t, "held", false, true),
 		header: packet.Header{
-			Kind:    packet.Kind(rapid.IntRange(int(packet.Flow), int(packet.Reply)).Draw(t, "kind")),
-			Service: service.ID(rapid.IntRange(1, 2).Draw(t, "service")),
+			Kind:    mostly(t, "kind", packet.Offer, packet.Flow, packet.Flow, packet.Reply),
+			Service: mostly(t, "service", service.ID(1), 2),
 			Count:   rapid.Uint8Range(0, packet.MaxCandidates).Draw(t, "count"),
 		},
 	}
@@ -41,8 +48,9 @@
 		a.header.Hop = rapid.Uint8Range(0, a.header.Count-1).Draw(t, "hop")
 	}
 	for i := range a.header.Count {
-		a.header.Candidates[i] = addrOf(rapid.IntRange(1, 4).Draw(t, "candidate"))
+		a.header.Candidates[i] = addrOf(rapid.IntRange(2, 4).Draw(t, "candidate"))
 	}
+	a.header.Candidates[a.header.Hop] = mostly(t, "self", addrOf(1), addrOf(2))
 	if !a.held {
 		a.passed = rapid.Bool().Draw(t, "passed")
 		a.refused = !a.passed && rapid.Bool().Draw(t, "refused")
@@ -69,85 +77,110 @@
 // TestDecideRules holds every decision to the promises about flows.
 func TestDecideRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s, a := drawSituation(t, addrOf(1)), drawArrival(t)
-		mine := a.ours && a.cid.Agent == s.self && a.cid.Incarnation == s.incarnation && a.cid.Service == s.service
-		earlier := a.ours && a.cid.Agent == s.self && a.cid.Incarnation < s.incarnation
-		own := a.header.Service == s.service && a.header.Kind != packet.Reply
-		got := decide(s, a)
-		if own && a.header.Kind == packet.Flow && mine {
-			assert.Equal(t, got, action(take{}), "a flow that is held is cut")
-		}
-		switch got := got.(type) {
-		case take:
-			assert.Check(t, own && (mine || a.held || a.kind == packet.OtherVersion))
-		case prove:
-			assert.Check(t, own && s.state == service.Serving && s.fresh && a.kind == packet.Initial && !a.held && s.flooded)
-		case admit:
-			assert.Check(t, own && s.state == service.Serving && s.fresh && a.kind == packet.Initial && !a.held && !s.flooded)
-			assert.Check(t, !a.refused || a.repeated, "a part of a refused Initial is admitted")
-			_, again := got.otherwise.(admit)
-			assert.Check(t, !again)
-		case refuse:
-			again := a.refused && !a.repeated
-			assert.Check(t, own && (s.state != service.Serving || again) && s.fresh && a.kind == packet.Initial && !a.held)
-		case pass:
-			assert.Check(t, own && a.kind == packet.Initial && !a.held)
-			assert.Check(t, a.header.Kind == packet.Flow || got.hop > a.header.Hop, "passed back")
-			h := withPass(a.header, got, s.self)
-			assert.Equal(t, got.target, h.Candidates[h.Hop])
-		case reset:
-			assert.Check(t, earlier && a.kind == packet.Short && a.header.Kind != packet.Reply, "a reset for a run that is not known to be gone")
-		case drop:
-			assert.Check(t, got != stale || !s.fresh)
+		for range 20 {
+			checkRules(t, drawSituation(t, addrOf(1)), drawArrival(t))
 		}
 	})
 }
 
+func checkRules(t *rapid.T, s situation, a arrival) {
+	mine := a.ours && a.cid.Agent == s.self && a.cid.Incarnation == s.incarnation && a.cid.Service == s.service
+	earlier := a.ours && a.cid.Agent == s.self && a.cid.Incarnation < s.incarnation
+	own := a.header.Service == s.service && a.header.Kind != packet.Reply
+	got := decide(s, a)
+	if own && a.header.Kind == packet.Flow && mine {
+		assert.Equal(t, got, action(take{}), "a flow that is held is cut")
+	}
+	switch got := got.(type) {
+	case take:
+		assert.Check(t, own && (mine || a.held || a.kind == packet.OtherVersion))
+	case prove:
+		assert.Check(t, own && s.state == service.Serving && s.fresh && a.kind == packet.Initial && !a.held && s.flooded)
+	case admit:
+		assert.Check(t, own && s.state == service.Serving && s.fresh && a.kind == packet.Initial && !a.held && !s.flooded)
+		assert.Check(t, !a.refused || a.repeated, "a part of a refused Initial is admitted")
+		_, again := got.otherwise.(admit)
+		assert.Check(t, !again)
+	case refuse:
+		again := a.refused && !a.repeated
+		assert.Check(t, own && (s.state != service.Serving || again) && s.fresh && a.kind == packet.Initial && !a.held)
+	case pass:
+		assert.Check(t, own && a.kind == packet.Initial && !a.held)
+		assert.Check(t, a.header.Kind == packet.Flow || got.hop > a.header.Hop, "passed back")
+		h := withPass(a.header, got, s.self)
+		assert.Equal(t, got.target, h.Candidates[h.Hop])
+	case reset:
+		assert.Check(t, earlier && a.kind == packet.Short && a.header.Kind != packet.Reply, "a reset for a run that is not known to be gone")
+	case drop:
+		assert.Check(t, got != stale || !s.fresh)
+	}
+}
+
 // TestOfferChain follows an offer along its candidates, whatever each believes of
 // the others: it is refused only if no candidate would take it, and is passed on
 // at most as often as there are ranked candidates.
 func TestOfferChain(t *testing.T) {
-	const ranked = packet.MaxCandidates - 1
 	rapid.Check(t, func(t *rapid.T) {
-		k := rapid.IntRange(1, ranked).Draw(t, "k")
-		a := drawArrival(t)
-		a.kind, a.ours, a.passed, a.refused, a.repeated = packet.Initial, false, false, false, false
-		a.header = packet.Header{Kind: packet.Offer, Service: 1, Count: uint8(k)}
-		var situations []situation
-		var held, full []bool
-		wanted := false
-		for i := range k {
-			a.header.Candidates[i] = addrOf(i)
-			s := drawSituation(t, addrOf(i))
-			s.flooded = false
-			situations = append(situations, s)
-			held = append(held, rapid.Bool().Draw(t, "held"))
-			full = append(full, rapid.Bool().Draw(t, "full"))
-			wanted = wanted || held[i] || s.state == service.Serving && s.fresh && !full[i]
-		}
-		passes := 0
-		for {
-			at := int(a.header.Candidates[a.header.Hop].Addr().As4()[3])
-			a.held = held[at]
-			got := decide(situations[at], a)
-			if ask, ok := got.(admit); ok && full[at] {
-				got = ask.otherwise
-			}
-			to, ok := got.(pass)
-			if !ok {
-				_, taken := got.(take)
-				_, admitted := got.(admit)
-				assert.Equal(t, taken || admitted, wanted, "%T", got)
-				return
-			}
-			passes++
-			assert.Check(t, passes <= ranked)
-			a.header = withPass(a.header, to, addrOf(at))
-			assert.Equal(t, a.header.Candidates[a.header.Hop], to.target)
+		for range 20 {
+			checkChain(t)
 		}
 	})
 }
 
+func checkChain(t *rapid.T) {
+	const ranked = packet.MaxCandidates - 1
+	k := rapid.IntRange(1, ranked).Draw(t, "k")
+	a := drawArrival(t)
+	a.kind, a.ours, a.passed, a.refused, a.repeated = packet.Initial, false, false, false, false
+	a.header = packet.Header{Kind: packet.Offer, Service: 1, Count: uint8(k)}
+	var situations []situation
+	var held, full []bool
+	wanted := false
+	for i := range k {
+		a.header.Candidates[i] = addrOf(i)
+		s := drawSituation(t, addrOf(i))
+		s.flooded = false
+		situations = append(situations, s)
+		held = append(held, rapid.Bool().Draw(t, "held"))
+		full = append(full, rapid.Bool().Draw(t, "full"))
+		wanted = wanted || held[i] || s.state == service.Serving && s.fresh && !full[i]
+	}
+	passes := 0
+	for {
+		at := int(a.header.Candidates[a.header.Hop].Addr().As4()[3])
+		a.held = held[at]
+		got := decide(situations[at], a)
+		if ask, ok := got.(admit); ok && full[at] {
+			got = ask.otherwise
+		}
+		to, ok := got.(pass)
+		if !ok {
+			_, taken := got.(take)
+			_, admitted := got.(admit)
+			assert.Equal(t, taken || admitted, wanted, "%T", got)
+			return
+		}
+		passes++
+		assert.Check(t, passes <= ranked)
+		a.header = withPass(a.header, to, addrOf(at))
+		assert.Equal(t, a.header.Candidates[a.header.Hop], to.target)
+	}
+}
+
+// TestOneDetour has two agents that each believe the other to be idle.
+func TestOneDetour(t *testing.T) {
+	a := arrival{kind: packet.Initial, header: packet.Header{Kind: packet.Offer, Service: 1, Count: 2}}
+	idle := estimate{known: true, load: packet.Load{Room: true}}
+	a.estimates = [packet.MaxCandidates]estimate{idle, idle, idle, idle}
+	a.header.Candidates = [packet.MaxCandidates]netip.AddrPort{addrOf(1), addrOf(2)}
+	s := situation{self: addrOf(1), service: 1, incarnation: 1, state: service.Serving, fresh: true, level: 9, unit: 1}
+	to, ok := decide(s, a).(pass)
+	assert.Check(t, ok && to.detour)
+	a.header = withPass(a.header, to, s.self)
+	s.self = addrOf(2)
+	assert.Equal(t, decide(s, a), action(admit{otherwise: pass{target: addrOf(1), hop: 2}}))
+}
+
 func TestFreshness(t *testing.T) {
 	start := time.Now()
 	var f freshness
