queue: what an oracle would reach, as a second baseline

A bound that is missed may be one that no rule can keep. BenchmarkShortBehindLong now prints the p99 wait of short work under an oracle that knows all hosts, reaches them in no time, puts short work first and lets as few long requests run at once as keep their p99 wait within that of the policy.

--- a/queue/fleet_test.go
+++ b/queue/fleet_test.go
@@ -26,6 +26,7 @@
 	jobs   []*job
 	marked bool // requests come with their class
 	plain  bool // first come first served, no reserved slot, no hand-over
+	oracle *oracle
 	peak   int
 	// lowered counts the times that a host had fewer slots than it was given.
 	lowered int
@@ -164,6 +165,11 @@
 
 func (f *fleet) arrive(h *host, j *job) {
 	j.home = h
+	if f.oracle != nil {
+		f.oracle.lines[j.class()] = append(f.oracle.lines[j.class()], j)
+		f.startOracle()
+		return
+	}
 	if f.plain {
 		if len(h.list) >= h.limits.Length {
 			j.refused = true
@@ -187,6 +193,36 @@
 	f.peak = max(f.peak, len(h.list))
 }
 
+// oracle is a scheduler that knows all hosts and reaches them in no time: no
+// rule that ends no run can let short work wait less beside as much long work.
+type oracle struct {
+	lines       [queue.Long + 1][]*job
+	free, longs int // slots, and how many more long requests may run
+}
+
+func (f *fleet) startOracle() {
+	o := f.oracle
+	for o.free > 0 {
+		class := queue.Short
+		if len(o.lines[class]) == 0 {
+			class = queue.Long
+		}
+		if len(o.lines[class]) == 0 || class == queue.Long && o.longs == 0 {
+			return
+		}
+		j := o.lines[class][0]
+		o.lines[class] = o.lines[class][1:]
+		hold := func(n int) {
+			o.free -= n
+			if j.long {
+				o.longs -= n
+			}
+		}
+		hold(1)
+		f.begin(j, func() { hold(-1); f.startOracle() })
+	}
+}
+
 func (f *fleet) begin(j *job, end func()) {
 	j.started = f.now
 	j.runs++
--- a/queue/policy_test.go
+++ b/queue/policy_test.go
@@ -33,6 +33,19 @@
 	return f
 }
 
+// lowerBound is the p99 wait of short work under an oracle that lets as few
+// long requests run at once as keep their p99 wait within longWait.
+func lowerBound(hosts int, short, long float64, longWait, span time.Duration) time.Duration {
+	for longs := 1; ; longs++ {
+		f := newFleet(1, hosts, _limits, false)
+		f.oracle = &oracle{free: hosts * _limits.Slots, longs: longs}
+		f.run(load{to: span, short: short, long: long, timeout: _timeout})
+		if long == 0 || f.figures(true, _warmUp, span).waitP99 <= longWait {
+			return f.figures(false, _warmUp, span).waitP99
+		}
+	}
+}
+
 // crest plays a demand of three times the capacity for ten seconds.
 func crest(plain bool, timeout time.Duration) *fleet {
 	f := newFleet(1, 7, _limits, plain)
@@ -129,6 +142,10 @@
 						b.ReportMetric(s.refused*100, "%_refused")
 						b.ReportMetric(l.waitP99.Seconds()*1e3, "ms_long_wait_p99")
 						b.ReportMetric(float64(f.peak), "peak_queue")
+						if !plain {
+							bound := lowerBound(hosts, short, long, l.waitP99, _measureFor)
+							b.ReportMetric(bound.Seconds()*1e3, "ms_oracle_wait_p99")
+						}
 					})
 				}
 			}
