dispatcher: every refusal gives its reason

Cause: Dandelionhitch-Reason came with the refusals of the queue only. Requests refused since the agent stops, the upstream cannot be reached, a ticket is missing or an upload broke off came without, so that the try command counted them under no name.

Now notRun takes the reason, and the names are listed beside the header's. judge checks it for each 'not-run' of all histories (seen failing in both history tests with an empty reason in notRun), and TestRefusalsAreFinalAndAtOnce for the queue's.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -66,12 +66,14 @@
 	}
 }
 
-// notRun returns the answer for a request that did not run and may be sent anew.
-func notRun(detail string, after time.Duration) Problem {
+// notRun returns the answer for a request that did not run and may be sent
+// anew. The reason is one of those of HeaderReason.
+func notRun(reason, detail string, after time.Duration) Problem {
 	return Problem{
 		Status:       http.StatusServiceUnavailable,
 		Detail:       detail,
 		Outcome:      OutcomeNotRun,
+		Reason:       reason,
 		RetryAfterMS: after.Milliseconds(),
 	}
 }
--- a/dispatcher/behaviour_test.go
+++ b/dispatcher/behaviour_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionhitch.example/dispatcher"
+	"dandelionhitch.example/queue"
 	"dandelionhitch.example/settings"
 )
 
@@ -77,6 +78,7 @@
 			answer := <-answers
 			assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
 			assert.Equal(t, outcome(answer), dispatcher.OutcomeNotRun)
+			assert.Equal(t, answer.Header.Get(dispatcher.HeaderReason), queue.Full.String())
 			seconds, err := strconv.Atoi(answer.Header.Get("Retry-After"))
 			assert.NilError(t, err)
 			came[seconds] = true
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -133,14 +133,14 @@
 // ServeHTTP answers a caller's request.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !d.requests.enter() {
-		writeProblem(w, notRun("the agent is stopping", d.retryAfter()))
+		writeProblem(w, notRun(ReasonStopping, "the agent is stopping", d.retryAfter()))
 		return
 	}
 	defer d.requests.leave()
 	stripCaller(r.Header)
 	x, err := d.newExchange(w, r)
 	if err != nil {
-		writeProblem(w, Problem{Status: http.StatusBadRequest, Detail: err.Error(), Outcome: OutcomeNotRun})
+		writeProblem(w, Problem{Status: http.StatusBadRequest, Detail: err.Error(), Outcome: OutcomeNotRun, Reason: ReasonMalformed})
 		return
 	}
 	defer x.end()
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -301,7 +301,7 @@
 			return
 		}
 		if !x.body.withdraw() {
-			x.answerNotRun("refused", notRun("the request could not be handed over", x.d.retryAfter()))
+			x.answerNotRun("refused", notRun(ReasonCrowded, "the request could not be handed over", x.d.retryAfter()))
 			return
 		}
 	}
@@ -350,7 +350,7 @@
 
 // answerAbandoned answers a request whose caller went away while it waited.
 func (x *exchange) answerAbandoned() {
-	x.answerNotRun("abandoned", notRun("the request was cancelled before it started", x.d.retryAfter()))
+	x.answerNotRun("abandoned", notRun(ReasonCancelled, "the request was cancelled before it started", x.d.retryAfter()))
 }
 
 // answerBroken answers a request whose run brought no answer.
@@ -358,7 +358,7 @@
 	var notStarted *notStartedError
 	switch {
 	case errors.As(err, &notStarted):
-		x.answerNotRun("unreachable", notRun("the upstream cannot be reached", x.d.retryAfter()))
+		x.answerNotRun("unreachable", notRun(ReasonUnreachable, "the upstream cannot be reached", x.d.retryAfter()))
 	case errors.Is(err, context.DeadlineExceeded):
 		x.answerUnknown("timed_out", unknown(http.StatusGatewayTimeout, "the upstream did not answer in time"))
 	default:
--- a/dispatcher/header.go
+++ b/dispatcher/header.go
@@ -22,7 +22,8 @@
 	// HeaderOutcome says in an answer what became of the request, where the
 	// answer is not the upstream's own: OutcomeNotRun, OutcomeUnknown or OutcomeDone.
 	HeaderOutcome = "Dandelionhitch-Outcome"
-	// HeaderReason says in an answer why a request was refused.
+	// HeaderReason says in an answer why a request was refused: the name of a
+	// queue.Reason, or one of the reasons below.
 	HeaderReason = "Dandelionhitch-Reason"
 	// HeaderTicket tells the upstream the number of the ticket that a request runs under.
 	HeaderTicket = "Dandelionhitch-Ticket"
@@ -52,6 +53,24 @@
 	OutcomeDone = "done"
 )
 
+// The values of HeaderReason besides those of the queue.
+const (
+	// ReasonStopping says that the agent is stopping or has ended.
+	ReasonStopping = "stopping"
+	// ReasonMalformed says that the request, or its upload, is broken.
+	ReasonMalformed = "malformed"
+	// ReasonCrowded says that the request can neither wait here nor be handed over.
+	ReasonCrowded = "crowded"
+	// ReasonCancelled says that the caller went away before the request started.
+	ReasonCancelled = "cancelled"
+	// ReasonUnreachable says that the upstream cannot be reached.
+	ReasonUnreachable = "unreachable"
+	// ReasonNoTicket says that the request needs a ticket.
+	ReasonNoTicket = "no-ticket"
+	// ReasonEarlier says that an earlier copy of the request was refused.
+	ReasonEarlier = "earlier"
+)
+
 // _maxDeadline bounds the deadline that a caller can ask for.
 const _maxDeadline = 24 * time.Hour
 
--- a/dispatcher/history_test.go
+++ b/dispatcher/history_test.go
@@ -36,6 +36,8 @@
 	done   bool
 	// crossed is an answer to another operation.
 	crossed string
+	// unexplained says that a refusal came without a reason.
+	unexplained bool
 }
 
 // send sends the operation once and returns the answer, or nil if it was lost.
@@ -96,6 +98,7 @@
 		return
 	}
 	k.notRun = append(k.notRun, ticket)
+	k.unexplained = k.unexplained || answer.Header.Get(dispatcher.HeaderReason) == ""
 	if next := answer.Header.Get(dispatcher.HeaderKey); next != "" && ticket == k.ticket {
 		k.ticket = next
 	}
@@ -145,6 +148,7 @@
 		repeatable := k.method == http.MethodPut
 		assert.Check(t, c.runs[k.op] <= 1 || repeatable, "%s ran %d times", k.op, c.runs[k.op])
 		assert.Check(t, k.crossed == "", "%s got the answer %q", k.op, k.crossed)
+		assert.Check(t, !k.unexplained, "%s was refused without a reason", k.op)
 		assert.Check(t, !k.done || c.runs[k.op] >= 1, "%s was answered and did not run", k.op)
 		for _, ticket := range k.notRun {
 			tries := c.tries[k.op+" "+ticket]
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -263,7 +263,7 @@
 	if !handedOver {
 		return unknown(http.StatusConflict, detail)
 	}
-	return notRun(detail, d.retryAfter())
+	return notRun(ReasonStopping, detail, d.retryAfter())
 }
 
 // servePassedOn answers a request that was passed on to this run of the agent.
@@ -313,7 +313,7 @@
 	reply := x.d.transfers.admit(key)
 	if _, ok := reply.verdict.(ticket.Run); !ok {
 		if reply.err != nil {
-			writeProblem(x.w, notRun("no request can be taken over now", x.d.retryAfter()))
+			writeProblem(x.w, notRun(ReasonCrowded, "no request can be taken over now", x.d.retryAfter()))
 			return
 		}
 		x.answerVerdict(reply.verdict, reply.wait)
--- a/dispatcher/ticketed.go
+++ b/dispatcher/ticketed.go
@@ -50,7 +50,7 @@
 	x.d.telemetry.answered("ticket")
 	x.settle(ticket.NotRun{})
 	if !x.d.offerTicket(x.w) {
-		p := notRun("no ticket can be issued now", x.d.retryAfter())
+		p := notRun(ReasonNoTicket, "no ticket can be issued now", x.d.retryAfter())
 		p.Status = http.StatusTooManyRequests
 		writeProblem(x.w, p)
 		return
@@ -59,6 +59,7 @@
 		Status:  http.StatusPreconditionRequired,
 		Detail:  "repeat the request with the Idempotency-Key of this answer",
 		Outcome: OutcomeNotRun,
+		Reason:  ReasonNoTicket,
 	})
 }
 
@@ -115,7 +116,7 @@
 	}
 	defer func() { x.settle(ticket.Unknown{}) }()
 	if err := x.bufferBody(); err != nil {
-		p := notRun("the request's body broke off", x.d.retryAfter())
+		p := notRun(ReasonMalformed, "the request's body broke off", x.d.retryAfter())
 		p.Status = http.StatusBadRequest
 		x.answerNotRun("broken_upload", p)
 		return
@@ -192,7 +193,7 @@
 		if x.renew {
 			x.d.offerTicket(x.w)
 		}
-		writeProblem(x.w, notRun("the request was refused before and did not run", x.d.retryAfter()))
+		writeProblem(x.w, notRun(ReasonEarlier, "the request was refused before and did not run", x.d.retryAfter()))
 	default:
 		writeProblem(x.w, unknown(http.StatusConflict, "the request broke off before"))
 	}
