announcer, keeper: seconds until a dead upstream is avoided, and the sum of the budget

Cause: the time until balancers stop giving flows to an upstream that is dead, cut off or paused had a bound in the tests and no figure; the worst balancer's load was unknown. Conclusion: the worst balancer keeps the budget by a little; a larger fleet needs no more per balancer, more agents per balancer do.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -66,6 +66,7 @@
 	start   time.Time
 	tomb    tomb.Tomb
 	slots   [roster.KeeperCount]*slot
+	counts  counts
 
 	mu   sync.Mutex
 	self roster.Upstream
@@ -111,6 +112,7 @@
 	for i := range a.slots {
 		a.slots[i] = &slot{announcer: a, number: i, wake: make(chan struct{}, 1)}
 	}
+	a.counts.observe(o.meter)
 	a.tomb.Go(a.run)
 	return a, nil
 }
@@ -264,6 +266,7 @@
 	case reply.NeedRecord:
 		delete(a.told, addr)
 	case reply.Suspect && sent.Incarnation == a.self.Incarnation && sent.Seq == a.self.Seq:
+		a.counts.refutations.Add(1)
 		a.announce()
 	}
 	if a.plan.choose(a.now(), reply.Choices) {
@@ -286,6 +289,7 @@
 	if a.self.State == service.Gone {
 		return func() {}
 	}
+	a.counts.adoptions.Add(1)
 	adopted := a.self.Incarnation.After(highest)
 	a.options.logger.Warn("the fleet remembers a higher incarnation; adopting one above it",
 		zap.Uint32("own", uint32(a.self.Incarnation)), zap.Uint32("adopted", uint32(adopted)))
--- a/announcer/slot.go
+++ b/announcer/slot.go
@@ -42,7 +42,9 @@
 	defer cancel()
 	reply := &keeper.HeartbeatReply{}
 	sent := time.Now()
+	a.counts.heartbeats.Add(1)
 	if err := a.client.Call(ctx, addr, keeper.MethodHeartbeat, request, reply); err != nil {
+		a.counts.failures.Add(1)
 		a.options.logger.Debug("heartbeat failed", zap.Stringer("keeper", addr), zap.Error(err))
 		a.mu.Lock()
 		a.plan.failed(a.now(), addr)
--- a/keeper/bench_test.go
+++ b/keeper/bench_test.go
@@ -234,3 +234,21 @@
 	}
 	return true
 }
+
+// BenchmarkBalance counts how many agents one member keeps at the target size.
+func BenchmarkBalance(b *testing.B) {
+	k := targetKeeper(b)
+	most := 0
+	for b.Loop() {
+		kept := make(map[string]int)
+		most = 0
+		for n := range 5900 {
+			for _, m := range k.roster.Keepers(targetUpstream(n))[:roster.KeeperCount] {
+				kept[m.Name]++
+				most = max(most, kept[m.Name])
+			}
+		}
+	}
+	b.ReportMetric(float64(most), "agents-most")
+	b.ReportMetric(float64(5900*roster.KeeperCount)/660, "agents-mean")
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -29,6 +29,23 @@
 // learns the loads of a few upstreams of its own service in the answers to its
 // heartbeats: the first keeper of up to 32 upstreams of one service is the same,
 // and it has heard them all.
+//
+// The budget, in octets a second of both directions with the headers of TLS,
+// TCP and IP, at 660 balancers, 5,900 hosts and a settings change each 78 s:
+//
+//	                                      mean      most
+//	heartbeats of 27 (56) agents, 287 each   3,850     8,040
+//	exchanges, one made and one answered       545       545
+//	revisions in force, 126 KB a change      1,600     1,600
+//	all, of 11,000                           6,000    10,200
+//
+// A whole roster, 393 KB, is learned once by each new balancer. Comparisons of
+// digests beyond what agrees are held to 2 KB/s in the long run.
+//
+// An agent that dies is suspected by the first of its keepers within Silence
+// less two thirds of the interval, and a look at the clock: 1.7 s. The news takes
+// up to 1.1 s to all members. After an outage of the platform the members come
+// back over 30 s, with two calls each.
 package keeper
 
 import (
