balancer, route: one log line for a socket that cannot be opened

Cause: with each new table a balancer tried again to open a wildcard socket and logged the same failure. The size of a table was reported with its input. The change: of failures that follow each other the first is logged. BenchmarkNew reports what a table holds for each candidate.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -69,6 +69,8 @@
 	// fronts is replaced whole under mu, so that the packet path reads it without a lock.
 	mu     sync.Mutex
 	fronts atomic.Pointer[fronts]
+	// unopened are the ports whose socket could not be opened; guarded by mu.
+	unopened map[uint16]struct{}
 }
 
 // New opens the sockets and starts forwarding. Without a table all datagrams are dropped.
@@ -76,7 +78,7 @@
 	if cfg.Keys == nil {
 		return nil, trace.BadParameter("starting a balancer: no keys")
 	}
-	b := &Balancer{wildcard: cfg.Wildcard, options: newOptions(opts)}
+	b := &Balancer{wildcard: cfg.Wildcard, options: newOptions(opts), unopened: make(map[uint16]struct{})}
 	b.resets = rate.NewLimiter(rate.Limit(b.options.resets), b.options.resets)
 	b.keys.Store(cfg.Keys)
 	empty, err := route.New(nil)
@@ -142,11 +144,22 @@
 		if b.fronts.Load().find(addr) != nil || !b.tomb.Alive() {
 			continue
 		}
-		if err := b.addWildcard(addr.Port()); err != nil {
-			b.options.logger.Error("service address not served",
-				zap.Stringer("address", addr), zap.Error(err))
-		}
+		b.tryWildcard(addr)
+	}
+}
+
+// tryWildcard opens the socket for a service address. Of failures that follow
+// each other only the first is logged.
+func (b *Balancer) tryWildcard(addr netip.AddrPort) {
+	err := b.addWildcard(addr.Port())
+	if err == nil {
+		delete(b.unopened, addr.Port())
+		return
+	}
+	if _, known := b.unopened[addr.Port()]; !known {
+		b.options.logger.Error("service address not served", zap.Stringer("address", addr), zap.Error(err))
 	}
+	b.unopened[addr.Port()] = struct{}{}
 }
 
 func (b *Balancer) addWildcard(port uint16) error {
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"runtime"
 	"testing"
 
 	"dandelionhitch.example/packet"
@@ -43,14 +45,35 @@
 	}
 }
 
-// BenchmarkNew builds a table; its octets are the table's size and what building leaves behind.
+// BenchmarkNew builds a table from a list that exists, and reports what the table
+// holds for each candidate.
 func BenchmarkNew(b *testing.B) {
 	for _, candidates := range []int{10, 100, 5900} {
 		b.Run(fmt.Sprintf("candidates=%d", candidates), func(b *testing.B) {
+			list := make([]Candidate, candidates)
+			for i := range list {
+				list[i] = Candidate{Addr: agentAddr(i), Incarnation: 1, Weight: 1}
+			}
+			services := []Service{{ID: 1, Addresses: []netip.AddrPort{serviceAddr(1)}, Candidates: list}}
 			b.ReportAllocs()
 			for b.Loop() {
-				testTable(b, 1, candidates)
+				_, _ = New(services)
+			}
+			const tables = 100
+			var held [tables]*Table
+			before := heldOctets()
+			for i := range held {
+				held[i], _ = New(services)
 			}
+			b.ReportMetric(float64(heldOctets()-before)/float64(tables*candidates), "octets/candidate")
+			runtime.KeepAlive(&held)
 		})
 	}
 }
+
+func heldOctets() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
