dispatcher: slow callers hold no slot for answers that fit the buffers

Cause: a slot was freed when the caller had taken the whole answer, so that a phone with a bad link held it, and its time counted as the upstream's run time.

The slot is free as soon as the upstream has been read to the end.

TestSlowCallersHoldNoSlotForAnAnswerThatFitsTheBuffers plays answers with and without a length, broken off, and one of 1 MB that still holds the slot; the old code deadlocks in it.

--- a/dispatcher/behaviour_test.go
+++ b/dispatcher/behaviour_test.go
@@ -9,7 +9,9 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -91,6 +93,72 @@
 	})
 }
 
+// slowCaller takes nothing of the answer until it is told to.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	takes chan struct{}
+}
+
+func (c slowCaller) Write(p []byte) (int, error) {
+	<-c.takes
+	return c.ResponseRecorder.Write(p)
+}
+
+func TestSlowCallersHoldNoSlotForAnAnswerThatFitsTheBuffers(t *testing.T) {
+	for name, test := range map[string]struct {
+		size   int
+		length bool // the answer gives its length
+		broken bool // it breaks off
+		holds  bool
+	}{
+		"small":                  {size: 20 << 10, length: true},
+		"small, broken":          {size: 20 << 10, length: true, broken: true},
+		"length unknown":         {size: 64 << 10},
+		"length unknown, broken": {size: 64 << 10, broken: true},
+		"64 KB":                  {size: 64 << 10, length: true},
+		"large":                  {size: 1 << 20, length: true, holds: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				policy := policyOf()
+				policy.Limits = settings.Limits{Slots: 1, QueueLength: 1}
+				d := newAlone(t, policy, func(r *http.Request) (*http.Response, error) {
+					answer := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Header: make(http.Header)}
+					if test.length {
+						answer.ContentLength = int64(test.size)
+					}
+					content := io.Reader(strings.NewReader(strings.Repeat("x", test.size)))
+					if test.broken {
+						content = io.MultiReader(content, iotest.ErrReader(io.ErrUnexpectedEOF))
+					}
+					answer.Body = io.NopCloser(content)
+					return answer, nil
+				})
+				slow := slowCaller{ResponseRecorder: httptest.NewRecorder(), takes: make(chan struct{})}
+				second := slowCaller{ResponseRecorder: httptest.NewRecorder(), takes: make(chan struct{})}
+				var ended [2]any
+				var wg sync.WaitGroup
+				for i, caller := range []slowCaller{slow, second} {
+					wg.Go(func() {
+						defer func() { ended[i] = recover() }()
+						d.ServeHTTP(caller, httptest.NewRequest(http.MethodGet, "/sheet", nil))
+					})
+					synctest.Wait()
+				}
+				close(second.takes)
+				synctest.Wait()
+				assert.Equal(t, second.Body.Len() == 0, test.holds)
+				close(slow.takes)
+				wg.Wait()
+				for i, caller := range []slowCaller{slow, second} {
+					assert.Equal(t, caller.Body.Len(), test.size)
+					assert.Equal(t, ended[i] != nil, test.broken, "ended with %v", ended[i])
+				}
+			})
+		})
+	}
+}
+
 func TestDeadlinesAndCancellationReachTheUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var told string
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -43,14 +43,16 @@
 // concurrent use.
 type Dispatcher struct {
 	options
-	upstream   *url.URL
-	policy     func() settings.Service
-	telemetry  telemetry
-	admission  *admission
-	tickets    *registry[ticket.Number]
-	transfers  *registry[transferKey]
-	requests   inProgress
-	loads      peerLoads
+	upstream  *url.URL
+	policy    func() settings.Service
+	telemetry telemetry
+	admission *admission
+	tickets   *registry[ticket.Number]
+	transfers *registry[transferKey]
+	requests  inProgress
+	loads     peerLoads
+	// ahead holds an element for each answer that is read ahead.
+	ahead      chan struct{}
 	draining   atomic.Bool
 	lastIssue  atomic.Int64
 	lastNumber atomic.Uint64
@@ -70,6 +72,7 @@
 func New(upstream *url.URL, policy func() settings.Service, opts ...Option) (*Dispatcher, error) {
 	d := &Dispatcher{options: defaultOptions(), upstream: upstream, policy: policy}
 	d.loads.known = make(map[netip.AddrPort]peerLoad)
+	d.ahead = make(chan struct{}, _aheadAnswers)
 	for _, opt := range opts {
 		opt.apply(&d.options)
 	}
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -51,7 +51,8 @@
 	ctx := x.untilDeadline()
 	defer ctx.end()
 	result := queue.Aborted
-	defer func() { x.d.admission.finish(id, result) }()
+	finish := sync.OnceFunc(func() { x.d.admission.finish(id, result) })
+	defer finish()
 
 	request := x.outgoing(ctx, x.d.upstream, x.body)
 	stripOwn(request.Header)
@@ -76,7 +77,7 @@
 		result = queue.Failed
 	}
 	x.d.telemetry.answered("upstream")
-	x.relay(response)
+	x.relay(response, finish)
 	return nil
 }
 
@@ -149,8 +150,8 @@
 
 // relay copies an answer to the caller and settles the request. An answer that
 // breaks off is broken off towards the caller too, so that it is not taken
-// for the whole.
-func (x *exchange) relay(response *http.Response) {
+// for the whole. It calls ended, if there is one, once the answer has been read.
+func (x *exchange) relay(response *http.Response, ended func()) {
 	header := x.w.Header()
 	for name, values := range passedOn(response.Header) {
 		header[name] = values
@@ -160,7 +161,7 @@
 	}
 	kept := newKeeping(response)
 	x.w.WriteHeader(response.StatusCode)
-	readErr, writeErr := x.copyBody(response, kept)
+	readErr, writeErr := x.copyBody(response, kept, ended)
 	if readErr != nil {
 		x.settle(ticket.Unknown{})
 	} else {
@@ -175,26 +176,86 @@
 }
 
 // copyBody copies the answer's body to the caller. When the caller is gone it
-// reads on, to learn the outcome, as long as the request's context lasts.
-func (x *exchange) copyBody(response *http.Response, kept *keeping) (readErr, writeErr error) {
+// reads on, to learn the outcome, as long as the request's context lasts. It
+// calls ended, if there is one, once the body has been read and may still be on
+// its way to the caller.
+func (x *exchange) copyBody(response *http.Response, kept *keeping, ended func()) (readErr, writeErr error) {
+	c := &bodyCopy{
+		w:       x.w,
+		flusher: http.NewResponseController(x.w),
+		kept:    kept,
+		flushes: response.ContentLength < 0,
+	}
+	if ended == nil {
+		return c.copyEach(response.Body), c.err
+	}
+	if response.ContentLength >= 0 && response.ContentLength < _copyBytes {
+		return c.copyWhole(response.Body, ended), c.err
+	}
+	select {
+	case x.d.ahead <- struct{}{}:
+		defer func() { <-x.d.ahead }()
+		return c.copyAhead(response.Body, ended), c.err
+	default:
+		return c.copyEach(response.Body), c.err
+	}
+}
+
+// bodyCopy copies one answer's body.
+type bodyCopy struct {
+	w       io.Writer
+	flusher *http.ResponseController
+	kept    *keeping
+	// flushes says that the caller gets each part at once, since the answer's
+	// end may be far.
+	flushes bool
+	// err is the error of the first write that failed.
+	err error
+}
+
+// write passes a part on, unless the caller is gone.
+func (c *bodyCopy) write(part []byte) {
+	c.kept.add(part)
+	if c.err != nil || len(part) == 0 {
+		return
+	}
+	if _, c.err = c.w.Write(part); c.err == nil && c.flushes {
+		// A writer that cannot flush sends the body later.
+		_ = c.flusher.Flush()
+	}
+}
+
+// copyWhole reads a body of less than _copyBytes before it passes it on.
+func (c *bodyCopy) copyWhole(source io.Reader, ended func()) error {
+	buf := _copyBuffers.Get().(*[_copyBytes]byte)
+	defer _copyBuffers.Put(buf)
+	size := 0
+	var err error
+	for err == nil && size < len(buf) {
+		var n int
+		n, err = source.Read(buf[size:])
+		size += n
+	}
+	ended()
+	c.write(buf[:size])
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
+// copyEach passes each part on before it reads the next one.
+func (c *bodyCopy) copyEach(source io.Reader) error {
 	buf := _copyBuffers.Get().(*[_copyBytes]byte)
 	defer _copyBuffers.Put(buf)
-	flusher := http.NewResponseController(x.w)
 	for {
-		n, err := response.Body.Read(buf[:])
-		kept.add(buf[:n])
-		if n > 0 && writeErr == nil {
-			_, writeErr = x.w.Write(buf[:n])
-		}
-		if n > 0 && writeErr == nil && response.ContentLength < 0 {
-			// A writer that cannot flush sends the body later.
-			_ = flusher.Flush()
-		}
+		n, err := source.Read(buf[:])
+		c.write(buf[:n])
 		if err == io.EOF {
-			return nil, writeErr
+			return nil
 		}
 		if err != nil {
-			return err, writeErr
+			return err
 		}
 	}
 }
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -195,7 +195,7 @@
 		return false
 	}
 	response.Header.Del(_headerLoad)
-	x.relay(response)
+	x.relay(response, nil)
 	return true
 }
 
