--- a/announcer/fleet_test.go
+++ b/announcer/fleet_test.go
@@ -123,6 +123,31 @@
 	})
 }
 
+// TestLeavingBalancer has a balancer drain and go: its agents move to others
+// first, and nobody loses an upstream.
+func TestLeavingBalancer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 5)
+		defer f.close()
+		time.Sleep(_settled)
+		leaving := f.keepers[0]
+		assert.NilError(t, leaving.Drain(t.Context()))
+		f.assertRefuted(0, 15*time.Second)
+		for _, a := range f.agents {
+			assert.Assert(t, !slices.Contains(a.Balancers(), memberAddr(0)))
+		}
+		assert.NilError(t, leaving.Close())
+		f.kill(memberAddr(0))
+		delete(f.keepers, 0)
+		f.assertRefuted(0, _noNewFlows)
+		f.assertEligible(0, 1, 2, 3, 4)
+		for _, k := range f.keepers {
+			assert.Equal(t, len(k.View().Members), 3)
+		}
+		assert.Equal(t, len(f.store.objects), 3, "its lease is removed")
+	})
+}
+
 // TestSplit cuts the balancers in two halves while agents come and go.
 func TestSplit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
