queue: tests share what starts requests and makes queues

The same loop over actions stood in four places. The test of unknown routes now names the requests that start, which is stricter than their number.

--- a/queue/policy_test.go
+++ b/queue/policy_test.go
@@ -177,20 +177,15 @@
 func BenchmarkQueue(b *testing.B) {
 	for _, waiting := range []int{0, 64, 1024} {
 		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
-			q, err := queue.New(queue.Limits{Slots: 4, ReservedSlots: 1, Length: 2048}, -time.Hour)
-			assert.NilError(b, err)
+			q := newQueue(b, queue.Limits{Slots: 4, ReservedSlots: 1, Length: 2048})
 			now, id := time.Duration(0), queue.ID(0)
 			actions := make([]queue.Action, 0, 16)
 			var running []queue.ID
 			step := func() {
 				id++
 				now += time.Microsecond
-				actions = q.Offer(actions[:0], now, queue.Request{ID: id, Route: "POST/checkin", Class: queue.Short, Deadline: now + time.Hour})
-				for _, a := range actions {
-					if s, ok := a.(queue.Start); ok {
-						running = append(running, s.ID)
-					}
-				}
+				actions = q.Offer(actions[:0], now, checkin(id, now+time.Hour))
+				running = starts(running, actions)
 			}
 			for range 4 + waiting {
 				step()
@@ -201,11 +196,7 @@
 				first := running[0]
 				running = append(running[:0], running[1:]...)
 				actions = q.Finish(actions[:0], now, first, queue.Done)
-				for _, a := range actions {
-					if s, ok := a.(queue.Start); ok {
-						running = append(running, s.ID)
-					}
-				}
+				running = starts(running, actions)
 			}
 		})
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -170,6 +170,28 @@
 	return rapid.SampledFrom(slices.Sorted(maps.Keys(from))).Draw(t, "request"), true
 }
 
+// newQueue returns the queue of an upstream that has served for long.
+func newQueue(t testing.TB, limits queue.Limits) *queue.Queue {
+	q, err := queue.New(limits, -time.Hour)
+	assert.NilError(t, err)
+	return q
+}
+
+// checkin returns a short request.
+func checkin(id queue.ID, deadline time.Duration) queue.Request {
+	return queue.Request{ID: id, Route: "POST/checkin", Class: queue.Short, Deadline: deadline}
+}
+
+// starts appends the requests that are started to dst.
+func starts(dst []queue.ID, actions []queue.Action) []queue.ID {
+	for _, a := range actions {
+		if s, ok := a.(queue.Start); ok {
+			dst = append(dst, s.ID)
+		}
+	}
+	return dst
+}
+
 // play runs n requests of a route, busy of them at once as far as the queue
 // lets them, and returns the limit afterwards.
 func play(q *queue.Queue, now *time.Duration, id *queue.ID, n, busy int, run func(i, running int) (time.Duration, queue.Result)) int {
@@ -177,22 +199,14 @@
 		var started []queue.ID
 		for range busy {
 			*id++
-			for _, a := range q.Offer(nil, *now, queue.Request{ID: *id, Route: "POST/checkin", Class: queue.Short, Deadline: *now + time.Minute}) {
-				if s, ok := a.(queue.Start); ok {
-					started = append(started, s.ID)
-				}
-			}
+			started = starts(started, q.Offer(nil, *now, checkin(*id, *now+time.Minute)))
 		}
 		for len(started) > 0 {
 			span, result := run(i, q.Running())
 			*now += span
 			var next []queue.ID
 			for _, id := range started {
-				for _, a := range q.Finish(nil, *now, id, result) {
-					if s, ok := a.(queue.Start); ok {
-						next = append(next, s.ID)
-					}
-				}
+				next = starts(next, q.Finish(nil, *now, id, result))
 			}
 			started = next
 		}
@@ -220,10 +234,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			q, err := queue.New(limits, -time.Hour)
-			assert.NilError(t, err)
-			var now time.Duration
-			var id queue.ID
+			q, now, id := newQueue(t, limits), time.Duration(0), queue.ID(0)
 			// A first run far from the rest must not become the baseline.
 			play(q, &now, &id, 1, 1, func(int, int) (time.Duration, queue.Result) { return ms / 50, queue.Done })
 			assert.Equal(t, play(q, &now, &id, 1024, 8, steady), 8)
@@ -240,21 +251,13 @@
 }
 
 func TestUnknownWorkCannotTakeTheReservedSlots(t *testing.T) {
-	q, err := queue.New(queue.Limits{Slots: 4, ReservedSlots: 2, Length: 8}, -time.Hour)
-	assert.NilError(t, err)
-	offer := func(id queue.ID, route string) bool {
-		actions := q.Offer(nil, 0, queue.Request{ID: id, Route: route, Deadline: time.Minute})
-		_, started := actions[len(actions)-1].(queue.Start)
-		return started
-	}
-	started := 0
-	for id := range queue.ID(5) {
-		if offer(id, "GET/export") {
-			started++
-		}
+	q := newQueue(t, queue.Limits{Slots: 4, ReservedSlots: 2, Length: 8})
+	var started []queue.ID
+	for id, route := range []string{"GET/export", "GET/export", "GET/export", "GET/export", "GET/export", "POST/checkin"} {
+		started = starts(started, q.Offer(nil, 0, queue.Request{ID: queue.ID(id), Route: route, Deadline: time.Minute}))
 	}
-	assert.Equal(t, started, 3, "a probe and two in slots that are not reserved")
-	assert.Assert(t, offer(5, "POST/checkin"), "another new route is held up")
+	// A probe, two in slots that are not reserved, and another new route.
+	assert.DeepEqual(t, started, []queue.ID{0, 1, 2, 5})
 }
 
 func TestNewUpstreamGetsItsSlotsOneByOne(t *testing.T) {
