queue: the expected run time rests on more runs

Cause: at 7 hosts with a quarter of long work, 28% of the short requests that waited too long were never handed over although a slot was free elsewhere. They were expected to wait less than the 4 ms from which others are asked: the expected run time, with a weight of 0.2 for the last run, swings by a third where run times do.

Now the weight is 0.1. Classes still go by the weight of 0.2.

--- a/queue/routes.go
+++ b/queue/routes.go
@@ -28,7 +28,9 @@
 	// _longFloor is the run time below which nothing is long.
 	_longFloor = 50 * time.Millisecond
 	// _recentWeight is the weight of the last run in a route's expected run time.
-	_recentWeight = 0.2
+	_recentWeight = 0.1
+	// _usualWeight is the weight of the last run in a route's usual run time.
+	_usualWeight = 0.2
 	// _baselineWeight is the weight of the last run in a route's baseline.
 	_baselineWeight = 0.005
 	// _baselineRuns is how many runs a baseline must rest on to be compared with.
@@ -166,7 +168,7 @@
 	if r.recent == 0 {
 		r.recent, r.usual, r.baseline = run, run, run
 	}
-	r.usual = geometricMix(r.usual, run, _recentWeight)
+	r.usual = geometricMix(r.usual, run, _usualWeight)
 	r.recent = mix(r.recent, run, _recentWeight)
 	if quiet || r.runs < _baselineRuns {
 		r.runs++
