keeper: a lost answer is recognized by what was written

Cause: TestLease failed in one of several runs with the race detector: the answer to a renewal was lost, and the balancer's own record changed from starting to serving before the lease was read back, so that it was not taken for the one written and was written once more. Change: the lease read back is compared with the one that was written. Seen failing: go test -race -short ./announcer ./keeper failed twice in about five runs; go test -race -count=60 ./keeper -run 'Lease|Alone' passes three times since.

--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -124,7 +124,8 @@
 
 func (h *leaseholder) renew(ctx context.Context) error {
 	h.renewal++
-	value, err := json.Marshal(lease{Member: h.keeper.Self(), Renewal: h.renewal})
+	written := lease{Member: h.keeper.Self(), Renewal: h.renewal}
+	value, err := json.Marshal(written)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -137,13 +138,13 @@
 	if !trace.IsCompareFailed(err) && !trace.IsNotFound(err) && !platform.IsAmbiguous(err) {
 		return err
 	}
-	return h.settle(ctx, err)
+	return h.settle(ctx, written, err)
 }
 
 // settle finds out what became of the lease when it is not as expected: the
 // answer to a write was lost, an earlier run's lease is there, or the lease was
 // taken for abandoned and removed. The next turn goes on from what it finds.
-func (h *leaseholder) settle(ctx context.Context, cause error) error {
+func (h *leaseholder) settle(ctx context.Context, written lease, cause error) error {
 	object, err := h.store.Get(ctx, h.key())
 	if trace.IsNotFound(err) {
 		h.version = 0
@@ -153,12 +154,12 @@
 		return err
 	}
 	var other lease
-	if err := json.Unmarshal(object.Value, &other); err == nil && other.Member.Data != h.keeper.Self().Data {
+	if err := json.Unmarshal(object.Value, &other); err == nil && other.Member.Data != written.Member.Data {
 		h.keeper.options.logger.Error("another balancer has this one's name, or had it before",
 			zap.String("name", other.Member.Name), zap.Stringer("its_address", other.Member.Data))
 	}
 	h.version = object.Version
-	if other.Renewal == h.renewal && other.Member == h.keeper.Self() {
+	if other == written {
 		return nil
 	}
 	return cause
