--- a/dispatcher/behaviour_test.go
+++ b/dispatcher/behaviour_test.go
@@ -312,25 +312,39 @@
 	})
 }
 
-func TestPeerThatDoesNotAnswerIsLeftAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		dials := 0
-		d, err := dispatcher.New(&url.URL{Scheme: "http", Host: "upstream"}, policyOf,
-			dispatcher.WithPeers(onePeer{newSelf()}, transportFunc(func(*http.Request) (*http.Response, error) {
-				dials++
-				return nil, &net.OpError{Op: "dial", Err: errDead}
-			})))
-		assert.NilError(t, err)
-		defer d.Close()
-		d.Leave()
-		for want, pause := range []time.Duration{0, time.Second} {
-			time.Sleep(pause)
-			for range 5 {
-				assert.Equal(t, outcome(ask(d, http.MethodPost, "/plain", "")), dispatcher.OutcomeNotRun)
-			}
-			assert.Equal(t, dials, want+1)
-		}
-	})
+func TestPeersThatCannotTakeARequest(t *testing.T) {
+	refuses := &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{
+		dispatcher.HeaderOutcome: {dispatcher.OutcomeNotRun}, "Dandelionhitch-Load": {"0"},
+	}, Body: http.NoBody}
+	for name, test := range map[string]struct {
+		answer *http.Response
+		err    error
+		asked  []int // how often the peer was asked after five requests, and after five more a second later
+	}{
+		"silent, left alone for a second": {err: &net.OpError{Op: "dial", Err: errDead}, asked: []int{1, 2}},
+		"refuses, asked once by each":     {answer: refuses, asked: []int{5, 10}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				asked := 0
+				d, err := dispatcher.New(&url.URL{Scheme: "http", Host: "upstream"}, policyOf,
+					dispatcher.WithPeers(onePeer{newSelf()}, transportFunc(func(*http.Request) (*http.Response, error) {
+						asked++
+						return test.answer, test.err
+					})))
+				assert.NilError(t, err)
+				defer d.Close()
+				d.Leave()
+				for round, want := range test.asked {
+					time.Sleep(time.Duration(round) * time.Second)
+					for range 5 {
+						assert.Equal(t, outcome(ask(d, http.MethodPost, "/plain", "")), dispatcher.OutcomeNotRun)
+					}
+					assert.Equal(t, asked, want)
+				}
+			})
+		})
+	}
 }
 
 func TestLoadRisesAndFalls(t *testing.T) {
