--- a/queue/policy_test.go
+++ b/queue/policy_test.go
@@ -58,19 +58,22 @@
 func TestShortWorkBehindLongWork(t *testing.T) {
 	for _, hosts := range []int{3, 7} {
 		for _, short := range []float64{0.4, 0.5} {
-			alone := mixed(hosts, short, 0, false, _playFor).figures(false, _warmUp, _playFor)
-			for _, long := range []float64{0.1, 0.25} {
-				f := mixed(hosts, short, long, false, _playFor)
-				behind := f.figures(false, _warmUp, _playFor)
-				assert.Check(t, behind.answerP99 <= 2*alone.answerP99, "%d hosts, %v short, %v long: %v, alone %v", hosts, short, long, behind, alone)
-				if hosts == 7 && long == 0.1 {
-					assert.Check(t, behind.waitP99 <= 2*alone.waitP99, "%d hosts, %v short, %v long: %v, alone %v", hosts, short, long, behind, alone)
+			t.Run(fmt.Sprintf("hosts=%d/short=%v", hosts, short), func(t *testing.T) {
+				t.Parallel()
+				alone := mixed(hosts, short, 0, false, _playFor).figures(false, _warmUp, _playFor)
+				for _, long := range []float64{0.1, 0.25} {
+					f := mixed(hosts, short, long, false, _playFor)
+					behind := f.figures(false, _warmUp, _playFor)
+					assert.Check(t, behind.answerP99 <= 2*alone.answerP99, "%v long: %v, alone %v", long, behind, alone)
+					if hosts == 7 && long == 0.1 {
+						assert.Check(t, behind.waitP99 <= 2*alone.waitP99, "%v long: %v, alone %v", long, behind, alone)
+					}
+					assert.Check(t, f.lowered == 0, "slots withheld from upstreams that are no slower than ever: %d times", f.lowered)
+					for _, j := range f.jobs {
+						assert.Assert(t, j.runs <= 1 && (j.runs == 0) == j.refused, "job ran %d times, refused %v", j.runs, j.refused)
+					}
 				}
-				assert.Check(t, f.lowered == 0, "slots withheld from upstreams that are no slower than ever: %d times", f.lowered)
-				for _, j := range f.jobs {
-					assert.Assert(t, j.runs <= 1 && (j.runs == 0) == j.refused, "job ran %d times, refused %v", j.runs, j.refused)
-				}
-			}
+			})
 		}
 	}
 }
