dandelionhitch: flows outlive a service that is taken out of the settings

Cause: a balancer's table lost the addresses of a removed service, and its agents the policy, so an open flow ended with a change of settings. Change: a balancer remembers up to 4,096 removed addresses without candidates; an agent goes on under the last policy with a flow limit of zero. An agent hears its keepers before it admits after a pause, settles its incarnation before its first flow, learns of changed limits at once, asks its keepers about silent runs, and tells others its weight. Routing tables are built at most every 200 ms. The client of operators' calls is opened once, also for calls side by side. A balancer that restarts does not know the addresses that were removed before.

--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -18,6 +19,7 @@
 	"dandelionhitch.example/announcer"
 	"dandelionhitch.example/dispatcher"
 	"dandelionhitch.example/follower"
+	"dandelionhitch.example/keeper"
 	"dandelionhitch.example/leaseholder"
 	"dandelionhitch.example/limit"
 	"dandelionhitch.example/roster"
@@ -60,6 +62,8 @@
 	dispatcher  *dispatcher.Dispatcher
 	peerServer  *peerServer
 	agent       *agent.Agent
+	// last is the policy in force last, nil before the first.
+	last atomic.Pointer[settings.Service]
 }
 
 func agentCommand(stderr io.Writer) *ffcli.Command {
@@ -176,9 +180,22 @@
 	return n, nil
 }
 
-// policy returns what is in force for the agent's service.
+// policy returns what is in force for the agent's service. Once the service is
+// taken out of the settings, no flow is admitted, and the flows that are open go
+// on under what was in force last.
 func (n *agentNode) policy() settings.Service {
-	s, _ := n.follower.Service(n.config.region, n.config.place, n.config.service)
+	s, ok := n.follower.Service(n.config.region, n.config.place, n.config.service)
+	if ok {
+		n.last.Store(&s)
+		return s
+	}
+	last := n.last.Load()
+	if last == nil {
+		return settings.Service{}
+	}
+	s = *last
+	s.Revision = n.follower.Revision()
+	s.Limits.Flows = 0
 	return s
 }
 
@@ -213,10 +230,38 @@
 	n.announcer, err = announcer.New(self, n.control.client, n.config.peers,
 		announcer.WithRevision(n.follower.Revision),
 		announcer.WithHigherRevision(n.follower.Offer),
+		announcer.WithStore(parts.store),
 		announcer.WithLogger(n.log),
 		announcer.WithMeter(parts.meter),
 	)
-	return trace.Wrap(err)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return n.announcer.Announced(ctx)
+}
+
+// confirm asks the keepers whether a run of another agent of the service is gone.
+func (n *agentNode) confirm(ctx context.Context, run limit.Run) (bool, error) {
+	var failures []error
+	for _, addr := range n.announcer.Keepers() {
+		var reply keeper.RecordsReply
+		err := n.control.client.Call(ctx, addr, keeper.MethodRecords, &keeper.RecordsRequest{Service: n.policy().ID}, &reply)
+		if err == nil {
+			return hasEnded(reply.Upstreams, run), nil
+		}
+		failures = append(failures, err)
+	}
+	return false, trace.NewAggregate(failures...)
+}
+
+// hasEnded reports whether the run has ended, or a later one is at its address.
+func hasEnded(upstreams []roster.UpstreamStatus, run limit.Run) bool {
+	for _, u := range upstreams {
+		if u.Data == run.Address {
+			return u.Incarnation > run.Incarnation || (u.Gone && u.Incarnation == run.Incarnation)
+		}
+	}
+	return false
 }
 
 // serve starts the request and flow side.
@@ -225,7 +270,11 @@
 	run := limit.Run{Address: n.config.data, Incarnation: incarnation, Nonce: rand.Uint32()}
 	var err error
 	n.leaseholder, err = leaseholder.New(parts.store, n.config.path(), run, n.policy,
-		leaseholder.WithLogger(n.log), leaseholder.WithMeter(parts.meter))
+		leaseholder.WithUpdates(n.follower.Updates()),
+		leaseholder.WithConfirm(n.confirm),
+		leaseholder.WithLogger(n.log),
+		leaseholder.WithMeter(parts.meter),
+	)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -254,7 +303,13 @@
 		TLS:         callers,
 		Gate:        n.leaseholder,
 		Handler:     n.dispatcher,
-	}, agent.WithLogger(n.log), agent.WithMeter(parts.meter), agent.WithBalancers(n.announcer.Balancers))
+	},
+		agent.WithFresh(n.announcer.HeardSince),
+		agent.WithBalancers(n.announcer.Balancers),
+		agent.WithWeight(n.config.weight),
+		agent.WithLogger(n.log),
+		agent.WithMeter(parts.meter),
+	)
 	return trace.Wrap(err)
 }
 
--- a/dandelionhitch/balancer.go
+++ b/dandelionhitch/balancer.go
@@ -20,6 +20,9 @@
 	"dandelionhitch.example/service"
 )
 
+// _tableInterval is the least time between two routing tables.
+const _tableInterval = 200 * time.Millisecond
+
 // _balancerDrain bounds how long a stopping balancer waits for the fabric to
 // hand it no more datagrams.
 const _balancerDrain = 30 * time.Second
@@ -43,6 +46,7 @@
 	follower *follower.Follower
 	keeper   *keeper.Keeper
 	balancer *balancer.Balancer
+	tables   tableBuilder
 	// members are those of the last view, nil before the first.
 	members atomic.Pointer[[]roster.MemberStatus]
 }
@@ -120,7 +124,11 @@
 // newBalancerNode starts a balancer. It forwards as soon as it knows the
 // settings and upstreams.
 func newBalancerNode(config balancerConfig, parts nodeParts) (_ *balancerNode, err error) {
-	n := &balancerNode{config: config, log: parts.log.With(zap.String("balancer", config.name))}
+	n := &balancerNode{
+		config: config,
+		log:    parts.log.With(zap.String("balancer", config.name)),
+		tables: tableBuilder{region: config.region},
+	}
 	defer func() {
 		if err != nil {
 			_ = n.closeParts()
@@ -190,14 +198,25 @@
 	return k, trace.Wrap(err)
 }
 
-// run keeps the routing table in step with the settings and the roster.
+// run keeps the routing table in step with the settings and the roster. Changes
+// that come close together make one table.
 func (n *balancerNode) run() error {
+	ticker := time.NewTicker(_tableInterval)
+	defer ticker.Stop()
+	n.updateTable()
+	changed := false
 	for {
-		n.updateTable()
 		select {
 		case <-n.follower.Updates():
 			n.keeper.RevisionChanged()
+			changed = true
 		case <-n.keeper.Updates():
+			changed = true
+		case <-ticker.C:
+			if changed {
+				n.updateTable()
+				changed = false
+			}
 		case <-n.tomb.Dying():
 			return nil
 		}
@@ -207,7 +226,7 @@
 func (n *balancerNode) updateTable() {
 	view := n.keeper.View()
 	n.members.Store(&view.Members)
-	table, err := newTable(n.follower.Current(), view, n.config.region)
+	table, err := n.tables.build(n.follower.Current(), view)
 	if err != nil {
 		n.log.Error("routing table refused, the last one stays", zap.Error(err))
 		return
--- a/dandelionhitch/fleet_test.go
+++ b/dandelionhitch/fleet_test.go
@@ -102,3 +102,23 @@
 	assert.Assert(t, ok)
 	requestTest(t, before, 3)
 }
+
+// TestFlowsOutliveTheirService takes a service out of the settings under an
+// open flow. The flow goes on; no new one is opened.
+func TestFlowsOutliveTheirService(t *testing.T) {
+	f := startFleet(t)
+	caller := f.dialTest(t)
+	requestTest(t, caller, 1)
+	edit := f.plan.edits(tryValues(_tryFlowLimit))[1]
+	edit.Before, edit.After = edit.After, nil
+	assert.NilError(t, f.accept(t.Context(), "closed", edit))
+	_, ok := f.awaitRevision(t.Context(), time.Minute)
+	assert.Assert(t, ok)
+	requestTest(t, caller, 2)
+	s := f.plan.services[0]
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err := standin.Dial(ctx, s.name, s.address, f.callerTLS())
+	assert.Assert(t, err != nil, "a flow was opened to a service that was taken out")
+	requestTest(t, caller, 3)
+}
--- a/dandelionhitch/operator.go
+++ b/dandelionhitch/operator.go
@@ -5,6 +5,7 @@
 	"flag"
 	"io"
 	"net/netip"
+	"sync"
 
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -24,7 +25,10 @@
 	platform    platformFlags
 	credentials credentialFiles
 	peers       []netip.AddrPort
-	client      *control.Client
+
+	opening   sync.Once
+	client    *control.Client
+	openError error
 }
 
 // operatorCommands returns the commands that operators use. Their flags may
@@ -86,9 +90,11 @@
 
 // caller returns the client of calls to balancers and agents.
 func (o *operator) caller() (*control.Client, error) {
-	if o.client != nil {
-		return o.client, nil
-	}
+	o.opening.Do(func() { o.client, o.openError = o.open() })
+	return o.client, o.openError
+}
+
+func (o *operator) open() (*control.Client, error) {
 	if len(o.peers) == 0 {
 		return nil, trace.BadParameter("balancers cannot be asked: -peers is not set")
 	}
@@ -96,8 +102,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "balancers cannot be asked")
 	}
-	o.client = control.NewClient(config)
-	return o.client, nil
+	return control.NewClient(config), nil
 }
 
 // ask calls the first of the peers that answers.
@@ -120,7 +125,7 @@
 // has in force.
 func (o *operator) members(ctx context.Context) ([]memberRevision, error) {
 	var reply keeper.MembersReply
-	if err := o.ask(ctx, "Keeper.Members", &keeper.MembersRequest{}, &reply); err != nil {
+	if err := o.ask(ctx, keeper.MethodMembers, &keeper.MembersRequest{}, &reply); err != nil {
 		return nil, trace.Wrap(err, "list the balancers")
 	}
 	var out []memberRevision
@@ -146,7 +151,7 @@
 // agentControl finds where an agent answers calls.
 func (o *operator) agentControl(ctx context.Context, run limit.Run) (netip.AddrPort, error) {
 	var reply keeper.RecordsReply
-	if err := o.ask(ctx, "Keeper.Records", &keeper.RecordsRequest{}, &reply); err != nil {
+	if err := o.ask(ctx, keeper.MethodRecords, &keeper.RecordsRequest{}, &reply); err != nil {
 		return netip.AddrPort{}, trace.Wrap(err, "list the upstreams")
 	}
 	for _, upstream := range reply.Upstreams {
--- a/dandelionhitch/process_test.go
+++ b/dandelionhitch/process_test.go
@@ -98,7 +98,7 @@
 func (f *processFleet) nodeSettings(c nodeConfig) map[string]any {
 	return map[string]any{
 		"region": c.region, "place": c.place, "data": c.data, "control": c.control,
-		"metrics": metricsAddress(c),
+		"metrics":  metricsAddress(c),
 		"platform": f.platform.URL().String(), "keys": f.path("keys.json"), "log_level": "warn",
 		"control_cert": f.path("control.pem"), "control_key": f.path("control.key"), "control_ca": f.path("ca.pem"),
 	}
--- a/dandelionhitch/table.go
+++ b/dandelionhitch/table.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 
@@ -11,26 +10,50 @@
 	"dandelionhitch.example/settings"
 )
 
-// newTable joins the settings in force with the roster into a routing table for
-// a balancer in region. New flows go to upstreams of that region while it has
-// any, else to those of other regions.
-func newTable(document *settings.Document, view roster.View, region service.Region) (*route.Table, error) {
+// _maxFormer bounds the addresses that are remembered after their removal.
+const _maxFormer = 4096
+
+// tableBuilder joins the settings in force with the roster into routing tables
+// for one balancer. An address that is taken out of the settings gets no new
+// flows, and those that it has go on: their connection IDs name their agents.
+type tableBuilder struct {
+	region service.Region
+	// former are addresses of earlier settings, the oldest first.
+	former []formerAddress
+	// present are the addresses of the last settings.
+	present map[netip.AddrPort]service.ID
+}
+
+// formerAddress is an address that a service had.
+type formerAddress struct {
+	address netip.AddrPort
+	service service.ID
+}
+
+// build returns the table. New flows go to upstreams of the balancer's region
+// while it has any, else to those of other regions.
+func (b *tableBuilder) build(document *settings.Document, view roster.View) (*route.Table, error) {
 	regions := make(map[service.Place]service.Region)
+	present := make(map[netip.AddrPort]service.ID)
 	addresses := make(map[service.ID][]netip.AddrPort)
 	for s := range document.Services() {
 		regions[s.Place] = s.Region
-		addresses[s.ID] = append(addresses[s.ID], s.Addresses...)
+		for _, address := range s.Addresses {
+			if _, listed := present[address]; !listed {
+				addresses[s.ID] = append(addresses[s.ID], address)
+			}
+			present[address] = s.ID
+		}
 	}
-	services := make([]route.Service, 0, len(addresses))
+	b.remember(present)
+	near := func(place service.Place) bool { return regions[place] == b.region }
+	services := make([]route.Service, 0, len(addresses)+len(b.former))
 	for id, list := range addresses {
-		slices.SortFunc(list, netip.AddrPort.Compare)
-		services = append(services, route.Service{
-			ID:         id,
-			Addresses:  slices.Compact(list),
-			Candidates: candidates(view.Services[id], func(p service.Place) bool { return regions[p] == region }),
-		})
+		services = append(services, route.Service{ID: id, Addresses: list, Candidates: candidates(view.Services[id], near)})
+	}
+	for _, f := range b.former {
+		services = append(services, route.Service{ID: f.service, Addresses: []netip.AddrPort{f.address}})
 	}
-	slices.SortFunc(services, func(a, b route.Service) int { return cmp.Compare(a.ID, b.ID) })
 	gone := make([]route.Gone, 0, len(view.Gone))
 	for _, run := range view.Gone {
 		gone = append(gone, route.Gone{Addr: run.Data, Incarnation: run.Incarnation})
@@ -38,6 +61,21 @@
 	return route.New(services, gone...)
 }
 
+// remember notes the addresses that were present before and are not now.
+func (b *tableBuilder) remember(present map[netip.AddrPort]service.ID) {
+	for address, id := range b.present {
+		if _, stays := present[address]; !stays {
+			b.former = append(b.former, formerAddress{address: address, service: id})
+		}
+	}
+	b.former = slices.DeleteFunc(b.former, func(f formerAddress) bool {
+		_, back := present[f.address]
+		return back
+	})
+	b.former = b.former[max(0, len(b.former)-_maxFormer):]
+	b.present = present
+}
+
 // candidates returns the eligible upstreams of near places, or all if there are none.
 func candidates(eligible []roster.Candidate, near func(service.Place) bool) []route.Candidate {
 	var nearby, all []route.Candidate
--- /dev/null
+++ b/dandelionhitch/table_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/roster"
+	"dandelionhitch.example/service"
+	"dandelionhitch.example/settings"
+)
+
+// TestRemovedAddressesKeepTheirService takes addresses out of the settings, and
+// gives one to another service.
+func TestRemovedAddressesKeepTheirService(t *testing.T) {
+	const orders, rounds = service.ID(1), service.ID(2)
+	first, second, third := netip.MustParseAddrPort("10.0.0.1:443"), netip.MustParseAddrPort("10.0.0.2:443"), netip.MustParseAddrPort("10.0.0.3:443")
+	type owners map[netip.AddrPort]service.ID
+	steps := []struct {
+		name    string
+		present owners
+		want    owners
+	}{
+		{"at the start", owners{first: orders, second: orders}, owners{first: orders, second: orders}},
+		{"one removed", owners{second: orders}, owners{first: orders, second: orders}},
+		{"all removed", nil, owners{first: orders, second: orders}},
+		{"one with another service", owners{first: rounds, third: rounds}, owners{first: rounds, second: orders, third: rounds}},
+		{"back again", owners{first: orders, second: orders}, owners{first: orders, second: orders, third: rounds}},
+	}
+	b := tableBuilder{region: "akl"}
+	for revision, step := range steps {
+		table, err := b.build(documentOf(t, settings.Revision(revision+1), step.present), roster.View{})
+		assert.NilError(t, err, step.name)
+		got := owners{}
+		for _, a := range table.Addresses() {
+			got[a], _ = table.ServiceAt(a)
+		}
+		assert.Assert(t, maps.Equal(got, step.want), "%s: %v, want %v", step.name, got, step.want)
+	}
+}
+
+// documentOf returns settings in which the addresses belong to these services.
+func documentOf(t *testing.T, revision settings.Revision, owners map[netip.AddrPort]service.ID) *settings.Document {
+	t.Helper()
+	tree := settings.Tree{}.With(settings.Path{}, tryValues(_tryFlowLimit))
+	for address, id := range owners {
+		path := settings.Path{Region: "akl", Place: "akl-a", Name: service.Name(fmt.Sprintf("service-%d", id))}
+		values, _ := tree.Get(path)
+		slots := 2
+		values.ID, values.Slots = &id, &slots
+		values.Addresses = append(slices.Clone(values.Addresses), address)
+		tree = tree.With(path, values)
+	}
+	document, err := settings.NewDocument(revision, tree)
+	assert.NilError(t, err)
+	return document
+}
