follower: the last settings of a removed service stay known

Cause: a process that follows one service forgot its settings once the service was taken out of the tree, though its open flows go on under them, so that each user had to keep them itself. Ruled out: returning them as in force (new flows would be admitted), and keeping those of every service where the whole tree is followed (nobody there asks, and they would need a bound). Change: Service returns them, with the revision that they had in force last, together with false. It is one value for each process. Seen failing: without the keeping TestServiceFollower gets an empty value.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -47,6 +47,9 @@
 	since    time.Time
 	recent   recentChanges
 	past     []*settings.Document
+	// last is what was in force last of the one service that is followed, zero
+	// before that and where the whole tree is followed.
+	last settings.Service
 }
 
 // Status says what a follower has in force.
@@ -109,9 +112,17 @@
 	return Status{Revision: f.current.document.Revision(), Since: f.current.since, Refused: f.refused}
 }
 
-// Service returns what is in force for one service at one place.
+// Service returns what is in force for one service at one place, or false. Of
+// the service given to WithService it then returns what was in force before it
+// was taken out of the settings, with the revision of that time.
 func (f *Follower) Service(region service.Region, place service.Place, name service.Name) (settings.Service, bool) {
-	return f.Current().Service(settings.Path{Region: region, Place: place, Name: name})
+	path := settings.Path{Region: region, Place: place, Name: name}
+	state := f.snapshot()
+	found, ok := state.document.Service(path)
+	if !ok && path == f.options.path {
+		return state.last, false
+	}
+	return found, ok
 }
 
 // Updates receives a value after the document in force has changed. Its
@@ -154,6 +165,9 @@
 		return nil
 	}
 	f.current = f.current.with(document, c.changes)
+	if found, ok := document.Service(f.options.path); ok {
+		f.current.last = found
+	}
 	f.options.logger.Info("settings in force", zap.Uint64("revision", uint64(c.revision)))
 	select {
 	case f.updates <- struct{}{}:
@@ -164,7 +178,7 @@
 
 // with returns the state after a newer document was put in force.
 func (s inForce) with(document *settings.Document, changes []audit.Change) inForce {
-	next := inForce{document: document, since: time.Now()}
+	next := inForce{document: document, since: time.Now(), last: s.last}
 	next.recent = s.recent.with(s.document.Revision(), changes)
 	if s.document != nil {
 		next.past = append(next.past, s.document)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/gravitational/trace"
 	"gotest.tools/v3/assert"
 
@@ -323,7 +324,8 @@
 	})
 }
 
-// TestServiceFollower follows one service: its messages stay small.
+// TestServiceFollower follows one service: its messages stay small, and its
+// last settings stay known when it is taken out of the tree.
 func TestServiceFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 2)
@@ -341,6 +343,20 @@
 		agent.Offer(2, addrOf(0))
 		synctest.Wait()
 		assert.Equal(t, agent.Revision(), settings.Revision(2))
+
+		last, ok := agent.Service("akl", "akl-a", "service-0")
+		assert.Assert(t, ok)
+		removal := propose(f.random, f.followers[0].Current(), "kari", node(0))
+		removal.Edits[0].After = nil
+		_, err := follower.NewEditor(f.store).Submit(t.Context(), removal)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		agent.Offer(3, addrOf(0))
+		synctest.Wait()
+		assert.Equal(t, agent.Revision(), settings.Revision(3))
+		kept, ok := agent.Service("akl", "akl-a", "service-0")
+		assert.Assert(t, !ok)
+		assert.DeepEqual(t, kept, last, cmpopts.EquateComparable(netip.AddrPort{}))
 		for _, reply := range f.replies {
 			assert.Assert(t, len(reply.Service) < 512 && len(reply.Changes) == 0 && len(reply.Shards) == 0)
 		}
