follower: a process without settings asks again within about a second

Cause: a process that got nothing from the processes it asked at its start asked the next one only after 15 to 45 s. Nobody offers it a revision meanwhile: it does not take part in the membership before it has settings. Ruled out: asking at a fixed second (a fleet that starts at once would ask in step) and a back-off (with four doublings the wait is as long as before). Change: while there is nothing in force of what is followed, one process is asked every 0.5 to 1.5 s, drawn anew each time, and one request is under way at a time. 5,900 agents that start at once make at most 5,900 requests/s on average over all the processes that they know. An agent whose service is not in the tree yet counts as without settings too, whatever its revision.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -125,6 +125,14 @@
 	return found, ok
 }
 
+// lacksSettings reports whether there was nothing in force yet of what is followed.
+func (f *Follower) lacksSettings() bool {
+	if !f.options.path.IsService() {
+		return f.Revision() == 0
+	}
+	return f.snapshot().last.ID == 0
+}
+
 // Updates receives a value after the document in force has changed. Its
 // capacity is one: several changes may show as one.
 func (f *Follower) Updates() <-chan struct{} { return f.updates }
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -166,11 +166,11 @@
 }
 
 // loopFetch takes up offers, and asks one process now and then, in case that
-// offers were lost.
+// offers were lost. One request is under way at a time.
 func (f *Follower) loopFetch() error {
 	ctx := f.context()
 	for ctx.Err() == nil {
-		timer := time.NewTimer(jitter(_askInterval))
+		timer := time.NewTimer(jitter(f.askInterval()))
 		select {
 		case <-ctx.Done():
 		case o := <-f.offers:
@@ -187,6 +187,16 @@
 	return nil
 }
 
+// askInterval returns the mean time until one process is asked. Nobody offers a
+// revision to a process that cannot take part yet for lack of settings, so it
+// asks often; the jitter spreads a fleet that starts at once.
+func (f *Follower) askInterval() time.Duration {
+	if f.lacksSettings() {
+		return _firstInterval
+	}
+	return _askInterval
+}
+
 func (f *Follower) fetchFrom(ctx context.Context, addr netip.AddrPort) {
 	found, err := f.fetch(ctx, addr, f.inForceCandidate())
 	if err == nil {
--- a/follower/options.go
+++ b/follower/options.go
@@ -21,6 +21,7 @@
 	_startTries    = 8  // processes asked for them
 	_fetchTimeout  = 2 * time.Second
 	_askInterval   = 30 * time.Second // mean time between asking one process
+	_firstInterval = time.Second      // the same while there are no settings
 	_pollInterval  = 2 * time.Minute  // mean time between reads of the head while not watching
 	_turnInterval  = 2 * time.Second  // mean time between looks at whether to watch
 	_watchSpan     = 30 * time.Second // time after which it is decided anew who watches
