control: both ends of a connection read headers and bodies the same way

Cause: the server's and the client's codec each held a copy of how a header is read, its body kept, and a broken stream closed. Change: the framer does it; it also keeps the body of the last frame. Nothing behaves differently.

--- a/control/codec.go
+++ b/control/codec.go
@@ -28,7 +28,6 @@
 	// slots bounds the calls in flight: one is taken before a request is read
 	// and given back with its response.
 	slots chan struct{}
-	body  []byte
 }
 
 func newServerCodec(f *framer) *serverCodec {
@@ -42,29 +41,16 @@
 		return err
 	}
 	var header requestHeader
-	body, err := c.read(&header)
-	if err != nil {
-		// net/rpc answers some errors and reads on; a broken stream must end.
-		_ = c.conn.Close()
+	if err := c.readHeader(&header); err != nil {
 		return err
 	}
-	c.body = body
 	request.Seq = header.Seq
 	request.ServiceMethod = header.Method
 	return nil
 }
 
 // ReadRequestBody decodes the body of the request whose header was read.
-func (c *serverCodec) ReadRequestBody(message any) error {
-	if message == nil {
-		return nil
-	}
-	if err := c.decode(c.body, message); err != nil {
-		_ = c.conn.Close()
-		return err
-	}
-	return nil
-}
+func (c *serverCodec) ReadRequestBody(message any) error { return c.readBody(message) }
 
 // WriteResponse writes one response.
 func (c *serverCodec) WriteResponse(response *rpc.Response, message any) error {
@@ -104,7 +90,6 @@
 // clientCodec is the client's end of one connection.
 type clientCodec struct {
 	*framer
-	body []byte
 }
 
 // WriteRequest writes one request, whose body is an *outgoing.
@@ -125,28 +110,16 @@
 // ReadResponseHeader reads the next response.
 func (c *clientCodec) ReadResponseHeader(response *rpc.Response) error {
 	var header responseHeader
-	body, err := c.read(&header)
-	if err != nil {
-		_ = c.conn.Close()
+	if err := c.readHeader(&header); err != nil {
 		return err
 	}
-	c.body = body
 	response.Seq = header.Seq
 	response.Error = header.Error
 	return nil
 }
 
 // ReadResponseBody decodes the body of the response whose header was read.
-func (c *clientCodec) ReadResponseBody(message any) error {
-	if message == nil {
-		return nil
-	}
-	if err := c.decode(c.body, message); err != nil {
-		_ = c.conn.Close()
-		return err
-	}
-	return nil
-}
+func (c *clientCodec) ReadResponseBody(message any) error { return c.readBody(message) }
 
 // Close closes the connection.
 func (c *clientCodec) Close() error { return c.conn.Close() }
--- a/control/frame.go
+++ b/control/frame.go
@@ -63,6 +63,8 @@
 
 	in  bytes.Buffer
 	out bytes.Buffer
+	// body is that of the last frame, valid until the next is read.
+	body []byte
 }
 
 func newFramer(conn net.Conn, counters *counters, o options) *framer {
@@ -79,6 +81,32 @@
 // since returns the time on the framer's clock.
 func (f *framer) since() time.Duration { return time.Since(f.start) }
 
+// readHeader reads one frame, decodes its header and keeps its body for
+// readBody. An error closes the connection: net/rpc answers some errors and
+// reads on, but a broken stream must end.
+func (f *framer) readHeader(header any) error {
+	body, err := f.read(header)
+	if err != nil {
+		_ = f.conn.Close()
+		return err
+	}
+	f.body = body
+	return nil
+}
+
+// readBody decodes the body of the last frame, or drops it if message is nil.
+// An error closes the connection.
+func (f *framer) readBody(message any) error {
+	if message == nil {
+		return nil
+	}
+	if err := f.decode(f.body, message); err != nil {
+		_ = f.conn.Close()
+		return err
+	}
+	return nil
+}
+
 // read reads one frame, decodes its header, and returns its body, which is
 // valid until the next read.
 func (f *framer) read(header any) ([]byte, error) {
