--- a/keeper/endpoint.go
+++ b/keeper/endpoint.go
@@ -31,6 +31,7 @@
 	}
 	key := roster.UpstreamKey(request.Data)
 	reply.Revision = k.self.Revision
+	reply.Hosts = uint32(max(0, k.options.hosts()))
 	status, known := k.roster.Status(key)
 	at := roster.Mark{Incarnation: request.Incarnation, Seq: request.Seq}
 	switch {
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -37,51 +37,9 @@
 	return nil
 }
 
-// sighting is one lease as this balancer has read it.
-type sighting struct {
-	version platform.Version
-	// since is when this version was first read, reads how often in a row.
-	since time.Duration
-	reads int
-}
-
-// _leaseReads is how often in a row a lease must have been read unchanged
-// before it counts as abandoned.
-const _leaseReads = 4
-
-// sightings tell abandoned leases. Members do not compare clocks: a lease is
-// abandoned when it stayed the same over several readings and the whole term.
-// A platform outage during which nobody could renew breaks the row of readings.
-type sightings struct {
-	seen   map[string]sighting
-	lastAt time.Duration
-}
-
-// read notes a reading and returns the leases that are abandoned.
-func (s *sightings) read(now time.Duration, objects []platform.Object) []platform.Object {
-	if now-s.lastAt > 2*_leaseInterval {
-		s.seen = nil
-	}
-	s.lastAt = now
-	seen := make(map[string]sighting, len(objects))
-	var abandoned []platform.Object
-	for _, object := range objects {
-		was, known := s.seen[object.Key]
-		if !known || was.version != object.Version {
-			was = sighting{version: object.Version, since: now}
-		}
-		was.reads++
-		seen[object.Key] = was
-		if was.reads >= _leaseReads && now-was.since >= _leaseTerm {
-			abandoned = append(abandoned, object)
-		}
-	}
-	s.seen = seen
-	return abandoned
-}
-
-// leaseholder is the platform's side of a keeper.
-type leaseholder struct {
+// leaseRenewer is the platform's side of a keeper: it renews the balancer's own
+// lease and reads those of the others.
+type leaseRenewer struct {
 	keeper    *Keeper
 	store     platform.Store
 	version   platform.Version
@@ -92,17 +50,17 @@
 // loopLease renews the lease and reads the others, spread by jitter so that
 // the fleet's calls are even, also after an outage.
 func (k *Keeper) loopLease() error {
-	h := &leaseholder{keeper: k, store: k.options.store}
+	r := &leaseRenewer{keeper: k, store: k.options.store}
 	wait := k.jitter(_startSpread)
 	for {
 		select {
 		case <-time.After(wait):
 		case <-k.tomb.Dying():
-			h.release()
+			r.release()
 			return nil
 		}
 		wait = _leaseInterval*3/4 + k.jitter(_leaseInterval/2)
-		if err := h.turn(); err != nil {
+		if err := r.turn(); err != nil {
 			k.options.logger.Warn("the platform's leases are out of reach", zap.Error(err))
 			k.count(&k.counts.leaseFailures)
 			wait = _leaseRetry/4 + k.jitter(_leaseRetry)
@@ -111,43 +69,43 @@
 }
 
 // turn renews the lease and learns the members.
-func (h *leaseholder) turn() error {
-	ctx, cancel := context.WithTimeout(h.keeper.tomb.Context(context.Background()), _platformTimeout)
+func (r *leaseRenewer) turn() error {
+	ctx, cancel := context.WithTimeout(r.keeper.tomb.Context(context.Background()), _platformTimeout)
 	defer cancel()
-	if err := h.renew(ctx); err != nil {
+	if err := r.renew(ctx); err != nil {
 		return trace.Wrap(err, "renew the lease")
 	}
-	return trace.Wrap(h.learn(ctx), "read the leases")
+	return trace.Wrap(r.learn(ctx), "read the leases")
 }
 
-func (h *leaseholder) key() string { return LeasePrefix + h.keeper.Self().Name }
+func (r *leaseRenewer) key() string { return LeasePrefix + r.keeper.Self().Name }
 
-func (h *leaseholder) renew(ctx context.Context) error {
-	h.renewal++
-	written := lease{Member: h.keeper.Self(), Renewal: h.renewal}
+func (r *leaseRenewer) renew(ctx context.Context) error {
+	r.renewal++
+	written := lease{Member: r.keeper.Self(), Renewal: r.renewal}
 	value, err := json.Marshal(written)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	h.keeper.count(&h.keeper.counts.leaseWrites)
-	version, err := h.store.Put(ctx, h.key(), value, h.version)
+	r.keeper.count(&r.keeper.counts.leaseWrites)
+	version, err := r.store.Put(ctx, r.key(), value, r.version)
 	if err == nil {
-		h.version = version
+		r.version = version
 		return nil
 	}
 	if !trace.IsCompareFailed(err) && !trace.IsNotFound(err) && !platform.IsAmbiguous(err) {
 		return err
 	}
-	return h.settle(ctx, written, err)
+	return r.settle(ctx, written, err)
 }
 
 // settle finds out what became of the lease when it is not as expected: the
 // answer to a write was lost, an earlier run's lease is there, or the lease was
 // taken for abandoned and removed. The next turn goes on from what it finds.
-func (h *leaseholder) settle(ctx context.Context, written lease, cause error) error {
-	object, err := h.store.Get(ctx, h.key())
+func (r *leaseRenewer) settle(ctx context.Context, written lease, cause error) error {
+	object, err := r.store.Get(ctx, r.key())
 	if trace.IsNotFound(err) {
-		h.version = 0
+		r.version = 0
 		return cause
 	}
 	if err != nil {
@@ -155,10 +113,10 @@
 	}
 	var other lease
 	if err := json.Unmarshal(object.Value, &other); err == nil && other.Member.Data != written.Member.Data {
-		h.keeper.options.logger.Error("another balancer has this one's name, or had it before",
+		r.keeper.options.logger.Error("another balancer has this one's name, or had it before",
 			zap.String("name", other.Member.Name), zap.Stringer("its_address", other.Member.Data))
 	}
-	h.version = object.Version
+	r.version = object.Version
 	if other == written {
 		return nil
 	}
@@ -166,22 +124,22 @@
 }
 
 // learn reads the leases of all members and removes abandoned ones.
-func (h *leaseholder) learn(ctx context.Context) error {
-	h.keeper.count(&h.keeper.counts.leaseReads)
-	objects, err := h.store.List(ctx, LeasePrefix)
+func (r *leaseRenewer) learn(ctx context.Context) error {
+	r.keeper.count(&r.keeper.counts.leaseReads)
+	objects, err := r.store.List(ctx, LeasePrefix)
 	if err != nil {
 		return err
 	}
-	k := h.keeper
+	k := r.keeper
 	found, findings := members(objects)
 	if len(findings) > 0 {
 		k.options.logger.Warn("leases that cannot be read", zap.Error(trace.NewAggregate(findings...)))
 	}
 	k.found(found)
-	for _, object := range h.sightings.read(k.now(), objects) {
-		if object.Key != h.key() {
+	for _, object := range r.sightings.read(k.now(), objects) {
+		if object.Key != r.key() {
 			// Another member may be quicker, or the owner be back; either is well.
-			_ = h.store.Delete(ctx, object.Key, object.Version)
+			_ = r.store.Delete(ctx, object.Key, object.Version)
 		}
 	}
 	return nil
@@ -216,14 +174,14 @@
 }
 
 // release removes the lease.
-func (h *leaseholder) release() {
-	if h.version == 0 {
+func (r *leaseRenewer) release() {
+	if r.version == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), _callTimeout)
 	defer cancel()
-	if err := h.store.Delete(ctx, h.key(), h.version); err != nil {
-		h.keeper.options.logger.Warn("the lease stays behind until others remove it", zap.Error(err))
+	if err := r.store.Delete(ctx, r.key(), r.version); err != nil {
+		r.keeper.options.logger.Warn("the lease stays behind until others remove it", zap.Error(err))
 	}
 }
 
--- a/keeper/lease_test.go
+++ b/keeper/lease_test.go
@@ -79,10 +79,10 @@
 			k, err := New(testMember(0, "oslo-a"), nil, WithPeers(), WithSeed(1))
 			assert.NilError(t, err)
 			defer k.Close()
-			h := &leaseholder{keeper: k, store: &tt.store}
+			r := &leaseRenewer{keeper: k, store: &tt.store}
 			turns := 0
 			settle := func() {
-				for turns++; h.turn() != nil; turns++ {
+				for turns++; r.turn() != nil; turns++ {
 					assert.Assert(t, turns <= tt.turns, name)
 				}
 			}
@@ -96,7 +96,7 @@
 			var l lease
 			assert.NilError(t, json.Unmarshal(tt.store.object.Value, &l))
 			assert.Equal(t, l.Member.Place, service.Place("oslo-a"))
-			h.release()
+			r.release()
 			assert.Equal(t, tt.store.object.Version, platform.Version(0))
 		})
 	}
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -62,6 +62,8 @@
 	Choices []Choice `cbor:"5,keyasint,omitempty"`
 	// Peers are upstreams of the same service.
 	Peers []Peer `cbor:"6,keyasint,omitempty"`
+	// Hosts is how many hosts the fleet is expected to have, zero if not known.
+	Hosts uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // Choice is a member that may keep an agent.
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -19,6 +19,7 @@
 	store          platform.Store
 	peers          []netip.AddrPort
 	revision       func() settings.Revision
+	hosts          func() int
 	higherRevision func(settings.Revision, netip.AddrPort)
 	prober         roster.Prober
 	logger         *zap.Logger
@@ -30,6 +31,7 @@
 	o := options{
 		revision:       func() settings.Revision { return 0 },
 		higherRevision: func(settings.Revision, netip.AddrPort) {},
+		hosts:          func() int { return 0 },
 		prober:         tcpProber{},
 		logger:         zap.NewNop(),
 		meter:          noop.NewMeterProvider().Meter("keeper"),
@@ -52,6 +54,12 @@
 	return func(o *options) { o.revision = revision }
 }
 
+// WithHosts gives how many hosts the fleet is expected to have, zero if that is
+// not known. Agents learn it and bound by it what they ask of the platform.
+func WithHosts(hosts func() int) Option {
+	return func(o *options) { o.hosts = hosts }
+}
+
 // WithHigherRevision is called, outside of any lock, with the control address
 // of a member that has a higher revision in force. It must not block.
 func WithHigherRevision(f func(settings.Revision, netip.AddrPort)) Option {
