announcer, keeper: one client interface and one type of peer

Cause: both packages declared the same interface under the name Caller, which stands for the operators' clients elsewhere, and the announcer copied each peer of an answer into a type of its own with the same fields. Change: keeper.Client is the interface and keeper.Peer the type. The keeper's overview names its five duties, where it said four. Nothing behaves differently.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -40,28 +40,9 @@
 	_closeTimeout = time.Second
 )
 
-// Caller makes calls to other processes; *control.Client is one.
-type Caller interface {
-	Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error
-}
-
-// Peer is an upstream of the same service.
-type Peer struct {
-	// Data is the peer's data address.
-	Data netip.AddrPort
-	// Control is the peer's control address.
-	Control netip.AddrPort
-	// Place is where the peer runs.
-	Place service.Place
-	// Incarnation is the peer's run.
-	Incarnation service.Incarnation
-	// Load is the peer's fine load in percent of its capacity, some seconds old.
-	Load uint8
-}
-
 // Announcer announces one upstream.
 type Announcer struct {
-	client  Caller
+	client  keeper.Client
 	options options
 	start   time.Time
 	tomb    tomb.Tomb
@@ -75,7 +56,7 @@
 	told    map[netip.AddrPort]roster.Mark
 	percent uint8
 	load    roster.LoadFilter
-	peers   []Peer
+	peers   []keeper.Peer
 	random  *rand.Rand
 	// heard is when the latest heartbeat that a keeper answered was sent.
 	heard time.Time
@@ -88,7 +69,7 @@
 //
 // The agent must listen at its control address before New and until Close has
 // returned: a keeper takes a refused connection there for the end of the run.
-func New(self roster.Upstream, client Caller, seeds []netip.AddrPort, opts ...Option) (*Announcer, error) {
+func New(self roster.Upstream, client keeper.Client, seeds []netip.AddrPort, opts ...Option) (*Announcer, error) {
 	self.Seq = 1
 	self.Load = max(self.Load, roster.LoadLow)
 	if err := self.Validate(); err != nil {
@@ -162,7 +143,7 @@
 
 // Peers returns serving upstreams of the same service with their loads. The
 // slice belongs to the caller.
-func (a *Announcer) Peers() []Peer {
+func (a *Announcer) Peers() []keeper.Peer {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return slices.Clone(a.peers)
@@ -274,10 +255,7 @@
 		a.wakeSlots()
 	}
 	if sent.WantPeers {
-		a.peers = make([]Peer, len(reply.Peers))
-		for i, p := range reply.Peers {
-			a.peers[i] = Peer(p)
-		}
+		a.peers = reply.Peers
 	}
 	close(a.acked)
 	a.acked = make(chan struct{})
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -1,13 +1,16 @@
 // Package keeper is a balancer's part in the membership: it hears agents,
 // exchanges the roster with other balancers, and judges who is gone.
 //
-// Data flows in four duties, each with its own goroutine, around one roster:
+// Data flows in five duties, each with its own goroutines, around one roster:
 //
 //	agents ── Heartbeat ──► roster ◄── Exchange, Sync ──► other balancers
 //	                          ▲  │
-//	   loopJudge ── silence ──┘  └── view ──► routing
+//	   loopJudge ── silence ──┘  └── View ──► routing
 //	   loopProbe ── verdicts ─► roster       loopLease ◄──► platform
 //
+// The calls of agents and balancers arrive at an Endpoint. loopTurn says when to
+// exchange and with whom, and loopExchange makes the calls.
+//
 // An agent sends a heartbeat to each of its three keepers every
 // HeartbeatInterval, evenly spaced. A keeper that misses one for Silence suspects
 // the agent and probes its control port; only a refused connection leads to the
@@ -76,14 +79,14 @@
 	_probeWorkers = 4
 )
 
-// Caller makes calls to other processes; *control.Client is one.
-type Caller interface {
+// Client makes calls to other processes; *control.Client is one.
+type Client interface {
 	Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error
 }
 
 // Keeper is a balancer's part in the membership.
 type Keeper struct {
-	client  Caller
+	client  Client
 	options options
 	key     roster.Key
 	start   time.Time
@@ -139,7 +142,7 @@
 //
 // The balancer must listen at its control address before New and until Close
 // has returned: others take a refused connection there for its end.
-func New(self roster.Member, client Caller, opts ...Option) (*Keeper, error) {
+func New(self roster.Member, client Client, opts ...Option) (*Keeper, error) {
 	self.Seq = 1
 	self.State = service.Starting
 	if err := self.Validate(); err != nil {
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -74,11 +74,15 @@
 
 // Peer is an upstream of the same service.
 type Peer struct {
-	Data        netip.AddrPort      `cbor:"1,keyasint"`
-	Control     netip.AddrPort      `cbor:"2,keyasint"`
-	Place       service.Place       `cbor:"3,keyasint"`
+	// Data is the peer's data address.
+	Data netip.AddrPort `cbor:"1,keyasint"`
+	// Control is the peer's control address.
+	Control netip.AddrPort `cbor:"2,keyasint"`
+	// Place is where the peer runs.
+	Place service.Place `cbor:"3,keyasint"`
+	// Incarnation is the peer's run.
 	Incarnation service.Incarnation `cbor:"4,keyasint"`
-	// Load is the fine load in percent of the capacity.
+	// Load is the fine load in percent of the capacity, some seconds old.
 	Load uint8 `cbor:"5,keyasint,omitempty"`
 }
 
