announcer: each wait of the loopback test has an end

Cause: a keeper that never told of what was awaited left TestLoopback hanging until the run's own timeout of 10 minutes, without a word of what was missing. Ruled out: a lost wake-up in the test (the keeper tells of a changed view again at each look at the clock). Change: each wait ends after 30 s and names what was awaited; the calls get a deadline too. Seen failing: with waits of 1 s the test fails with "not within 1s: the dead upstream is avoided".

--- a/announcer/loopback_test.go
+++ b/announcer/loopback_test.go
@@ -22,6 +22,10 @@
 	"dandelionhitch.example/service"
 )
 
+// _loopbackTimeout ends a wait for what takes some seconds at most, so that a
+// fault fails the test instead of hanging it.
+const _loopbackTimeout = 30 * time.Second
+
 func loopbackConfig(t testing.TB) *tls.Config {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -77,18 +81,40 @@
 	assert.NilError(t, <-l.done)
 }
 
-// await waits until the view has n eligible upstreams.
-func (l *loopback) await(n int) {
-	for len(l.keeper.View().Services[1]) != n {
-		<-l.keeper.Updates()
+// await fails the test unless the view is soon as wanted.
+func (l *loopback) await(t testing.TB, want string, holds func(roster.View) bool) {
+	t.Helper()
+	end := time.After(_loopbackTimeout)
+	for !holds(l.keeper.View()) {
+		receive(t, want, l.keeper.Updates(), end)
+	}
+}
+
+// receive fails the test if the end comes before a value.
+func receive(t testing.TB, want string, values <-chan struct{}, end <-chan time.Time) {
+	t.Helper()
+	select {
+	case <-values:
+	case <-end:
+		t.Fatalf("not within %v: %s", _loopbackTimeout, want)
 	}
 }
 
+// eligible holds once n upstreams may get new flows.
+func eligible(n int) func(roster.View) bool {
+	return func(v roster.View) bool { return len(v.Services[1]) == n }
+}
+
+// ended holds once the run is found gone.
+func ended(run service.Incarnation) func(roster.View) bool {
+	return func(v roster.View) bool { return v.Gone[0].Incarnation == run }
+}
+
 // TestLoopback runs both ends over TLS, the end of a run by a refused connection included.
 func TestLoopback(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	l := newLoopback(t)
-	<-l.keeper.Joined()
+	receive(t, "the balancer serves", l.keeper.Joined(), time.After(_loopbackTimeout))
 	port, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	addr := netip.MustParseAddrPort(port.Addr().String())
@@ -98,29 +124,29 @@
 	}
 	a, err := New(record, l.client, []netip.AddrPort{l.addr})
 	assert.NilError(t, err)
-	l.await(1)
+	l.await(t, "the upstream is eligible", eligible(1))
 
 	// The process vanishes without a word: its port is closed, its heartbeats end.
 	a.tomb.Kill(nil)
 	assert.NilError(t, a.tomb.Wait())
 	port.Close()
-	l.await(0)
-	for gone := l.keeper.View().Gone; gone[0].Incarnation != 7; gone = l.keeper.View().Gone {
-		<-l.keeper.Updates()
-	}
+	l.await(t, "the dead upstream is avoided", eligible(0))
+	l.await(t, "its run is found gone", ended(record.Incarnation))
 
 	record.Incarnation = 8
 	a, err = New(record, l.client, []netip.AddrPort{l.addr})
 	assert.NilError(t, err)
-	l.await(1)
-	assert.NilError(t, a.Drain(context.Background()))
-	l.await(0)
+	l.await(t, "the next run is eligible", eligible(1))
+	ctx, cancel := context.WithTimeout(t.Context(), _loopbackTimeout)
+	defer cancel()
+	assert.NilError(t, a.Drain(ctx))
+	l.await(t, "the draining upstream is avoided", eligible(0))
 	var records keeper.RecordsReply
-	assert.NilError(t, l.client.Call(context.Background(), l.addr, keeper.MethodRecords, &keeper.RecordsRequest{}, &records))
+	assert.NilError(t, l.client.Call(ctx, l.addr, keeper.MethodRecords, &keeper.RecordsRequest{}, &records))
 	assert.Equal(t, records.Upstreams[0].State, service.Draining)
 	assert.NilError(t, a.Close())
 	var members keeper.MembersReply
-	assert.NilError(t, l.client.Call(context.Background(), l.addr, keeper.MethodMembers, &keeper.MembersRequest{}, &members))
+	assert.NilError(t, l.client.Call(ctx, l.addr, keeper.MethodMembers, &keeper.MembersRequest{}, &members))
 	assert.Equal(t, members.Members[0].Name, "entry")
 	l.close(t)
 }
@@ -130,7 +156,7 @@
 func BenchmarkHeartbeat(b *testing.B) {
 	l := newLoopback(b)
 	defer l.close(b)
-	<-l.keeper.Joined()
+	receive(b, "the balancer serves", l.keeper.Joined(), time.After(_loopbackTimeout))
 	ctx := context.Background()
 	record := roster.Upstream{
 		Service: 1, Name: "orders", Place: "oslo-a", Data: l.addr, Control: l.addr, Incarnation: 90_000_000, Seq: 1,
