--- a/control/client.go
+++ b/control/client.go
@@ -101,14 +101,14 @@
 
 // loop closes idle connections, and all of them at the end.
 func (c *Client) loop() error {
-	ticker := time.NewTicker(_clientIdle / 4)
+	ticker := time.NewTicker(_idleTick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			c.dropIdle(time.Now().Add(-_clientIdle))
+			c.drop(func(e *endpoint) bool { return time.Since(e.lastUsed) > _clientIdle })
 		case <-c.tomb.Dying():
-			c.dropIdle(time.Now().Add(time.Hour))
+			c.drop(func(*endpoint) bool { return true })
 			return nil
 		}
 	}
@@ -126,17 +126,18 @@
 	return e
 }
 
-func (c *Client) dropIdle(before time.Time) {
-	var idle []*endpoint
+// drop closes the connections that are chosen.
+func (c *Client) drop(chosen func(*endpoint) bool) {
+	var dropped []*endpoint
 	c.mu.Lock()
 	for addr, e := range c.endpoints {
-		if e.lastUsed.Before(before) {
+		if chosen(e) {
 			delete(c.endpoints, addr)
-			idle = append(idle, e)
+			dropped = append(dropped, e)
 		}
 	}
 	c.mu.Unlock()
-	for _, e := range idle {
+	for _, e := range dropped {
 		e.close()
 	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -37,6 +37,8 @@
 	_maxConnections = 4096
 	// _clientIdle is how long a client keeps a connection that no call uses.
 	_clientIdle = 3 * time.Minute
+	// _idleTick is between two looks for such connections.
+	_idleTick = _clientIdle / 4
 	// _serverIdle is how long a server keeps a silent connection. It is longer
 	// than _clientIdle, so that it is the client that closes.
 	_serverIdle = 5 * time.Minute
--- a/control/frame.go
+++ b/control/frame.go
@@ -17,6 +17,9 @@
 // _lengthSize is the size of the length in front of each frame, in octets.
 const _lengthSize = 4
 
+// _readBuffer is what is read ahead on a connection, in octets.
+const _readBuffer = 1 << 10
+
 // _keptBuffer is the largest buffer, in octets, that a connection keeps between frames.
 const _keptBuffer = 4 << 10
 
@@ -70,7 +73,7 @@
 func newFramer(conn net.Conn, counters *counters, o options) *framer {
 	return &framer{
 		conn:       conn,
-		reader:     bufio.NewReaderSize(conn, 1<<10),
+		reader:     bufio.NewReaderSize(conn, _readBuffer),
 		counters:   counters,
 		maxMessage: o.maxMessage,
 		timeout:    o.timeout,
--- a/roster/digest.go
+++ b/roster/digest.go
@@ -22,9 +22,11 @@
 	_hashSize = 8
 	// _addrSize is the size of an address in a summary in octets.
 	_addrSize = 6
+	// _halfHashSize is the size of the low half of an entry's hash in octets.
+	_halfHashSize = _hashSize / 2
 	// _summarySize is the size of one entry in a summary in octets: an address
 	// and the low half of its hash.
-	_summarySize = _addrSize + 4
+	_summarySize = _addrSize + _halfHashSize
 	// GroupsSize is the size of the hashes of all groups in octets.
 	GroupsSize = _groups * _hashSize
 )
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -227,9 +227,12 @@
 	}
 }
 
+// _recordSize is room for the three parts of most entries, in octets.
+const _recordSize = 160
+
 // sum hashes the three parts.
 func (e *entry) sum() uint64 {
-	b := make([]byte, 0, 160)
+	b := make([]byte, 0, _recordSize)
 	b = append(b, byte(e.key.Kind))
 	b = appendAddr(b, e.key.Addr)
 	switch {
