--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -2,8 +2,17 @@
 // takes, renews and returns leases in the platform's store, and admits flows.
 //
 // The decisions are those of package limit; this package carries messages
-// between them, the store, the settings in force and the agent. Admission
-// never waits for the platform: it takes a mutex that is not held across calls.
+// between them, the store, the settings in force and the agent:
+//
+//	agent ── TryAdmit, Release ──► holder ◄── follow ── settings in force
+//	                                 ▲
+//	        loop ── Read, Write ─────┤
+//	          ▲                      │
+//	          ▼                 loopConfirm ◄──► keepers: is a silent run gone?
+//	  platform's store
+//
+// Admission never waits for the platform: it takes a mutex that is not held
+// across calls.
 package leaseholder
 
 import (
