keeper, roster: standard terms in place of metaphors

Cause: strays, patience and patrol had to be explained, and Neighbours stood for upstreams in roster and for balancers in keeper. Change: seeds, reconnect targets, a silence that grows, Scan, and Peers, as in the messages that carry them. What probes finds its address in a method of its own. Nothing behaves differently.

--- a/announcer/fleet_test.go
+++ b/announcer/fleet_test.go
@@ -211,7 +211,7 @@
 				h()
 			}
 			f.store.setOutage(false)
-			time.Sleep(3 * time.Minute) // Longer than any patience or back-off.
+			time.Sleep(3 * time.Minute) // Longer than any timeout or back-off.
 			f.checkGone()
 			var alive []int
 			for n := range 6 {
--- a/keeper/endpoint.go
+++ b/keeper/endpoint.go
@@ -133,7 +133,7 @@
 // peers are upstreams of the same service with their loads. The lock is held.
 func (k *Keeper) peers(u roster.Upstream) []Peer {
 	var out []Peer
-	for _, other := range k.roster.Neighbours(u, _peersTold) {
+	for _, other := range k.roster.Peers(u, _peersTold) {
 		out = append(out, Peer{
 			Data: other.Data, Control: other.Control, Place: other.Place,
 			Incarnation: other.Incarnation, Load: k.load(other),
--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -87,9 +87,9 @@
 	k.turn++
 	members := k.roster.Present()
 	near := neighbours(k.self, members)
-	strays := k.strayed(members)
-	if len(strays) > 0 && (k.turn%_strayEvery == 0 || len(near) == 0) {
-		return strays[k.random.IntN(len(strays))]
+	targets := k.reconnectTargets(members)
+	if len(targets) > 0 && (k.turn%_reconnectEvery == 0 || len(near) == 0) {
+		return targets[k.random.IntN(len(targets))]
 	}
 	if len(near) == 0 {
 		return netip.AddrPort{}
@@ -97,11 +97,11 @@
 	return near[int(k.turn)%len(near)].Control
 }
 
-// strayed returns the members that no neighbour is likely to bring news of.
+// reconnectTargets returns the members that no neighbour is likely to bring news of.
 // The lock is held.
-func (k *Keeper) strayed(members []roster.MemberStatus) []netip.AddrPort {
+func (k *Keeper) reconnectTargets(members []roster.MemberStatus) []netip.AddrPort {
 	var out []netip.AddrPort
-	for addr := range k.strays {
+	for addr := range k.seeds {
 		known := func(m roster.MemberStatus) bool { return m.Control == addr && !m.Suspect }
 		if addr != k.self.Control && !slices.ContainsFunc(members, known) {
 			out = append(out, addr)
@@ -253,11 +253,11 @@
 // one that has not answered.
 func (k *Keeper) learn() bool {
 	k.mu.Lock()
-	strays := k.strayed(nil)
-	lonely := (k.options.store == nil || k.leasesRead) && len(strays) == 0
-	k.random.Shuffle(len(strays), func(i, j int) { strays[i], strays[j] = strays[j], strays[i] })
+	targets := k.reconnectTargets(nil)
+	lonely := (k.options.store == nil || k.leasesRead) && len(targets) == 0
+	k.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	k.mu.Unlock()
-	for _, addr := range strays[:min(len(strays), _allNeighbours)] {
+	for _, addr := range targets[:min(len(targets), _allNeighbours)] {
 		if k.learnFrom(addr) == nil {
 			return true
 		}
--- a/keeper/intervals.go
+++ b/keeper/intervals.go
@@ -13,9 +13,9 @@
 	// _memberSilence is the same for exchanges with a neighbour, which take
 	// turns.
 	_memberSilence = 12 * time.Second
-	// _maxPatience bounds the silence that is waited for after suspicions that
+	// _maxSilence bounds the silence that is waited for after suspicions that
 	// were refuted: of an agent that others hear and this balancer does not.
-	_maxPatience = time.Minute
+	_maxSilence = time.Minute
 	// _probeInterval is between two probes of one silent host, at first.
 	_probeInterval = 2 * time.Second
 	// _maxProbeInterval bounds it.
@@ -39,10 +39,10 @@
 	// _compareEvery is how many exchanges there are to one that compares digests.
 	// It shares no factor with a number of neighbours, so that all get their turn.
 	_compareEvery = 7
-	// _strayEvery is how many there are to one with a member that is not a
+	// _reconnectEvery is how many there are to one with a member that is not a
 	// neighbour: one that is suspected, or only known from the platform. It shares
 	// no factor with a number of neighbours either.
-	_strayEvery = 11
+	_reconnectEvery = 11
 	// _callTimeout bounds one call.
 	_callTimeout = time.Second
 	// _joinTimeout is how long a new balancer looks for others before it serves
--- a/keeper/judge.go
+++ b/keeper/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,7 +43,7 @@
 		k.answered = false
 		k.hasten()
 	}
-	k.patrol(now)
+	k.watchUnheard(now)
 	if k.expireAt <= now {
 		k.expireAt = now + _expireInterval
 		k.forget(now)
@@ -115,11 +116,11 @@
 	}
 }
 
-// patrol looks at some entries at each tick and begins to watch those that this
+// watchUnheard looks at some entries at each tick and begins to watch those that this
 // balancer keeps and has not heard: their other keepers may be gone. The lock is held.
-func (k *Keeper) patrol(now time.Duration) {
+func (k *Keeper) watchUnheard(now time.Duration) {
 	k.beat++
-	for _, u := range k.roster.Patrol(k.beat) {
+	for _, u := range k.roster.Scan(k.beat) {
 		key := roster.UpstreamKey(u.Data)
 		if k.watches.watches[key] == nil && k.roster.Keeps(k.key, u) {
 			k.watches.begin(now, key)
@@ -149,21 +150,17 @@
 	}
 }
 
+// probe opens a connection to a process and takes a refusal for its end.
 func (k *Keeper) probe(p probe) {
 	k.mu.Lock()
-	u, isUpstream := k.roster.Upstream(p.key)
-	m, _ := k.roster.Member(p.key)
+	addr := k.controlOf(p.key)
 	k.counts.probes++
 	k.mu.Unlock()
-	addr := m.Control
-	if isUpstream {
-		addr = u.Control
-	}
-	ctx, cancel := context.WithTimeout(k.tomb.Context(context.Background()), _probeTimeout)
-	defer cancel()
 	if !addr.IsValid() {
 		return
 	}
+	ctx, cancel := context.WithTimeout(k.tomb.Context(context.Background()), _probeTimeout)
+	defer cancel()
 	finding := k.options.prober.Probe(ctx, addr)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -178,3 +175,13 @@
 	k.options.logger.Info("gone: its host refuses connections", zap.Stringer("address", p.key.Addr))
 	k.absorbed(k.roster.Confirm(k.now(), p.key, p.incarnation))
 }
+
+// controlOf returns the control address of an entry, invalid if it has no
+// record. The lock is held.
+func (k *Keeper) controlOf(key roster.Key) netip.AddrPort {
+	if u, known := k.roster.Upstream(key); known {
+		return u.Control
+	}
+	m, _ := k.roster.Member(key)
+	return m.Control
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -123,8 +123,8 @@
 	// beat counts looks at the clock; expireAt is when to forget next.
 	beat     uint
 	expireAt time.Duration
-	// strays are members known only from the platform or the peers option.
-	strays map[netip.AddrPort]struct{}
+	// seeds are members known only from the platform or the peers option.
+	seeds map[netip.AddrPort]struct{}
 	// leasesRead says that the platform has told its leases once.
 	leasesRead bool
 	counts     counts
@@ -164,13 +164,13 @@
 		watches:   newWatchlist(),
 		loads:     make(map[roster.Key]fineLoad),
 		random:    rand.New(rand.NewPCG(o.seed, o.seed)),
-		strays:    make(map[netip.AddrPort]struct{}),
+		seeds:     make(map[netip.AddrPort]struct{}),
 	}
 	k.self.Revision = o.revision()
 	k.roster.AnnounceMember(0, k.self)
 	for _, peer := range o.peers {
 		if peer != self.Control {
-			k.strays[peer] = struct{}{}
+			k.seeds[peer] = struct{}{}
 		}
 	}
 	k.observe()
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -37,13 +37,13 @@
 func (f fixed) keeps(roster.Key) bool               { return true }
 
 // TestSilence compares the watchlist with an oracle: it suspects exactly when it
-// could have heard a process, has not for its patience, and ran all that time.
+// could have heard a process, has not for its timeout, and ran all that time.
 func TestSilence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := newWatchlist()
 		key := testKey(1)
 		known := fixed{key: {Mark: roster.Mark{Incarnation: 1, Seq: 1}, State: service.Serving}}
-		now, since, patience := time.Duration(0), time.Duration(0), Silence
+		now, since, timeout := time.Duration(0), time.Duration(0), Silence
 		refutable, cutOff := false, false
 		l.heard(now, key)
 		tick := func(paused, connected bool) {
@@ -61,12 +61,12 @@
 				assert.Assert(t, !slices.Contains(actions, action(suspect{key})))
 				return
 			}
-			if now-since <= patience || known[key].Suspect {
+			if now-since <= timeout || known[key].Suspect {
 				assert.Assert(t, !slices.Contains(actions, action(suspect{key})))
 				return
 			}
 			if refutable {
-				patience, since, refutable = min(2*patience, _maxPatience), now, false
+				timeout, since, refutable = min(2*timeout, _maxSilence), now, false
 				return
 			}
 			assert.Assert(t, slices.Contains(actions, action(suspect{key})))
@@ -79,7 +79,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"heard": func(t *rapid.T) {
 				l.heard(now, key)
-				since, patience, refutable = now, Silence, false
+				since, timeout, refutable = now, Silence, false
 			},
 			"refuted": func(*rapid.T) {
 				status := known[key]
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -191,16 +191,16 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.leasesRead = true
-	clear(k.strays)
+	clear(k.seeds)
 	for _, peer := range k.options.peers {
-		k.strays[peer] = struct{}{}
+		k.seeds[peer] = struct{}{}
 	}
 	for _, m := range members {
 		if m.Data != k.self.Data && !k.outdated(m) {
-			k.strays[m.Control] = struct{}{}
+			k.seeds[m.Control] = struct{}{}
 		}
 	}
-	delete(k.strays, k.self.Control)
+	delete(k.seeds, k.self.Control)
 	select {
 	case k.wake <- struct{}{}:
 	default:
--- a/keeper/watchlist.go
+++ b/keeper/watchlist.go
@@ -26,8 +26,8 @@
 type watch struct {
 	base    time.Duration
 	heardAt time.Duration
-	// patience is the silence after which to suspect.
-	patience time.Duration
+	// timeout is the silence after which to suspect.
+	timeout time.Duration
 	// suspected is the state that was suspected last.
 	suspected roster.Mark
 	// probeAt is when to probe next; zero is not.
@@ -60,7 +60,7 @@
 func (l *watchlist) heard(now time.Duration, key roster.Key) {
 	w := l.begin(now, key)
 	w.heardAt = now
-	w.patience = w.base
+	w.timeout = w.base
 	w.suspected = roster.Mark{}
 	w.probeAt = 0
 	w.probeEvery = 0
@@ -75,7 +75,7 @@
 	if key.Kind == roster.KindMember {
 		base = _memberSilence
 	}
-	w := &watch{base: base, heardAt: now, patience: base}
+	w := &watch{base: base, heardAt: now, timeout: base}
 	l.watches[key] = w
 	return w
 }
@@ -150,7 +150,7 @@
 	return alive, all
 }
 
-func (w *watch) silent(now time.Duration) bool { return now-w.heardAt > w.patience }
+func (w *watch) silent(now time.Duration) bool { return now-w.heardAt > w.timeout }
 
 // judge suspects a process that is silent.
 func (w *watch) judge(now time.Duration, key roster.Key, status roster.Status, actions []action) []action {
@@ -159,7 +159,7 @@
 	}
 	if refuted := w.suspected.Incarnation != 0 && status.Mark.Compare(w.suspected) > 0; refuted {
 		// Others hear it and this balancer does not: it waits longer each time.
-		w.patience = min(2*w.patience, _maxPatience)
+		w.timeout = min(2*w.timeout, _maxSilence)
 		w.heardAt = now
 		w.suspected = roster.Mark{}
 		w.probeAt = 0
--- a/roster/keepers.go
+++ b/roster/keepers.go
@@ -127,9 +127,9 @@
 	return out
 }
 
-// Patrol returns the upstreams of one bucket, so that a caller who counts turns
+// Scan returns the upstreams of one bucket, so that a caller who counts turns
 // up sees all of them again and again at an even cost. Ended ones are left out.
-func (r *Roster) Patrol(turn uint) []Upstream {
+func (r *Roster) Scan(turn uint) []Upstream {
 	b := r.buckets[_memberBuckets+turn%(_buckets-_memberBuckets)]
 	var out []Upstream
 	for _, e := range b.entries {
--- a/roster/services.go
+++ b/roster/services.go
@@ -31,9 +31,9 @@
 
 func (r *Roster) serviceSize(id service.ID) int { return len(r.services[id]) }
 
-// Neighbours returns up to n other upstreams of the same service that serve and
+// Peers returns up to n other upstreams of the same service that serve and
 // are not suspected, chosen by rendezvous hashing.
-func (r *Roster) Neighbours(u Upstream, n int) []Upstream {
+func (r *Roster) Peers(u Upstream, n int) []Upstream {
 	seed := xxhash.Sum64(appendAddr(nil, u.Data))
 	type scored struct {
 		*Upstream
