--- a/announcer/detection_test.go
+++ b/announcer/detection_test.go
@@ -9,14 +9,22 @@
 	"gotest.tools/v3/assert"
 )
 
+// size is the number of processes in a fleet.
+type size struct{ keepers, agents int }
+
+// sizes are those at which a fleet is measured.
+func sizes() []size {
+	all := []size{{3, 10}, {10, 50}, {30, 150}}
+	if testing.Short() {
+		return all[:1]
+	}
+	return all
+}
+
 // TestDetection prints, with -v, how long balancers give new flows to an
 // upstream that was killed, whose host vanished, or that was paused.
 func TestDetection(t *testing.T) {
-	sizes := []struct{ keepers, agents int }{{3, 10}, {10, 50}, {30, 150}}
-	if testing.Short() {
-		sizes = sizes[:1]
-	}
-	for _, size := range sizes {
+	for _, size := range sizes() {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, size.keepers, size.agents)
 			defer f.close()
--- a/announcer/octets_test.go
+++ b/announcer/octets_test.go
@@ -27,11 +27,7 @@
 // TestControlOctets prints, with -v, what control costs each process in the
 // steady state, both directions together.
 func TestControlOctets(t *testing.T) {
-	sizes := []struct{ keepers, agents int }{{3, 10}, {10, 50}, {30, 150}}
-	if testing.Short() {
-		sizes = sizes[:1]
-	}
-	for _, size := range sizes {
+	for _, size := range sizes() {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, size.keepers, size.agents)
 			defer f.close()
--- a/follower/bench_test.go
+++ b/follower/bench_test.go
@@ -111,10 +111,7 @@
 		<-f.Updates()
 		held := liveHeap() - before
 		for range 8 {
-			state, err := editor.Load(b.Context())
-			assert.NilError(b, err)
-			accepted, err := editor.Submit(b.Context(), propose(random, state.Document, "kari", targetPath(0, random.IntN(_targetServices))))
-			assert.NilError(b, err)
+			accepted := commit(b, editor, random, targetPath(0, random.IntN(_targetServices)))
 			for f.Revision() < accepted.Revision {
 				<-f.Updates()
 			}
@@ -171,10 +168,7 @@
 			octets, calls = 0, 0
 			var applying time.Duration
 			for b.Loop() {
-				state, err := editor.Load(b.Context())
-				assert.NilError(b, err)
-				accepted, err := editor.Submit(b.Context(), propose(random, state.Document, "kari", targetPath(0, random.IntN(_targetServices))))
-				assert.NilError(b, err)
+				accepted := commit(b, editor, random, targetPath(0, random.IntN(_targetServices)))
 				for source.Revision() < accepted.Revision {
 					<-source.Updates()
 				}
@@ -211,11 +205,7 @@
 		time.Sleep(time.Minute)
 		f.set(func() { f.replies = nil })
 		reads := f.store.reads
-		editor := follower.NewEditor(f.store)
-		state, err := editor.Load(t.Context())
-		assert.NilError(t, err)
-		accepted, err := editor.Submit(t.Context(), propose(f.random, state.Document, "kari", node(0)))
-		assert.NilError(t, err)
+		accepted := commit(t, follower.NewEditor(f.store), f.random, node(0))
 		start := time.Now()
 		exchanges := 0
 		for tick := 0; f.behind(accepted.Revision) > 0; tick++ {
--- a/follower/editor_test.go
+++ b/follower/editor_test.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// commit has a change at path accepted and returns it.
+func commit(t testing.TB, editor *follower.Editor, random *rand.Rand, path settings.Path) audit.Change {
+	t.Helper()
+	state, err := editor.Load(t.Context())
+	assert.NilError(t, err)
+	accepted, err := editor.Submit(t.Context(), propose(random, state.Document, "kari", path))
+	assert.NilError(t, err)
+	return accepted
+}
+
 // outcome is what an operator learnt of a change.
 type outcome uint8
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -185,16 +185,13 @@
 			f.store.set(faults{})
 			f.set(func() { clear(f.cut) })
 			time.Sleep(time.Minute)
-			state, err := editor.Load(t.Context())
-			assert.NilError(t, err)
-			_, err = editor.Submit(t.Context(), propose(f.random, state.Document, "ola", node(1)))
-			assert.NilError(t, err)
+			commit(t, editor, f.random, node(1))
 			for range 6 {
 				time.Sleep(time.Second)
 				f.offer()
 			}
 			synctest.Wait()
-			state, err = editor.Load(t.Context())
+			state, err := editor.Load(t.Context())
 			assert.NilError(t, err)
 			for i, each := range f.followers {
 				assert.Equal(t, each.Revision(), state.Head.Revision, "follower %d", i)
@@ -260,10 +257,7 @@
 func (f *fleet) submit(n int) {
 	editor := follower.NewEditor(f.store)
 	for range n {
-		state, err := editor.Load(f.t.Context())
-		assert.NilError(f.t, err)
-		_, err = editor.Submit(f.t.Context(), propose(f.random, state.Document, "kari", node(0)))
-		assert.NilError(f.t, err)
+		commit(f.t, editor, f.random, node(0))
 	}
 	time.Sleep(time.Second)
 }
--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -100,17 +100,13 @@
 func (f *fleet) act(p *fleetPlace, h *limit.Holder) bool {
 	switch a := h.Act(f.instant(), func(limit.Run) bool { return false }).(type) {
 	case limit.Read:
-		f.second.reads++
-		if f.down || f.second.reads > _fleetReads {
-			f.second.refused++
+		if f.refuses(&f.second.reads, _fleetReads) {
 			h.Handle(f.instant(), limit.Failed{})
 			break
 		}
 		h.Handle(f.instant(), limit.ReadDone{Share: p.share, Version: p.version})
 	case limit.Write:
-		f.second.writes++
-		if f.down || f.second.writes > _fleetWrites {
-			f.second.refused++
+		if f.refuses(&f.second.writes, _fleetWrites) {
 			h.Handle(f.instant(), limit.Failed{})
 			break
 		}
@@ -122,6 +118,16 @@
 	return true
 }
 
+// refuses counts a call, and reports whether it is one too many in this second.
+func (f *fleet) refuses(calls *int, most int) bool {
+	*calls++
+	if !f.down && *calls <= most {
+		return false
+	}
+	f.second.refused++
+	return true
+}
+
 // missing is how many of the demanded flows the fleet has not admitted.
 func (f *fleet) missing(demand func(host int) int) (flows int) {
 	for _, p := range f.places {
