limit, leaseholder, keeper: the pace of shares follows the size of the fleet

Cause: every fleet went by the pace of 5,900 hosts: a run asked for more after up to 20 s and a minute after its last write, so in a fleet of 9 hosts a quarter of a flow limit was refused for over 40 s although it was free. And 5,900 hosts that started within 2 s asked for 1,500 writes in a second. Ruled out: counting the roster, which is small just after a whole fleet has started, when the spread matters most. Change: balancers tell agents how many hosts the settings expect (the sum of max_hosts); a run spreads its first request and its requests for more over 4 ms for each host (at least 50 ms), and looks every 10 ms for each host (at least 2 s). A fleet of unknown size keeps the old pace, and joins over 20 s.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -57,6 +57,7 @@
 	percent uint8
 	load    roster.LoadFilter
 	peers   []keeper.Peer
+	hosts   int
 	random  *rand.Rand
 	// heard is when the latest heartbeat that a keeper answered was sent.
 	heard time.Time
@@ -240,6 +241,7 @@
 	}
 	a.plan.answered(a.now(), addr)
 	a.told[addr] = roster.Mark{Incarnation: sent.Incarnation, Seq: sent.Seq}
+	a.hosts = int(reply.Hosts)
 	after := func() {}
 	switch {
 	case reply.Highest >= a.self.Incarnation && reply.Highest != 0:
--- a/announcer/reach.go
+++ b/announcer/reach.go
@@ -25,6 +25,14 @@
 	return a.heard.After(t)
 }
 
+// Hosts returns how many hosts the fleet is expected to have, as a keeper said
+// last; zero if that is not known.
+func (a *Announcer) Hosts() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.hosts
+}
+
 // Keepers returns the control addresses of the keepers.
 func (a *Announcer) Keepers() []netip.AddrPort {
 	a.mu.Lock()
--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -272,6 +272,7 @@
 	n.leaseholder, err = leaseholder.New(parts.store, n.config.path(), run, n.policy,
 		leaseholder.WithUpdates(n.follower.Updates()),
 		leaseholder.WithConfirm(n.confirm),
+		leaseholder.WithHosts(n.announcer.Hosts),
 		leaseholder.WithLogger(n.log),
 		leaseholder.WithMeter(parts.meter),
 	)
--- a/dandelionhitch/balancer.go
+++ b/dandelionhitch/balancer.go
@@ -47,6 +47,8 @@
 	keeper   *keeper.Keeper
 	balancer *balancer.Balancer
 	tables   tableBuilder
+	// expected is how many hosts the settings expect.
+	expected atomic.Int64
 	// members are those of the last view, nil before the first.
 	members atomic.Pointer[[]roster.MemberStatus]
 }
@@ -188,6 +190,7 @@
 		keeper.WithPeers(n.config.peers...),
 		keeper.WithRevision(n.follower.Revision),
 		keeper.WithHigherRevision(n.follower.Offer),
+		keeper.WithHosts(func() int { return int(n.expected.Load()) }),
 		keeper.WithLogger(n.log),
 		keeper.WithMeter(parts.meter),
 	}
@@ -226,7 +229,9 @@
 func (n *balancerNode) updateTable() {
 	view := n.keeper.View()
 	n.members.Store(&view.Members)
-	table, err := n.tables.build(n.follower.Current(), view)
+	document := n.follower.Current()
+	n.expected.Store(expectedHosts(document))
+	table, err := n.tables.build(document, view)
 	if err != nil {
 		n.log.Error("routing table refused, the last one stays", zap.Error(err))
 		return
--- a/dandelionhitch/table.go
+++ b/dandelionhitch/table.go
@@ -76,6 +76,15 @@
 	b.present = present
 }
 
+// expectedHosts is how many hosts all services together may have.
+func expectedHosts(document *settings.Document) int64 {
+	var hosts int64
+	for s := range document.Services() {
+		hosts += int64(s.Limits.MaxHosts)
+	}
+	return hosts
+}
+
 // candidates returns the eligible upstreams of near places, or all if there are none.
 func candidates(eligible []roster.Candidate, near func(service.Place) bool) []route.Candidate {
 	var nearby, all []route.Candidate
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -72,7 +72,7 @@
 	for _, opt := range opts {
 		opt(&l.opts)
 	}
-	l.holder = limit.NewHolder(l.now(), run, l.opts.pace, rand.Uint64())
+	l.holder = limit.NewHolder(l.now(), run, l.opts.paceNow(), rand.Uint64())
 	if err := l.registerMetrics(); err != nil {
 		return nil, trace.Wrap(err, "leaseholder metrics")
 	}
--- a/leaseholder/loop.go
+++ b/leaseholder/loop.go
@@ -77,8 +77,10 @@
 // follow brings the settings in force to the holder.
 func (l *Leaseholder) follow() {
 	limits := limit.LimitsOf(l.policy())
+	pace := l.opts.paceNow()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.holder.SetPace(l.now(), pace)
 	l.holder.SetLimits(l.now(), limits)
 }
 
--- a/leaseholder/options.go
+++ b/leaseholder/options.go
@@ -15,6 +15,7 @@
 	log     *zap.Logger
 	meter   metric.Meter
 	pace    limit.Pace
+	hosts   func() int
 	confirm Confirm
 	updates <-chan struct{}
 }
@@ -24,10 +25,19 @@
 		log:     zap.NewNop(),
 		meter:   noop.Meter{},
 		pace:    limit.DefaultPace(),
+		hosts:   func() int { return 0 },
 		confirm: func(context.Context, limit.Run) (bool, error) { return false, nil },
 	}
 }
 
+// paceNow is the pace for the fleet as it is now known.
+func (o *options) paceNow() limit.Pace {
+	if hosts := o.hosts(); hosts > 0 {
+		return limit.PaceFor(hosts)
+	}
+	return o.pace
+}
+
 // Option configures a Leaseholder.
 type Option func(*options)
 
@@ -40,6 +50,10 @@
 // WithPace sets the pace; the default is limit.DefaultPace.
 func WithPace(pace limit.Pace) Option { return func(o *options) { o.pace = pace } }
 
+// WithHosts tells how many hosts the fleet has, zero if that is not known. The
+// pace follows it; without it the pace is that of WithPace.
+func WithHosts(hosts func() int) Option { return func(o *options) { o.hosts = hosts } }
+
 // WithConfirm sets how to ask whether a silent run is gone for good, so that its
 // share returns within minutes and not only after the drain deadline. The
 // default confirms nothing.
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -97,6 +97,23 @@
 	h.gate.refresh()
 }
 
+// SetPace sets how often the run speaks to the platform from now on. A wait that
+// has begun is shortened to the new one.
+func (h *Holder) SetPace(now Instant, pace Pace) {
+	if pace == h.pace {
+		return
+	}
+	h.pace = pace
+	h.watch.step = _sightLooks * pace.Look
+	switch {
+	case h.version == 0:
+		h.renewal = min(h.renewal, now.Mono+h.within(pace.Join))
+		h.hasten(h.renewal)
+	case h.urgent:
+		h.hurry(now)
+	}
+}
+
 // TryAdmit takes a place for one flow, or returns a *RefusalError. It reports
 // as early whether Act is to be called before the time that it last gave.
 func (h *Holder) TryAdmit(now Instant) (early bool, err error) {
--- a/limit/holder_test.go
+++ b/limit/holder_test.go
@@ -89,6 +89,34 @@
 	assert.DeepEqual(t, shares(), before)
 }
 
+// TestPaceFollowsTheFleet checks what fleets of all sizes may ask of the
+// platform, and that a run that waits to join hears of a smaller fleet.
+func TestPaceFollowsTheFleet(t *testing.T) {
+	for hosts := 1; hosts <= 5900; hosts++ {
+		pace := limit.PaceFor(hosts)
+		each := time.Duration(hosts) * time.Second
+		assert.Assert(t, 300*pace.Spread >= each && 300*pace.Join >= each, "%d hosts: %+v", hosts, pace)
+		assert.Assert(t, 100*pace.Look >= each, "%d hosts: %+v", hosts, pace)
+	}
+	assert.Equal(t, limit.PaceFor(0), limit.DefaultPace())
+	const most = 100 * time.Millisecond
+	for seed := range uint64(20) {
+		h := limit.NewHolder(limit.Instant{}, limit.Run{}, limit.DefaultPace(), seed)
+		h.SetPace(limit.Instant{}, limit.PaceFor(10))
+		_, reads := h.Act(limit.Instant{Mono: most}, nil).(limit.Read)
+		assert.Assert(t, reads)
+		write, _ := readNothing(h, most).(limit.Write)
+		assert.Equal(t, len(write.Share.Entries), 1)
+	}
+}
+
+// readNothing answers a run's read of a Share that does not exist, and returns
+// what it does next.
+func readNothing(h *limit.Holder, now time.Duration) limit.Action {
+	h.Handle(limit.Instant{Mono: now}, limit.ReadDone{})
+	return h.Act(limit.Instant{Mono: now}, func(limit.Run) bool { return false })
+}
+
 // actions are all that may happen between two checks.
 func (w *world) actions() map[string]func(*rapid.T) {
 	alive := func(act func(t *rapid.T, h *host)) func(*rapid.T) {
@@ -114,6 +142,11 @@
 		"elapse": func(t *rapid.T) {
 			w.elapse(rapid.SampledFrom(spans).Draw(t, "span"))
 		},
+		"pace": running(func(t *rapid.T, h *host) {
+			pace := limit.PaceFor(rapid.SampledFrom([]int{0, 10, 600, 5900}).Draw(t, "fleet"))
+			pace.FloorTerm = w.pace.FloorTerm
+			h.holder.SetPace(w.clock(h), pace)
+		}),
 		"act": running(func(t *rapid.T, h *host) {
 			w.act(h, rapid.SampledFrom([]fate{_answered, _answered, _refused, _lost, _delayed, _stale}).Draw(t, "fate"))
 		}),
--- a/limit/pace.go
+++ b/limit/pace.go
@@ -26,7 +26,35 @@
 	Retry time.Duration
 }
 
-// DefaultPace returns the pace for the whole fleet.
+// What a fleet may ask of the platform, by which PaceFor spreads its runs.
+const (
+	// _writeSpacing is the time between two requests for more, of any runs, when
+	// all want more in the same instant: 250 writes a second.
+	_writeSpacing = 4 * time.Millisecond
+	// _readSpacing is the time between two looks of any runs, all the time: 100
+	// reads a second.
+	_readSpacing = 10 * time.Millisecond
+	// _minSpread and _minLook bound the spans of a small fleet.
+	_minSpread = 50 * time.Millisecond
+	_minLook   = 2 * time.Second
+)
+
+// PaceFor returns the pace for a fleet of this many hosts. The fewer there are,
+// the sooner a run may ask again: 10 hosts within 2 seconds, 5,900 within a
+// minute. The terms of leases are the same for every fleet, so runs of
+// different pace share a limit safely.
+func PaceFor(hosts int) Pace {
+	pace := DefaultPace()
+	if hosts <= 0 {
+		return pace
+	}
+	pace.Spread = max(time.Duration(hosts)*_writeSpacing, _minSpread)
+	pace.Join = pace.Spread
+	pace.Look = max(time.Duration(hosts)*_readSpacing, _minLook)
+	return pace
+}
+
+// DefaultPace returns the pace for a fleet of 5,900 hosts or of unknown size.
 func DefaultPace() Pace {
 	return Pace{
 		Term:      10 * time.Minute,
@@ -34,7 +62,7 @@
 		Renewal:   4 * time.Minute,
 		Spread:    20 * time.Second,
 		Look:      time.Minute,
-		Join:      2 * time.Second,
+		Join:      20 * time.Second,
 		Retry:     2 * time.Second,
 	}
 }
