follower: a test of a process whose service is added later

Cause: that a process without settings asks often had a lower bound in a test of the assembled system only, and no upper one. Change: TestServiceAddedLater counts 40 to 120 requests a minute, as 0.5 to 1.5 s allow, and has the added service in force within 2 s. Seen failing: with the interval of 30 s, 3 requests in the minute.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -357,3 +357,30 @@
 		f.close()
 	})
 }
+
+// TestServiceAddedLater starts a process before its service is in the settings.
+// Until then it asks every 0.5 to 1.5 s, and no more often.
+func TestServiceAddedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		late := parsePath("akl/akl-a/later")
+		f.start(1, follower.WithService(late))
+		time.Sleep(time.Second)
+		f.set(func() { f.replies = nil })
+		time.Sleep(time.Minute)
+		f.set(func() {
+			asked := len(f.replies)
+			assert.Assert(t, asked >= 40 && asked <= 120, "asked %d times in a minute", asked)
+		})
+		change := propose(f.random, f.followers[0].Current(), "kari", late)
+		id := service.ID(99)
+		change.Edits[0].After.ID = &id
+		change.Edits[0].After.Addresses = []netip.AddrPort{netip.MustParseAddrPort("127.0.1.99:443")}
+		_, err := follower.NewEditor(f.store).Submit(t.Context(), change)
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Second)
+		_, ok := f.followers[1].Service(late.Region, late.Place, late.Name)
+		assert.Assert(t, ok)
+		f.close()
+	})
+}
