--- a/limit/holder.go
+++ b/limit/holder.go
@@ -214,14 +214,14 @@
 		h.due = now.Mono + h.within(doubled(_conflictWait, h.conflicts, h.pace.Look))
 		return
 	}
-	wait := h.patience()
+	wait := h.retryWait()
 	h.failures++
 	h.due = now.Mono + wait/2 + h.within(wait/2)
 }
 
-// patience is the wait after a failure. A run that has a share waits until its
+// retryWait is the wait after a failure. A run that has a share waits until its
 // next look at least, so that an outage does not multiply the fleet's calls.
-func (h *Holder) patience() time.Duration {
+func (h *Holder) retryWait() time.Duration {
 	if h.gate.joined && !h.leaving {
 		return doubled(h.pace.Look, h.failures, h.pace.Renewal)
 	}
