dandelionhitch: tests of faults wait side by side

Cause: the eight tests of faults took 37 s one after another, nearly all of it waits for a pause, an operator's timeout or a suspicion; and one wait had no bound. Ruled out: a shorter pause, which would end before an upstream's silence counts. Change: the four tests that wait longest run beside each other, each in a network of its own; a flow that is to be moved is waited for within a bound.

--- a/dandelionhitch/faults_test.go
+++ b/dandelionhitch/faults_test.go
@@ -167,6 +167,17 @@
 	assert.Assert(f.t, standin.IsReset(flow.Err()), "the flow ended by %v", flow.Err())
 }
 
+// awaitMoved waits until a flow has ended, which must be because the caller was
+// asked to open another.
+func (f *faultFleet) awaitMoved(flow *standin.Caller) {
+	f.t.Helper()
+	select {
+	case <-flow.Done():
+	case <-time.After(_faultWithin):
+	}
+	assert.Assert(f.t, standin.IsGoAway(flow.Err()), "the flow ended by %v", flow.Err())
+}
+
 // longRequest is a request in progress.
 type longRequest struct {
 	tomb   tomb.Tomb
@@ -260,6 +271,7 @@
 // TestFlowsOfAKilledAgentAreReset kills an agent. New flows go to the other
 // one, and a flow from before is reset.
 func TestFlowsOfAKilledAgentAreReset(t *testing.T) {
+	t.Parallel()
 	f := startFaultFleet(t)
 	const label = "rutetjeneste-1"
 	flow, other := f.flowAt(label), f.flowAt("fotoarkiv-1")
@@ -288,6 +300,7 @@
 // TestAPausedAgentKeepsItsFlows pauses an agent with a request in progress
 // until new flows avoid it. Nothing that was open may end.
 func TestAPausedAgentKeepsItsFlows(t *testing.T) {
+	t.Parallel()
 	f := startFaultFleet(t)
 	const label = "rutetjeneste-1"
 	silent, busy := f.flowAt(label), f.flowAt(label)
@@ -304,6 +317,7 @@
 // TestAPausedBalancerComesBackUpToDate pauses a balancer that the fabric goes
 // on handing datagrams to, and changes the settings meanwhile.
 func TestAPausedBalancerComesBackUpToDate(t *testing.T) {
+	t.Parallel()
 	f := startFaultFleet(t)
 	flows := []*standin.Caller{f.flowAt("rutetjeneste-1"), f.flowAt("rutetjeneste-2"), f.flowAt("fotoarkiv-1")}
 	const balancer = 1
@@ -332,6 +346,7 @@
 // TestFleetLivesThroughAnOutage cuts the platform off, kills a balancer, and
 // lets an operator try a change whose id is settled afterwards.
 func TestFleetLivesThroughAnOutage(t *testing.T) {
+	t.Parallel()
 	f := startFaultFleet(t)
 	flows := []*standin.Caller{f.flowAt("rutetjeneste-1"), f.flowAt("fotoarkiv-2")}
 	f.platform.SetFaults(standin.PlatformFaults{Outage: true})
@@ -372,8 +387,7 @@
 	f.signal("rutetjeneste-1", syscall.SIGSTOP)
 	f.signal("rutetjeneste-2", syscall.SIGTERM)
 	assert.NilError(t, f.wait("rutetjeneste-2"))
-	<-drained.Done()
-	assert.Assert(t, standin.IsGoAway(drained.Err()), "the flow ended by %v", drained.Err())
+	f.awaitMoved(drained)
 	f.signal("rutetjeneste-1", syscall.SIGCONT)
 	f.goOn(paused, f.flowAt("rutetjeneste-1"))
 }
@@ -389,8 +403,7 @@
 	long.wait(t)
 	assert.Equal(t, long.answer.Upstream, label)
 	assert.NilError(t, f.wait(label))
-	<-flow.Done()
-	assert.Assert(t, standin.IsGoAway(flow.Err()), "the flow ended by %v", flow.Err())
+	f.awaitMoved(flow)
 	assert.Equal(t, f.upstreams[f.host(label)].Runs(long.work.Number), 1)
 }
 
