--- a/dandelionhitch/process_test.go
+++ b/dandelionhitch/process_test.go
@@ -151,6 +151,8 @@
 	command := exec.Command(os.Args[0], role, "-config", f.path(name+".json"))
 	command.Env = append(os.Environ(), _asProgram+"=1")
 	command.Stderr = os.Stderr
+	// A test that is ended from outside leaves no process behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(f.t, command.Start())
 	f.processes[name] = command
 }
@@ -227,8 +229,8 @@
 
 // TestRequestsPassWhileProcessesComeAndGo starts the real program as 3 balancers
 // and 4 agents. Every answer must be whole and of its own service, and no flow
-// may break, while a balancer is killed, another is replaced, one agent is
-// paused, and one is told to stop.
+// may break, when a balancer was killed, one was told to stop, one joined, and
+// an agent was paused.
 func TestRequestsPassWhileProcessesComeAndGo(t *testing.T) {
 	f := startProcesses(t)
 	const flows = 6
