--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -62,8 +61,6 @@
 	dispatcher  *dispatcher.Dispatcher
 	peerServer  *peerServer
 	agent       *agent.Agent
-	// last is the policy in force last, nil before the first.
-	last atomic.Pointer[settings.Service]
 }
 
 func agentCommand(stderr io.Writer) *ffcli.Command {
@@ -185,17 +182,9 @@
 // on under what was in force last.
 func (n *agentNode) policy() settings.Service {
 	s, ok := n.follower.Service(n.config.region, n.config.place, n.config.service)
-	if ok {
-		n.last.Store(&s)
-		return s
+	if !ok {
+		s.Limits.Flows = 0
 	}
-	last := n.last.Load()
-	if last == nil {
-		return settings.Service{}
-	}
-	s = *last
-	s.Revision = n.follower.Revision()
-	s.Limits.Flows = 0
 	return s
 }
 
