dandelionhitch: tests of loss, of keys read again, and of the own region

Change: one datagram in ten is lost under requests; SIGHUP brings a good and a bad key file; candidates of two regions.

--- a/dandelionhitch/fleet_test.go
+++ b/dandelionhitch/fleet_test.go
@@ -122,3 +122,13 @@
 	assert.Assert(t, err != nil, "a flow was opened to a service that was taken out")
 	requestTest(t, caller, 3)
 }
+
+// TestRequestsPassThroughLoss loses one datagram in ten on the way to the balancers.
+func TestRequestsPassThroughLoss(t *testing.T) {
+	f := startFleet(t)
+	f.fabric.SetLoss(0.1)
+	caller := f.dialTest(t)
+	for number := range uint64(10) {
+		requestTest(t, caller, number)
+	}
+}
--- a/dandelionhitch/keys_test.go
+++ b/dandelionhitch/keys_test.go
@@ -4,9 +4,13 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // TestKeysRotate takes a key file through a whole rotation by the command.
@@ -31,3 +35,27 @@
 	assert.NilError(t, err)
 	assert.Equal(t, int(read.packet.Current()), 2)
 }
+
+// TestKeysAreReadAgain sends this process SIGHUP with a good and a bad key file.
+func TestKeysAreReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys.json")
+	var file bytes.Buffer
+	assert.NilError(t, printNewKeys(&file))
+	assert.NilError(t, os.WriteFile(path, file.Bytes(), 0o600))
+	read := make(chan keys, 1)
+	core, logs := observer.New(zap.InfoLevel)
+	reloader := newKeyReloader(path, zap.New(core), func(k keys) { read <- k })
+	defer reloader.Close()
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	assert.Equal(t, int((<-read).packet.Current()), 1)
+
+	assert.NilError(t, os.WriteFile(path, []byte("{}"), 0o600))
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if logs.FilterMessage("key file refused, the old keys stay").Len() == 0 {
+			return poll.Continue("the bad file was not refused")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(_testTimeout))
+	assert.Equal(t, len(read), 0)
+}
--- a/dandelionhitch/table_test.go
+++ b/dandelionhitch/table_test.go
@@ -59,3 +59,16 @@
 	assert.NilError(t, err)
 	return document
 }
+
+// TestCandidatesOfTheOwnRegionComeFirst lists upstreams of two places.
+func TestCandidatesOfTheOwnRegionComeFirst(t *testing.T) {
+	upstream := func(place service.Place, host byte) roster.Candidate {
+		data := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 7000)
+		return roster.Candidate{Upstream: roster.Upstream{Place: place, Data: data}, Share: 1}
+	}
+	near := func(place service.Place) bool { return place == "akl-a" }
+	both := candidates([]roster.Candidate{upstream("oslo-a", 1), upstream("akl-a", 2)}, near)
+	assert.Equal(t, len(both), 1)
+	assert.Equal(t, both[0].Addr.String(), "10.0.0.2:7000")
+	assert.Equal(t, len(candidates([]roster.Candidate{upstream("oslo-a", 1)}, near)), 1)
+}
