--- a/dandelionhitch/measure_ends_test.go
+++ b/dandelionhitch/measure_ends_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"encoding/pem"
 	"net/http"
@@ -45,22 +43,15 @@
 	b.Cleanup(p.end)
 	p.file("keys.json", f.keyData)
 	p.file("ca.pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: f.authority.cert.Raw}))
-	p.certificate("control", f.parts.tls.Certificates[0])
+	writeCert(b, p.dir, "control", f.parts.tls.Certificates[0])
 	for _, s := range f.plan.services {
 		cert, err := f.authority.issue(string(s.name))
 		assert.NilError(b, err)
-		p.certificate(string(s.name), cert)
+		writeCert(b, p.dir, string(s.name), cert)
 	}
 	return p
 }
 
-func (p *measuredProcesses) certificate(name string, cert tls.Certificate) {
-	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
-	assert.NilError(p.b, err)
-	p.file(name+".pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert.Certificate[0]}))
-	p.file(name+".key", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}))
-}
-
 func (p *measuredProcesses) file(name string, data []byte) {
 	assert.NilError(p.b, os.WriteFile(p.path(name), data, 0o600))
 }
--- a/dandelionhitch/process_test.go
+++ b/dandelionhitch/process_test.go
@@ -83,10 +83,20 @@
 }
 
 func (f *processFleet) writeCert(name string, cert tls.Certificate) {
+	writeCert(f.t, f.dir, name, cert)
+}
+
+// writeCert writes a certificate and its key as PEM files.
+func writeCert(t testing.TB, dir, name string, cert tls.Certificate) {
+	t.Helper()
 	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
-	assert.NilError(f.t, err)
-	f.write(name+".pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert.Certificate[0]}))
-	f.write(name+".key", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}))
+	assert.NilError(t, err)
+	for file, block := range map[string]*pem.Block{
+		name + ".pem": {Type: "CERTIFICATE", Bytes: cert.Certificate[0]},
+		name + ".key": {Type: "PRIVATE KEY", Bytes: key},
+	} {
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, file), pem.EncodeToMemory(block), 0o600))
+	}
 }
 
 func (f *processFleet) write(name string, data []byte) {
--- a/dandelionhitch/settings_read.go
+++ b/dandelionhitch/settings_read.go
@@ -25,11 +25,7 @@
 func settingsGet(env settingsEnvironment) *ffcli.Command {
 	return env.subcommand("get", "[path]", "Print what a node and those below it set.", nil,
 		func(ctx context.Context, run *settingsRun, args []string) error {
-			path, err := onePath(args)
-			if err != nil {
-				return err
-			}
-			state, err := run.editor.Load(ctx)
+			path, state, err := run.loadAt(ctx, args)
 			if err != nil {
 				return err
 			}
@@ -41,14 +37,20 @@
 		})
 }
 
+// loadAt reads the settings for a command whose only argument is a path.
+func (run *settingsRun) loadAt(ctx context.Context, args []string) (settings.Path, follower.State, error) {
+	path, err := onePath(args)
+	if err != nil {
+		return path, follower.State{}, err
+	}
+	state, err := run.editor.Load(ctx)
+	return path, state, err
+}
+
 func settingsEffective(env settingsEnvironment) *ffcli.Command {
 	return env.subcommand("effective", "[path]", "Print what is in force at a node, and where it comes from.", nil,
 		func(ctx context.Context, run *settingsRun, args []string) error {
-			path, err := onePath(args)
-			if err != nil {
-				return err
-			}
-			state, err := run.editor.Load(ctx)
+			path, state, err := run.loadAt(ctx, args)
 			if err != nil {
 				return err
 			}
