--- a/limit/pace.go
+++ b/limit/pace.go
@@ -3,9 +3,9 @@
 import "time"
 
 // Pace says how often a run speaks to the platform and how long its leases
-// last. The defaults bound what a fleet of 5,900 runs asks of the platform:
-// 25 writes and 100 reads a second when steady, at most 300 writes a second for
-// Spread when each run wants more in the same instant, and 100 after that.
+// last. PaceFor bounds what a fleet of any size asks of the platform: for 5,900
+// runs 25 writes and 100 reads a second when steady, and about 250 writes a
+// second for Spread when each run wants more in the same instant.
 type Pace struct {
 	// Term is how long the leased part is used after a renewal was sent.
 	Term time.Duration
