--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -138,9 +138,7 @@
 	case <-node.tomb.Dead():
 	}
 	parts.log.Info("agent draining")
-	deadline, cancel := node.drainContext()
-	defer cancel()
-	return node.Stop(deadline)
+	return node.runStop()
 }
 
 // newAgentNode starts an agent. It waits for the settings of its service, which
@@ -327,9 +325,11 @@
 // issued under the keys of the start, so an agent uses a new key from its next run on.
 func (n *agentNode) setKeys(k keys) { n.agent.SetKeys(k.packet) }
 
-// drainContext ends at the operator's drain deadline.
-func (n *agentNode) drainContext() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), time.Duration(n.policy().DrainDeadline))
+// runStop stops the agent within the operator's drain deadline.
+func (n *agentNode) runStop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.policy().DrainDeadline))
+	defer cancel()
+	return n.Stop(ctx)
 }
 
 // Stop takes no new flows, waits until the open ones have ended or ctx ends,
--- a/dandelionhitch/measure_changes_test.go
+++ b/dandelionhitch/measure_changes_test.go
@@ -73,9 +73,7 @@
 }
 
 func drainFirst(b *testing.B, f *fleet) {
-	ctx, cancel := f.agents[0].drainContext()
-	defer cancel()
-	assert.NilError(b, f.agents[0].Stop(ctx))
+	assert.NilError(b, f.agents[0].runStop())
 }
 
 // stopLast stops a balancer as an operator does; the fabric takes it out 1 s later.
--- a/dandelionhitch/try.go
+++ b/dandelionhitch/try.go
@@ -44,7 +44,6 @@
 	fleet   *fleet
 	results *trialResults
 	callers []*trialCaller
-	stop    context.CancelFunc
 	start   time.Time
 
 	promises []promise
@@ -142,9 +141,14 @@
 
 // disturb runs the callers while balancers, upstreams and limits change.
 func (t *trial) disturb(ctx context.Context, callers int) error {
-	ctx, t.stop = context.WithCancel(ctx)
-	defer t.stop()
-	t.startCallers(ctx, callers)
+	t.startCallers(callers)
+	err := t.takeSteps(ctx)
+	t.tomb.Kill(nil)
+	return trace.NewAggregate(err, t.tomb.Wait())
+}
+
+// takeSteps changes one thing after another.
+func (t *trial) takeSteps(ctx context.Context) error {
 	steps := []struct {
 		after time.Duration
 		do    func(context.Context) error
@@ -165,18 +169,17 @@
 			return err
 		}
 	}
-	t.stop()
-	t.tomb.Kill(nil)
-	return trace.Wrap(t.tomb.Wait())
+	return nil
 }
 
 // startCallers starts the callers spread over the ramp-up. Seven tenths call
 // the first service, the rest the second; one in ten asks for long work.
-func (t *trial) startCallers(ctx context.Context, n int) {
+func (t *trial) startCallers(n int) {
 	const tenths = 10
 	numbers := new(atomic.Uint64)
 	for i := range n {
 		caller := &trialCaller{
+			tomb:    &t.tomb,
 			fleet:   t.fleet,
 			service: t.fleet.plan.services[0],
 			path:    standin.PathShort,
@@ -197,7 +200,7 @@
 		}
 		caller.retryAfter = _tryRampUp * time.Duration(i) / time.Duration(n)
 		t.callers = append(t.callers, caller)
-		t.tomb.Go(func() error { return caller.run(ctx) })
+		t.tomb.Go(caller.run)
 	}
 }
 
@@ -258,11 +261,7 @@
 func (t *trial) drainUpstream(context.Context) error {
 	node := t.fleet.agents[0]
 	t.say("%s is told to leave with %d open flows", t.fleet.plan.hosts[0].label, node.agent.Flows())
-	t.tomb.Go(func() error {
-		ctx, cancel := node.drainContext()
-		defer cancel()
-		return node.Stop(ctx)
-	})
+	t.tomb.Go(node.runStop)
 	return nil
 }
 
--- a/dandelionhitch/try_caller.go
+++ b/dandelionhitch/try_caller.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"gopkg.in/tomb.v2"
+
 	"dandelionhitch.example/standin"
 )
 
@@ -25,6 +27,7 @@
 // trialCaller is one caller of a try: one flow at a time, one request after
 // another, until it is told to stop.
 type trialCaller struct {
+	tomb    *tomb.Tomb
 	fleet   *fleet
 	service plannedService
 	path    string
@@ -36,8 +39,9 @@
 	retryAfter time.Duration
 }
 
-// run sends requests until ctx ends. A request in progress is finished.
-func (c *trialCaller) run(ctx context.Context) error {
+// run sends requests until the try ends. A request in progress is finished.
+func (c *trialCaller) run() error {
+	ctx := c.tomb.Context(context.Background())
 	defer c.closeFlow()
 	for sleepContext(ctx, c.thinkTime()) {
 		if c.flow == nil && !c.open(ctx) {
