dandelionhitch: one fleet of processes serves tests, fault tests and measures

Cause: the measures had their own copy of writing credentials, starting and ending processes, without the rule that a process ends with its test, and the fault tests their own copy of the operators' command. Change: both use processFleet, whose owner may be a test or a benchmark. Checks and bounds are as they were.

--- a/dandelionhitch/faults_fleet_test.go
+++ b/dandelionhitch/faults_fleet_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"os"
 	"os/exec"
 	"regexp"
 	"strconv"
@@ -208,37 +207,18 @@
 }
 
 // wait returns once the request has ended, which must be whole.
-func (r *longRequest) wait(t *testing.T) {
+func (r *longRequest) wait(t testing.TB) {
 	t.Helper()
 	assert.NilError(t, r.tomb.Wait())
 	assert.Equal(t, r.answer.Status, 200)
 }
 
-// command returns an operator's command that is to be started.
-func (f *faultFleet) command(args ...string) *exec.Cmd {
-	f.t.Helper()
-	f.write("operator.json", mustJSON(f.t, map[string]any{
-		"platform": f.platform.URL().String(), "peers": f.plan.hosts[0].config.peers,
-		"control_cert": f.path("control.pem"), "control_key": f.path("control.key"), "control_ca": f.path("ca.pem"),
-	}))
-	command := exec.Command(os.Args[0], args...)
-	command.Env = append(os.Environ(), _asProgram+"=1", "DANDELIONHITCH_CONFIG="+f.path("operator.json"))
-	return command
-}
-
 // set returns an operator's change of settings, with words separated by blanks.
 func (f *faultFleet) set(words string) *exec.Cmd {
 	f.t.Helper()
 	return f.command(append([]string{"settings", "set"}, strings.Fields(words)...)...)
 }
 
-func (f *faultFleet) mustRun(command *exec.Cmd) string {
-	f.t.Helper()
-	out, err := command.CombinedOutput()
-	assert.NilError(f.t, err, "%s", out)
-	return string(out)
-}
-
 // runTogether runs commands at once and returns what each printed and whether it succeeded.
 func (f *faultFleet) runTogether(commands ...*exec.Cmd) (out []string, ok []bool) {
 	f.t.Helper()
--- a/dandelionhitch/measure_ends_test.go
+++ b/dandelionhitch/measure_ends_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"encoding/pem"
 	"net/http"
 	"net/netip"
-	"os"
-	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -33,53 +29,18 @@
 // measuredProcesses is a fleet whose agents, and balancers if asked for, are
 // processes of their own.
 type measuredProcesses struct {
-	processFleet
+	*processFleet
 	b *testing.B
 }
 
 func newMeasuredProcesses(b *testing.B, f *fleet) *measuredProcesses {
-	p := &measuredProcesses{b: b}
-	p.processFleet = processFleet{fleet: f, dir: b.TempDir(), processes: make(map[string]*exec.Cmd)}
-	b.Cleanup(p.end)
-	p.file("keys.json", f.keyData)
-	p.file("ca.pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: f.authority.cert.Raw}))
-	writeCert(b, p.dir, "control", f.parts.tls.Certificates[0])
-	for _, s := range f.plan.services {
-		cert, err := f.authority.issue(string(s.name))
-		assert.NilError(b, err)
-		writeCert(b, p.dir, string(s.name), cert)
-	}
-	return p
-}
-
-func (p *measuredProcesses) file(name string, data []byte) {
-	assert.NilError(p.b, os.WriteFile(p.path(name), data, 0o600))
-}
-
-func (p *measuredProcesses) run(role, name string, values map[string]any) *exec.Cmd {
-	data, err := json.Marshal(values)
-	assert.NilError(p.b, err)
-	p.file(name+".json", data)
-	command := exec.Command(os.Args[0], role, "-config", p.path(name+".json"))
-	command.Env = append(os.Environ(), _asProgram+"=1")
-	command.Stderr = os.Stderr
-	assert.NilError(p.b, command.Start())
-	p.processes[name] = command
-	return command
-}
-
-func (p *measuredProcesses) end() {
-	for _, command := range p.processes {
-		_ = command.Process.Signal(syscall.SIGCONT)
-		_ = command.Process.Kill()
-		_ = command.Wait()
-	}
+	return &measuredProcesses{processFleet: newProcessFleet(b, f), b: b}
 }
 
 // runAgents starts the agents as processes and waits until all are eligible.
 func (p *measuredProcesses) runAgents() {
 	for _, host := range p.plan.hosts {
-		p.run("agent", host.label, p.agentFile(host))
+		p.start("agent", host.label, p.agentFile(host))
 	}
 	ok := p.until(_endsWithin, func(b *balancerNode) bool { return len(b.keeper.View().Services[1]) == len(p.plan.hosts) })
 	assert.Assert(p.b, ok, "not all agents are eligible")
--- a/dandelionhitch/measure_flow_test.go
+++ b/dandelionhitch/measure_flow_test.go
@@ -32,8 +32,8 @@
 			f := prepareFleet(b, 1, measuredValues(_balanceLimit, 1), plannedService{name: "rutetjeneste", hosts: 1, slots: 4})
 			p := newMeasuredProcesses(b, f)
 			entry, host := f.plan.balancers[0], f.plan.hosts[0]
-			p.run("balancer", entry.name, p.balancerFile(entry))
-			p.run("agent", host.label, p.agentFile(host))
+			p.start("balancer", entry.name, p.balancerFile(entry))
+			p.start("agent", host.label, p.agentFile(host))
 			f.fabric.SetBalancers(f.plan.balancerAddresses()...)
 			p.silentFlow(host.label)
 			sleepContext(b.Context(), 2*time.Second)
--- a/dandelionhitch/process_test.go
+++ b/dandelionhitch/process_test.go
@@ -43,7 +43,7 @@
 // processFleet is a fleet whose balancers and agents are processes of their own.
 type processFleet struct {
 	*fleet
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	processes map[string]*exec.Cmd
 }
@@ -58,9 +58,8 @@
 	t.Cleanup(func() { layout.Close() })
 	inner, err := newFleet(t.Context(), layout, tryValues(_tryFlowLimit), zap.NewNop())
 	assert.NilError(t, err)
-	f := &processFleet{fleet: inner, t: t, dir: t.TempDir(), processes: make(map[string]*exec.Cmd)}
-	t.Cleanup(f.close)
-	f.writeCredentials()
+	t.Cleanup(func() { _ = inner.Close() })
+	f := newProcessFleet(t, inner)
 	for _, b := range layout.balancers {
 		f.start("balancer", b.name, f.balancerFile(b))
 	}
@@ -71,6 +70,16 @@
 	return f
 }
 
+// newProcessFleet returns a fleet whose processes are to be started; they end
+// with the test.
+func newProcessFleet(t testing.TB, inner *fleet) *processFleet {
+	t.Helper()
+	f := &processFleet{fleet: inner, t: t, dir: t.TempDir(), processes: make(map[string]*exec.Cmd)}
+	t.Cleanup(f.end)
+	f.writeCredentials()
+	return f
+}
+
 func (f *processFleet) writeCredentials() {
 	f.write("keys.json", f.keyData)
 	f.write("ca.pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: f.authority.cert.Raw}))
@@ -155,7 +164,7 @@
 }
 
 // start runs one process of the program with a settings file.
-func (f *processFleet) start(role, name string, values map[string]any) {
+func (f *processFleet) start(role, name string, values map[string]any) *exec.Cmd {
 	f.t.Helper()
 	f.write(name+".json", mustJSON(f.t, values))
 	command := exec.Command(os.Args[0], role, "-config", f.path(name+".json"))
@@ -165,6 +174,7 @@
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(f.t, command.Start())
 	f.processes[name] = command
+	return command
 }
 
 // signal sends a signal to one process.
@@ -180,13 +190,12 @@
 	return err
 }
 
-func (f *processFleet) close() {
+func (f *processFleet) end() {
 	for _, command := range f.processes {
 		_ = command.Process.Signal(syscall.SIGCONT)
 		_ = command.Process.Kill()
 		_ = command.Wait()
 	}
-	_ = f.Close()
 }
 
 // dial opens a flow to a service, trying until there is one to have.
@@ -206,8 +215,8 @@
 	return caller
 }
 
-// operate runs an operator's command to its end and returns what it printed.
-func (f *processFleet) operate(args ...string) string {
+// command returns an operator's command that is to be started.
+func (f *processFleet) command(args ...string) *exec.Cmd {
 	f.t.Helper()
 	f.write("operator.json", mustJSON(f.t, map[string]any{
 		"platform": f.platform.URL().String(), "peers": f.plan.hosts[0].config.peers,
@@ -215,12 +224,24 @@
 	}))
 	command := exec.Command(os.Args[0], args...)
 	command.Env = append(os.Environ(), _asProgram+"=1", "DANDELIONHITCH_CONFIG="+f.path("operator.json"))
+	return command
+}
+
+// mustRun runs an operator's command to its end and returns what it printed.
+func (f *processFleet) mustRun(command *exec.Cmd) string {
+	f.t.Helper()
 	out, err := command.CombinedOutput()
 	assert.NilError(f.t, err, "%s", out)
 	return string(out)
 }
 
-func mustJSON(t *testing.T, value any) []byte {
+// operate is mustRun of command.
+func (f *processFleet) operate(args ...string) string {
+	f.t.Helper()
+	return f.mustRun(f.command(args...))
+}
+
+func mustJSON(t testing.TB, value any) []byte {
 	data, err := json.Marshal(value)
 	assert.NilError(t, err)
 	return data
