--- a/dandelionhitch/flags.go
+++ b/dandelionhitch/flags.go
@@ -75,9 +75,12 @@
 	})
 }
 
-// addresses adds a flag that takes IP:PORT pairs separated by commas.
+// addresses adds a flag that takes IP:PORT pairs separated by commas, or nothing.
 func (s *flagSet) addresses(target *[]netip.AddrPort, name, usage string) {
 	s.Func(name, usage, func(value string) error {
+		if value == "" {
+			return nil
+		}
 		for item := range strings.SplitSeq(value, ",") {
 			address, err := netip.ParseAddrPort(strings.TrimSpace(item))
 			s.add("-"+name, err)
--- a/dandelionhitch/main.go
+++ b/dandelionhitch/main.go
@@ -66,7 +66,10 @@
 		ShortHelp:  "A layer-4 load balancer for small operators.",
 		FlagSet:    flags,
 		Subcommands: append(
-			[]*ffcli.Command{balancerCommand(stderr), agentCommand(stderr), tryCommand(stdout, stderr), keysCommand(stdout)},
+			[]*ffcli.Command{
+				balancerCommand(stderr), agentCommand(stderr), relayCommand(stdout, stderr), sidecarCommand(stdout, stderr),
+				tryCommand(stdout, stderr), keysCommand(stdout),
+			},
 			operatorCommands(stdin, stdout, stderr)...,
 		),
 		Exec: helpExec,
--- /dev/null
+++ b/dandelionhitch/opaque_flags.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"io"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap/zapcore"
+
+	"dandelionhitch.example/platform"
+)
+
+// opaqueFlags are the settings that relay and sidecar share.
+type opaqueFlags struct {
+	*flagSet
+	node       string
+	zone       string
+	addr       netip.Addr
+	ready      netip.AddrPort
+	control    netip.AddrPort
+	metrics    netip.AddrPort
+	seeds      []netip.AddrPort
+	peerPort   uint
+	memoryMB   uint
+	grace      time.Duration
+	hostedMode string
+	platform   platformFlags
+	logLevel   zapcore.Level
+	logOutput  io.Writer
+}
+
+// _hostedMode is the only way to reach upstreams that is served: through a
+// sidecar on the upstream's host.
+const _hostedMode = "agent"
+
+// Defaults of opaque settings.
+const (
+	_defaultGrace    = 6 * time.Second // what the users' deployments give a process to stop
+	_defaultMemoryMB = 64
+)
+
+func newOpaqueFlags(role string, stdout, stderr io.Writer) *opaqueFlags {
+	f := &opaqueFlags{flagSet: newFlagSet("dandelionhitch "+role, stderr), logOutput: stdout}
+	f.StringVar(&f.node, "node", "", "name of this VM in logs")
+	f.StringVar(&f.zone, "zone", "", "availability zone of this VM, such as oslo-a")
+	f.text(&f.addr, "addr", "IP of this VM")
+	f.text(&f.ready, "ready", "IP:PORT where readiness is asked (HTTP)")
+	f.text(&f.control, "control", "IP:PORT where upstreams report (HTTP)")
+	f.text(&f.metrics, "metrics", "IP:PORT of the metrics endpoint (HTTP); not set: none")
+	f.addresses(&f.seeds, "seeds", "IP:PORT of a few relays, separated by commas; the port is ignored")
+	f.UintVar(&f.peerPort, "peer-port", 0, "port for messages between processes, the same on every VM")
+	f.UintVar(&f.memoryMB, "memory-mb", _defaultMemoryMB, "memory that this process may use, in MB")
+	f.DurationVar(&f.grace, "grace", _defaultGrace, "time that a process gets to stop")
+	f.StringVar(&f.hostedMode, "upstream-mode", _hostedMode, "how upstreams are reached; only agent is served")
+	f.text(&f.logLevel, "log-level", "debug, info, warn or error")
+	f.platform.add(f.flagSet)
+	f.require("node", "zone", "addr", "ready", "control", "peer-port")
+	return f
+}
+
+// checkOpaque checks what relay and sidecar share.
+func (f *opaqueFlags) checkOpaque(args []string) error {
+	if f.peerPort > 1<<16-1 {
+		f.add("-peer-port", trace.BadParameter("%d is not a port", f.peerPort))
+	}
+	if f.hostedMode != _hostedMode {
+		f.add("-upstream-mode", trace.BadParameter("%q is not served, only %q is", f.hostedMode, _hostedMode))
+	}
+	return f.check(args)
+}
+
+// seedAddrs returns the seeds' VMs.
+func (f *opaqueFlags) seedAddrs() []netip.Addr {
+	var out []netip.Addr
+	for _, seed := range f.seeds {
+		if seed.Addr() != f.addr {
+			out = append(out, seed.Addr())
+		}
+	}
+	return out
+}
+
+// storeClient returns a client of the store, or nil if none is set.
+func (f *opaqueFlags) storeClient() (*platform.Client, error) {
+	if f.platform.url == "" {
+		return nil, nil
+	}
+	base, err := url.Parse(f.platform.url)
+	if err != nil {
+		return nil, trace.Wrap(err, "platform URL")
+	}
+	return platform.NewClient(base, platform.WithReadBudget(_storeReadBudget), platform.WithWatchTimeout(_storeWatchTimeout),
+		platform.WithCallTimeout(_storeCallTimeout)), nil
+}
+
+// Waits for the store.
+const (
+	// _storeCallTimeout is some ten times what a slow store takes.
+	_storeCallTimeout = 1200 * time.Millisecond
+	// _storeReadBudget bounds one read with its retries; the reader then starts anew.
+	_storeReadBudget = 10 * time.Second
+	// _storeWatchTimeout is how long a watch waits. Connections that have gone
+	// silent are found by their keep-alive probes, and changes come from other
+	// processes, too.
+	_storeWatchTimeout = 10 * time.Second
+)
+
+// incarnation returns a number that no other run at this address has.
+func incarnation() uint64 {
+	return uint64(time.Now().UnixNano())<<16 ^ uint64(os.Getpid())
+}
--- /dev/null
+++ b/dandelionhitch/opaque_node.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/platform"
+)
+
+// _memoryShare is the part of a process's memory that the Go runtime may fill;
+// the rest is for the program itself, stacks and socket buffers.
+const _memoryShare = 0.6
+
+// opaqueNode is what relay and sidecar share: log, metrics, store.
+type opaqueNode struct {
+	flags   *opaqueFlags
+	writer  *decision.Writer
+	log     *zap.Logger
+	records *decision.Log
+	metrics *metricsServer
+	store   platform.Store
+	closers []io.Closer
+}
+
+// openOpaqueNode opens what the flags name.
+func openOpaqueNode(f *opaqueFlags, ready func() bool) (*opaqueNode, error) {
+	debug.SetMemoryLimit(int64(float64(f.memoryMB) * _memoryShare * (1 << 20)))
+	n := &opaqueNode{flags: f, writer: decision.NewWriter(f.logOutput)}
+	n.log = newLogger(n.writer, f.logLevel).With(zap.String("node", f.node))
+	n.records = decision.NewLog(n.log)
+	n.closers = append(n.closers, n.writer)
+	var err error
+	if n.metrics, err = newMetricsServer(f.metrics, ready); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n.closers = append(n.closers, n.metrics)
+	client, err := f.storeClient()
+	if err != nil {
+		return nil, trace.NewAggregate(err, n.Close())
+	}
+	if client != nil {
+		n.store = client
+		n.closers = append(n.closers, client)
+	}
+	return n, nil
+}
+
+// add makes the node close c before what was added earlier.
+func (n *opaqueNode) add(c io.Closer) { n.closers = append(n.closers, c) }
+
+// Close closes everything, the newest first, and waits.
+func (n *opaqueNode) Close() error {
+	var errs []error
+	for i := len(n.closers) - 1; i >= 0; i-- {
+		errs = append(errs, n.closers[i].Close())
+	}
+	return trace.NewAggregate(errs...)
+}
+
+// peerAddr is where this process exchanges messages with others.
+func (n *opaqueNode) peerAddr() netip.AddrPort {
+	return netip.AddrPortFrom(n.flags.addr, uint16(n.flags.peerPort))
+}
+
+// spans returns a function that records measured times in histograms.
+func (n *opaqueNode) spans() (histograms, error) {
+	var h histograms
+	for span := range decision.Spans {
+		histogram, err := n.metrics.meter().Float64Histogram(
+			"dandelionhitch_"+span.String(), metric.WithUnit("s"),
+			metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5))
+		if err != nil {
+			return h, trace.Wrap(err, "histogram %s", span)
+		}
+		h[span] = histogram
+	}
+	return h, nil
+}
+
+// figure is one counter or gauge of a process.
+type figure struct {
+	name  string
+	value int64
+}
+
+// observeFigures makes the metrics read a process's figures when they are asked.
+func (n *opaqueNode) observeFigures(read func() []figure) error {
+	meter := n.metrics.meter()
+	var instruments []metric.Int64ObservableGauge
+	var observables []metric.Observable
+	for _, f := range read() {
+		gauge, err := meter.Int64ObservableGauge("dandelionhitch_" + f.name)
+		if err != nil {
+			return trace.Wrap(err, "metric %s", f.name)
+		}
+		instruments = append(instruments, gauge)
+		observables = append(observables, gauge)
+	}
+	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for i, f := range read() {
+			o.ObserveInt64(instruments[i], f.value)
+		}
+		return nil
+	}, observables...)
+	return trace.Wrap(err, "register metrics")
+}
+
+// histograms are the measured times of a process.
+type histograms [decision.Spans]metric.Float64Histogram
+
+// observe records a measured time.
+func (h histograms) observe(span decision.Span, took time.Duration) {
+	h[span].Record(context.Background(), took.Seconds())
+}
--- /dev/null
+++ b/dandelionhitch/opaque_registry.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"dandelionhitch.example/platform"
+)
+
+const (
+	// _relaysPrefix begins the keys of the entries by which relays are found.
+	_relaysPrefix = "relays/"
+	// _registryPause is the first pause after a failed call, _maxRegistryPause the
+	// longest.
+	_registryPause    = 200 * time.Millisecond
+	_maxRegistryPause = 2 * time.Second
+	// _aloneInterval is how often a process that has heard no relay looks again.
+	_aloneInterval = time.Second
+	// _sweepInterval is how often a relay looks for entries of relays that have
+	// ended without removing them; with jitter, so that one relay does it for all.
+	_sweepInterval = 60 * time.Second
+)
+
+// relayEntry is the object by which a relay is found.
+type relayEntry struct {
+	Addr        netip.Addr `json:"addr"`
+	Zone        string     `json:"zone"`
+	Incarnation uint64     `json:"incarnation"`
+}
+
+// registryTarget is a process's data path as far as finding relays goes.
+type registryTarget interface {
+	Introduce(relays []netip.Addr)
+}
+
+// registry finds relays through the store, and enters this process there if it
+// is one. Everything else about processes is told by their reports.
+type registry struct {
+	tomb   tomb.Tomb
+	ctx    context.Context
+	store  platform.Store
+	log    *zap.Logger
+	target registryTarget
+	// self is the entry of this process, nil for a sidecar.
+	self *relayEntry
+	// alone reports whether no relay has been heard.
+	alone func() bool
+	// heard reports whether a relay has been heard.
+	heard func(netip.Addr) bool
+}
+
+func (r *registry) start() {
+	r.ctx = r.tomb.Context(context.Background())
+	r.tomb.Go(r.loop)
+}
+
+// Close removes the own entry if the store answers soon, and waits.
+func (r *registry) Close() error {
+	r.tomb.Kill(nil)
+	return r.tomb.Wait()
+}
+
+func (r *registry) loop() error {
+	r.untilDone("enter", r.enter)
+	r.untilDone("list", r.list)
+	for r.tomb.Alive() {
+		if r.self == nil {
+			r.pause(_aloneInterval)
+			if r.alone() {
+				r.untilDone("list", r.list)
+			}
+			continue
+		}
+		r.pause(_sweepInterval + rand.N(_sweepInterval))
+		r.untilDone("sweep", r.sweep)
+	}
+	return nil
+}
+
+// untilDone repeats a call with growing pauses until it succeeds.
+func (r *registry) untilDone(op string, call func() error) {
+	pause := _registryPause
+	for r.tomb.Alive() {
+		err := call()
+		if err == nil {
+			return
+		}
+		r.log.Warn("registry of relays", zap.String("op", op), zap.Error(err))
+		r.pause(pause/2 + rand.N(pause))
+		pause = min(2*pause, _maxRegistryPause)
+	}
+}
+
+// enter writes the own entry. It is the same object for every run at an address,
+// so an answer that was lost, or a write that comes late, does no harm.
+func (r *registry) enter() error {
+	if r.self == nil {
+		return nil
+	}
+	value, err := json.Marshal(r.self)
+	if err != nil {
+		return trace.Wrap(err, "enter relay")
+	}
+	_, err = r.store.Put(r.ctx, r.key(), value, 0)
+	if trace.IsCompareFailed(err) {
+		return nil // it is there from a run before
+	}
+	return err
+}
+
+func (r *registry) key() string { return _relaysPrefix + r.self.Addr.String() }
+
+func (r *registry) list() error {
+	objects, err := r.store.List(r.ctx, _relaysPrefix)
+	if err != nil {
+		return err
+	}
+	var found []netip.Addr
+	for _, object := range objects {
+		if addr, ok := r.entryAddr(object); ok {
+			found = append(found, addr)
+		}
+	}
+	r.log.Info("relays listed", zap.Int("count", len(found)))
+	r.target.Introduce(found)
+	return nil
+}
+
+// entryAddr returns the address of an entry, which must be what its key says.
+func (r *registry) entryAddr(object platform.Object) (netip.Addr, bool) {
+	var entry relayEntry
+	err := json.Unmarshal(object.Value, &entry)
+	if err == nil && strings.TrimPrefix(object.Key, _relaysPrefix) != entry.Addr.String() {
+		err = trace.BadParameter("relay entry %q names %v", object.Key, entry.Addr)
+	}
+	if err != nil {
+		r.log.Warn("relay entry ignored", zap.String("key", object.Key), zap.Error(err))
+		return netip.Addr{}, false
+	}
+	return entry.Addr, true
+}
+
+// sweep removes entries of relays that have never been heard for as long as this
+// process knows them. Two relays that do it at once do no harm.
+func (r *registry) sweep() error {
+	objects, err := r.store.List(r.ctx, _relaysPrefix)
+	if err != nil {
+		return err
+	}
+	for _, object := range objects {
+		addr, ok := r.entryAddr(object)
+		if !ok || addr == r.self.Addr || r.heard(addr) {
+			continue
+		}
+		err := r.store.Delete(r.ctx, object.Key, object.Version)
+		r.log.Info("relay entry removed", zap.Stringer("relay", addr), zap.Error(err))
+	}
+	return nil
+}
+
+func (r *registry) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.tomb.Dying():
+	}
+}
--- /dev/null
+++ b/dandelionhitch/opaque_routes.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"dandelionhitch.example/directory"
+	"dandelionhitch.example/platform"
+)
+
+const (
+	// _routesPath is where a process serves the configuration that it has.
+	_routesPath = "/routes"
+	// _behindInterval is how often a process looks whether another has a higher
+	// version.
+	_behindInterval = 25 * time.Millisecond
+	// _fetchJitter spreads the processes that fetch a new version at once.
+	_fetchJitter = 60 * time.Millisecond
+	// _fetchTimeout bounds one fetch of a configuration.
+	_fetchTimeout = 800 * time.Millisecond
+	// _maxRoutes bounds a configuration, in bytes, as the store does.
+	_maxRoutes = platform.MaxValueSize + 1<<10
+)
+
+// routesTarget is a process's data path as far as configurations go.
+type routesTarget interface {
+	// SetTable puts a configuration in force if its version is higher.
+	SetTable(table directory.Table, source string) bool
+	// Behind returns the highest version that a process has named, if it is higher
+	// than the one in force, and processes that have it.
+	Behind() (uint64, []netip.Addr)
+}
+
+// routesFollower keeps a process at the newest configuration that it can reach,
+// from the store and from other processes, and serves it to others. So a process
+// that the store turns away still gets it.
+type routesFollower struct {
+	tomb     tomb.Tomb
+	ctx      context.Context
+	target   routesTarget
+	store    platform.Store
+	log      *zap.Logger
+	peerPort uint16
+	client   *http.Client
+	server   *http.Server
+	listener net.Listener
+
+	mu      sync.Mutex
+	value   []byte
+	version uint64
+}
+
+// newRoutesFollower serves at self and follows. store may be nil: then only other
+// processes are asked.
+func newRoutesFollower(self netip.AddrPort, target routesTarget, store platform.Store, log *zap.Logger) (*routesFollower, error) {
+	listener, err := net.Listen("tcp4", self.String())
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for processes that ask for routes at %s", self)
+	}
+	f := &routesFollower{
+		target: target, store: store, log: log, peerPort: self.Port(), listener: listener,
+		client: &http.Client{Timeout: _fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+_routesPath, f.serve)
+	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: _fetchTimeout}
+	f.ctx = f.tomb.Context(context.Background())
+	f.tomb.Go(f.run)
+	return f, nil
+}
+
+// Close stops following and serving, and waits.
+func (f *routesFollower) Close() error {
+	f.tomb.Kill(nil)
+	f.server.Close()
+	return f.tomb.Wait()
+}
+
+func (f *routesFollower) run() error {
+	f.tomb.Go(f.loopServe)
+	if f.store != nil {
+		f.tomb.Go(f.loopStore)
+	}
+	f.tomb.Go(f.loopPeers)
+	return nil
+}
+
+func (f *routesFollower) loopServe() error {
+	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err, "serve routes")
+	}
+	return nil
+}
+
+func (f *routesFollower) serve(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	value := f.value
+	f.mu.Unlock()
+	if value == nil {
+		http.Error(w, "no routes are known", http.StatusNotFound)
+		return
+	}
+	// A write that fails shows to the other process as a cut answer.
+	_, _ = w.Write(value)
+}
+
+// loopStore watches the configuration in the store.
+func (f *routesFollower) loopStore() error {
+	var after platform.Version
+	reached := true
+	for f.tomb.Alive() {
+		object, err := f.store.Watch(f.ctx, platform.ConfigurationKey, after)
+		switch {
+		case err == nil:
+			if !reached {
+				f.log.Info("store regained")
+			}
+			reached, after = true, object.Version
+			f.adopt(object.Value, "store")
+			continue
+		case f.ctx.Err() != nil:
+			return nil
+		case reached:
+			f.log.Warn("store lost", zap.Error(err))
+			reached = false
+		}
+		f.pause(_fetchTimeout)
+	}
+	return nil
+}
+
+// loopPeers fetches a configuration from other processes when one has a higher
+// version.
+func (f *routesFollower) loopPeers() error {
+	ticker := time.NewTicker(_behindInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		if wanted, _ := f.target.Behind(); wanted == 0 {
+			continue
+		}
+		f.pause(rand.N(_fetchJitter))
+		wanted, holders := f.target.Behind()
+		if wanted == 0 || len(holders) == 0 {
+			continue
+		}
+		holder := holders[rand.IntN(len(holders))]
+		if err := f.fetch(holder); err != nil {
+			f.log.Warn("routes not fetched", zap.Stringer("from", holder), zap.Uint64("version", wanted), zap.Error(err))
+			f.pause(_fetchJitter)
+		}
+	}
+}
+
+func (f *routesFollower) fetch(holder netip.Addr) error {
+	target := "http://" + netip.AddrPortFrom(holder, f.peerPort).String() + _routesPath
+	request, err := http.NewRequestWithContext(f.ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return trace.Wrap(err, "fetch routes")
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return trace.Wrap(err, "fetch routes")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return trace.NotFound("fetch routes: status %d", response.StatusCode)
+	}
+	value, err := io.ReadAll(io.LimitReader(response.Body, _maxRoutes))
+	if err != nil {
+		return trace.Wrap(err, "fetch routes")
+	}
+	f.adopt(value, "process "+holder.String())
+	return nil
+}
+
+// adopt checks a configuration whole and puts it in force if it is newer.
+func (f *routesFollower) adopt(value []byte, source string) {
+	table, findings, err := platform.DecodeConfiguration(value)
+	if err != nil {
+		f.log.Error("configuration refused", zap.String("source", source), zap.Error(err))
+		return
+	}
+	for _, finding := range findings {
+		f.log.Warn("route ignored", zap.String("source", source), zap.Error(finding))
+	}
+	f.mu.Lock()
+	if table.Version() > f.version {
+		f.version, f.value = table.Version(), value
+	}
+	f.mu.Unlock()
+	f.target.SetTable(table, source)
+}
+
+func (f *routesFollower) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.tomb.Dying():
+	}
+}
--- /dev/null
+++ b/dandelionhitch/relay.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/relay"
+)
+
+const (
+	// _relayFlowBytes is what a relay needs for a flow that it remembers.
+	_relayFlowBytes = 256
+	// _flowMemoryShare is the part of a process's memory that flows may fill.
+	_flowMemoryShare = 0.3
+	// _quiet is how long no packet must come before a relay that leaves ends:
+	// routers ask it twice a second and wait for two misses.
+	_quiet = 900 * time.Millisecond
+	// _stopMargin is what a relay leaves of its time to stop.
+	_stopMargin = 700 * time.Millisecond
+	// _stopCheck is how often a relay that leaves looks whether it may end.
+	_stopCheck = 100 * time.Millisecond
+)
+
+// relayFlags are the settings of a relay.
+type relayFlags struct {
+	*opaqueFlags
+	ingress netip.AddrPort
+}
+
+func newRelayFlags(stdout, stderr io.Writer) *relayFlags {
+	f := &relayFlags{opaqueFlags: newOpaqueFlags("relay", stdout, stderr)}
+	f.text(&f.ingress, "ingress", "IP:PORT where routers send callers' packets (UDP); callers take packets at its port")
+	f.require("ingress")
+	return f
+}
+
+func relayCommand(stdout, stderr io.Writer) *ffcli.Command {
+	f := newRelayFlags(stdout, stderr)
+	return &ffcli.Command{
+		Name:       "relay",
+		ShortUsage: "dandelionhitch relay -config FILE [flags]",
+		ShortHelp:  "Forward opaque packets of callers to the sidecars beside upstreams.",
+		FlagSet:    f.FlagSet,
+		Options:    f.options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := f.checkOpaque(args); err != nil {
+				return err
+			}
+			return f.run(ctx)
+		},
+	}
+}
+
+// readSeeds returns the seeds of a settings file.
+func (f *relayFlags) readSeeds(path string) ([]netip.Addr, error) {
+	read := newRelayFlags(io.Discard, io.Discard)
+	if err := ff.Parse(read.FlagSet, []string{"-config", path}, read.options()...); err != nil {
+		return nil, err
+	}
+	return read.seedAddrs(), read.checkOpaque(nil)
+}
+
+// run runs the relay until ctx ends and routers have left it.
+func (f *relayFlags) run(ctx context.Context) (err error) {
+	var r *relay.Relay
+	node, err := openOpaqueNode(f.opaqueFlags, func() bool { return r.Ready() })
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { err = trace.NewAggregate(err, node.Close()) }()
+	times, err := node.spans()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	self := relay.Identity{Addr: f.addr, Zone: f.zone, Incarnation: incarnation()}
+	r, err = relay.New(relay.Config{
+		Identity: self,
+		Ingress:  f.ingress,
+		PeerPort: uint16(f.peerPort),
+		MaxFlows: int(float64(f.memoryMB<<20) * _flowMemoryShare / _relayFlowBytes),
+	}, platform.PacketWire{}, node.records, times.observe)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	node.add(r)
+	if err := node.observeFigures(relayFigures(r)); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := f.startServices(node, r, self); err != nil {
+		return trace.Wrap(err)
+	}
+	node.log.Info("relay started", zap.String("zone", f.zone), zap.Stringer("addr", f.addr),
+		zap.Uint64("incarnation", self.Incarnation), zap.Int("seeds", len(f.seeds)))
+	<-ctx.Done()
+	f.drain(r, node.log)
+	return nil
+}
+
+// startServices starts what a relay needs beside its data path.
+func (f *relayFlags) startServices(node *opaqueNode, r *relay.Relay, self relay.Identity) error {
+	routes, err := newRoutesFollower(node.peerAddr(), r, node.store, node.log)
+	if err != nil {
+		return err
+	}
+	node.add(routes)
+	ready, err := newHTTPServer("readiness", f.ready, platform.ReadyHandler(r.Ready))
+	if err != nil {
+		return err
+	}
+	node.add(ready)
+	// Upstreams report to the sidecar on their host; a relay cannot stop new flows
+	// to them and so must not acknowledge.
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "upstreams report to their sidecar", http.StatusServiceUnavailable)
+	})
+	control, err := newHTTPServer("control", f.control, refuse)
+	if err != nil {
+		return err
+	}
+	node.add(control)
+	r.Introduce(f.seedAddrs())
+	if node.store != nil {
+		entry := &relayEntry{Addr: f.addr, Zone: f.zone, Incarnation: self.Incarnation}
+		registry := &registry{store: node.store, log: node.log, target: r, self: entry, heard: r.Heard}
+		registry.start()
+		node.add(registry)
+	}
+	node.add(newSettingsReloader(f.file, node.log, f.readSeeds, r.Introduce))
+	return nil
+}
+
+// drain forwards until routers have left the relay, or its time to stop is over.
+func (f *relayFlags) drain(r *relay.Relay, log *zap.Logger) {
+	began := time.Now()
+	r.Leave()
+	log.Info("relay leaves", zap.Duration("grace", f.grace))
+	for time.Since(began) < f.grace-_stopMargin {
+		time.Sleep(_stopCheck)
+		if time.Since(began) > _quiet && r.Idle() > _quiet {
+			break
+		}
+	}
+	log.Info("relay stopped", zap.Duration("after", time.Since(began)), zap.Duration("idle", r.Idle()))
+}
+
+func relayFigures(r *relay.Relay) func() []figure {
+	return func() []figure {
+		s := r.Stats()
+		return []figure{
+			{"relay_packets", int64(s.Packets)},
+			{"relay_openings", int64(s.Opening)},
+			{"relay_offers", int64(s.Offers)},
+			{"relay_offers_unanswered", int64(s.Unanswered)},
+			{"relay_carried", int64(s.Carried)},
+			{"relay_asked", int64(s.Asked)},
+			{"relay_resets", int64(s.Resets)},
+			{"relay_dropped", int64(s.Dropped)},
+			{"relay_malformed", int64(s.Malformed)},
+			{"relay_unsent", int64(s.Unsent)},
+			{"relay_flows", int64(s.Flows)},
+			{"known_relays", int64(s.Relays)},
+			{"known_sidecars", int64(s.Sidecars)},
+			{"settings_version", int64(s.Version)},
+		}
+	}
+}
--- /dev/null
+++ b/dandelionhitch/sidecar.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/sidecar"
+)
+
+// _sidecarFlowBytes is what a sidecar needs for a flow that it remembers.
+const _sidecarFlowBytes = 384
+
+// sidecarFlags are the settings of a sidecar.
+type sidecarFlags struct {
+	*opaqueFlags
+	service   string
+	upstream  netip.AddrPort
+	outbound  netip.AddrPort
+	callers   netip.AddrPort
+	heartbeat time.Duration
+}
+
+// _defaultHeartbeat is how often the users' upstreams report at most.
+const _defaultHeartbeat = 1200 * time.Millisecond
+
+func newSidecarFlags(stdout, stderr io.Writer) *sidecarFlags {
+	f := &sidecarFlags{opaqueFlags: newOpaqueFlags("sidecar", stdout, stderr)}
+	f.StringVar(&f.service, "service", "", "service of the upstream on this host")
+	f.text(&f.upstream, "upstream", "IP:PORT where the upstream takes packets (UDP)")
+	f.text(&f.outbound, "outbound", "IP:PORT where the upstream sends its packets (UDP)")
+	f.text(&f.callers, "callers", "IP:PORT whose port is the one at which callers take packets")
+	f.DurationVar(&f.heartbeat, "heartbeat", _defaultHeartbeat, "how often the upstream reports")
+	f.require("service", "upstream", "outbound", "callers")
+	return f
+}
+
+func sidecarCommand(stdout, stderr io.Writer) *ffcli.Command {
+	f := newSidecarFlags(stdout, stderr)
+	return &ffcli.Command{
+		Name:       "sidecar",
+		ShortUsage: "dandelionhitch sidecar -config FILE [flags]",
+		ShortHelp:  "Carry opaque packets between callers and the upstream on this host.",
+		FlagSet:    f.FlagSet,
+		Options:    f.options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := f.checkSidecar(args); err != nil {
+				return err
+			}
+			return f.run(ctx)
+		},
+	}
+}
+
+func (f *sidecarFlags) checkSidecar(args []string) error {
+	if f.heartbeat <= 0 {
+		f.add("-heartbeat", trace.BadParameter("%v is not above zero", f.heartbeat))
+	}
+	return f.checkOpaque(args)
+}
+
+// readSeeds returns the seeds of a settings file.
+func (f *sidecarFlags) readSeeds(path string) ([]netip.Addr, error) {
+	read := newSidecarFlags(io.Discard, io.Discard)
+	if err := ff.Parse(read.FlagSet, []string{"-config", path}, read.options()...); err != nil {
+		return nil, err
+	}
+	return read.seedAddrs(), read.checkSidecar(nil)
+}
+
+// run runs the sidecar until ctx ends.
+func (f *sidecarFlags) run(ctx context.Context) (err error) {
+	node, err := openOpaqueNode(f.opaqueFlags, func() bool { return true })
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { err = trace.NewAggregate(err, node.Close()) }()
+	times, err := node.spans()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s, err := sidecar.New(sidecar.Config{
+		Identity: sidecar.Identity{
+			Addr: f.addr, Zone: f.zone, Incarnation: incarnation(),
+			Service: f.service, Upstream: f.upstream, Heartbeat: f.heartbeat,
+		},
+		Outbound:   f.outbound,
+		CallerPort: f.callers.Port(),
+		PeerPort:   uint16(f.peerPort),
+		MaxFlows:   int(float64(f.memoryMB<<20) * _flowMemoryShare / _sidecarFlowBytes),
+	}, platform.PacketWire{}, node.records, times.observe)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	node.add(s)
+	if err := node.observeFigures(sidecarFigures(s)); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := f.startServices(node, s); err != nil {
+		return trace.Wrap(err)
+	}
+	node.log.Info("sidecar started", zap.String("zone", f.zone), zap.String("service", f.service),
+		zap.Stringer("upstream", f.upstream), zap.Int("seeds", len(f.seeds)))
+	<-ctx.Done()
+	node.log.Info("sidecar stopped", zap.Int("busy", s.Stats().Busy))
+	return nil
+}
+
+// startServices starts what a sidecar needs beside its data path.
+func (f *sidecarFlags) startServices(node *opaqueNode, s *sidecar.Sidecar) error {
+	routes, err := newRoutesFollower(node.peerAddr(), s, nil, node.log)
+	if err != nil {
+		return err
+	}
+	node.add(routes)
+	ready, err := newHTTPServer("readiness", f.ready, platform.ReadyHandler(func() bool { return true }))
+	if err != nil {
+		return err
+	}
+	node.add(ready)
+	control, err := newHTTPServer("control", f.control, platform.HeartbeatHandler(s))
+	if err != nil {
+		return err
+	}
+	node.add(control)
+	s.Introduce(f.seedAddrs())
+	if node.store != nil {
+		registry := &registry{store: node.store, log: node.log, target: s, alone: s.Alone}
+		registry.start()
+		node.add(registry)
+	}
+	node.add(newSettingsReloader(f.file, node.log, f.readSeeds, s.Introduce))
+	return nil
+}
+
+func sidecarFigures(s *sidecar.Sidecar) func() []figure {
+	return func() []figure {
+		st := s.Stats()
+		return []figure{
+			{"sidecar_accepted", int64(st.Accepted)},
+			{"sidecar_passed_on", int64(st.PassedOn)},
+			{"sidecar_refused", int64(st.Refused)},
+			{"sidecar_bounced", int64(st.Bounced)},
+			{"sidecar_carried", int64(st.Carried)},
+			{"sidecar_replies", int64(st.Replies)},
+			{"sidecar_not_held", int64(st.NotHeld)},
+			{"sidecar_resets", int64(st.Resets)},
+			{"sidecar_dropped", int64(st.Dropped)},
+			{"sidecar_malformed", int64(st.Malformed)},
+			{"sidecar_unsent", int64(st.Unsent)},
+			{"sidecar_flows", int64(st.Flows)},
+			{"sidecar_busy", int64(st.Busy)},
+			{"known_relays", int64(st.Relays)},
+			{"known_peers", int64(st.Peers)},
+			{"settings_version", int64(st.Version)},
+		}
+	}
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,92 @@
+// Package directory answers which service an address belongs to, under one
+// version of the operator's configuration.
+//
+// A Table is immutable: a process swaps the whole table when it accepts a higher
+// version, and never goes back. A route may split its flows between services;
+// the choice depends on the flow's key alone, so that all copies of an opening
+// packet get the same answer at every process that has the same version.
+package directory
+
+import (
+	"net/netip"
+	"time"
+
+	"dandelionhitch.example/flow"
+)
+
+// Share is one service of a route and its weight among the route's services.
+type Share struct {
+	Service string
+	Weight  uint64
+}
+
+// Route leads the flows of one address to services.
+type Route struct {
+	Address netip.AddrPort
+	// Shares are in the operator's order; their weights are above zero.
+	Shares []Share
+}
+
+// Table is one accepted version of the routes. The zero Table knows nothing.
+type Table struct {
+	version     uint64
+	idleTimeout time.Duration
+	routes      map[netip.AddrPort][]Share
+}
+
+// New returns the table of a version. Of two routes for one address the first
+// one counts.
+func New(version uint64, idleTimeout time.Duration, routes []Route) Table {
+	t := Table{version: version, idleTimeout: idleTimeout, routes: make(map[netip.AddrPort][]Share, len(routes))}
+	for _, r := range routes {
+		if _, taken := t.routes[r.Address]; !taken && len(r.Shares) > 0 {
+			t.routes[r.Address] = r.Shares
+		}
+	}
+	return t
+}
+
+// Version returns the operator's number of this state; zero says that none is known.
+func (t Table) Version() uint64 { return t.version }
+
+// IdleTimeout returns how long a flow may be idle; zero says that it is not set.
+func (t Table) IdleTimeout() time.Duration { return t.idleTimeout }
+
+// Len returns the number of addresses.
+func (t Table) Len() int { return len(t.routes) }
+
+// Service returns the service for a new flow.
+func (t Table) Service(key flow.Key) (string, bool) {
+	shares := t.routes[key.Address]
+	switch len(shares) {
+	case 0:
+		return "", false
+	case 1:
+		return shares[0].Service, true
+	}
+	var total uint64
+	for _, s := range shares {
+		total += s.Weight
+	}
+	point := key.Hash() % total
+	for _, s := range shares {
+		if point < s.Weight {
+			return s.Service, true
+		}
+		point -= s.Weight
+	}
+	return "", false
+}
+
+// Allows reports whether a new flow to the address may go to the service.
+func (t Table) Allows(address netip.AddrPort, service string) bool {
+	for _, s := range t.routes[address] {
+		if s.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Services returns the services of an address.
+func (t Table) Services(address netip.AddrPort) []Share { return t.routes[address] }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,260 @@
+// Package fleet holds what one process knows of the relays and sidecars of the
+// fleet: a pure state machine over their reports and silence.
+//
+// Each process reports for itself, so reports need no agreement: of one
+// incarnation the higher sequence counts, and an incarnation that was replaced
+// does not come back. Silence and unanswered offers make an upstream suspect,
+// which only steers new flows. Times are the process's monotonic clock.
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"dandelionhitch.example/peer"
+)
+
+// Waits before a silent process is doubted.
+const (
+	// _silence is how long after its last message a sidecar is doubted, beyond the
+	// interval of its reports.
+	_silence = 700 * time.Millisecond
+	// _firstPenalty is how long an upstream gets no new flows after an offer was
+	// not answered; it doubles up to _maxPenalty while offers stay unanswered.
+	_firstPenalty = 500 * time.Millisecond
+	_maxPenalty   = 4 * time.Second
+	// _forget is how long a silent process is kept. The idle timeout of flows and
+	// the longest cuts are shorter.
+	_forget = 90 * time.Second
+)
+
+// Upstream is a sidecar with the upstream beside it, as known here.
+type Upstream struct {
+	Sidecar netip.Addr
+	Service string
+	Zone    string
+	State   peer.State
+	// Busy counts requests in progress: as reported, with own picks since.
+	Busy, Slots int
+	// Heard is when any message came from the sidecar; Loaded is when Busy did.
+	Heard, Loaded time.Duration
+
+	incarnation, sequence, previous uint64
+	unanswered                      int
+	penaltyUntil                    time.Duration
+}
+
+// Penalized reports whether offers to the upstream went unanswered lately.
+func (u *Upstream) Penalized(now time.Duration) bool { return now < u.penaltyUntil }
+
+// Picked notes that a new flow was offered, before any report shows it.
+func (u *Upstream) Picked() { u.Busy++ }
+
+// Relay is a relay as known here.
+type Relay struct {
+	Addr netip.Addr
+	// Heard is when a report came; zero if none has.
+	Heard   time.Duration
+	Leaving bool
+	Version uint64
+
+	incarnation, sequence, previous uint64
+	added                           time.Duration
+}
+
+// View is what a process knows of the fleet. It is not safe for concurrent use.
+type View struct {
+	upstreams map[netip.Addr]*Upstream
+	services  map[string][]*Upstream
+	relays    map[netip.Addr]*Relay
+	interval  time.Duration
+}
+
+// New returns an empty view of a fleet whose sidecars report at least each interval.
+func New(interval time.Duration) *View {
+	return &View{
+		upstreams: make(map[netip.Addr]*Upstream),
+		services:  make(map[string][]*Upstream),
+		relays:    make(map[netip.Addr]*Relay),
+		interval:  interval,
+	}
+}
+
+// Change is what a report changed.
+type Change struct {
+	// Stale says that the report is older than what is known.
+	Stale bool
+	// New says that the process or its incarnation was not known.
+	New bool
+	// From is the state before; it differs from the state now if the state changed.
+	From peer.State
+}
+
+// Report takes a sidecar's report.
+func (v *View) Report(now time.Duration, r peer.UpstreamReport) (*Upstream, Change) {
+	u, known := v.upstreams[r.Sidecar]
+	switch {
+	case !known:
+		u = &Upstream{Sidecar: r.Sidecar}
+		v.upstreams[r.Sidecar] = u
+	case r.Incarnation == u.previous, r.Incarnation == u.incarnation && r.Sequence <= u.sequence:
+		return u, Change{Stale: true, From: u.State}
+	}
+	change := Change{New: !known || r.Incarnation != u.incarnation, From: u.State}
+	if change.New && known {
+		u.previous = u.incarnation
+		u.unanswered, u.penaltyUntil = 0, 0
+	}
+	if u.Service != r.Service {
+		v.unlist(u)
+		u.Service = r.Service
+		v.list(u)
+	}
+	u.incarnation, u.sequence = r.Incarnation, r.Sequence
+	u.Zone, u.State = r.Zone, r.State
+	u.Heard = now
+	v.load(u, now, int(r.Busy), int(r.Slots))
+	return u, change
+}
+
+// Answered notes an answer of a sidecar to a packet, with its load.
+func (v *View) Answered(now time.Duration, sidecar netip.Addr, busy, slots int) {
+	u, ok := v.upstreams[sidecar]
+	if !ok {
+		return
+	}
+	u.Heard = now
+	u.unanswered, u.penaltyUntil = 0, 0
+	v.load(u, now, busy, slots)
+}
+
+// Unanswered notes that a sidecar did not answer an offer in time. It returns
+// how long the upstream gets no new flows.
+func (v *View) Unanswered(now time.Duration, sidecar netip.Addr) time.Duration {
+	u, ok := v.upstreams[sidecar]
+	if !ok || u.Penalized(now) {
+		return 0
+	}
+	penalty := min(_firstPenalty<<min(u.unanswered, 8), _maxPenalty)
+	u.unanswered++
+	u.penaltyUntil = now + penalty
+	return penalty
+}
+
+// Upstream returns a sidecar's upstream, or nil.
+func (v *View) Upstream(sidecar netip.Addr) *Upstream { return v.upstreams[sidecar] }
+
+// Service returns the upstreams of a service in the order of their addresses.
+// The slice must not be changed.
+func (v *View) Service(name string) []*Upstream { return v.services[name] }
+
+// Sidecars calls f for each known sidecar, in no order.
+func (v *View) Sidecars(f func(*Upstream)) {
+	for _, u := range v.upstreams {
+		f(u)
+	}
+}
+
+// SidecarCount returns the number of known sidecars.
+func (v *View) SidecarCount() int { return len(v.upstreams) }
+
+// Takes reports whether the upstream may be offered a new flow.
+func (v *View) Takes(now time.Duration, u *Upstream) bool {
+	return u.State == peer.Ready && !u.Penalized(now) && now-u.Heard <= v.interval+_silence
+}
+
+// SetInterval sets how often sidecars report at least.
+func (v *View) SetInterval(interval time.Duration) { v.interval = interval }
+
+// AddRelay notes a relay that somebody named. It reports whether it was not known.
+func (v *View) AddRelay(now time.Duration, addr netip.Addr) bool {
+	if _, ok := v.relays[addr]; ok || !addr.Is4() {
+		return false
+	}
+	v.relays[addr] = &Relay{Addr: addr, added: now}
+	return true
+}
+
+// ReportRelay takes a relay's report.
+func (v *View) ReportRelay(now time.Duration, r peer.RelayReport) (*Relay, Change) {
+	v.AddRelay(now, r.Relay)
+	relay := v.relays[r.Relay]
+	if r.Incarnation == relay.previous && relay.previous != 0 ||
+		r.Incarnation == relay.incarnation && r.Sequence <= relay.sequence {
+		return relay, Change{Stale: true}
+	}
+	change := Change{New: r.Incarnation != relay.incarnation}
+	if change.New {
+		relay.previous = relay.incarnation
+	}
+	relay.incarnation, relay.sequence = r.Incarnation, r.Sequence
+	relay.Heard, relay.Leaving, relay.Version = now, r.Leaving, r.Version
+	return relay, change
+}
+
+// Relays returns the relays in the order of their addresses.
+func (v *View) Relays() []*Relay {
+	out := make([]*Relay, 0, len(v.relays))
+	for _, r := range v.relays {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *Relay) int { return a.Addr.Compare(b.Addr) })
+	return out
+}
+
+// Relay returns a relay, or nil.
+func (v *View) Relay(addr netip.Addr) *Relay { return v.relays[addr] }
+
+// Holders returns the relays that have reported a version or a higher one, with
+// the process that was heard to have it.
+func (v *View) Holders(version uint64, named netip.Addr) []netip.Addr {
+	holders := []netip.Addr{named}
+	for _, r := range v.Relays() {
+		if r.Version >= version && r.Addr != named {
+			holders = append(holders, r.Addr)
+		}
+	}
+	return holders
+}
+
+// RelayCount returns the number of known relays.
+func (v *View) RelayCount() int { return len(v.relays) }
+
+// Forget drops processes that have been silent for very long and returns the
+// addresses of the relays among them.
+func (v *View) Forget(now time.Duration) []netip.Addr {
+	for addr, u := range v.upstreams {
+		if now-u.Heard > _forget {
+			v.unlist(u)
+			delete(v.upstreams, addr)
+		}
+	}
+	var relays []netip.Addr
+	for addr, r := range v.relays {
+		if now-max(r.Heard, r.added) > _forget {
+			delete(v.relays, addr)
+			relays = append(relays, addr)
+		}
+	}
+	return relays
+}
+
+func (v *View) load(u *Upstream, now time.Duration, busy, slots int) {
+	u.Busy, u.Slots, u.Loaded = busy, max(slots, 1), now
+}
+
+func (v *View) list(u *Upstream) {
+	list := append(v.services[u.Service], u)
+	slices.SortFunc(list, func(a, b *Upstream) int { return a.Sidecar.Compare(b.Sidecar) })
+	v.services[u.Service] = list
+}
+
+func (v *View) unlist(u *Upstream) {
+	list := slices.DeleteFunc(v.services[u.Service], func(other *Upstream) bool { return other == u })
+	if len(list) == 0 {
+		delete(v.services, u.Service)
+		return
+	}
+	v.services[u.Service] = list
+}
--- /dev/null
+++ b/relay/core.go
@@ -0,0 +1,284 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/directory"
+	"dandelionhitch.example/fleet"
+	"dandelionhitch.example/flow"
+	"dandelionhitch.example/peer"
+	"dandelionhitch.example/placement"
+)
+
+// Waits and bounds of a relay.
+const (
+	// _offerTimeout is how long an offer may go unanswered: two crossings between
+	// zones and several turns of a slow process. The caller repeats its opening
+	// packet after 200 ms at the earliest.
+	_offerTimeout = 70 * time.Millisecond
+	// _maxAttempts bounds the upstreams that one opening packet is offered to.
+	_maxAttempts = 4
+	// _askTimeout is how long a question for a holder is open; then the next
+	// packet of the flow asks again.
+	_askTimeout = 400 * time.Millisecond
+	// _maxAsks bounds the packets of one flow that are sent to all while its
+	// holder is not known.
+	_maxAsks = 16
+	// _settled is how long a relay must have run before silence of processes that
+	// it does not know can count as their absence.
+	_settled = 4 * time.Second
+	// _openTimeout is how long callers try to open a flow. A flow that was offered
+	// before is not new any more.
+	_openTimeout = 1400 * time.Millisecond
+	// _idle is how long an unused flow is kept at least, if the configuration does
+	// not say.
+	_idle = 15 * time.Second
+	// _relayInterval is the least time between two reports of a relay, and
+	// _reportsPerSecond the bound of reports sent by it in a large fleet.
+	_relayInterval    = time.Second
+	_reportsPerSecond = 50
+	// _namedRelays bounds the relays that one report names.
+	_namedRelays = 128
+	// _forgetInterval is how often silent processes are looked for.
+	_forgetInterval = 5 * time.Second
+)
+
+// Wire is what the core needs of the callers' packet format.
+type Wire interface {
+	// Decode reads a packet's header.
+	Decode(packet []byte) (flow.Packet, error)
+	// AppendReset appends to b a reset of the flow for the caller whose packet
+	// acknowledged ack.
+	AppendReset(b []byte, key flow.Key, ack uint32) []byte
+}
+
+// Outbox takes what the core wants to be sent and logged. Packets must be used
+// before the call returns.
+type Outbox interface {
+	ToCaller(caller netip.Addr, packet []byte)
+	ToPeer(addr netip.Addr, message []byte)
+	Decide(record decision.Record)
+	Believe(belief decision.Belief)
+	Observe(span decision.Span, took time.Duration)
+}
+
+// Identity says which process a core is part of.
+type Identity struct {
+	Addr netip.Addr
+	Zone string
+	// Incarnation differs between two runs at one address.
+	Incarnation uint64
+}
+
+// Core decides what a relay does. It is a state machine without sockets, clocks
+// or goroutines, and not safe for concurrent use. Times are monotonic, from the
+// start of the process.
+type Core struct {
+	self     Identity
+	wire     Wire
+	out      Outbox
+	random   *rand.Rand
+	table    directory.Table
+	view     *fleet.View
+	flows    *flow.Cache[held]
+	offers   map[flow.Key]*offer
+	counts   Counts
+	buffer   []byte
+	scratch  []placement.Candidate
+	eligible []*fleet.Upstream
+
+	leaving                            bool
+	sequence                           uint64
+	nextReport, nextRotate, nextForget time.Duration
+	// newest is the highest version that any process has named.
+	newest     uint64
+	newestFrom netip.Addr
+}
+
+// held is what a relay knows of a flow. All of it can be lost.
+type held struct {
+	sidecar netip.Addr
+	// opening is the sequence number of the opening packet that was offered.
+	opening uint32
+	// offered is when it was offered first, zero if it was not.
+	offered time.Duration
+	// question is open while the holder is not known.
+	question *question
+}
+
+// offer is an opening packet that no sidecar has answered yet.
+type offer struct {
+	packet  []byte
+	service string
+	sent    time.Duration
+	tried   []netip.Addr
+	// silent are those of tried that have not answered: each may have taken it.
+	silent []netip.Addr
+}
+
+// question is an open search for the sidecar that holds a flow.
+type question struct {
+	asked   map[netip.Addr]bool
+	started time.Duration
+	sent    int
+	// everywhere says that sidecars of all services were asked.
+	everywhere bool
+	packet     []byte
+}
+
+// Counts are a relay's counters since its start.
+type Counts struct {
+	// Packets came from callers; Opening are those that open a flow.
+	Packets, Opening uint64
+	// Offers went to sidecars; Unanswered are those that were not answered in time.
+	Offers, Unanswered uint64
+	// Carried went to the known holder; Asked were sent to all that may hold the flow.
+	Carried, Asked uint64
+	// Resets went to callers; Dropped packets went nowhere.
+	Resets, Dropped uint64
+	// Malformed packets or messages could not be read.
+	Malformed uint64
+}
+
+// NewCore returns a core that knows nothing yet.
+func NewCore(self Identity, wire Wire, out Outbox, maxFlows int, random *rand.Rand) *Core {
+	return &Core{
+		self:   self,
+		wire:   wire,
+		out:    out,
+		random: random,
+		view:   fleet.New(_relayInterval),
+		flows:  flow.NewCache[held](maxFlows, nil),
+		offers: make(map[flow.Key]*offer),
+	}
+}
+
+// Counts returns the counters.
+func (c *Core) Counts() Counts { return c.counts }
+
+// Table returns the configuration in force.
+func (c *Core) Table() directory.Table { return c.table }
+
+// Flows returns the number of flows that the relay remembers.
+func (c *Core) Flows() int { return c.flows.Len() }
+
+// Known returns the numbers of relays and sidecars that the relay knows.
+func (c *Core) Known() (relays, sidecars int) { return c.view.RelayCount(), c.view.SidecarCount() }
+
+// Ready reports whether routers should send packets here: routes and sidecars
+// are known, and the process has not been told to stop.
+func (c *Core) Ready() bool {
+	return !c.leaving && c.table.Version() > 0 && c.view.SidecarCount() > 0
+}
+
+// Behind returns the highest version that a process has named, if it is higher
+// than the one in force, and processes that have it.
+func (c *Core) Behind() (uint64, []netip.Addr) {
+	if c.newest <= c.table.Version() {
+		return 0, nil
+	}
+	return c.newest, c.view.Holders(c.newest, c.newestFrom)
+}
+
+// SetTable puts a configuration in force if its version is higher. It reports
+// whether it did.
+func (c *Core) SetTable(now time.Duration, table directory.Table, source string) bool {
+	if table.Version() <= c.table.Version() {
+		return false
+	}
+	c.out.Believe(decision.Belief{
+		Subject: "settings", Name: "routes", From: version(c.table.Version()), To: version(table.Version()),
+		Reason: source, Version: table.Version(),
+	})
+	c.table = table
+	c.nextReport = now
+	return true
+}
+
+// Leave notes that the process was told to stop, and tells the others.
+func (c *Core) Leave(now time.Duration) {
+	c.leaving = true
+	c.report(now)
+}
+
+// Introduce notes relays that the process has been told of and reports to them.
+func (c *Core) Introduce(now time.Duration, relays []netip.Addr) {
+	for _, addr := range relays {
+		if addr != c.self.Addr && c.view.AddRelay(now, addr) {
+			c.reportTo(addr, "")
+		}
+	}
+}
+
+// Heard reports whether a report of the relay at addr has come.
+func (c *Core) Heard(addr netip.Addr) bool {
+	r := c.view.Relay(addr)
+	return r != nil && r.Heard > 0
+}
+
+// Tick does what is due. It is called about every 20 ms.
+func (c *Core) Tick(now time.Duration) {
+	for key, o := range c.offers {
+		if now-o.sent > _offerTimeout {
+			c.unanswered(now, key, o)
+		}
+	}
+	if now >= c.nextReport {
+		c.report(now)
+	}
+	if now >= c.nextRotate {
+		c.nextRotate = now + max(c.table.IdleTimeout(), _idle)
+		c.flows.Rotate()
+	}
+	if now >= c.nextForget {
+		c.nextForget = now + _forgetInterval
+		c.view.Forget(now)
+	}
+}
+
+// report tells all known processes of this relay, paced by the size of the fleet.
+func (c *Core) report(now time.Duration) {
+	count := c.view.RelayCount() + c.view.SidecarCount()
+	c.nextReport = now + max(_relayInterval, time.Duration(count)*time.Second/_reportsPerSecond)
+	for _, r := range c.view.Relays() {
+		c.reportTo(r.Addr, "")
+	}
+	c.view.Sidecars(func(u *fleet.Upstream) { c.reportTo(u.Sidecar, u.Service) })
+}
+
+// reportTo tells one process of this relay. A sidecar also gets the sidecars of
+// its service.
+func (c *Core) reportTo(addr netip.Addr, service string) {
+	c.sequence++
+	r := peer.RelayReport{
+		Relay: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
+		Leaving: c.leaving, Version: c.table.Version(), Fleet: uint32(c.view.SidecarCount()),
+	}
+	for _, known := range c.view.Relays() {
+		if known.Heard > 0 && len(r.Relays) < _namedRelays {
+			r.Relays = append(r.Relays, known.Addr)
+		}
+	}
+	if service != "" {
+		for _, u := range c.view.Service(service) {
+			r.Sidecars = append(r.Sidecars, u.Sidecar)
+		}
+	}
+	message, err := peer.AppendRelay(c.buffer[:0], r)
+	if err != nil {
+		c.out.Believe(decision.Belief{Subject: "report", Name: addr.String(), Reason: err.Error()})
+		return
+	}
+	c.buffer = message
+	c.out.ToPeer(addr, message)
+}
+
+// heardVersion notes that a process has a version.
+func (c *Core) heardVersion(v uint64, from netip.Addr) {
+	if v > c.newest {
+		c.newest, c.newestFrom = v, from
+	}
+}
--- /dev/null
+++ b/relay/messages.go
@@ -0,0 +1,211 @@
+package relay
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/flow"
+	"dandelionhitch.example/peer"
+)
+
+// PeerMessage takes a datagram of another process.
+func (c *Core) PeerMessage(now time.Duration, message []byte) {
+	if len(message) == 0 {
+		c.counts.Malformed++
+		return
+	}
+	var err error
+	switch peer.Kind(message[0]) {
+	case peer.KindVerdict:
+		var v peer.Verdict
+		if v, err = peer.DecodeVerdict(message); err == nil {
+			c.verdict(now, v)
+		}
+	case peer.KindUpstream:
+		var r peer.UpstreamReport
+		if r, err = peer.DecodeUpstream(message); err == nil {
+			c.upstreamReport(now, r)
+		}
+	case peer.KindRelay:
+		var r peer.RelayReport
+		if r, err = peer.DecodeRelay(message); err == nil {
+			c.relayReport(now, r)
+		}
+	default:
+		c.counts.Malformed++
+		return
+	}
+	if err != nil {
+		c.counts.Malformed++
+	}
+}
+
+func (c *Core) upstreamReport(now time.Duration, r peer.UpstreamReport) {
+	u, change := c.view.Report(now, r)
+	if change.Stale {
+		return
+	}
+	c.heardVersion(r.Version, r.Sidecar)
+	if change.New {
+		c.reportTo(r.Sidecar, r.Service)
+	}
+	if change.New || change.From != u.State {
+		c.out.Believe(decision.Belief{
+			Subject: "upstream", Name: r.Sidecar.String(), From: change.From.String(), To: u.State.String(),
+			Reason: "report of " + r.Service, Version: r.Sequence,
+		})
+	}
+}
+
+func (c *Core) relayReport(now time.Duration, r peer.RelayReport) {
+	if r.Relay == c.self.Addr {
+		return
+	}
+	_, change := c.view.ReportRelay(now, r)
+	if change.Stale {
+		return
+	}
+	c.heardVersion(r.Version, r.Relay)
+	c.Introduce(now, r.Relays)
+	if change.New {
+		c.out.Believe(decision.Belief{Subject: "relay", Name: r.Relay.String(), To: "heard", Reason: "report", Version: r.Sequence})
+		c.reportTo(r.Relay, "")
+	}
+}
+
+// verdict takes a sidecar's answer to a packet.
+func (c *Core) verdict(now time.Duration, v peer.Verdict) {
+	c.view.Answered(now, v.Sidecar, int(v.Busy), int(v.Slots))
+	c.heardVersion(v.Version, v.Sidecar)
+	h := c.flows.Get(v.Flow)
+	switch v.Outcome {
+	case peer.Accepted:
+		c.accepted(now, v, h)
+	case peer.Refused:
+		c.refused(now, v)
+	case peer.Held, peer.Ended:
+		c.found(now, v, h)
+	case peer.NotHeld:
+		c.notHeld(now, v, h)
+	}
+}
+
+func (c *Core) accepted(now time.Duration, v peer.Verdict, h *held) {
+	if o, ok := c.offers[v.Flow]; ok {
+		if u := c.view.Upstream(o.tried[len(o.tried)-1]); u != nil && u.Sidecar != v.Sidecar {
+			u.Busy = max(u.Busy-1, 0)
+		}
+		c.out.Observe(decision.OfferAnswered, now-o.sent)
+		delete(c.offers, v.Flow)
+	}
+	if h == nil {
+		h = &held{}
+		c.flows.Put(v.Flow, h)
+	}
+	h.sidecar = v.Sidecar
+}
+
+func (c *Core) refused(now time.Duration, v peer.Verdict) {
+	o, ok := c.offers[v.Flow]
+	if !ok {
+		// The flow was accepted before and given back by the upstream.
+		if len(v.Packet) == 0 {
+			return
+		}
+		service, routed := c.table.Service(v.Flow)
+		if !routed {
+			c.refuseUnrouted(now, v.Flow, "no_route")
+			return
+		}
+		o = &offer{packet: slices.Clone(v.Packet), service: service}
+		c.offers[v.Flow] = o
+	}
+	o.silent = slices.DeleteFunc(o.silent, func(a netip.Addr) bool { return a == v.Sidecar })
+	if !slices.Contains(o.tried, v.Sidecar) {
+		o.tried = append(o.tried, v.Sidecar)
+	}
+	c.place(now, v.Flow, o)
+}
+
+func (c *Core) found(now time.Duration, v peer.Verdict, h *held) {
+	if h == nil {
+		return
+	}
+	if h.question != nil {
+		c.out.Observe(decision.HolderFound, now-h.question.started)
+		c.out.Decide(decision.Record{
+			Flow: v.Flow, Action: decision.Found, Reason: v.Outcome.String(), Target: v.Sidecar,
+			Version: c.table.Version(), Age: now - h.question.started, Attempt: h.question.sent, Routine: true,
+		})
+	}
+	h.sidecar, h.question = v.Sidecar, nil
+}
+
+// notHeld takes a sidecar's denial. A flow is dead only if every sidecar has
+// denied it and none is silent.
+func (c *Core) notHeld(now time.Duration, v peer.Verdict, h *held) {
+	if h == nil {
+		return
+	}
+	q := h.question
+	if q == nil {
+		if h.sidecar != v.Sidecar || len(v.Packet) == 0 {
+			return
+		}
+		// The holder was wrong: nobody else was asked yet.
+		h.sidecar = netip.Addr{}
+		h.question = &question{asked: map[netip.Addr]bool{v.Sidecar: false}, started: now}
+		c.ask(now, v.Flow, h, v.Packet)
+		return
+	}
+	if !q.asked[v.Sidecar] {
+		return
+	}
+	q.asked[v.Sidecar] = false
+	for _, open := range q.asked {
+		if open {
+			return
+		}
+	}
+	if !q.everywhere {
+		c.askEverywhere(now, v.Flow, q)
+		if q.pending() {
+			return
+		}
+	}
+	c.dead(now, v.Flow, h, q)
+}
+
+// pending reports whether any sidecar has not answered.
+func (q *question) pending() bool {
+	for _, open := range q.asked {
+		if open {
+			return true
+		}
+	}
+	return false
+}
+
+// dead resets a flow that every sidecar has denied.
+func (c *Core) dead(now time.Duration, key flow.Key, h *held, q *question) {
+	packet := q.packet
+	h.question = nil
+	p, err := c.wire.Decode(packet)
+	switch {
+	case err != nil:
+		c.counts.Malformed++
+	case now < _settled:
+		c.counts.Dropped++
+		c.out.Decide(decision.Record{Flow: key, Action: decision.Dropped, Reason: "holder_not_known_yet", Version: c.table.Version()})
+	case h.offered > 0 && now-h.offered < _openTimeout:
+		c.counts.Dropped++
+		c.out.Decide(decision.Record{Flow: key, Action: decision.Dropped, Reason: "still_opening", Version: c.table.Version(), Age: now - h.offered})
+	case p.Size == 0 && p.Flags.Has(flow.FIN):
+		// A caller that closes needs no reset to act on.
+		c.counts.Dropped++
+	default:
+		c.reset(now, key, p.Ack, "no_holder")
+	}
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,206 @@
+// Package relay is the process on an entry VM that forwards opaque packets of
+// callers to the sidecars beside upstreams.
+//
+// Routers may hand any packet to any relay, and change their mind at any time, so
+// a relay's table of flows is only a cache. A new flow goes to the upstream that
+// package placement chooses; its sidecar answers whether the upstream got it. A
+// packet of a flow that the relay does not know is sent to all sidecars that may
+// hold it, and only the holder takes it. Sidecars know: a relay can lose
+// everything and break nothing. Replies do not pass through relays.
+//
+//	routers ──► CallerPacket ─┐             ┌─► ToPeer ──► sidecars
+//	sidecars, relays ──► PeerMessage ─► Core ─┤
+//	settings ──► SetTable ────┘             └─► ToCaller (resets only)
+//
+// Core decides, without sockets or clocks. Relay gives it both.
+package relay
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gopkg.in/tomb.v2"
+
+	"dandelionhitch.example/datagram"
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/directory"
+)
+
+// _tick is how often a core looks for what is due.
+const _tick = 20 * time.Millisecond
+
+// Relay is a running relay.
+type Relay struct {
+	tomb    tomb.Tomb
+	start   time.Time
+	log     *decision.Log
+	observe func(decision.Span, time.Duration)
+	ingress *datagram.Socket
+	peers   *datagram.Socket
+	// callerPort is where callers take packets, and peerPort where processes do.
+	callerPort, peerPort uint16
+
+	mu         sync.Mutex
+	core       *Core
+	lastPacket time.Duration
+}
+
+// Config says where a relay listens.
+type Config struct {
+	Identity Identity
+	// Ingress is where routers send callers' packets. Callers take packets at its
+	// port.
+	Ingress netip.AddrPort
+	// PeerPort is the UDP port for messages between processes, on every VM.
+	PeerPort uint16
+	// MaxFlows bounds the flows that are remembered.
+	MaxFlows int
+}
+
+// New opens a relay's sockets and starts its loops. observe gets measured times; it
+// must not block.
+func New(config Config, wire Wire, log *decision.Log, observe func(decision.Span, time.Duration)) (*Relay, error) {
+	r := &Relay{start: time.Now(), log: log, observe: observe, callerPort: config.Ingress.Port(), peerPort: config.PeerPort}
+	random := rand.New(rand.NewPCG(config.Identity.Incarnation, config.Identity.Incarnation))
+	r.core = NewCore(config.Identity, wire, r, config.MaxFlows, random)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var err error
+	if r.peers, err = datagram.Listen(netip.AddrPortFrom(config.Identity.Addr, config.PeerPort), r.takePeer); err != nil {
+		return nil, trace.Wrap(err, "start relay")
+	}
+	if r.ingress, err = datagram.Listen(config.Ingress, r.takeIngress); err != nil {
+		r.peers.Close()
+		return nil, trace.Wrap(err, "start relay")
+	}
+	r.tomb.Go(r.loop)
+	return r, nil
+}
+
+// SetTable puts a configuration in force if its version is higher.
+func (r *Relay) SetTable(table directory.Table, source string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.SetTable(r.now(), table, source)
+}
+
+// Introduce names relays to the relay.
+func (r *Relay) Introduce(relays []netip.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Introduce(r.now(), relays)
+}
+
+// Leave makes the relay not ready while it goes on forwarding.
+func (r *Relay) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Leave(r.now())
+}
+
+// Ready reports whether routers should send packets here.
+func (r *Relay) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Ready()
+}
+
+// Idle returns how long no caller's packet has come.
+func (r *Relay) Idle() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now() - r.lastPacket
+}
+
+// Behind returns the highest version that a process has named, if it is higher
+// than the one in force, and processes that have it.
+func (r *Relay) Behind() (uint64, []netip.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Behind()
+}
+
+// Heard reports whether a report of the relay at addr has come.
+func (r *Relay) Heard(addr netip.Addr) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Heard(addr)
+}
+
+// Stats are figures of a relay for its metrics.
+type Stats struct {
+	Counts
+	Flows, Relays, Sidecars int
+	Unsent                  uint64
+	Version                 uint64
+}
+
+// Stats returns the figures of now.
+func (r *Relay) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	relays, sidecars := r.core.Known()
+	return Stats{
+		Counts: r.core.Counts(), Flows: r.core.Flows(), Relays: relays, Sidecars: sidecars,
+		Unsent: r.peers.Unsent() + r.ingress.Unsent(), Version: r.core.Table().Version(),
+	}
+}
+
+// Close closes the sockets and waits for the loops.
+func (r *Relay) Close() error {
+	r.tomb.Kill(nil)
+	return trace.NewAggregate(r.ingress.Close(), r.peers.Close(), r.tomb.Wait())
+}
+
+// ToCaller sends a packet to a caller. It implements Outbox.
+func (r *Relay) ToCaller(caller netip.Addr, packet []byte) {
+	r.ingress.Send(netip.AddrPortFrom(caller, r.callerPort), packet)
+}
+
+// ToPeer sends a message to a process. It implements Outbox.
+func (r *Relay) ToPeer(addr netip.Addr, message []byte) {
+	r.peers.Send(netip.AddrPortFrom(addr, r.peerPort), message)
+}
+
+// Decide logs a decision. It implements Outbox.
+func (r *Relay) Decide(record decision.Record) { r.log.Decide(r.now(), record) }
+
+// Believe logs a change of belief. It implements Outbox.
+func (r *Relay) Believe(belief decision.Belief) { r.log.Believe(r.now(), belief) }
+
+// Observe measures a span. It implements Outbox.
+func (r *Relay) Observe(span decision.Span, took time.Duration) { r.observe(span, took) }
+
+func (r *Relay) now() time.Duration { return time.Since(r.start) }
+
+func (r *Relay) takeIngress(packet []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	r.lastPacket = now
+	r.core.CallerPacket(now, packet)
+}
+
+func (r *Relay) takePeer(message []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.PeerMessage(r.now(), message)
+}
+
+func (r *Relay) loop() error {
+	ticker := time.NewTicker(_tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.mu.Lock()
+			r.core.Tick(r.now())
+			r.mu.Unlock()
+		case <-r.tomb.Dying():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/core.go
@@ -0,0 +1,292 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/directory"
+	"dandelionhitch.example/fleet"
+	"dandelionhitch.example/flow"
+	"dandelionhitch.example/peer"
+	"dandelionhitch.example/placement"
+)
+
+// Waits and bounds of a sidecar.
+const (
+	// _consentTimeout is how long an upstream may take to answer an opening packet;
+	// it does so in well under a millisecond when it runs.
+	_consentTimeout = 150 * time.Millisecond
+	// _handshakeTimeout is how long a caller may take to answer the upstream's
+	// consent before the flow no longer counts as a request in progress.
+	_handshakeTimeout = 400 * time.Millisecond
+	// _maxHops bounds how often an opening packet is passed on.
+	_maxHops = 2
+	// _bounceHold is how long no new flow is taken after the upstream gave one
+	// back: about the run time of a short request.
+	_bounceHold = 20 * time.Millisecond
+	// _missedHeartbeats is how many heartbeats an upstream may miss before it is
+	// suspect, and _deadHeartbeats before a silent one counts as dead.
+	_missedHeartbeats = 3.5
+	_deadHeartbeats   = 2.2
+	// _settled is how long after a heartbeat a suspicion is kept, so that a process
+	// that beats but takes no flows is not offered one at each beat.
+	_suspicionHold = 500 * time.Millisecond
+	// _idle is how long an unused flow is kept at least, if the configuration does
+	// not say.
+	_idle = 15 * time.Second
+	// _peerInterval and _relayInterval are the least times between two reports of
+	// load; _beatInterval is the longest time without a report. The rates bound
+	// the reports that one process sends, or that one relay gets, in a large fleet.
+	_peerInterval     = 40 * time.Millisecond
+	_relayInterval    = 150 * time.Millisecond
+	_beatInterval     = 600 * time.Millisecond
+	_sentPerSecond    = 100
+	_relayPerSecond   = 150
+	_forgetInterval   = 5 * time.Second
+	_suspectTicks     = 2 // ticks on time, so that a sidecar that stood still blames nobody
+	_maxTick          = 60 * time.Millisecond
+	_largestShareSlot = 1 << 15
+)
+
+// Wire is what the core needs of the callers' packet format.
+type Wire interface {
+	// Decode reads a packet's header.
+	Decode(packet []byte) (flow.Packet, error)
+	// Restore clears in place what an upstream marks on a packet that it gives back.
+	Restore(packet []byte)
+	// AppendReset appends to b a reset of the flow for the caller whose packet
+	// acknowledged ack.
+	AppendReset(b []byte, key flow.Key, ack uint32) []byte
+}
+
+// Outbox takes what the core wants to be sent and logged. Packets must be used
+// before the call returns.
+type Outbox interface {
+	ToCaller(caller netip.Addr, packet []byte)
+	ToPeer(addr netip.Addr, message []byte)
+	ToUpstream(packet []byte)
+	Decide(record decision.Record)
+	Believe(belief decision.Belief)
+	Observe(span decision.Span, took time.Duration)
+}
+
+// Identity says which process a core is part of.
+type Identity struct {
+	Addr netip.Addr
+	Zone string
+	// Incarnation differs between two runs at one address.
+	Incarnation uint64
+	// Service is the service of the upstream on this host, and Upstream where it
+	// takes packets.
+	Service  string
+	Upstream netip.AddrPort
+	// Heartbeat is how often the upstream reports.
+	Heartbeat time.Duration
+}
+
+// Core decides what a sidecar does. It is a state machine without sockets,
+// clocks or goroutines, and not safe for concurrent use. Times are monotonic,
+// from the start of the process.
+type Core struct {
+	self     Identity
+	id       peer.ServiceID
+	wire     Wire
+	out      Outbox
+	random   *rand.Rand
+	table    directory.Table
+	view     *fleet.View
+	flows    *flow.Cache[held]
+	upstream upstream
+	counts   Counts
+	buffer   []byte
+	scratch  []placement.Candidate
+	eligible []*fleet.Upstream
+
+	busy       int
+	opening    map[flow.Key]*held
+	sequence   uint64
+	fleetSize  int
+	lastTick   time.Duration
+	onTime     int
+	reported   reported
+	nextRotate time.Duration
+	nextForget time.Duration
+	newest     uint64
+	newestFrom netip.Addr
+}
+
+// reported is what was last told to others, and when.
+type reported struct {
+	state          peer.State
+	busy, slots    int
+	version        uint64
+	peers, relays  time.Duration
+	peersBusy      int
+	toPeersSettled bool
+}
+
+// held is a flow of the upstream.
+type held struct {
+	// packet is the opening packet while the upstream has not consented.
+	packet []byte
+	hops   uint8
+	// opening and consent are the sequence numbers of the caller's opening packet
+	// and of the upstream's consent.
+	opening, consent uint32
+	consented        bool
+	// open says that the caller has answered the consent.
+	open bool
+	// working says that the upstream has a request of the flow to answer.
+	working bool
+	// ended says that the upstream has nothing more to send; dead, that it no
+	// longer knows the flow.
+	ended, dead bool
+	// probing says that nothing is known but that a packet was tried on the
+	// upstream.
+	probing bool
+	// origin is the relay that last carried a packet of the flow.
+	origin netip.Addr
+	// given is when the opening packet was given to the upstream.
+	given time.Duration
+	// requested is when data of the caller last began or went on.
+	requested time.Duration
+	// carried is when the last packet of the caller was given to the upstream, and
+	// callerAck what it acknowledged.
+	carried   time.Duration
+	callerAck uint32
+}
+
+// Counts are a sidecar's counters since its start.
+type Counts struct {
+	// Accepted, PassedOn, Refused and Bounced count opening packets: given to the
+	// upstream, to a peer, to nobody, and given back by the upstream.
+	Accepted, PassedOn, Refused, Bounced uint64
+	// Carried packets went to the upstream, Replies to callers.
+	Carried, Replies uint64
+	// NotHeld counts denials, Resets resets to callers, Dropped dropped packets.
+	NotHeld, Resets, Dropped uint64
+	// Malformed packets or messages could not be read.
+	Malformed uint64
+}
+
+// NewCore returns a core that knows nothing yet.
+func NewCore(self Identity, wire Wire, out Outbox, maxFlows int, random *rand.Rand) *Core {
+	c := &Core{
+		self:    self,
+		id:      peer.NewServiceID(self.Service),
+		wire:    wire,
+		out:     out,
+		random:  random,
+		view:    fleet.New(_beatInterval),
+		opening: make(map[flow.Key]*held),
+	}
+	c.flows = flow.NewCache(maxFlows, c.evicted)
+	return c
+}
+
+// Counts returns the counters.
+func (c *Core) Counts() Counts { return c.counts }
+
+// Table returns the configuration in force.
+func (c *Core) Table() directory.Table { return c.table }
+
+// Flows returns the number of flows that the sidecar remembers.
+func (c *Core) Flows() int { return c.flows.Len() }
+
+// Busy returns the number of requests in progress at the upstream.
+func (c *Core) Busy() int { return c.busy }
+
+// Known returns the numbers of relays and peers that the sidecar knows.
+func (c *Core) Known() (relays, sidecars int) { return c.view.RelayCount(), c.view.SidecarCount() }
+
+// Behind returns the highest version that a process has named, if it is higher
+// than the one in force, and processes that have it.
+func (c *Core) Behind() (uint64, []netip.Addr) {
+	if c.newest <= c.table.Version() {
+		return 0, nil
+	}
+	return c.newest, c.view.Holders(c.newest, c.newestFrom)
+}
+
+// Alone reports whether no relay has been heard.
+func (c *Core) Alone() bool {
+	for _, r := range c.view.Relays() {
+		if r.Heard > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// SetTable puts a configuration in force if its version is higher. It reports
+// whether it did.
+func (c *Core) SetTable(now time.Duration, table directory.Table, source string) bool {
+	if table.Version() <= c.table.Version() {
+		return false
+	}
+	c.out.Believe(decision.Belief{
+		Subject: "settings", Name: "routes", From: strconv.FormatUint(c.table.Version(), 10),
+		To: strconv.FormatUint(table.Version(), 10), Reason: source, Version: table.Version(),
+	})
+	c.table = table
+	c.heardVersion(table.Version(), c.self.Addr)
+	return true
+}
+
+// Introduce notes relays that the process has been told of and reports to them.
+func (c *Core) Introduce(now time.Duration, relays []netip.Addr) {
+	for _, addr := range relays {
+		if c.view.AddRelay(now, addr) {
+			c.reportTo(addr)
+		}
+	}
+}
+
+// Tick does what is due. It is called about every 20 ms.
+func (c *Core) Tick(now time.Duration) {
+	if now-c.lastTick > _maxTick {
+		c.onTime = 0
+	} else {
+		c.onTime++
+	}
+	c.lastTick = now
+	c.checkOpenings(now)
+	c.checkHeartbeats(now)
+	c.reportDue(now)
+	if now >= c.nextRotate {
+		c.nextRotate = now + max(c.table.IdleTimeout(), _idle)
+		c.flows.Rotate()
+	}
+	if now >= c.nextForget {
+		c.nextForget = now + _forgetInterval
+		c.view.Forget(now)
+	}
+}
+
+// heardVersion notes that a process has a version.
+func (c *Core) heardVersion(v uint64, from netip.Addr) {
+	if v > c.newest {
+		c.newest, c.newestFrom = v, from
+	}
+}
+
+// setWorking keeps the count of requests in progress.
+func (c *Core) setWorking(h *held, working bool) {
+	if h.working == working {
+		return
+	}
+	h.working = working
+	if working {
+		c.busy++
+	} else {
+		c.busy--
+	}
+}
+
+func (c *Core) evicted(key flow.Key, h *held) {
+	c.setWorking(h, false)
+	delete(c.opening, key)
+}
--- /dev/null
+++ b/sidecar/reports.go
@@ -0,0 +1,89 @@
+package sidecar
+
+import (
+	"net/netip"
+	"time"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/fleet"
+	"dandelionhitch.example/peer"
+)
+
+// relayReport takes a relay's report: it names other relays and the sidecars of
+// the same service.
+func (c *Core) relayReport(now time.Duration, r peer.RelayReport) {
+	_, change := c.view.ReportRelay(now, r)
+	if change.Stale {
+		return
+	}
+	c.heardVersion(r.Version, r.Relay)
+	c.fleetSize = int(r.Fleet)
+	c.Introduce(now, r.Relays)
+	for _, addr := range r.Sidecars {
+		if addr != c.self.Addr && c.view.Upstream(addr) == nil {
+			c.reportTo(addr)
+		}
+	}
+	if change.New {
+		c.out.Believe(decision.Belief{Subject: "relay", Name: r.Relay.String(), To: "heard", Reason: "report", Version: r.Sequence})
+		c.reportTo(r.Relay)
+	}
+}
+
+// reportDue reports to peers and relays when something has changed and the pace
+// allows, and now and then in any case.
+func (c *Core) reportDue(now time.Duration) {
+	peers := len(c.view.Service(c.self.Service))
+	pace := max(_peerInterval, time.Duration(peers)*time.Second/_sentPerSecond)
+	if since := now - c.reported.peers; since >= _beatInterval || (since >= pace && c.reported.peersBusy != c.busy) {
+		c.reportPeers(now)
+	}
+	relayPace := max(_relayInterval,
+		time.Duration(c.view.RelayCount())*time.Second/_sentPerSecond,
+		time.Duration(c.fleetSize)*time.Second/_relayPerSecond)
+	beat := max(_beatInterval, relayPace)
+	since := now - c.reported.relays
+	if since >= beat || (since >= relayPace && (c.reported.busy != c.busy || c.reported.version != c.table.Version())) {
+		c.reportRelays(now)
+	}
+}
+
+// reportAll reports at once, since the state has changed.
+func (c *Core) reportAll(now time.Duration) {
+	c.reportPeers(now)
+	c.reportRelays(now)
+}
+
+func (c *Core) reportPeers(now time.Duration) {
+	c.reported.peers, c.reported.peersBusy = now, c.busy
+	for _, u := range c.view.Service(c.self.Service) {
+		if u.Sidecar != c.self.Addr {
+			c.reportTo(u.Sidecar)
+		}
+	}
+}
+
+func (c *Core) reportRelays(now time.Duration) {
+	c.reported.relays, c.reported.busy, c.reported.version = now, c.busy, c.table.Version()
+	for _, r := range c.view.Relays() {
+		c.reportTo(r.Addr)
+	}
+}
+
+func (c *Core) reportTo(addr netip.Addr) {
+	c.sequence++
+	message, err := peer.AppendUpstream(c.buffer[:0], peer.UpstreamReport{
+		Sidecar: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
+		Service: c.self.Service, Zone: c.self.Zone, State: c.upstream.state,
+		Busy: uint16(max(c.busy, 0)), Slots: uint16(c.slots(c.lastTick)), Version: c.table.Version(),
+	})
+	if err != nil {
+		c.out.Believe(decision.Belief{Subject: "report", Name: addr.String(), Reason: err.Error()})
+		return
+	}
+	c.buffer = message
+	c.out.ToPeer(addr, message)
+}
+
+// Peers calls f for each known peer, in no order.
+func (c *Core) Peers(f func(*fleet.Upstream)) { c.view.Sidecars(f) }
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,227 @@
+// Package sidecar is the process beside an upstream that carries opaque packets
+// between callers and the upstream.
+//
+// A sidecar sees every packet of its upstream, so it knows which flows the
+// upstream holds and how many requests it works on. It is the last gate for new
+// flows: whatever relays believe, none reaches an upstream that is draining, has
+// gone, answers nothing, or that the configuration does not lead to. What the
+// upstream should not get goes to a peer of the same service or back to the relay.
+// Replies go straight to the caller.
+//
+//	relays, peers ──► PeerMessage ─────┐             ┌─► ToUpstream
+//	upstream ──► UpstreamPacket ─► Core ─┼─► ToCaller
+//	upstream ──► Heartbeat, Leave ─────┘             └─► ToPeer
+//
+// Core decides, without sockets or clocks. Sidecar gives it both.
+package sidecar
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gopkg.in/tomb.v2"
+
+	"dandelionhitch.example/datagram"
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/directory"
+)
+
+// _tick is how often a core looks for what is due.
+const _tick = 20 * time.Millisecond
+
+// Sidecar is a running sidecar.
+type Sidecar struct {
+	tomb     tomb.Tomb
+	start    time.Time
+	log      *decision.Log
+	observe  func(decision.Span, time.Duration)
+	upstream *datagram.Socket
+	outbound *datagram.Socket
+	peers    *datagram.Socket
+	// callerPort is where callers take packets, and peerPort where processes do.
+	callerPort, peerPort uint16
+	// unreachable notes that the host refused a packet for the upstream.
+	unreachable atomic.Bool
+
+	mu   sync.Mutex
+	core *Core
+}
+
+// Config says where a sidecar listens.
+type Config struct {
+	Identity Identity
+	// Outbound is where the upstream sends its packets.
+	Outbound netip.AddrPort
+	// CallerPort is the port at which callers take packets.
+	CallerPort uint16
+	// PeerPort is the UDP port for messages between processes, on every VM.
+	PeerPort uint16
+	// MaxFlows bounds the flows that are remembered.
+	MaxFlows int
+}
+
+// New opens a sidecar's sockets and starts its loops. observe gets measured times; it
+// must not block.
+func New(config Config, wire Wire, log *decision.Log, observe func(decision.Span, time.Duration)) (*Sidecar, error) {
+	s := &Sidecar{start: time.Now(), log: log, observe: observe, callerPort: config.CallerPort, peerPort: config.PeerPort}
+	self := config.Identity
+	s.core = NewCore(self, wire, s, config.MaxFlows, rand.New(rand.NewPCG(self.Incarnation, self.Incarnation)))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var err error
+	if s.peers, err = datagram.Listen(netip.AddrPortFrom(self.Addr, config.PeerPort), s.takePeer); err != nil {
+		return nil, trace.Wrap(err, "start sidecar")
+	}
+	if s.outbound, err = datagram.Listen(config.Outbound, s.takeOutbound); err != nil {
+		s.peers.Close()
+		return nil, trace.Wrap(err, "start sidecar")
+	}
+	s.upstream, err = datagram.Dial(self.Addr, self.Upstream, func([]byte) {}, datagram.WithRefused(s.refused))
+	if err != nil {
+		s.peers.Close()
+		s.outbound.Close()
+		return nil, trace.Wrap(err, "start sidecar")
+	}
+	s.tomb.Go(s.loop)
+	return s, nil
+}
+
+// SetTable puts a configuration in force if its version is higher.
+func (s *Sidecar) SetTable(table directory.Table, source string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.SetTable(s.now(), table, source)
+}
+
+// Introduce names relays to the sidecar.
+func (s *Sidecar) Introduce(relays []netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Introduce(s.now(), relays)
+}
+
+// Heartbeat takes the upstream's heartbeat.
+func (s *Sidecar) Heartbeat(h Heartbeat) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Heartbeat(s.now(), h)
+}
+
+// Leave takes the upstream's word that it ends.
+func (s *Sidecar) Leave(id string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Leave(s.now(), id)
+}
+
+// Malformed notes a call that could not be read.
+func (s *Sidecar) Malformed(id string, err error) {
+	s.Believe(decision.Belief{Subject: "heartbeat", Name: id, To: "ignored", Reason: err.Error()})
+}
+
+// Behind returns the highest version that a process has named, if it is higher
+// than the one in force, and processes that have it.
+func (s *Sidecar) Behind() (uint64, []netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Behind()
+}
+
+// Alone reports whether no relay has been heard.
+func (s *Sidecar) Alone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Alone()
+}
+
+// Stats are figures of a sidecar for its metrics.
+type Stats struct {
+	Counts
+	Flows, Busy, Relays, Peers int
+	Unsent                     uint64
+	Version                    uint64
+}
+
+// Stats returns the figures of now.
+func (s *Sidecar) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	relays, peers := s.core.Known()
+	return Stats{
+		Counts: s.core.Counts(), Flows: s.core.Flows(), Busy: s.core.Busy(), Relays: relays, Peers: peers,
+		Unsent: s.upstream.Unsent() + s.outbound.Unsent() + s.peers.Unsent(), Version: s.core.Table().Version(),
+	}
+}
+
+// Close closes the sockets and waits for the loops.
+func (s *Sidecar) Close() error {
+	s.tomb.Kill(nil)
+	return trace.NewAggregate(s.upstream.Close(), s.outbound.Close(), s.peers.Close(), s.tomb.Wait())
+}
+
+// ToCaller sends a packet to a caller. It implements Outbox.
+func (s *Sidecar) ToCaller(caller netip.Addr, packet []byte) {
+	s.outbound.Send(netip.AddrPortFrom(caller, s.callerPort), packet)
+}
+
+// ToPeer sends a message to a process. It implements Outbox.
+func (s *Sidecar) ToPeer(addr netip.Addr, message []byte) {
+	s.peers.Send(netip.AddrPortFrom(addr, s.peerPort), message)
+}
+
+// ToUpstream gives a packet to the upstream. It implements Outbox.
+func (s *Sidecar) ToUpstream(packet []byte) { s.upstream.Write(packet) }
+
+// Decide logs a decision. It implements Outbox.
+func (s *Sidecar) Decide(record decision.Record) { s.log.Decide(s.now(), record) }
+
+// Believe logs a change of belief. It implements Outbox.
+func (s *Sidecar) Believe(belief decision.Belief) { s.log.Believe(s.now(), belief) }
+
+// Observe measures a span. It implements Outbox.
+func (s *Sidecar) Observe(span decision.Span, took time.Duration) { s.observe(span, took) }
+
+func (s *Sidecar) now() time.Duration { return time.Since(s.start) }
+
+func (s *Sidecar) takePeer(message []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.PeerMessage(s.now(), message)
+}
+
+func (s *Sidecar) takeOutbound(packet []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.UpstreamPacket(s.now(), packet)
+}
+
+// refused is called by the upstream's socket, from its loop or from a write that
+// the core asked for, so it must not take the lock: the loop notes it.
+func (s *Sidecar) refused() { s.unreachable.Store(true) }
+
+func (s *Sidecar) loop() error {
+	ticker := time.NewTicker(_tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.tick()
+		case <-s.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (s *Sidecar) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if s.unreachable.Swap(false) {
+		s.core.Unreachable(now)
+	}
+	s.core.Tick(now)
+}
--- /dev/null
+++ b/sidecar/upstream.go
@@ -0,0 +1,192 @@
+package sidecar
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/flow"
+	"dandelionhitch.example/peer"
+)
+
+// Heartbeat is what an upstream says of itself.
+type Heartbeat struct {
+	ID      string
+	Service string
+	Addr    netip.AddrPort
+	Slots   int
+	// Draining says that it will end and must get no new flows.
+	Draining bool
+	// Warming is how much longer it will be slow after its start.
+	Warming time.Duration
+	// Born orders the lives of upstreams, and Sequence the heartbeats of one life.
+	Born, Sequence uint64
+}
+
+// upstream is what a sidecar knows of the upstream beside it.
+type upstream struct {
+	id             string
+	born, sequence uint64
+	slots          int
+	warmUntil      time.Duration
+	state          peer.State
+	// heard is when a heartbeat came, and seen when a packet or a heartbeat did.
+	heard, seen time.Duration
+	// suspected is when the present suspicion began.
+	suspected time.Duration
+	// bounced is when it last gave an opening packet back.
+	bounced time.Duration
+	// known says that all its flows came through this process.
+	known bool
+}
+
+// _coldFactor is how much slower a starting upstream works, from the users' sheets.
+const _coldFactor = 1.6
+
+// Heartbeat takes an upstream's heartbeat. An error says that it is not of the
+// upstream on this host.
+func (c *Core) Heartbeat(now time.Duration, h Heartbeat) error {
+	if h.Addr != c.self.Upstream || h.Service != c.self.Service {
+		return trace.BadParameter("heartbeat of %q: service %q at %v, this host has %q at %v",
+			h.ID, h.Service, h.Addr, c.self.Service, c.self.Upstream)
+	}
+	u := &c.upstream
+	switch {
+	case h.Born < u.born, h.Born == u.born && h.ID == u.id && h.Sequence <= u.sequence:
+		return nil // late
+	case h.Born != u.born || h.ID != u.id:
+		c.newLife(now, h)
+	}
+	u.sequence, u.heard, u.slots = h.Sequence, now, min(max(h.Slots, 1), _largestShareSlot)
+	u.warmUntil = now + h.Warming
+	switch {
+	case u.state == peer.Gone:
+	case h.Draining:
+		c.setState(now, peer.Draining, "heartbeat")
+	case u.state == peer.Suspect && now-u.suspected < _suspicionHold:
+	default:
+		u.seen = now
+		c.setState(now, peer.Ready, "heartbeat")
+	}
+	return nil
+}
+
+// Leave takes an upstream's word that it ends.
+func (c *Core) Leave(now time.Duration, id string) error {
+	if id != c.upstream.id {
+		return trace.NotFound("upstream %q does not exist on this host", id)
+	}
+	c.setState(now, peer.Gone, "left")
+	return nil
+}
+
+// newLife notes that another upstream runs at the address. It knows nothing of
+// the flows of the one before.
+func (c *Core) newLife(now time.Duration, h Heartbeat) {
+	u := &c.upstream
+	first := u.born == 0 && u.id == ""
+	c.out.Believe(decision.Belief{
+		Subject: "upstream_life", Name: h.ID, From: u.id, To: h.ID, Reason: "heartbeat", Version: h.Sequence, Age: now - u.heard,
+	})
+	if !first {
+		c.flows.All(func(_ flow.Key, f *held) bool {
+			c.setWorking(f, false)
+			f.dead = f.dead || !f.ended
+			return true
+		})
+		clear(c.opening)
+	}
+	*u = upstream{
+		id: h.ID, born: h.Born, seen: now, state: peer.Absent,
+		// An upstream that was there before this process may have flows that this
+		// process has not seen.
+		known: !first || h.Sequence <= 1,
+	}
+}
+
+// setState changes what is believed of the upstream, and tells everybody.
+func (c *Core) setState(now time.Duration, state peer.State, reason string) {
+	u := &c.upstream
+	if u.state == state {
+		return
+	}
+	c.out.Believe(decision.Belief{
+		Subject: "upstream", Name: u.id, From: u.state.String(), To: state.String(), Reason: reason,
+		Version: u.sequence, Age: now - u.heard,
+	})
+	u.state = state
+	if state == peer.Suspect {
+		u.suspected = now
+	}
+	c.reportAll(now)
+}
+
+// slots returns how many requests the upstream works on at its present speed.
+func (c *Core) slots(now time.Duration) int {
+	if now < c.upstream.warmUntil {
+		return max(int(float64(c.upstream.slots)/_coldFactor), 1)
+	}
+	return max(c.upstream.slots, 1)
+}
+
+// checkOpenings suspects an upstream that does not answer opening packets, and
+// gives up counting flows whose caller did not go on.
+func (c *Core) checkOpenings(now time.Duration) {
+	silent := false
+	for key, h := range c.opening {
+		switch {
+		case h.open || h.dead || h.ended:
+			delete(c.opening, key)
+		case h.consented && now-h.given > _handshakeTimeout:
+			c.setWorking(h, false)
+			delete(c.opening, key)
+		case !h.consented && now-h.given > _consentTimeout && h.given > c.upstream.seen:
+			silent = true
+		}
+	}
+	if !silent || c.onTime < _suspectTicks {
+		return
+	}
+	if c.upstream.state == peer.Ready {
+		c.setState(now, peer.Suspect, "no_answer_to_opening")
+	}
+	for key, h := range c.opening {
+		if !h.consented && now-h.given > _consentTimeout {
+			c.giveBack(now, key, h, "no_answer_to_opening")
+		}
+	}
+}
+
+// checkHeartbeats suspects an upstream that has stopped to report.
+func (c *Core) checkHeartbeats(now time.Duration) {
+	u := &c.upstream
+	missing := now - max(u.heard, u.seen)
+	if u.state == peer.Ready && missing > time.Duration(_missedHeartbeats*float64(c.self.Heartbeat)) && c.onTime >= _suspectTicks {
+		c.setState(now, peer.Suspect, "heartbeats_missing")
+	}
+}
+
+// isDead reports whether the upstream has certainly ended: it said so, or it has
+// answered neither packets nor in its heartbeats for long enough.
+func (c *Core) isDead(now time.Duration) bool {
+	u := &c.upstream
+	switch u.state {
+	case peer.Gone:
+		return now-u.seen > time.Second
+	case peer.Suspect:
+		return now-max(u.heard, u.seen) > time.Duration(_deadHeartbeats*float64(c.self.Heartbeat))
+	default:
+		return false
+	}
+}
+
+// Unreachable notes that the host refused a packet for the upstream, since no
+// process listens there.
+func (c *Core) Unreachable(now time.Duration) {
+	if c.upstream.state == peer.Ready || c.upstream.state == peer.Suspect {
+		c.setState(now, peer.Suspect, "not_listening")
+		c.upstream.heard, c.upstream.seen = 0, 0
+	}
+}
