--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -92,21 +92,12 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "platform URL")
 	}
-	return platform.NewClient(base, platform.WithReadBudget(_storeReadBudget), platform.WithWatchTimeout(_storeWatchTimeout),
-		platform.WithCallTimeout(_storeCallTimeout)), nil
+	return platform.NewClient(base, platform.WithReadBudget(_storeCallTimeout), platform.WithCallTimeout(_storeCallTimeout)), nil
 }
 
-// Waits for the store.
-const (
-	// _storeCallTimeout is some ten times what a slow store takes.
-	_storeCallTimeout = 1200 * time.Millisecond
-	// _storeReadBudget bounds one read with its retries; the reader then starts anew.
-	_storeReadBudget = 10 * time.Second
-	// _storeWatchTimeout is how long a watch waits. Connections that have gone
-	// silent are found by their keep-alive probes, and changes come from other
-	// processes, too.
-	_storeWatchTimeout = 10 * time.Second
-)
+// _storeCallTimeout bounds one call to the store: some five times what a slow
+// store takes.
+const _storeCallTimeout = 1200 * time.Millisecond
 
 // incarnation returns a number that no other run at this address has.
 func incarnation() uint64 {
--- a/dandelionhitch/opaque_routes.go
+++ b/dandelionhitch/opaque_routes.go
@@ -29,6 +29,11 @@
 	_fetchJitter = 60 * time.Millisecond
 	// _fetchTimeout bounds one fetch of a configuration.
 	_fetchTimeout = 800 * time.Millisecond
+	// _storePause is the first pause after the store could not be read, and
+	// _maxStorePause the longest: a fleet that starts while the store is away has
+	// nothing else to wait for.
+	_storePause    = 150 * time.Millisecond
+	_maxStorePause = time.Second
 	// _maxRoutes bounds a configuration, in bytes, as the store does.
 	_maxRoutes = platform.MaxValueSize + 1<<10
 )
@@ -42,6 +47,14 @@
 	Behind() (uint64, []netip.Addr)
 }
 
+// routesChecks says when this process should read the configuration in the store.
+type routesChecks interface {
+	// CheckDue returns how long to wait; zero says now.
+	CheckDue() time.Duration
+	// Checked notes that it has been read.
+	Checked()
+}
+
 // routesFollower keeps a process at the newest configuration that it can reach,
 // from the store and from other processes, and serves it to others. So a process
 // that the store turns away still gets it.
@@ -50,6 +63,7 @@
 	ctx      context.Context
 	target   routesTarget
 	store    platform.Store
+	checks   routesChecks
 	log      *zap.Logger
 	peerPort uint16
 	client   *http.Client
@@ -59,17 +73,21 @@
 	mu      sync.Mutex
 	value   []byte
 	version uint64
+	// read is the store's version of the configuration that was read last.
+	read platform.Version
 }
 
-// newRoutesFollower serves at self and follows. store may be nil: then only other
-// processes are asked.
-func newRoutesFollower(self netip.AddrPort, target routesTarget, store platform.Store, log *zap.Logger) (*routesFollower, error) {
+// newRoutesFollower serves at self and follows. store and checks may be nil: then
+// only other processes are asked.
+func newRoutesFollower(
+	self netip.AddrPort, target routesTarget, store platform.Store, checks routesChecks, log *zap.Logger,
+) (*routesFollower, error) {
 	listener, err := net.Listen("tcp4", self.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for processes that ask for routes at %s", self)
 	}
 	f := &routesFollower{
-		target: target, store: store, log: log, peerPort: self.Port(), listener: listener,
+		target: target, store: store, checks: checks, log: log, peerPort: self.Port(), listener: listener,
 		client: &http.Client{Timeout: _fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	mux := http.NewServeMux()
@@ -115,28 +133,49 @@
 	_, _ = w.Write(value)
 }
 
-// loopStore watches the configuration in the store.
+// loopStore reads the configuration in the store when this process is due to.
 func (f *routesFollower) loopStore() error {
-	var after platform.Version
 	reached := true
+	pause := _storePause
 	for f.tomb.Alive() {
-		object, err := f.store.Watch(f.ctx, platform.ConfigurationKey, after)
-		switch {
-		case err == nil:
-			if !reached {
-				f.log.Info("store regained")
-			}
-			reached, after = true, object.Version
-			f.adopt(object.Value, "store")
+		if due := f.checks.CheckDue(); due > 0 {
+			f.pause(due)
 			continue
+		}
+		err := f.check()
+		switch {
 		case f.ctx.Err() != nil:
 			return nil
+		case err == nil && !reached:
+			f.log.Info("store regained")
+			fallthrough
+		case err == nil:
+			reached, pause = true, _storePause
+			continue
 		case reached:
 			f.log.Warn("store lost", zap.Error(err))
 			reached = false
 		}
-		f.pause(_fetchTimeout)
+		f.pause(pause/2 + rand.N(pause))
+		pause = min(2*pause, _maxStorePause)
+	}
+	return nil
+}
+
+// check reads the configuration in the store. One that does not exist yet is
+// looked for again at once.
+func (f *routesFollower) check() error {
+	ctx, cancel := context.WithTimeout(f.ctx, _storeCallTimeout)
+	defer cancel()
+	object, err := f.store.Get(ctx, platform.ConfigurationKey)
+	if err != nil {
+		return err
+	}
+	if object.Version != f.read {
+		f.read = object.Version
+		f.adopt(object.Value, "store")
 	}
+	f.checks.Checked()
 	return nil
 }
 
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -107,7 +107,7 @@
 
 // startServices starts what a relay needs beside its data path.
 func (f *relayFlags) startServices(node *opaqueNode, r *relay.Relay, self relay.Identity) error {
-	routes, err := newRoutesFollower(node.peerAddr(), r, node.store, node.log)
+	routes, err := newRoutesFollower(node.peerAddr(), r, node.store, r, node.log)
 	if err != nil {
 		return err
 	}
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -115,7 +115,7 @@
 
 // startServices starts what a sidecar needs beside its data path.
 func (f *sidecarFlags) startServices(node *opaqueNode, s *sidecar.Sidecar) error {
-	routes, err := newRoutesFollower(node.peerAddr(), s, nil, node.log)
+	routes, err := newRoutesFollower(node.peerAddr(), s, nil, nil, node.log)
 	if err != nil {
 		return err
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -238,6 +238,9 @@
 	// Fleet is how many sidecars the sender has heard. Sidecars pace their reports
 	// by it.
 	Fleet uint32 `cbor:"8,keyasint"`
+	// CheckedAge is how long ago, in ms, the sender or a relay that it heard read
+	// the configuration in the store.
+	CheckedAge uint32 `cbor:"9,keyasint"`
 }
 
 // AppendUpstream appends an upstream report to b.
--- a/relay/core.go
+++ b/relay/core.go
@@ -44,6 +44,16 @@
 	_namedRelays = 128
 	// _forgetInterval is how often silent processes are looked for.
 	_forgetInterval = 5 * time.Second
+	// _checkInterval is how often the relays together read the configuration in the
+	// store: a third of the time in which a change must be in force. They do not
+	// watch: a watch can be deaf for seconds and does not show it.
+	_checkInterval = time.Second
+	// _checkStagger, for each relay, is the range in which they choose who reads
+	// next, up to _maxStagger.
+	_checkStagger = 40 * time.Millisecond
+	_maxStagger   = 500 * time.Millisecond
+	// _neverChecked is the age that a report gives if no read is known.
+	_neverChecked = 1<<32 - 1
 )
 
 // Wire is what the core needs of the callers' packet format.
@@ -96,6 +106,9 @@
 	// newest is the highest version that any process has named.
 	newest     uint64
 	newestFrom netip.Addr
+	// checked is when this relay or another one read the configuration in the
+	// store, and checkSpread how much longer this one waits before it does.
+	checked, checkSpread time.Duration
 }
 
 // held is what a relay knows of a flow. All of it can be lost.
@@ -198,6 +211,41 @@
 	return true
 }
 
+// CheckDue returns how long this relay should wait before it reads the
+// configuration in the store; zero says now. The relays share this duty without
+// a leader: each waits a little longer by chance, and hears when another did it.
+func (c *Core) CheckDue(now time.Duration) time.Duration {
+	if c.checked == 0 {
+		return 0
+	}
+	return max(0, c.checked+_checkInterval+c.checkSpread-now)
+}
+
+// Checked notes that this relay has read the configuration in the store, and
+// tells the other relays.
+func (c *Core) Checked(now time.Duration) {
+	c.noteChecked(now)
+	for _, r := range c.view.Relays() {
+		c.reportTo(now, r.Addr, "")
+	}
+}
+
+func (c *Core) noteChecked(at time.Duration) {
+	if at > c.checked {
+		c.checked = at
+		spread := min(time.Duration(c.view.RelayCount()+1)*_checkStagger, _maxStagger)
+		c.checkSpread = time.Duration(c.random.Int64N(int64(spread)))
+	}
+}
+
+// checkedAge returns the age of the last read that is known, in ms.
+func (c *Core) checkedAge(now time.Duration) uint32 {
+	if c.checked == 0 {
+		return _neverChecked
+	}
+	return uint32(min((now - c.checked).Milliseconds(), _neverChecked-1))
+}
+
 // Leave notes that the process was told to stop, and tells the others.
 func (c *Core) Leave(now time.Duration) {
 	c.leaving = true
@@ -208,7 +256,7 @@
 func (c *Core) Introduce(now time.Duration, relays []netip.Addr) {
 	for _, addr := range relays {
 		if addr != c.self.Addr && c.view.AddRelay(now, addr) {
-			c.reportTo(addr, "")
+			c.reportTo(now, addr, "")
 		}
 	}
 }
@@ -244,18 +292,19 @@
 	count := c.view.RelayCount() + c.view.SidecarCount()
 	c.nextReport = now + max(_relayInterval, time.Duration(count)*time.Second/_reportsPerSecond)
 	for _, r := range c.view.Relays() {
-		c.reportTo(r.Addr, "")
+		c.reportTo(now, r.Addr, "")
 	}
-	c.view.Sidecars(func(u *fleet.Upstream) { c.reportTo(u.Sidecar, u.Service) })
+	c.view.Sidecars(func(u *fleet.Upstream) { c.reportTo(now, u.Sidecar, u.Service) })
 }
 
 // reportTo tells one process of this relay. A sidecar also gets the sidecars of
 // its service.
-func (c *Core) reportTo(addr netip.Addr, service string) {
+func (c *Core) reportTo(now time.Duration, addr netip.Addr, service string) {
 	c.sequence++
 	r := peer.RelayReport{
 		Relay: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Leaving: c.leaving, Version: c.table.Version(), Fleet: uint32(c.view.SidecarCount()),
+		CheckedAge: c.checkedAge(now),
 	}
 	for _, known := range c.view.Relays() {
 		if known.Heard > 0 && len(r.Relays) < _namedRelays {
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -49,7 +49,7 @@
 	}
 	c.heardVersion(r.Version, r.Sidecar)
 	if change.New {
-		c.reportTo(r.Sidecar, r.Service)
+		c.reportTo(now, r.Sidecar, r.Service)
 	}
 	if change.New || change.From != u.State {
 		c.out.Believe(decision.Belief{
@@ -68,10 +68,13 @@
 		return
 	}
 	c.heardVersion(r.Version, r.Relay)
+	if age := time.Duration(r.CheckedAge) * time.Millisecond; r.CheckedAge < _neverChecked && age < now {
+		c.noteChecked(now - age)
+	}
 	c.Introduce(now, r.Relays)
 	if change.New {
 		c.out.Believe(decision.Belief{Subject: "relay", Name: r.Relay.String(), To: "heard", Reason: "report", Version: r.Sequence})
-		c.reportTo(r.Relay, "")
+		c.reportTo(now, r.Relay, "")
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,6 +87,21 @@
 	return r.core.SetTable(r.now(), table, source)
 }
 
+// CheckDue returns how long to wait before the configuration in the store is read
+// by this relay; zero says now.
+func (r *Relay) CheckDue() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.CheckDue(r.now())
+}
+
+// Checked notes that the configuration in the store has been read.
+func (r *Relay) Checked() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Checked(r.now())
+}
+
 // Introduce names relays to the relay.
 func (r *Relay) Introduce(relays []netip.Addr) {
 	r.mu.Lock()
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -286,11 +286,27 @@
 		c.bounced(now, p, packet)
 		return
 	}
+	if h := c.flows.Get(p.ToCaller()); h != nil && h.probing && p.Flags.Has(flow.RST) {
+		c.deniedByReset(now, p, h)
+		return
+	}
 	c.reply(now, p)
 	c.counts.Replies++
 	c.out.ToCaller(p.Destination.Addr(), packet)
 }
 
+// deniedByReset takes an upstream's reset of a flow that was only tried on it: it
+// does not have the flow, and another upstream may.
+func (c *Core) deniedByReset(now time.Duration, p flow.Packet, h *held) {
+	key := p.ToCaller()
+	c.flows.Delete(key)
+	c.counts.NotHeld++
+	c.out.Decide(decision.Record{
+		Flow: key, Action: decision.NotHeld, Reason: "upstream_reset", Target: h.origin, Version: c.table.Version(),
+	})
+	c.verdict(now, peer.NotHeld, key, h.origin, nil)
+}
+
 // seen notes a sign of life.
 func (c *Core) seen(now time.Duration) {
 	c.upstream.seen = now
