--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -76,7 +76,8 @@
 	for span := range decision.Spans {
 		histogram, err := n.metrics.meter().Float64Histogram(
 			"dandelionhitch_"+span.String(), metric.WithUnit("s"),
-			metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5))
+			metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5),
+		)
 		if err != nil {
 			return h, trace.Wrap(err, "histogram %s", span)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,6 +66,8 @@
 // View is what a process knows of the fleet. It is not safe for concurrent use.
 type View struct {
 	upstreams map[netip.Addr]*Upstream
+	// sidecars are the upstreams in the order of their addresses.
+	sidecars []*Upstream
 	services  map[string][]*Upstream
 	relays    map[netip.Addr]*Relay
 	interval  time.Duration
@@ -98,6 +100,7 @@
 	case !known:
 		u = &Upstream{Sidecar: r.Sidecar}
 		v.upstreams[r.Sidecar] = u
+		v.sidecars = insert(v.sidecars, u)
 	case r.Incarnation == u.previous, r.Incarnation == u.incarnation && r.Sequence <= u.sequence:
 		return u, Change{Stale: true, From: u.State}
 	}
@@ -149,12 +152,9 @@
 // The slice must not be changed.
 func (v *View) Service(name string) []*Upstream { return v.services[name] }
 
-// Sidecars calls f for each known sidecar, in no order.
-func (v *View) Sidecars(f func(*Upstream)) {
-	for _, u := range v.upstreams {
-		f(u)
-	}
-}
+// Sidecars returns all upstreams in the order of their addresses. The slice must
+// not be changed.
+func (v *View) Sidecars() []*Upstream { return v.sidecars }
 
 // SidecarCount returns the number of known sidecars.
 func (v *View) SidecarCount() int { return len(v.upstreams) }
@@ -224,10 +224,11 @@
 // Forget drops processes that have been silent for very long and returns the
 // addresses of the relays among them.
 func (v *View) Forget(now time.Duration) []netip.Addr {
-	for addr, u := range v.upstreams {
+	for _, u := range slices.Clone(v.sidecars) {
 		if now-u.Heard > _forget {
 			v.unlist(u)
-			delete(v.upstreams, addr)
+			v.sidecars = remove(v.sidecars, u)
+			delete(v.upstreams, u.Sidecar)
 		}
 	}
 	var relays []netip.Addr
@@ -244,17 +245,23 @@
 	u.Busy, u.Slots, u.Loaded = busy, max(slots, 1), now
 }
 
-func (v *View) list(u *Upstream) {
-	list := append(v.services[u.Service], u)
-	slices.SortFunc(list, func(a, b *Upstream) int { return a.Sidecar.Compare(b.Sidecar) })
-	v.services[u.Service] = list
-}
+func (v *View) list(u *Upstream) { v.services[u.Service] = insert(v.services[u.Service], u) }
 
 func (v *View) unlist(u *Upstream) {
-	list := slices.DeleteFunc(v.services[u.Service], func(other *Upstream) bool { return other == u })
+	list := remove(v.services[u.Service], u)
 	if len(list) == 0 {
 		delete(v.services, u.Service)
 		return
 	}
 	v.services[u.Service] = list
 }
+
+// insert adds an upstream to a list in the order of addresses.
+func insert(list []*Upstream, u *Upstream) []*Upstream {
+	at, _ := slices.BinarySearchFunc(list, u, func(a, b *Upstream) int { return a.Sidecar.Compare(b.Sidecar) })
+	return slices.Insert(list, at, u)
+}
+
+func remove(list []*Upstream, u *Upstream) []*Upstream {
+	return slices.DeleteFunc(list, func(other *Upstream) bool { return other == u })
+}
--- a/relay/core.go
+++ b/relay/core.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"dandelionhitch.example/decision"
@@ -134,7 +136,10 @@
 
 // question is an open search for the sidecar that holds a flow.
 type question struct {
-	asked   map[netip.Addr]bool
+	// asked are the sidecars in the order of the asking, and open those that have
+	// not answered.
+	asked   []netip.Addr
+	open    map[netip.Addr]bool
 	started time.Duration
 	sent    int
 	// everywhere says that sidecars of all services were asked.
@@ -269,10 +274,8 @@
 
 // Tick does what is due. It is called about every 20 ms.
 func (c *Core) Tick(now time.Duration) {
-	for key, o := range c.offers {
-		if now-o.sent > _offerTimeout {
-			c.unanswered(now, key, o)
-		}
+	for _, key := range c.overdue(now) {
+		c.unanswered(now, key, c.offers[key])
 	}
 	if now >= c.nextReport {
 		c.report(now)
@@ -287,6 +290,19 @@
 	}
 }
 
+// overdue returns the flows whose offer was not answered in time, in an order
+// that does not depend on chance.
+func (c *Core) overdue(now time.Duration) []flow.Key {
+	var keys []flow.Key
+	for key, o := range c.offers {
+		if now-o.sent > _offerTimeout {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b flow.Key) int { return cmp.Compare(a.Hash(), b.Hash()) })
+	return keys
+}
+
 // report tells all known processes of this relay, paced by the size of the fleet.
 func (c *Core) report(now time.Duration) {
 	count := c.view.RelayCount() + c.view.SidecarCount()
@@ -294,7 +310,9 @@
 	for _, r := range c.view.Relays() {
 		c.reportTo(now, r.Addr, "")
 	}
-	c.view.Sidecars(func(u *fleet.Upstream) { c.reportTo(now, u.Sidecar, u.Service) })
+	for _, u := range c.view.Sidecars() {
+		c.reportTo(now, u.Sidecar, u.Service)
+	}
 }
 
 // reportTo tells one process of this relay. A sidecar also gets the sidecars of
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -159,18 +159,16 @@
 		}
 		// The holder was wrong: nobody else was asked yet.
 		h.sidecar = netip.Addr{}
-		h.question = &question{asked: map[netip.Addr]bool{v.Sidecar: false}, started: now}
+		h.question = &question{asked: []netip.Addr{v.Sidecar}, open: map[netip.Addr]bool{v.Sidecar: false}, started: now}
 		c.ask(now, v.Flow, h, v.Packet)
 		return
 	}
-	if !q.asked[v.Sidecar] {
+	if !q.open[v.Sidecar] {
 		return
 	}
-	q.asked[v.Sidecar] = false
-	for _, open := range q.asked {
-		if open {
-			return
-		}
+	q.open[v.Sidecar] = false
+	if q.pending() {
+		return
 	}
 	if !q.everywhere {
 		c.askEverywhere(now, v.Flow, q)
@@ -183,7 +181,7 @@
 
 // pending reports whether any sidecar has not answered.
 func (q *question) pending() bool {
-	for _, open := range q.asked {
+	for _, open := range q.open {
 		if open {
 			return true
 		}
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -165,7 +165,7 @@
 func (c *Core) ask(now time.Duration, key flow.Key, h *held, packet []byte) {
 	q := h.question
 	if q == nil || now-q.started > _askTimeout {
-		q = &question{asked: make(map[netip.Addr]bool), started: now}
+		q = &question{open: make(map[netip.Addr]bool), started: now}
 		h.question = q
 	}
 	if q.sent >= _maxAsks {
@@ -191,7 +191,9 @@
 // elsewhere when the flow was opened.
 func (c *Core) askEverywhere(now time.Duration, key flow.Key, q *question) {
 	q.everywhere = true
-	c.view.Sidecars(func(u *fleet.Upstream) { q.ask(u.Sidecar) })
+	for _, u := range c.view.Sidecars() {
+		q.ask(u.Sidecar)
+	}
 	c.sendQuestion(now, key, q)
 }
 
@@ -201,17 +203,18 @@
 		Flow: key, Action: decision.Asked, Reason: "holder_not_known", Version: c.table.Version(),
 		Age: now - q.started, Attempt: q.sent, Busy: uint16(len(q.asked)), Slots: uint16(c.view.SidecarCount()), Routine: true,
 	})
-	for addr, open := range q.asked {
-		if open {
+	for _, addr := range q.asked {
+		if q.open[addr] {
 			c.send(peer.KindLocate, addr, 0, q.packet)
 		}
 	}
 }
 
-// ask adds a sidecar to the question unless it has answered.
+// ask adds a sidecar to the question unless it was asked.
 func (q *question) ask(addr netip.Addr) {
-	if _, asked := q.asked[addr]; !asked {
-		q.asked[addr] = true
+	if _, asked := q.open[addr]; !asked {
+		q.asked = append(q.asked, addr)
+		q.open[addr] = true
 	}
 }
 
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -118,14 +118,11 @@
 	newestFrom netip.Addr
 }
 
-// reported is what was last told to others, and when.
+// reported is what was last told to peers and relays, and when.
 type reported struct {
-	state          peer.State
-	busy, slots    int
-	version        uint64
-	peers, relays  time.Duration
-	peersBusy      int
-	toPeersSettled bool
+	peers, relays         time.Duration
+	peersBusy, relaysBusy int
+	version               uint64
 }
 
 // held is a flow of the upstream.
--- /dev/null
+++ b/sidecar/core_test.go
@@ -0,0 +1,329 @@
+package sidecar_test
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/directory"
+	"dandelionhitch.example/flow"
+	"dandelionhitch.example/peer"
+	"dandelionhitch.example/sidecar"
+)
+
+var (
+	_self    = netip.MustParseAddr("10.1.0.1")
+	_relay   = netip.MustParseAddr("10.1.0.9")
+	_peer    = netip.MustParseAddr("10.1.0.2")
+	_address = netip.MustParseAddrPort("198.18.0.1:443")
+	_caller  = netip.MustParseAddrPort("100.64.0.7:40001")
+	_key     = flow.Key{Caller: _caller, Address: _address}
+)
+
+// plainWire is a packet format of these tests: flags, seq, ack, size, and who
+// sends. Only _key is ever carried.
+type plainWire struct{}
+
+func (plainWire) Decode(b []byte) (flow.Packet, error) {
+	p := flow.Packet{
+		Source: _caller, Destination: _address, Flags: flow.Flags(b[0]),
+		Seq: binary.BigEndian.Uint32(b[1:]), Ack: binary.BigEndian.Uint32(b[5:]), Size: int(b[9]),
+	}
+	if b[10] == 1 {
+		p.Source, p.Destination = p.Destination, p.Source
+	}
+	return p, nil
+}
+
+func (plainWire) Restore(b []byte) { b[0] &^= byte(flow.Bounced) }
+
+func (plainWire) AppendReset(b []byte, _ flow.Key, ack uint32) []byte {
+	return append(b, encode(flow.RST, ack, 0, 0, true)...)
+}
+
+func encode(flags flow.Flags, seq, ack uint32, size byte, toCaller bool) []byte {
+	b := binary.BigEndian.AppendUint32([]byte{byte(flags)}, seq)
+	b = append(binary.BigEndian.AppendUint32(b, ack), size)
+	if toCaller {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+// rig is a core with what it sent since the last look.
+type rig struct {
+	*sidecar.Core
+	t          *testing.T
+	toUpstream [][]byte
+	toCaller   [][]byte
+	verdicts   []peer.Verdict
+	offers     []netip.Addr
+	reports    []peer.UpstreamReport
+	records    []decision.Record
+	sequence   uint64
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t}
+	r.Core = sidecar.NewCore(sidecar.Identity{
+		Addr: _self, Zone: "a", Incarnation: 1, Service: "orders",
+		Upstream: netip.AddrPortFrom(_self, 8080), Heartbeat: 770 * time.Millisecond,
+	}, plainWire{}, r, 1000, rand.New(rand.NewPCG(1, 1)))
+	r.SetTable(0, directory.New(1, 0, []directory.Route{
+		{Address: _address, Shares: []directory.Share{{Service: "orders", Weight: 1}}},
+	}), "test")
+	r.Introduce(0, []netip.Addr{_relay})
+	return r
+}
+
+func (r *rig) ToUpstream(b []byte) { r.toUpstream = append(r.toUpstream, append([]byte(nil), b...)) }
+
+func (r *rig) ToCaller(_ netip.Addr, b []byte) {
+	r.toCaller = append(r.toCaller, append([]byte(nil), b...))
+}
+func (r *rig) Decide(d decision.Record) { r.records = append(r.records, d) }
+func (r *rig) Believe(decision.Belief)  {}
+func (r *rig) Observe(decision.Span, time.Duration) {
+}
+
+func (r *rig) ToPeer(addr netip.Addr, b []byte) {
+	switch peer.Kind(b[0]) {
+	case peer.KindVerdict:
+		v, err := peer.DecodeVerdict(b)
+		assert.NilError(r.t, err)
+		r.verdicts = append(r.verdicts, v)
+	case peer.KindUpstream:
+		report, err := peer.DecodeUpstream(b)
+		assert.NilError(r.t, err)
+		r.reports = append(r.reports, report)
+	default:
+		r.offers = append(r.offers, addr)
+	}
+}
+
+// forget drops what was sent until now.
+func (r *rig) forget() {
+	r.toUpstream, r.toCaller, r.verdicts, r.offers, r.reports, r.records = nil, nil, nil, nil, nil, nil
+}
+
+func (r *rig) beat(now time.Duration, change func(*sidecar.Heartbeat)) error {
+	r.sequence++
+	h := sidecar.Heartbeat{
+		ID: "i-1", Service: "orders", Addr: netip.AddrPortFrom(_self, 8080), Slots: 2, Born: 100, Sequence: r.sequence,
+	}
+	if change != nil {
+		change(&h)
+	}
+	return r.Heartbeat(now, h)
+}
+
+func (r *rig) fromRelay(now time.Duration, kind peer.Kind, packet []byte) {
+	r.PeerMessage(now, peer.Carried{
+		Kind: kind, Origin: _relay, Service: peer.NewServiceID("orders"), Version: 1, Packet: packet,
+	}.Append(nil))
+}
+
+func (r *rig) onlyVerdict(want peer.Outcome) {
+	r.t.Helper()
+	assert.Equal(r.t, len(r.verdicts), 1)
+	assert.Equal(r.t, r.verdicts[0].Outcome, want)
+}
+
+// openFlow takes the flow through its handshake.
+func (r *rig) openFlow(now time.Duration) {
+	r.fromRelay(now, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+	r.UpstreamPacket(now, encode(flow.SYN|flow.ACK, 500, 11, 0, true))
+	r.fromRelay(now, peer.KindCarry, encode(flow.ACK, 11, 501, 0, false))
+	r.forget()
+}
+
+// TestUpstreamResetWhileTried is what kowhai-rounds quiet-1 found: an upstream
+// that was starting reset a packet of a flow that another upstream held.
+func TestUpstreamResetWhileTried(t *testing.T) {
+	r := newRig(t)
+	r.fromRelay(time.Millisecond, peer.KindLocate, encode(flow.ACK, 11, 501, 0, false))
+	assert.Equal(t, len(r.toUpstream), 1, "a sidecar that has just started tries the packet")
+	r.UpstreamPacket(2*time.Millisecond, encode(flow.RST, 0, 0, 0, true))
+	assert.Equal(t, len(r.toCaller), 0, "the caller must not get the reset")
+	r.onlyVerdict(peer.NotHeld)
+}
+
+// TestTriedFlow asks a sidecar that has just started for a flow that its upstream has.
+func TestTriedFlow(t *testing.T) {
+	r := newRig(t)
+	r.fromRelay(time.Millisecond, peer.KindLocate, encode(flow.ACK, 11, 501, 5, false))
+	assert.Equal(t, len(r.verdicts), 0, "nothing is known yet")
+	r.UpstreamPacket(2*time.Millisecond, encode(flow.ACK, 501, 16, 0, true))
+	r.onlyVerdict(peer.Held)
+	assert.Equal(t, len(r.toCaller), 1)
+}
+
+// TestTriedFlowBounces asks for a flow that the upstream gives back.
+func TestTriedFlowBounces(t *testing.T) {
+	r := newRig(t)
+	packet := encode(flow.ACK, 11, 501, 5, false)
+	r.fromRelay(time.Millisecond, peer.KindLocate, packet)
+	r.UpstreamPacket(2*time.Millisecond, encode(flow.ACK|flow.Bounced, 11, 501, 5, false))
+	r.onlyVerdict(peer.NotHeld)
+	assert.DeepEqual(t, r.verdicts[0].Packet, packet)
+}
+
+func TestUnknownFlowOfAKnownLife(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	r.fromRelay(time.Millisecond, peer.KindLocate, encode(flow.ACK, 11, 501, 0, false))
+	assert.Equal(t, len(r.toUpstream), 0)
+	r.onlyVerdict(peer.NotHeld)
+}
+
+// TestConsentOfAnotherUpstream gives a caller's answer to the consent of an
+// upstream that got a copy of the same opening packet.
+func TestConsentOfAnotherUpstream(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	r.fromRelay(0, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+	r.UpstreamPacket(0, encode(flow.SYN|flow.ACK, 500, 11, 0, true))
+	r.forget()
+	r.fromRelay(0, peer.KindCarry, encode(flow.ACK, 11, 900_000_001, 0, false))
+	assert.Equal(t, len(r.toUpstream), 0)
+	r.onlyVerdict(peer.NotHeld)
+}
+
+func TestNewFlowsEndWithTheAcknowledgedDrain(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	r.openFlow(0)
+	assert.NilError(t, r.beat(time.Second, func(h *sidecar.Heartbeat) { h.Draining = true }))
+	assert.Equal(t, r.reports[0].State, peer.Draining, "relays are told at once")
+	r.forget()
+	r.fromRelay(time.Second, peer.KindCarry, encode(flow.ACK, 11, 501, 5, false))
+	assert.Equal(t, len(r.toUpstream), 1, "the open flow goes on")
+	r.forget()
+	r.fromRelay(time.Second, peer.KindOffer, encode(flow.SYN, 77, 0, 0, false))
+	assert.Equal(t, len(r.toUpstream), 0)
+	r.onlyVerdict(peer.Refused)
+	// A heartbeat that was sent before and comes late changes nothing.
+	assert.NilError(t, r.beat(time.Second, func(h *sidecar.Heartbeat) { h.Sequence = 1 }))
+	r.forget()
+	r.fromRelay(time.Second, peer.KindOffer, encode(flow.SYN, 78, 0, 0, false))
+	r.onlyVerdict(peer.Refused)
+}
+
+func TestHeartbeatsOfOthersAreRefused(t *testing.T) {
+	r := newRig(t)
+	assert.ErrorContains(t, r.beat(0, func(h *sidecar.Heartbeat) { h.Service = "photos" }), "this host has")
+	assert.ErrorContains(t, r.beat(0, func(h *sidecar.Heartbeat) { h.Addr = netip.AddrPortFrom(_peer, 8080) }), "this host has")
+	assert.ErrorContains(t, r.Leave(0, "i-2"), "does not exist")
+	// A heartbeat of an earlier life comes late.
+	assert.NilError(t, r.beat(0, nil))
+	assert.NilError(t, r.beat(0, func(h *sidecar.Heartbeat) { h.ID, h.Born, h.Draining = "i-0", 50, true }))
+	r.fromRelay(0, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+	r.onlyVerdict(peer.Accepted)
+}
+
+func TestSameIDStartsAgain(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	r.openFlow(0)
+	assert.NilError(t, r.beat(time.Second, func(h *sidecar.Heartbeat) { h.Born, h.Sequence = 200, 1 }))
+	r.forget()
+	r.fromRelay(time.Second, peer.KindCarry, encode(flow.ACK, 11, 700, 5, false))
+	assert.Equal(t, len(r.toUpstream), 0, "the new life does not have the flow")
+	assert.Equal(t, len(r.toCaller), 1, "the caller is told")
+	p, err := plainWire{}.Decode(r.toCaller[0])
+	assert.NilError(t, err)
+	assert.Equal(t, p.Flags, flow.RST)
+	assert.Equal(t, p.Seq, uint32(700))
+}
+
+func TestOtherServiceAndChangedRoute(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	syn := encode(flow.SYN, 10, 0, 0, false)
+	r.PeerMessage(0, peer.Carried{Kind: peer.KindOffer, Origin: _relay, Service: peer.NewServiceID("photos"), Version: 1, Packet: syn}.Append(nil))
+	assert.Equal(t, len(r.toUpstream), 0)
+	r.onlyVerdict(peer.Refused)
+	r.forget()
+	// The route has gone in a version that the relay does not have yet.
+	r.SetTable(0, directory.New(2, 0, nil), "test")
+	r.fromRelay(0, peer.KindOffer, syn)
+	assert.Equal(t, len(r.toUpstream), 0)
+	r.onlyVerdict(peer.Refused)
+	assert.Equal(t, r.verdicts[0].Version, uint64(2), "the relay learns of the version")
+}
+
+func TestSilentUpstreamIsSuspected(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	r.PeerMessage(0, mustUpstream(t, peer.UpstreamReport{Sidecar: _peer, Incarnation: 1, Sequence: 1, Service: "orders", State: peer.Ready, Slots: 2}))
+	r.fromRelay(0, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+	r.forget()
+	for now := time.Duration(0); now < 300*time.Millisecond; now += 20 * time.Millisecond {
+		r.Tick(now)
+	}
+	assert.DeepEqual(t, r.offers, []netip.Addr{_peer}, cmpopts.EquateComparable(netip.Addr{}))
+	suspect := false
+	for _, report := range r.reports {
+		suspect = suspect || report.State == peer.Suspect
+	}
+	assert.Assert(t, suspect, "relays are told")
+}
+
+// TestSlowSidecarBlamesNobody ticks late: packets may wait unread in the socket.
+func TestSlowSidecarBlamesNobody(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	r.fromRelay(0, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+	r.forget()
+	r.Tick(0)
+	r.Tick(3 * time.Second)
+	for _, report := range r.reports {
+		assert.Equal(t, report.State, peer.Ready)
+	}
+}
+
+func TestUpstreamThatIsFullGivesBack(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	r.fromRelay(0, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+	r.forget()
+	r.UpstreamPacket(0, encode(flow.SYN|flow.Bounced, 10, 0, 0, false))
+	r.onlyVerdict(peer.Refused)
+	assert.DeepEqual(t, r.verdicts[0].Packet, encode(flow.SYN, 10, 0, 0, false))
+	assert.Equal(t, r.Busy(), 0)
+}
+
+func TestFullUpstreamPassesOn(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, func(h *sidecar.Heartbeat) { h.Slots = 1 }))
+	r.PeerMessage(0, mustUpstream(t, peer.UpstreamReport{Sidecar: _peer, Incarnation: 1, Sequence: 1, Service: "orders", State: peer.Ready, Slots: 1}))
+	r.openFlow(0)
+	r.fromRelay(0, peer.KindCarry, encode(flow.ACK, 11, 501, 5, false))
+	assert.Equal(t, r.Busy(), 1)
+	r.forget()
+	r.fromRelay(0, peer.KindOffer, encode(flow.SYN, 99, 0, 0, false))
+	assert.DeepEqual(t, r.offers, []netip.Addr{_peer}, cmpopts.EquateComparable(netip.Addr{}))
+	r.UpstreamPacket(0, encode(flow.ACK, 501, 16, 100, true))
+	assert.Equal(t, r.Busy(), 0)
+}
+
+func TestMalformedMessagesAreCounted(t *testing.T) {
+	r := newRig(t)
+	for _, message := range [][]byte{nil, {1, 2, 3}, {byte(peer.KindOffer)}, {byte(peer.KindUpstream), 0xff}, {byte(peer.KindRelay), 0xa1}} {
+		r.PeerMessage(0, message)
+	}
+	assert.Equal(t, r.Counts().Malformed, uint64(5))
+}
+
+func mustUpstream(t *testing.T, report peer.UpstreamReport) []byte {
+	t.Helper()
+	message, err := peer.AppendUpstream(nil, report)
+	assert.NilError(t, err)
+	return message
+}
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"dandelionhitch.example/decision"
-	"dandelionhitch.example/fleet"
 	"dandelionhitch.example/peer"
 )
 
@@ -43,7 +42,7 @@
 		time.Duration(c.fleetSize)*time.Second/_relayPerSecond)
 	beat := max(_beatInterval, relayPace)
 	since := now - c.reported.relays
-	if since >= beat || (since >= relayPace && (c.reported.busy != c.busy || c.reported.version != c.table.Version())) {
+	if since >= beat || (since >= relayPace && (c.reported.relaysBusy != c.busy || c.reported.version != c.table.Version())) {
 		c.reportRelays(now)
 	}
 }
@@ -64,7 +63,7 @@
 }
 
 func (c *Core) reportRelays(now time.Duration) {
-	c.reported.relays, c.reported.busy, c.reported.version = now, c.busy, c.table.Version()
+	c.reported.relays, c.reported.relaysBusy, c.reported.version = now, c.busy, c.table.Version()
 	for _, r := range c.view.Relays() {
 		c.reportTo(r.Addr)
 	}
@@ -84,6 +83,3 @@
 	c.buffer = message
 	c.out.ToPeer(addr, message)
 }
-
-// Peers calls f for each known peer, in no order.
-func (c *Core) Peers(f func(*fleet.Upstream)) { c.view.Sidecars(f) }
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -142,7 +144,7 @@
 		case h.consented && now-h.given > _handshakeTimeout:
 			c.setWorking(h, false)
 			delete(c.opening, key)
-		case !h.consented && now-h.given > _consentTimeout && h.given > c.upstream.seen:
+		case !h.consented && now-h.given > _consentTimeout && h.given >= c.upstream.seen:
 			silent = true
 		}
 	}
@@ -152,11 +154,22 @@
 	if c.upstream.state == peer.Ready {
 		c.setState(now, peer.Suspect, "no_answer_to_opening")
 	}
+	c.giveBackUnanswered(now)
+}
+
+// giveBackUnanswered hands on the opening packets that the upstream has not
+// answered, in an order that does not depend on chance.
+func (c *Core) giveBackUnanswered(now time.Duration) {
+	var keys []flow.Key
 	for key, h := range c.opening {
 		if !h.consented && now-h.given > _consentTimeout {
-			c.giveBack(now, key, h, "no_answer_to_opening")
+			keys = append(keys, key)
 		}
 	}
+	slices.SortFunc(keys, func(a, b flow.Key) int { return cmp.Compare(a.Hash(), b.Hash()) })
+	for _, key := range keys {
+		c.giveBack(now, key, c.opening[key], "no_answer_to_opening")
+	}
 }
 
 // checkHeartbeats suspects an upstream that has stopped to report.
