--- a/decision/decision.go
+++ b/decision/decision.go
@@ -24,6 +24,8 @@
 	Placed Action = "placed"
 	// Accepted gave a new flow to the upstream.
 	Accepted Action = "accepted"
+	// Waits keeps a new flow until the upstream has room.
+	Waits Action = "waits"
 	// PassedOn offered a new flow to a sidecar with a less loaded upstream.
 	PassedOn Action = "passed_on"
 	// Refused answered that the upstream takes no new flow.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -25,22 +25,26 @@
 	Address netip.AddrPort
 	// Shares are in the operator's order; their weights are above zero.
 	Shares []Share
+	// Target is how soon callers want an answer; zero if it is not set.
+	Target time.Duration
+	// Priority orders the flows that wait at one upstream; 0 goes first.
+	Priority int
 }
 
 // Table is one accepted version of the routes. The zero Table knows nothing.
 type Table struct {
 	version     uint64
 	idleTimeout time.Duration
-	routes      map[netip.AddrPort][]Share
+	routes      map[netip.AddrPort]Route
 }
 
 // New returns the table of a version. Of two routes for one address the first
 // one counts.
 func New(version uint64, idleTimeout time.Duration, routes []Route) Table {
-	t := Table{version: version, idleTimeout: idleTimeout, routes: make(map[netip.AddrPort][]Share, len(routes))}
+	t := Table{version: version, idleTimeout: idleTimeout, routes: make(map[netip.AddrPort]Route, len(routes))}
 	for _, r := range routes {
 		if _, taken := t.routes[r.Address]; !taken && len(r.Shares) > 0 {
-			t.routes[r.Address] = r.Shares
+			t.routes[r.Address] = r
 		}
 	}
 	return t
@@ -57,7 +61,7 @@
 
 // Service returns the service for a new flow.
 func (t Table) Service(key flow.Key) (string, bool) {
-	shares := t.routes[key.Address]
+	shares := t.routes[key.Address].Shares
 	switch len(shares) {
 	case 0:
 		return "", false
@@ -80,7 +84,7 @@
 
 // Allows reports whether a new flow to the address may go to the service.
 func (t Table) Allows(address netip.AddrPort, service string) bool {
-	for _, s := range t.routes[address] {
+	for _, s := range t.routes[address].Shares {
 		if s.Service == service {
 			return true
 		}
@@ -89,4 +93,10 @@
 }
 
 // Services returns the services of an address.
-func (t Table) Services(address netip.AddrPort) []Share { return t.routes[address] }
+func (t Table) Services(address netip.AddrPort) []Share { return t.routes[address].Shares }
+
+// Route returns the route of an address.
+func (t Table) Route(address netip.AddrPort) (Route, bool) {
+	r, ok := t.routes[address]
+	return r, ok
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -57,7 +57,7 @@
 	// NotHeld says that the sender's upstream does not have the flow. It gives
 	// the packet back.
 	NotHeld
-	// Ended says that the flow ended here.
+	// Ended says that the sender has ended the flow towards the caller.
 	Ended
 )
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,7 +18,7 @@
 	// _zoneCost is how much fuller an upstream in the own zone may be.
 	_zoneCost = 0.25
 	// _jitter spreads processes that know the same.
-	_jitter = 0.1
+	_jitter = 0.3
 	// _passMargin is how much less full a peer must be before a flow is passed
 	// on: the message takes time and the peer's load is a little old.
 	_passMargin = 0.25
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -88,8 +88,11 @@
 		c.accepted(now, v, h)
 	case peer.Refused:
 		c.refused(now, v)
-	case peer.Held, peer.Ended:
+	case peer.Held:
 		c.found(now, v, h)
+	case peer.Ended:
+		delete(c.offers, v.Flow)
+		c.flows.Delete(v.Flow)
 	case peer.NotHeld:
 		c.notHeld(now, v, h)
 	}
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -23,7 +23,7 @@
 	// consent before the flow no longer counts as a request in progress.
 	_handshakeTimeout = 400 * time.Millisecond
 	// _maxHops bounds how often an opening packet is passed on.
-	_maxHops = 2
+	_maxHops = 3
 	// _bounceHold is how long no new flow is taken after the upstream gave one
 	// back: about the run time of a short request.
 	_bounceHold = 20 * time.Millisecond
@@ -105,7 +105,13 @@
 	scratch  []placement.Candidate
 	eligible []*fleet.Upstream
 
-	busy       int
+	// now is the time of the present call.
+	now time.Duration
+	// busy counts the flows with a request in progress, or about to be.
+	busy int
+	// waiting are opening packets that wait for the upstream to have room.
+	waiting    []*held
+	runTime    time.Duration
 	opening    map[flow.Key]*held
 	sequence   uint64
 	fleetSize  int
@@ -127,6 +133,13 @@
 
 // held is a flow of the upstream.
 type held struct {
+	key flow.Key
+	// waits says that the opening packet has not been given to the upstream yet;
+	// priority and deadline say when that should be, at the latest.
+	waits    bool
+	priority int
+	since    time.Duration
+	deadline time.Duration
 	// packet is the opening packet while the upstream has not consented.
 	packet []byte
 	hops   uint8
@@ -158,9 +171,10 @@
 
 // Counts are a sidecar's counters since its start.
 type Counts struct {
-	// Accepted, PassedOn, Refused and Bounced count opening packets: given to the
-	// upstream, to a peer, to nobody, and given back by the upstream.
-	Accepted, PassedOn, Refused, Bounced uint64
+	// Accepted, PassedOn, Refused and Bounced count opening packets: taken for the
+	// upstream, given to a peer, to nobody, and given back by the upstream. Waited
+	// are those of Accepted that had to wait.
+	Accepted, PassedOn, Refused, Bounced, Waited uint64
 	// Carried packets went to the upstream, Replies to callers.
 	Carried, Replies uint64
 	// NotHeld counts denials, Resets resets to callers, Dropped dropped packets.
@@ -196,6 +210,9 @@
 // Busy returns the number of requests in progress at the upstream.
 func (c *Core) Busy() int { return c.busy }
 
+// Waiting returns the number of opening packets that wait for the upstream.
+func (c *Core) Waiting() int { return len(c.waiting) }
+
 // Known returns the numbers of relays and peers that the sidecar knows.
 func (c *Core) Known() (relays, sidecars int) { return c.view.RelayCount(), c.view.SidecarCount() }
 
@@ -244,6 +261,8 @@
 
 // Tick does what is due. It is called about every 20 ms.
 func (c *Core) Tick(now time.Duration) {
+	c.now = now
+	c.refuseLate()
 	if now-c.lastTick > _maxTick {
 		c.onTime = 0
 	} else {
@@ -278,12 +297,14 @@
 	h.working = working
 	if working {
 		c.busy++
-	} else {
-		c.busy--
+		return
 	}
+	c.busy--
+	c.admitWaiting()
 }
 
 func (c *Core) evicted(key flow.Key, h *held) {
+	c.dropWaiting(h)
 	c.setWorking(h, false)
 	delete(c.opening, key)
 }
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -13,6 +13,7 @@
 
 // PeerMessage takes a datagram of another process.
 func (c *Core) PeerMessage(now time.Duration, message []byte) {
+	c.now = now
 	if len(message) == 0 {
 		c.counts.Malformed++
 		return
@@ -32,7 +33,7 @@
 	case peer.KindUpstream:
 		var r peer.UpstreamReport
 		if r, err = peer.DecodeUpstream(message); err == nil && r.Sidecar != c.self.Addr {
-			c.view.Report(now, r)
+			c.peerReport(now, r)
 		}
 	case peer.KindRelay:
 		var r peer.RelayReport
@@ -63,7 +64,7 @@
 	h := c.flows.Get(key)
 	if h != nil && h.opening == p.Seq && !h.probing && !h.dead {
 		h.origin = m.Origin
-		if !h.ended {
+		if !h.ended && !h.waits {
 			c.out.ToUpstream(m.Packet)
 		}
 		c.verdict(now, peer.Accepted, key, m.Origin, nil)
@@ -95,29 +96,37 @@
 	return ""
 }
 
+// accept takes an opening packet for the own upstream.
 func (c *Core) accept(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
-	h := &held{
-		packet: slices.Clone(m.Packet), hops: m.Hops, opening: p.Seq, origin: m.Origin, given: now, carried: now,
+	h := &held{key: key, packet: slices.Clone(m.Packet), hops: m.Hops, opening: p.Seq, origin: m.Origin, given: now, carried: now}
+	full := c.busy >= c.room()
+	if limit, _ := c.waitLimit(h); full && c.expectedWait() > limit {
+		c.refuse(now, key, m, "overloaded")
+		return
 	}
 	if old := c.flows.Get(key); old != nil {
+		c.dropWaiting(old)
 		c.setWorking(old, false)
 	}
 	c.flows.Put(key, h)
-	c.opening[key] = h
-	c.setWorking(h, true)
 	c.counts.Accepted++
-	c.out.ToUpstream(m.Packet)
-	c.out.Decide(decision.Record{
-		Flow: key, Action: decision.Accepted, Service: c.self.Service, Version: c.table.Version(),
-		Busy: uint16(c.busy), Slots: uint16(c.slots(now)), Age: now - c.upstream.heard, Attempt: int(m.Hops) + 1, Routine: true,
-	})
+	if full {
+		c.enqueue(h)
+		c.noteWaiting(h)
+	} else {
+		c.give(h)
+		c.out.Decide(decision.Record{
+			Flow: key, Action: decision.Accepted, Service: c.self.Service, Version: c.table.Version(),
+			Busy: uint16(c.busy), Slots: uint16(c.slots(now)), Age: now - c.upstream.heard, Attempt: int(m.Hops) + 1, Routine: true,
+		})
+	}
 	c.verdict(now, peer.Accepted, key, m.Origin, nil)
 }
 
 // betterPeer returns the index in c.eligible of a peer that should get a new
 // flow instead of the own upstream, or -1.
 func (c *Core) betterPeer(now time.Duration) int {
-	own := placement.Candidate{Busy: c.busy, Slots: c.slots(now), SameZone: true}
+	own := c.own()
 	if own.Busy < own.Slots {
 		return -1
 	}
@@ -146,6 +155,11 @@
 			return
 		}
 	}
+	c.refuse(now, key, m, reason)
+}
+
+// refuse tells the relay that nobody here takes an opening packet.
+func (c *Core) refuse(now time.Duration, key flow.Key, m peer.Carried, reason string) {
 	c.counts.Refused++
 	c.out.Decide(decision.Record{
 		Flow: key, Action: decision.Refused, Reason: reason, Service: c.self.Service, Version: c.table.Version(),
@@ -174,12 +188,11 @@
 // giveBack hands an opening packet that the upstream did not take to a peer, or
 // back to the relay.
 func (c *Core) giveBack(now time.Duration, key flow.Key, h *held, reason string) {
+	c.dropWaiting(h)
 	c.setWorking(h, false)
 	delete(c.opening, key)
 	c.flows.Delete(key)
-	c.passOnOrRefuse(now, key, peer.Carried{
-		Kind: peer.KindOffer, Hops: h.hops, Origin: h.origin, Service: c.id, Version: c.table.Version(), Packet: h.packet,
-	}, reason)
+	c.passOnOrRefuse(now, key, c.carriedAgain(h), reason)
 }
 
 // carry gives a packet to the upstream if the flow is its own.
@@ -190,7 +203,7 @@
 		c.deny(now, key, m)
 		return
 	case h == nil:
-		h = &held{probing: true, origin: m.Origin, carried: now, callerAck: p.Ack}
+		h = &held{key: key, probing: true, origin: m.Origin, carried: now, callerAck: p.Ack}
 		c.flows.Put(key, h)
 		c.out.ToUpstream(m.Packet)
 		return
@@ -198,7 +211,7 @@
 		h.origin, h.carried, h.callerAck = m.Origin, now, p.Ack
 		c.out.ToUpstream(m.Packet)
 		return
-	case !h.open && !h.answers(p):
+	case h.waits, !h.open && !h.answers(p):
 		c.deny(now, key, m)
 		return
 	}
@@ -276,6 +289,7 @@
 // UpstreamPacket takes a packet that the upstream sends: a reply for a caller,
 // or a caller's packet that it gives back.
 func (c *Core) UpstreamPacket(now time.Duration, packet []byte) {
+	c.now = now
 	p, err := c.wire.Decode(packet)
 	if err != nil {
 		c.counts.Malformed++
@@ -320,7 +334,7 @@
 	key := p.ToCaller()
 	h := c.flows.Get(key)
 	if h == nil {
-		h = &held{open: true, carried: now, callerAck: p.Seq}
+		h = &held{key: key, open: true, carried: now, callerAck: p.Seq}
 		c.flows.Put(key, h)
 	}
 	if h.probing {
@@ -336,6 +350,7 @@
 	if p.Size > 0 || p.Flags&(flow.FIN|flow.RST) != 0 {
 		if h.working && h.requested > 0 {
 			c.out.Observe(decision.FirstReply, now-h.requested)
+			c.ran(now - h.requested)
 		}
 		c.setWorking(h, false)
 	}
@@ -377,7 +392,7 @@
 func (c *Core) verdict(now time.Duration, outcome peer.Outcome, key flow.Key, to netip.Addr, packet []byte) {
 	c.buffer = peer.Verdict{
 		Outcome: outcome, Sidecar: c.self.Addr, Flow: key,
-		Busy: uint16(min(max(c.busy, 0), 1<<16-1)), Slots: uint16(c.slots(now)), Version: c.table.Version(), Packet: packet,
+		Busy: uint16(c.load()), Slots: uint16(c.slots(now)), Version: c.table.Version(), Packet: packet,
 	}.Append(c.buffer[:0])
 	c.out.ToPeer(to, c.buffer)
 }
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -29,12 +29,19 @@
 	}
 }
 
+// peerReport takes the report of a sidecar of the same service.
+func (c *Core) peerReport(now time.Duration, r peer.UpstreamReport) {
+	if _, change := c.view.Report(now, r); !change.Stale && r.Service == c.self.Service {
+		c.shareWaiting(r)
+	}
+}
+
 // reportDue reports to peers and relays when something has changed and the pace
 // allows, and now and then in any case.
 func (c *Core) reportDue(now time.Duration) {
 	peers := len(c.view.Service(c.self.Service))
 	pace := max(_peerInterval, time.Duration(peers)*time.Second/_sentPerSecond)
-	if since := now - c.reported.peers; since >= _beatInterval || (since >= pace && c.reported.peersBusy != c.busy) {
+	if since := now - c.reported.peers; since >= _beatInterval || (since >= pace && c.reported.peersBusy != c.load()) {
 		c.reportPeers(now)
 	}
 	relayPace := max(_relayInterval,
@@ -42,7 +49,7 @@
 		time.Duration(c.fleetSize)*time.Second/_relayPerSecond)
 	beat := max(_beatInterval, relayPace)
 	since := now - c.reported.relays
-	if since >= beat || (since >= relayPace && (c.reported.relaysBusy != c.busy || c.reported.version != c.table.Version())) {
+	if since >= beat || (since >= relayPace && (c.reported.relaysBusy != c.load() || c.reported.version != c.table.Version())) {
 		c.reportRelays(now)
 	}
 }
@@ -54,7 +61,7 @@
 }
 
 func (c *Core) reportPeers(now time.Duration) {
-	c.reported.peers, c.reported.peersBusy = now, c.busy
+	c.reported.peers, c.reported.peersBusy = now, c.load()
 	for _, u := range c.view.Service(c.self.Service) {
 		if u.Sidecar != c.self.Addr {
 			c.reportTo(u.Sidecar)
@@ -63,7 +70,7 @@
 }
 
 func (c *Core) reportRelays(now time.Duration) {
-	c.reported.relays, c.reported.relaysBusy, c.reported.version = now, c.busy, c.table.Version()
+	c.reported.relays, c.reported.relaysBusy, c.reported.version = now, c.load(), c.table.Version()
 	for _, r := range c.view.Relays() {
 		c.reportTo(r.Addr)
 	}
@@ -74,7 +81,7 @@
 	message, err := peer.AppendUpstream(c.buffer[:0], peer.UpstreamReport{
 		Sidecar: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Service: c.self.Service, Zone: c.self.Zone, State: c.upstream.state,
-		Busy: uint16(max(c.busy, 0)), Slots: uint16(c.slots(c.lastTick)), Version: c.table.Version(),
+		Busy: uint16(c.load()), Slots: uint16(c.slots(c.now)), Version: c.table.Version(),
 	})
 	if err != nil {
 		c.out.Believe(decision.Belief{Subject: "report", Name: addr.String(), Reason: err.Error()})
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -50,6 +50,7 @@
 // Heartbeat takes an upstream's heartbeat. An error says that it is not of the
 // upstream on this host.
 func (c *Core) Heartbeat(now time.Duration, h Heartbeat) error {
+	c.now = now
 	if h.Addr != c.self.Upstream || h.Service != c.self.Service {
 		return trace.BadParameter("heartbeat of %q: service %q at %v, this host has %q at %v",
 			h.ID, h.Service, h.Addr, c.self.Service, c.self.Upstream)
@@ -77,6 +78,7 @@
 
 // Leave takes an upstream's word that it ends.
 func (c *Core) Leave(now time.Duration, id string) error {
+	c.now = now
 	if id != c.upstream.id {
 		return trace.NotFound("upstream %q does not exist on this host", id)
 	}
@@ -94,6 +96,9 @@
 	})
 	if !first {
 		c.flows.All(func(_ flow.Key, f *held) bool {
+			if f.waits {
+				return true
+			}
 			c.setWorking(f, false)
 			f.dead = f.dead || !f.ended
 			return true
@@ -123,6 +128,11 @@
 		u.suspected = now
 	}
 	c.reportAll(now)
+	if state == peer.Ready {
+		c.admitWaiting()
+	} else {
+		c.moveWaiting("upstream_" + state.String())
+	}
 }
 
 // slots returns how many requests the upstream works on at its present speed.
@@ -198,6 +208,7 @@
 // Unreachable notes that the host refused a packet for the upstream, since no
 // process listens there.
 func (c *Core) Unreachable(now time.Duration) {
+	c.now = now
 	if c.upstream.state == peer.Ready || c.upstream.state == peer.Suspect {
 		c.setState(now, peer.Suspect, "not_listening")
 		c.upstream.heard, c.upstream.seen = 0, 0
