sidecar: a caller that has gone holds no slot

Flows whose caller had been reset counted as requests for 400 ms. Ruled out: upstreams suspected or restarted (no belief changed; beliefs now have a log budget of their own, refusals had hidden them). A flow counts for 60 ms until its request comes.

--- a/decision/log.go
+++ b/decision/log.go
@@ -13,7 +13,8 @@
 // Bounds of the log.
 const (
 	_routinePerSecond = 10      // lines; a sample is enough, counters count all
-	_othersPerSecond  = 100     // lines; some 25 KB/s, 2% of a core of 0.06
+	_othersPerSecond  = 50      // lines; some 12 KB/s, 1% of a core of 0.06
+	_beliefsPerSecond = 100     // lines; a change of state of every process in the fleet of one service
 	_bufferSize       = 1 << 18 // bytes; some seconds of the full budget
 	_flushInterval    = 100 * time.Millisecond
 )
@@ -23,9 +24,24 @@
 	log    *zap.Logger
 	mu     sync.Mutex
 	second int64
-	// routine and others are the lines written in this second.
-	routine, others int
-	omitted         int
+	// lines are those written in this second, and omitted those left out, by class.
+	lines, omitted [_classes]int
+}
+
+// class is a class of lines with a budget of its own: a flood of one does not
+// hide the others.
+type class int
+
+const (
+	_routine class = iota
+	_others
+	_beliefs
+	_classes
+)
+
+// perSecond returns the budget of a class.
+func (c class) perSecond() int {
+	return [_classes]int{_routinePerSecond, _othersPerSecond, _beliefsPerSecond}[c]
 }
 
 // NewLog returns a log that writes to logger, usually one over a Writer.
@@ -33,7 +49,11 @@
 
 // Decide logs a decision.
 func (l *Log) Decide(now time.Duration, r Record) {
-	if !l.admit(now, r.Routine) {
+	class := _others
+	if r.Routine {
+		class = _routine
+	}
+	if !l.admit(now, class) {
 		return
 	}
 	fields := make([]zapcore.Field, 0, 10)
@@ -55,7 +75,7 @@
 
 // Believe logs a change of belief.
 func (l *Log) Believe(now time.Duration, b Belief) {
-	if !l.admit(now, false) {
+	if !l.admit(now, _beliefs) {
 		return
 	}
 	l.log.Info("belief",
@@ -64,25 +84,23 @@
 		zap.Uint64("version", b.Version), zap.Int64("age_ms", b.Age.Milliseconds()))
 }
 
-// admit takes a line from the budget of the present second.
-func (l *Log) admit(now time.Duration, routine bool) bool {
+// admit takes a line from the budget of its class in the present second.
+func (l *Log) admit(now time.Duration, c class) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if second := int64(now / time.Second); second != l.second {
-		if l.omitted > 0 {
-			l.log.Warn("lines left out", zap.Int("count", l.omitted), zap.Int64("of_second", l.second))
+		if l.omitted != [_classes]int{} {
+			l.log.Warn("lines left out", zap.Int("routine_decisions", l.omitted[_routine]),
+				zap.Int("other_decisions", l.omitted[_others]), zap.Int("beliefs", l.omitted[_beliefs]),
+				zap.Int64("of_second", l.second))
 		}
-		l.second, l.routine, l.others, l.omitted = second, 0, 0, 0
-	}
-	count, budget := &l.others, _othersPerSecond
-	if routine {
-		count, budget = &l.routine, _routinePerSecond
+		l.second, l.lines, l.omitted = second, [_classes]int{}, [_classes]int{}
 	}
-	if *count >= budget {
-		l.omitted++
+	if l.lines[c] >= c.perSecond() {
+		l.omitted[c]++
 		return false
 	}
-	*count++
+	l.lines[c]++
 	return true
 }
 
--- /dev/null
+++ b/decision/log_test.go
@@ -0,0 +1,87 @@
+package decision_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/decision"
+)
+
+func newLogger(w zapcore.WriteSyncer) *zap.Logger {
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "message"}), w, zapcore.InfoLevel))
+}
+
+func lines(t *testing.T, text string) []map[string]any {
+	t.Helper()
+	var out []map[string]any
+	for line := range strings.Lines(text) {
+		var fields map[string]any
+		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
+		out = append(out, fields)
+	}
+	return out
+}
+
+// TestFloodOfRefusals logs far more refusals and routine decisions than the
+// budget allows: changes of belief are still there, and what was left out is told.
+func TestFloodOfRefusals(t *testing.T) {
+	var b bytes.Buffer
+	l := decision.NewLog(newLogger(zapcore.AddSync(&b)))
+	for i := range 100_000 {
+		now := time.Duration(i) * 100 * time.Microsecond
+		l.Decide(now, decision.Record{Action: decision.Refused})
+		l.Decide(now, decision.Record{Action: decision.Placed, Routine: true})
+		if i%1000 == 0 {
+			l.Believe(now, decision.Belief{Subject: "upstream"})
+		}
+	}
+	written := map[string]int{}
+	omitted := 0.0
+	for _, fields := range lines(t, b.String()) {
+		written[fields["message"].(string)]++
+		if fields["message"] == "lines left out" {
+			omitted += fields["other_decisions"].(float64) + fields["routine_decisions"].(float64)
+		}
+	}
+	assert.Equal(t, written["belief"], 100)
+	assert.Assert(t, written["decision"] <= 10*60, "%d lines in 10 s", written["decision"])
+	// The last second is told of when the next begins.
+	assert.Assert(t, omitted > 0.85*200_000, "%v left out", omitted)
+}
+
+// blockedOutput blocks until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written int
+}
+
+func (o *blockedOutput) Write(b []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.written += len(b)
+	return len(b), nil
+}
+
+// TestBlockedOutput logs to an output that takes nothing. No call blocks.
+func TestBlockedOutput(t *testing.T) {
+	out := &blockedOutput{release: make(chan struct{})}
+	w := decision.NewWriter(out)
+	l := decision.NewLog(newLogger(w))
+	for i := range 200_000 {
+		l.Decide(time.Duration(i)*10*time.Millisecond, decision.Record{Action: decision.Reset, Reason: "a reason"})
+	}
+	assert.Assert(t, w.Dropped() > 0)
+	close(out.release)
+	assert.NilError(t, w.Close())
+	assert.Assert(t, out.written > 0)
+}
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -103,7 +103,10 @@
 // give gives an opening packet to the upstream.
 func (c *Core) give(h *held) {
 	h.given = c.now
-	c.opening[h.key] = h
+	if !h.watched {
+		h.watched = true
+		c.opening = append(c.opening, h)
+	}
 	c.setWorking(h, true)
 	c.out.ToUpstream(h.packet)
 }
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -19,9 +19,10 @@
 	// _consentTimeout is how long an upstream may take to answer an opening packet;
 	// it does so in well under a millisecond when it runs.
 	_consentTimeout = 150 * time.Millisecond
-	// _handshakeTimeout is how long a caller may take to answer the upstream's
-	// consent before the flow no longer counts as a request in progress.
-	_handshakeTimeout = 400 * time.Millisecond
+	// _handshakeTimeout is how long a caller may take to send its request before
+	// the flow no longer counts as a request in progress: several times the way to
+	// a caller and back. A caller that has gone must not hold a slot.
+	_handshakeTimeout = 60 * time.Millisecond
 	// _maxHops bounds how often an opening packet is passed on.
 	_maxHops = 3
 	// _bounceHold is how long no new flow is taken after the upstream gave one
@@ -110,9 +111,11 @@
 	// busy counts the flows with a request in progress, or about to be.
 	busy int
 	// waiting are opening packets that wait for the upstream to have room.
-	waiting    []*held
-	runTime    time.Duration
-	opening    map[flow.Key]*held
+	waiting []*held
+	runTime time.Duration
+	// opening are flows whose opening packet the upstream was given and whose
+	// request has not come, in the order of the giving.
+	opening    []*held
 	sequence   uint64
 	fleetSize  int
 	lastTick   time.Duration
@@ -154,6 +157,8 @@
 	// ended says that the upstream has nothing more to send; dead, that it no
 	// longer knows the flow.
 	ended, dead bool
+	// watched says that the flow is among those that open.
+	watched bool
 	// probing says that nothing is known but that a packet was tried on the
 	// upstream.
 	probing bool
@@ -186,13 +191,12 @@
 // NewCore returns a core that knows nothing yet.
 func NewCore(self Identity, wire Wire, out Outbox, maxFlows int, random *rand.Rand) *Core {
 	c := &Core{
-		self:    self,
-		id:      peer.NewServiceID(self.Service),
-		wire:    wire,
-		out:     out,
-		random:  random,
-		view:    fleet.New(_beatInterval),
-		opening: make(map[flow.Key]*held),
+		self:   self,
+		id:     peer.NewServiceID(self.Service),
+		wire:   wire,
+		out:    out,
+		random: random,
+		view:   fleet.New(_beatInterval),
 	}
 	c.flows = flow.NewCache(maxFlows, c.evicted)
 	return c
@@ -303,8 +307,8 @@
 	c.admitWaiting()
 }
 
-func (c *Core) evicted(key flow.Key, h *held) {
+func (c *Core) evicted(_ flow.Key, h *held) {
 	c.dropWaiting(h)
+	h.watched = false
 	c.setWorking(h, false)
-	delete(c.opening, key)
 }
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -23,11 +23,10 @@
 	_peer    = netip.MustParseAddr("10.1.0.2")
 	_address = netip.MustParseAddrPort("198.18.0.1:443")
 	_caller  = netip.MustParseAddrPort("100.64.0.7:40001")
-	_key     = flow.Key{Caller: _caller, Address: _address}
 )
 
-// plainWire is a packet format of these tests: flags, seq, ack, size, and who
-// sends. Only _key is ever carried.
+// plainWire is a packet format of these tests: flags, seq, ack, size, who sends,
+// and the caller's port if it is not that of _caller.
 type plainWire struct{}
 
 func (plainWire) Decode(b []byte) (flow.Packet, error) {
@@ -35,6 +34,9 @@
 		Source: _caller, Destination: _address, Flags: flow.Flags(b[0]),
 		Seq: binary.BigEndian.Uint32(b[1:]), Ack: binary.BigEndian.Uint32(b[5:]), Size: int(b[9]),
 	}
+	if len(b) > 11 {
+		p.Source = netip.AddrPortFrom(_caller.Addr(), binary.BigEndian.Uint16(b[11:]))
+	}
 	if b[10] == 1 {
 		p.Source, p.Destination = p.Destination, p.Source
 	}
@@ -313,6 +315,86 @@
 	assert.Equal(t, r.Busy(), 0)
 }
 
+// TestCallerThatHasGoneHoldsNoSlot opens flows whose callers never answer, as
+// grown hundebinge scale-1 found: slots that they held made a crest last.
+func TestCallerThatHasGoneHoldsNoSlot(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		r := newRig(t)
+		assert.NilError(t, r.beat(0, nil))
+		r.fromRelay(0, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+		r.UpstreamPacket(0, encode(flow.SYN|flow.ACK, 500, 11, 0, true))
+		if answers {
+			r.fromRelay(0, peer.KindCarry, encode(flow.ACK, 11, 501, 0, false))
+		}
+		assert.Equal(t, r.Busy(), 1)
+		for now := time.Duration(0); now < 100*time.Millisecond; now += 20 * time.Millisecond {
+			r.Tick(now)
+		}
+		assert.Equal(t, r.Busy(), 0)
+		// A request that comes after all counts.
+		r.fromRelay(100*time.Millisecond, peer.KindCarry, encode(flow.ACK, 11, 501, 5, false))
+		assert.Equal(t, r.Busy(), 1)
+	}
+}
+
+// fill opens flows until the upstream has no room, and one more that waits.
+func (r *rig) fill() {
+	assert.NilError(r.t, r.beat(0, nil))
+	for seq := range uint32(4) {
+		r.offerFrom(40_000+uint16(seq), seq)
+	}
+	assert.Equal(r.t, r.Waiting(), 1)
+	r.forget()
+}
+
+// offerFrom offers a flow of the caller's port.
+func (r *rig) offerFrom(port uint16, seq uint32) {
+	packet := encode(flow.SYN, seq, 0, 0, false)
+	packet = append(packet, byte(port>>8), byte(port))
+	r.fromRelay(0, peer.KindOffer, packet)
+}
+
+func TestOpeningWaitsUntilThereIsRoom(t *testing.T) {
+	r := newRig(t)
+	r.fill()
+	reply := append(encode(flow.ACK|flow.FIN, 501, 16, 100, true), 40_000>>8, 40_000&0xff)
+	r.UpstreamPacket(10*time.Millisecond, reply)
+	assert.Equal(t, r.Waiting(), 0)
+	assert.Equal(t, len(r.toUpstream), 1)
+}
+
+// TestOpeningThatWaitsTooLongIsRefused tells caller and relay at once.
+func TestOpeningThatWaitsTooLongIsRefused(t *testing.T) {
+	r := newRig(t)
+	r.fill()
+	r.Tick(50 * time.Millisecond)
+	assert.Equal(t, len(r.toCaller), 0)
+	r.Tick(120 * time.Millisecond)
+	assert.Equal(t, len(r.toCaller), 1)
+	assert.Equal(t, r.verdicts[0].Outcome, peer.Ended)
+	assert.Equal(t, r.Waiting(), 0)
+}
+
+// TestOpeningsThatWaitMoveOn drains the upstream: what waits was not given to it.
+func TestOpeningsThatWaitMoveOn(t *testing.T) {
+	r := newRig(t)
+	r.PeerMessage(0, mustUpstream(t, peer.UpstreamReport{Sidecar: _peer, Incarnation: 1, Sequence: 1, Service: "orders", State: peer.Ready, Busy: 9, Slots: 1}))
+	r.fill()
+	assert.NilError(t, r.beat(10*time.Millisecond, func(h *sidecar.Heartbeat) { h.Draining = true }))
+	assert.DeepEqual(t, r.offers, []netip.Addr{_peer}, cmpopts.EquateComparable(netip.Addr{}))
+	assert.Equal(t, len(r.toUpstream), 0)
+	assert.Equal(t, r.Waiting(), 0)
+}
+
+// TestPeerWithRoomGetsWhatWaits hands over when a peer reports room.
+func TestPeerWithRoomGetsWhatWaits(t *testing.T) {
+	r := newRig(t)
+	r.fill()
+	r.PeerMessage(0, mustUpstream(t, peer.UpstreamReport{Sidecar: _peer, Incarnation: 1, Sequence: 1, Service: "orders", State: peer.Ready, Slots: 2}))
+	assert.DeepEqual(t, r.offers, []netip.Addr{_peer}, cmpopts.EquateComparable(netip.Addr{}))
+	assert.Equal(t, r.Waiting(), 0)
+}
+
 func TestMalformedMessagesAreCounted(t *testing.T) {
 	r := newRig(t)
 	for _, message := range [][]byte{nil, {1, 2, 3}, {byte(peer.KindOffer)}, {byte(peer.KindUpstream), 0xff}, {byte(peer.KindRelay), 0xa1}} {
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -190,7 +190,7 @@
 func (c *Core) giveBack(now time.Duration, key flow.Key, h *held, reason string) {
 	c.dropWaiting(h)
 	c.setWorking(h, false)
-	delete(c.opening, key)
+	h.watched = false
 	c.flows.Delete(key)
 	c.passOnOrRefuse(now, key, c.carriedAgain(h), reason)
 }
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -99,11 +98,12 @@
 			if f.waits {
 				return true
 			}
+			f.watched = false
 			c.setWorking(f, false)
 			f.dead = f.dead || !f.ended
 			return true
 		})
-		clear(c.opening)
+		c.opening = nil
 	}
 	*u = upstream{
 		id: h.ID, born: h.Born, seen: now, state: peer.Absent,
@@ -144,42 +144,44 @@
 }
 
 // checkOpenings suspects an upstream that does not answer opening packets, and
-// gives up counting flows whose caller did not go on.
+// gives up counting flows whose caller does not go on.
 func (c *Core) checkOpenings(now time.Duration) {
-	silent := false
-	for key, h := range c.opening {
+	opening := c.opening
+	c.opening = nil
+	var unanswered []*held
+	for _, h := range opening {
 		switch {
-		case h.open || h.dead || h.ended:
-			delete(c.opening, key)
+		case !h.watched || h.requested > 0 || h.dead || h.ended:
+			h.watched = false
 		case h.consented && now-h.given > _handshakeTimeout:
+			h.watched = false
 			c.setWorking(h, false)
-			delete(c.opening, key)
-		case !h.consented && now-h.given > _consentTimeout && h.given >= c.upstream.seen:
-			silent = true
+		default:
+			c.opening = append(c.opening, h)
+			if !h.consented && now-h.given > _consentTimeout {
+				unanswered = append(unanswered, h)
+			}
 		}
 	}
+	c.checkUnanswered(now, unanswered)
+}
+
+// checkUnanswered suspects the upstream if it has given no sign of life since it
+// was given an opening packet that it should have answered long ago. What it has
+// not answered then goes elsewhere.
+func (c *Core) checkUnanswered(now time.Duration, unanswered []*held) {
+	silent := slices.ContainsFunc(unanswered, func(h *held) bool { return h.given >= c.upstream.seen })
 	if !silent || c.onTime < _suspectTicks {
 		return
 	}
 	if c.upstream.state == peer.Ready {
 		c.setState(now, peer.Suspect, "no_answer_to_opening")
 	}
-	c.giveBackUnanswered(now)
-}
-
-// giveBackUnanswered hands on the opening packets that the upstream has not
-// answered, in an order that does not depend on chance.
-func (c *Core) giveBackUnanswered(now time.Duration) {
-	var keys []flow.Key
-	for key, h := range c.opening {
-		if !h.consented && now-h.given > _consentTimeout {
-			keys = append(keys, key)
+	for _, h := range unanswered {
+		if h.watched {
+			c.giveBack(now, h.key, h, "no_answer_to_opening")
 		}
 	}
-	slices.SortFunc(keys, func(a, b flow.Key) int { return cmp.Compare(a.Hash(), b.Hash()) })
-	for _, key := range keys {
-		c.giveBack(now, key, c.opening[key], "no_answer_to_opening")
-	}
 }
 
 // checkHeartbeats suspects an upstream that has stopped to report.
--- a/standin/opaque_load_test.go
+++ b/standin/opaque_load_test.go
@@ -15,15 +15,15 @@
 
 // playedLoad is a load on one service: many short requests, a flow each.
 type playedLoad struct {
-	name                  string
-	zones, relays, hosts  int
-	slots                 int
-	work                  time.Duration
-	aim, timeout          time.Duration
+	name                 string
+	zones, relays, hosts int
+	slots                int
+	work                 time.Duration
+	aim, timeout         time.Duration
 	// use is the mean share of the slots that the calls need.
 	use float64
 	// swing is how much the rate goes up and down around its mean, in 15 s.
-	swing float64
+	swing  float64
 	length time.Duration
 }
 
