--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,8 @@
 	Shares []Share
 	// Target is how soon callers want an answer; zero if it is not set.
 	Target time.Duration
+	// Timeout is how long callers wait for an answer; zero if it is not set.
+	Timeout time.Duration
 	// Priority orders the flows that wait at one upstream; 0 goes first.
 	Priority int
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,6 +37,8 @@
 	State   peer.State
 	// Busy counts requests in progress: as reported, with own picks since.
 	Busy, Slots int
+	// Late counts new flows that wait there and are late already.
+	Late int
 	// Heard is when any message came from the sidecar; Loaded is when Busy did.
 	Heard, Loaded time.Duration
 
@@ -68,9 +70,9 @@
 	upstreams map[netip.Addr]*Upstream
 	// sidecars are the upstreams in the order of their addresses.
 	sidecars []*Upstream
-	services  map[string][]*Upstream
-	relays    map[netip.Addr]*Relay
-	interval  time.Duration
+	services map[string][]*Upstream
+	relays   map[netip.Addr]*Relay
+	interval time.Duration
 }
 
 // New returns an empty view of a fleet whose sidecars report at least each interval.
@@ -116,7 +118,7 @@
 	}
 	u.incarnation, u.sequence = r.Incarnation, r.Sequence
 	u.Zone, u.State = r.Zone, r.State
-	u.Heard = now
+	u.Heard, u.Late = now, int(r.Late)
 	v.load(u, now, int(r.Busy), int(r.Slots))
 	return u, change
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,6 +14,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -90,6 +91,12 @@
 	Kind Kind
 	// Hops counts the sidecars that passed an offer on.
 	Hops uint8
+	// Last says that the relay has tried others: an offer is not refused because
+	// the upstream is busy.
+	Last bool
+	// Waited is how long ago the relay got the opening packet first, in whole ms,
+	// up to a minute.
+	Waited time.Duration
 	// Origin is the relay that got the packet from the caller.
 	Origin netip.Addr
 	// Service is the service that the packet is for; of KindCarry it is not checked.
@@ -102,14 +109,22 @@
 
 // Sizes of fixed headers, in bytes.
 const (
-	_carriedSize = 2 + 4 + 8 + 8
+	_carriedSize = 2 + 2 + 4 + 8 + 8
 	_verdictSize = 2 + 4 + 12 + 2 + 2 + 8
 )
 
+// _lastBit marks Carried.Last in the byte of Hops.
+const _lastBit = 0x80
+
 // Append appends the message to b.
 func (c Carried) Append(b []byte) []byte {
 	origin := c.Origin.As4()
-	b = append(b, byte(c.Kind), c.Hops)
+	hops := c.Hops
+	if c.Last {
+		hops |= _lastBit
+	}
+	b = append(b, byte(c.Kind), hops)
+	b = binary.BigEndian.AppendUint16(b, uint16(min(max(c.Waited, 0), time.Minute)/time.Millisecond))
 	b = append(b, origin[:]...)
 	b = binary.BigEndian.AppendUint64(b, uint64(c.Service))
 	b = binary.BigEndian.AppendUint64(b, c.Version)
@@ -123,10 +138,12 @@
 	}
 	return Carried{
 		Kind:    Kind(b[0]),
-		Hops:    b[1],
-		Origin:  netip.AddrFrom4([4]byte(b[2:6])),
-		Service: ServiceID(binary.BigEndian.Uint64(b[6:])),
-		Version: binary.BigEndian.Uint64(b[14:]),
+		Hops:    b[1] &^ _lastBit,
+		Last:    b[1]&_lastBit != 0,
+		Waited:  time.Duration(binary.BigEndian.Uint16(b[2:])) * time.Millisecond,
+		Origin:  netip.AddrFrom4([4]byte(b[4:8])),
+		Service: ServiceID(binary.BigEndian.Uint64(b[8:])),
+		Version: binary.BigEndian.Uint64(b[16:]),
 		Packet:  b[_carriedSize:],
 	}, nil
 }
@@ -221,6 +238,9 @@
 	Slots uint16 `cbor:"8,keyasint"`
 	// Version is the configuration that the sidecar has.
 	Version uint64 `cbor:"9,keyasint"`
+	// Late counts new flows that wait there and are late already; they are not
+	// part of Busy.
+	Late uint16 `cbor:"10,keyasint,omitempty"`
 }
 
 // RelayReport is what a relay tells relays and sidecars.
--- a/relay/core.go
+++ b/relay/core.go
@@ -21,8 +21,14 @@
 	// zones and several turns of a slow process. The caller repeats its opening
 	// packet after 200 ms at the earliest.
 	_offerTimeout = 70 * time.Millisecond
-	// _maxAttempts bounds the upstreams that one opening packet is offered to.
+	// _maxAttempts bounds the upstreams that one opening packet is offered to; then
+	// the least busy one is told to take it.
 	_maxAttempts = 4
+	// _parkTimeout is how long an opening packet waits for a relay that has just
+	// started to learn where to send it; callers repeat theirs for 1.4 s.
+	_parkTimeout = 1200 * time.Millisecond
+	// _maxParked bounds the opening packets that wait so, some 100 bytes each.
+	_maxParked = 4096
 	// _askTimeout is how long a question for a holder is open; then the next
 	// packet of the flow asks again.
 	_askTimeout = 400 * time.Millisecond
@@ -108,6 +114,8 @@
 	// newest is the highest version that any process has named.
 	newest     uint64
 	newestFrom netip.Addr
+	// parked are opening packets that came before the relay knew where to send them.
+	parked []parked
 	// checked is when this relay or another one read the configuration in the
 	// store, and checkSpread how much longer this one waits before it does.
 	checked, checkSpread time.Duration
@@ -128,12 +136,22 @@
 type offer struct {
 	packet  []byte
 	service string
-	sent    time.Duration
-	tried   []netip.Addr
+	// came is when the packet came first, and sent when it was offered last.
+	came, sent time.Duration
+	// last says that busy upstreams have been told to take it.
+	last  bool
+	tried []netip.Addr
 	// silent are those of tried that have not answered: each may have taken it.
 	silent []netip.Addr
 }
 
+// parked is an opening packet that waits until the relay knows more.
+type parked struct {
+	key    flow.Key
+	came   time.Duration
+	packet []byte
+}
+
 // question is an open search for the sidecar that holds a flow.
 type question struct {
 	// asked are the sidecars in the order of the asking, and open those that have
@@ -213,6 +231,7 @@
 	})
 	c.table = table
 	c.nextReport = now
+	c.openParked(now)
 	return true
 }
 
@@ -277,6 +296,7 @@
 	for _, key := range c.overdue(now) {
 		c.unanswered(now, key, c.offers[key])
 	}
+	c.dropParked(now)
 	if now >= c.nextReport {
 		c.report(now)
 	}
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -56,6 +56,7 @@
 			Subject: "upstream", Name: r.Sidecar.String(), From: change.From.String(), To: u.State.String(),
 			Reason: "report of " + r.Service, Version: r.Sequence,
 		})
+		c.openParked(now)
 	}
 }
 
@@ -122,10 +123,10 @@
 		}
 		service, routed := c.table.Service(v.Flow)
 		if !routed {
-			c.refuseUnrouted(now, v.Flow, "no_route")
+			c.reset(now, v.Flow, 0, "no_route")
 			return
 		}
-		o = &offer{packet: slices.Clone(v.Packet), service: service}
+		o = &offer{packet: slices.Clone(v.Packet), service: service, came: now}
 		c.offers[v.Flow] = o
 	}
 	o.silent = slices.DeleteFunc(o.silent, func(a netip.Addr) bool { return a == v.Sidecar })
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -36,25 +36,45 @@
 	if h := c.flows.Get(key); h != nil && h.opening == p.Seq && h.offered > 0 && h.sidecar.IsValid() {
 		u := c.view.Upstream(h.sidecar)
 		if now-h.offered < _openTimeout && u != nil && !u.Penalized(now) && u.State != peer.Suspect {
-			c.send(peer.KindOffer, h.sidecar, peer.NewServiceID(u.Service), packet)
+			c.send(peer.Carried{
+				Kind: peer.KindOffer, Service: peer.NewServiceID(u.Service), Waited: now - h.offered, Packet: packet,
+			}, h.sidecar)
 			return
 		}
 	}
+	c.offer(now, key, p.Seq, now, packet)
+}
+
+// offer offers an opening packet that came first at a time.
+func (c *Core) offer(now time.Duration, key flow.Key, seq uint32, came time.Duration, packet []byte) {
 	service, ok := c.table.Service(key)
 	if !ok {
-		c.refuseUnrouted(now, key, "no_route")
+		c.park(now, key, came, packet, "no_route")
+		return
+	}
+	o := &offer{packet: slices.Clone(packet), service: service, came: came}
+	if c.choose(now, o) == nil {
+		c.park(now, key, came, packet, "no_upstream")
 		return
 	}
-	o := &offer{packet: slices.Clone(packet), service: service}
-	c.flows.Put(key, &held{opening: p.Seq, offered: now})
+	c.flows.Put(key, &held{opening: seq, offered: now})
 	c.offers[key] = o
 	c.place(now, key, o)
 }
 
 // place offers an opening packet to the best upstream that was not tried yet.
+// When all are busy, the least busy one gets it all the same.
 func (c *Core) place(now time.Duration, key flow.Key, o *offer) {
-	u := c.choose(now, o)
-	if u == nil || len(o.tried) >= _maxAttempts {
+	var u *fleet.Upstream
+	if len(o.tried) < _maxAttempts {
+		u = c.choose(now, o)
+	}
+	if u == nil && !o.last && len(o.tried) > 0 {
+		o.last = true
+		o.tried = slices.Clone(o.silent)
+		u = c.choose(now, o)
+	}
+	if u == nil {
 		delete(c.offers, key)
 		c.refuse(now, key, o)
 		return
@@ -70,7 +90,51 @@
 	if h := c.flows.Get(key); h != nil {
 		h.sidecar = u.Sidecar
 	}
-	c.send(peer.KindOffer, u.Sidecar, peer.NewServiceID(o.service), o.packet)
+	c.send(peer.Carried{
+		Kind: peer.KindOffer, Service: peer.NewServiceID(o.service), Last: o.last, Waited: now - o.came, Packet: o.packet,
+	}, u.Sidecar)
+}
+
+// park keeps an opening packet that a relay which has just started does not know
+// where to send. Later such a packet is refused at once.
+func (c *Core) park(now time.Duration, key flow.Key, came time.Duration, packet []byte, reason string) {
+	if now >= _settled && c.table.Version() > 0 {
+		c.reset(now, key, 0, reason)
+		return
+	}
+	known := slices.ContainsFunc(c.parked, func(p parked) bool { return p.key == key })
+	if known || len(c.parked) >= _maxParked || now-came > _parkTimeout {
+		return
+	}
+	c.parked = append(c.parked, parked{key: key, came: came, packet: slices.Clone(packet)})
+	c.out.Decide(decision.Record{
+		Flow: key, Action: decision.Waits, Reason: reason + "_yet", Version: c.table.Version(), Age: now - came, Attempt: len(c.parked),
+	})
+}
+
+// openParked offers what is parked, now that the relay knows more.
+func (c *Core) openParked(now time.Duration) {
+	waiting := c.parked
+	c.parked = nil
+	for _, p := range waiting {
+		header, err := c.wire.Decode(p.packet)
+		if err == nil {
+			c.offer(now, p.key, header.Seq, p.came, p.packet)
+		}
+	}
+}
+
+// dropParked drops what has waited for so long that its caller has given up.
+func (c *Core) dropParked(now time.Duration) {
+	old := 0
+	for old < len(c.parked) && now-c.parked[old].came > _parkTimeout {
+		c.counts.Dropped++
+		c.out.Decide(decision.Record{
+			Flow: c.parked[old].key, Action: decision.Dropped, Reason: "parked_too_long", Version: c.table.Version(), Age: now - c.parked[old].came,
+		})
+		old++
+	}
+	c.parked = c.parked[old:]
 }
 
 // choose returns the best upstream that was not tried, nil if there is none.
@@ -99,11 +163,6 @@
 // refuse ends an opening packet that no upstream takes. The caller gets no reset
 // if an offer was not answered, since that sidecar may have taken it.
 func (c *Core) refuse(now time.Duration, key flow.Key, o *offer) {
-	if len(o.tried) == 0 {
-		c.flows.Delete(key)
-		c.refuseUnrouted(now, key, "no_upstream")
-		return
-	}
 	if len(o.silent) > 0 {
 		c.counts.Dropped++
 		c.out.Decide(decision.Record{
@@ -116,17 +175,6 @@
 	c.reset(now, key, 0, "all_refused")
 }
 
-// refuseUnrouted resets an opening packet that has nowhere to go. A relay that
-// has just started knows too little to refuse; the caller repeats its packet.
-func (c *Core) refuseUnrouted(now time.Duration, key flow.Key, reason string) {
-	if now < _settled {
-		c.counts.Dropped++
-		c.out.Decide(decision.Record{Flow: key, Action: decision.Dropped, Reason: reason + "_yet", Version: c.table.Version(), Age: now})
-		return
-	}
-	c.reset(now, key, 0, reason)
-}
-
 // unanswered doubts the sidecar that did not answer an offer and places the
 // packet elsewhere.
 func (c *Core) unanswered(now time.Duration, key flow.Key, o *offer) {
@@ -146,7 +194,7 @@
 	h := c.flows.Get(key)
 	if h != nil && h.sidecar.IsValid() && h.question == nil {
 		c.counts.Carried++
-		c.send(peer.KindCarry, h.sidecar, 0, packet)
+		c.send(peer.Carried{Kind: peer.KindCarry, Packet: packet}, h.sidecar)
 		return
 	}
 	if p.Flags.Has(flow.RST) {
@@ -205,7 +253,7 @@
 	})
 	for _, addr := range q.asked {
 		if q.open[addr] {
-			c.send(peer.KindLocate, addr, 0, q.packet)
+			c.send(peer.Carried{Kind: peer.KindLocate, Packet: q.packet}, addr)
 		}
 	}
 }
@@ -218,10 +266,10 @@
 	}
 }
 
-func (c *Core) send(kind peer.Kind, to netip.Addr, service peer.ServiceID, packet []byte) {
-	c.buffer = peer.Carried{
-		Kind: kind, Origin: c.self.Addr, Service: service, Version: c.table.Version(), Packet: packet,
-	}.Append(c.buffer[:0])
+// send sends a caller's packet to a sidecar.
+func (c *Core) send(m peer.Carried, to netip.Addr) {
+	m.Origin, m.Version = c.self.Addr, c.table.Version()
+	c.buffer = m.Append(c.buffer[:0])
 	c.out.ToPeer(to, c.buffer)
 }
 
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -13,19 +13,28 @@
 // a while: a crest of calls, a crash, or callers that come back after an outage.
 // An upstream that is given everything works on requests whose callers no longer
 // need the answer in time, and turns others away late. So a sidecar gives its
-// upstream little more than its slots can hold and keeps the rest, in the order
-// of priority and age, for as long as an answer in time is still possible. Who
-// would wait longer is refused at once and may come back. An upstream that gets
-// room asks the fullest peers for what waits there.
+// upstream little more than its slots can hold and keeps the rest. What can still
+// be answered in time goes first, in the order of priority and age; then what is
+// late, since a late answer is better than none. Who would wait until the answer
+// is of no use is refused at once and may come back. An upstream that gets room
+// asks the fullest peers for what waits there.
 const (
-	// _waitShare is the part of a route's target that an opening packet may wait.
-	_waitShare = 0.6
-	// _defaultWait is how long one may wait if the route has no target.
-	_defaultWait = 100 * time.Millisecond
+	// _inTimeShare is the part of a route's target that an opening packet may wait
+	// and still be answered in time, and _giveUpShare the part of its timeout after
+	// which it is refused: the rest is for a second try.
+	_inTimeShare = 0.6
+	_giveUpShare = 0.5
+	// _maxWait bounds any wait: callers repeat an opening packet for 1.4 s.
+	_maxWait = 1200 * time.Millisecond
+	// _defaultInTime and _defaultGiveUp are for routes without target or timeout.
+	_defaultInTime = 100 * time.Millisecond
+	_defaultGiveUp = 500 * time.Millisecond
 	// _runTimeWeight is the weight of a new run time in their average.
 	_runTimeWeight = 0.05
 	// _firstRunTime is the average before any is known.
 	_firstRunTime = 20 * time.Millisecond
+	// _maxShares bounds how often a flow moves in all, to sidecars that report room.
+	_maxShares = 8
 	// _askedPeers is how many of the fullest peers hear that this one has room.
 	_askedPeers = 2
 )
@@ -37,21 +46,37 @@
 	return slots + max(1, slots/2)
 }
 
-// load returns the upstream's load with what waits for it.
-func (c *Core) load() int { return c.busy + len(c.waiting) }
+// load returns the upstream's load with what waits for it and goes before a new
+// flow. What is late is not counted: it waits for slots that nobody else needs.
+func (c *Core) load() int {
+	load := c.busy
+	for _, h := range c.waiting {
+		if c.now < h.inTime {
+			load++
+		}
+	}
+	return load
+}
 
 // own returns the own upstream as a candidate.
 func (c *Core) own() placement.Candidate {
 	return placement.Candidate{Busy: c.load(), Slots: c.slots(c.now), SameZone: true}
 }
 
-// expectedWait returns how long an opening packet that comes now would wait.
-func (c *Core) expectedWait() time.Duration {
-	excess := c.load() - c.room() + 1
-	if excess <= 0 {
-		return 0
+// soonEnough reports whether the upstream would get an opening packet soon
+// enough. A relay that can try others wants an answer in time; one that has tried
+// them takes a late one.
+func (c *Core) soonEnough(h *held, last bool) bool {
+	if last {
+		return c.now+c.wait(c.busy+len(c.waiting)) <= h.giveUp
 	}
-	return time.Duration(excess) * c.averageRunTime() / time.Duration(c.slots(c.now))
+	return c.now+c.wait(c.load()) <= h.inTime
+}
+
+// wait returns how long it takes until the upstream has room behind a load.
+func (c *Core) wait(load int) time.Duration {
+	excess := load - c.room() + 1
+	return time.Duration(max(excess, 0)) * c.averageRunTime() / time.Duration(c.slots(c.now))
 }
 
 func (c *Core) averageRunTime() time.Duration {
@@ -66,32 +91,49 @@
 	c.runTime = c.averageRunTime() + time.Duration(_runTimeWeight*float64(took-c.averageRunTime()))
 }
 
-// waitLimit returns how long an opening packet of a flow may wait, and its priority.
-func (c *Core) waitLimit(h *held) (time.Duration, int) {
-	route, ok := c.table.Route(h.key.Address)
-	if !ok || route.Target == 0 {
-		return _defaultWait, route.Priority
+// limits sets how long an opening packet may wait.
+func (c *Core) limits(h *held) {
+	route, _ := c.table.Route(h.key.Address)
+	inTime, giveUp := _defaultInTime, _defaultGiveUp
+	if route.Target > 0 {
+		inTime = time.Duration(_inTimeShare * float64(route.Target))
+	}
+	if route.Timeout > 0 {
+		giveUp = min(time.Duration(_giveUpShare*float64(route.Timeout)), _maxWait)
 	}
-	return time.Duration(_waitShare * float64(route.Target)), route.Priority
+	h.priority, h.inTime, h.giveUp = route.Priority, h.came+inTime, h.came+giveUp
 }
 
-// enqueue makes an opening packet wait. Those of a lower number of priority go
-// first, then those that came first.
+// enqueue makes an opening packet wait.
 func (c *Core) enqueue(h *held) {
-	limit, priority := c.waitLimit(h)
-	h.waits, h.priority, h.since, h.deadline = true, priority, c.now, c.now+limit
-	at := len(c.waiting)
-	for at > 0 && c.waiting[at-1].priority > priority {
-		at--
-	}
-	c.waiting = slices.Insert(c.waiting, at, h)
+	h.waits = true
+	c.waiting = append(c.waiting, h)
 	c.counts.Waited++
 }
 
+// nextWaiting returns what the upstream should get next.
+func (c *Core) nextWaiting() *held {
+	best := c.waiting[0]
+	for _, h := range c.waiting[1:] {
+		if c.before(h, best) {
+			best = h
+		}
+	}
+	return best
+}
+
+// before reports whether a goes before b, which came earlier.
+func (c *Core) before(a, b *held) bool {
+	if late := c.now >= b.inTime; late != (c.now >= a.inTime) {
+		return late
+	}
+	return a.priority < b.priority
+}
+
 // admitWaiting gives the upstream what waits, as far as it has room.
 func (c *Core) admitWaiting() {
 	for len(c.waiting) > 0 && c.busy < c.room() && c.upstream.state == peer.Ready {
-		h := c.waiting[0]
+		h := c.nextWaiting()
 		c.dropWaiting(h)
 		c.give(h)
 	}
@@ -119,10 +161,10 @@
 	}
 }
 
-// refuseLate refuses what has waited for as long as it may.
+// refuseLate refuses what has waited until an answer would be of no use.
 func (c *Core) refuseLate() {
 	for _, h := range slices.Clone(c.waiting) {
-		if c.now >= h.deadline {
+		if c.now >= h.giveUp {
 			c.dropWaiting(h)
 			c.flows.Delete(h.key)
 			c.refuseOverload(h)
@@ -149,8 +191,8 @@
 // shareWaiting passes what waits to a peer that has room.
 func (c *Core) shareWaiting(to peer.UpstreamReport) {
 	for room := int(to.Slots) - int(to.Busy); room > 0 && len(c.waiting) > 0 && to.State == peer.Ready; room-- {
-		h := c.waiting[0]
-		if h.hops >= _maxHops {
+		h := c.nextWaiting()
+		if h.hops >= _maxShares {
 			return
 		}
 		c.dropWaiting(h)
@@ -162,7 +204,7 @@
 // carriedAgain returns the message that offers a flow to another sidecar.
 func (c *Core) carriedAgain(h *held) peer.Carried {
 	return peer.Carried{
-		Kind: peer.KindOffer, Hops: h.hops, Origin: h.origin, Service: c.id, Version: c.table.Version(), Packet: h.packet,
+		Kind: peer.KindOffer, Hops: h.hops, Last: h.last, Waited: c.now - h.came, Origin: h.origin, Service: c.id, Version: c.table.Version(), Packet: h.packet,
 	}
 }
 
@@ -170,7 +212,7 @@
 func (c *Core) askForWork() {
 	c.eligible = c.eligible[:0]
 	for _, u := range c.view.Service(c.self.Service) {
-		if u.Sidecar != c.self.Addr && u.Busy > u.Slots+max(1, u.Slots/2) && c.view.Takes(c.now, u) {
+		if u.Sidecar != c.self.Addr && (u.Late > 0 || u.Busy > u.Slots+max(1, u.Slots/2)) && c.view.Takes(c.now, u) {
 			c.eligible = append(c.eligible, u)
 		}
 	}
@@ -178,7 +220,12 @@
 		i := c.random.IntN(len(c.eligible))
 		u := c.eligible[i]
 		c.eligible = slices.Delete(c.eligible, i, i+1)
-		u.Busy -= 1 // it will pass one on
+		// It will pass one on.
+		if u.Late > 0 {
+			u.Late--
+		} else {
+			u.Busy--
+		}
 		c.reportTo(u.Sidecar)
 	}
 }
@@ -187,6 +234,6 @@
 func (c *Core) noteWaiting(h *held) {
 	c.out.Decide(decision.Record{
 		Flow: h.key, Action: decision.Waits, Service: c.self.Service, Version: c.table.Version(),
-		Busy: uint16(c.busy), Slots: uint16(c.slots(c.now)), Age: c.expectedWait(), Attempt: len(c.waiting), Routine: true,
+		Busy: uint16(c.busy), Slots: uint16(c.slots(c.now)), Age: c.wait(c.load()), Attempt: len(c.waiting), Routine: true,
 	})
 }
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -137,15 +137,19 @@
 // held is a flow of the upstream.
 type held struct {
 	key flow.Key
-	// waits says that the opening packet has not been given to the upstream yet;
-	// priority and deadline say when that should be, at the latest.
-	waits    bool
-	priority int
-	since    time.Duration
-	deadline time.Duration
+	// waits says that the opening packet has not been given to the upstream yet.
+	// Until inTime it goes before those that are late already, and at giveUp it is
+	// refused.
+	waits          bool
+	priority       int
+	inTime, giveUp time.Duration
+	// came is when a relay got the opening packet first.
+	came time.Duration
 	// packet is the opening packet while the upstream has not consented.
 	packet []byte
 	hops   uint8
+	// last says that the relay has tried others.
+	last bool
 	// opening and consent are the sequence numbers of the caller's opening packet
 	// and of the upstream's consent.
 	opening, consent uint32
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -98,9 +98,13 @@
 
 // accept takes an opening packet for the own upstream.
 func (c *Core) accept(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
-	h := &held{key: key, packet: slices.Clone(m.Packet), hops: m.Hops, opening: p.Seq, origin: m.Origin, given: now, carried: now}
+	h := &held{
+		key: key, packet: slices.Clone(m.Packet), hops: m.Hops, last: m.Last, came: now - m.Waited,
+		opening: p.Seq, origin: m.Origin, given: now, carried: now,
+	}
 	full := c.busy >= c.room()
-	if limit, _ := c.waitLimit(h); full && c.expectedWait() > limit {
+	c.limits(h)
+	if full && !c.soonEnough(h, m.Last) {
 		c.refuse(now, key, m, "overloaded")
 		return
 	}
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -82,6 +82,7 @@
 		Sidecar: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Service: c.self.Service, Zone: c.self.Zone, State: c.upstream.state,
 		Busy: uint16(c.load()), Slots: uint16(c.slots(c.now)), Version: c.table.Version(),
+		Late: uint16(c.busy + len(c.waiting) - c.load()),
 	})
 	if err != nil {
 		c.out.Believe(decision.Belief{Subject: "report", Name: addr.String(), Reason: err.Error()})
