--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -95,9 +95,14 @@
 	return platform.NewClient(base, platform.WithReadBudget(_storeCallTimeout), platform.WithCallTimeout(_storeCallTimeout)), nil
 }
 
-// _storeCallTimeout bounds one call to the store: some five times what a slow
-// store takes.
-const _storeCallTimeout = 1200 * time.Millisecond
+const (
+	// _storeCallTimeout bounds one call to the store: some five times what a slow
+	// store takes.
+	_storeCallTimeout = 1200 * time.Millisecond
+	// _firstCallTimeout is the bound while no configuration is known: a call that
+	// hangs since the store was away must not outlast its return.
+	_firstCallTimeout = 400 * time.Millisecond
+)
 
 // incarnation returns a number that no other run at this address has.
 func incarnation() uint64 {
--- a/dandelionhitch/opaque_routes.go
+++ b/dandelionhitch/opaque_routes.go
@@ -157,7 +157,9 @@
 			reached = false
 		}
 		f.pause(pause/2 + rand.N(pause))
-		pause = min(2*pause, _maxStorePause)
+		if f.read > 0 {
+			pause = min(2*pause, _maxStorePause)
+		}
 	}
 	return nil
 }
@@ -165,7 +167,11 @@
 // check reads the configuration in the store. One that does not exist yet is
 // looked for again at once.
 func (f *routesFollower) check() error {
-	ctx, cancel := context.WithTimeout(f.ctx, _storeCallTimeout)
+	timeout := _storeCallTimeout
+	if f.read == 0 {
+		timeout = _firstCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, timeout)
 	defer cancel()
 	object, err := f.store.Get(ctx, platform.ConfigurationKey)
 	if err != nil {
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -162,6 +162,7 @@
 			{"relay_offers_unanswered", int64(s.Unanswered)},
 			{"relay_carried", int64(s.Carried)},
 			{"relay_asked", int64(s.Asked)},
+			{"relay_tried", int64(s.Tried)},
 			{"relay_resets", int64(s.Resets)},
 			{"relay_dropped", int64(s.Dropped)},
 			{"relay_malformed", int64(s.Malformed)},
--- a/decision/log.go
+++ b/decision/log.go
@@ -12,9 +12,9 @@
 
 // Bounds of the log.
 const (
-	_routinePerSecond = 10      // lines; a sample is enough, counters count all
-	_othersPerSecond  = 50      // lines; some 12 KB/s, 1% of a core of 0.06
-	_beliefsPerSecond = 100     // lines; a change of state of every process in the fleet of one service
+	_routinePerSecond = 5       // lines; a sample is enough, counters count all
+	_othersPerSecond  = 25      // lines; some 6 KB/s, 1% of a core of 0.06
+	_beliefsPerSecond = 50      // lines; a change of state of every process of one service
 	_bufferSize       = 1 << 18 // bytes; some seconds of the full budget
 	_flushInterval    = 100 * time.Millisecond
 )
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -4,7 +4,7 @@
 // there is one for each packet. Reports, which are rare and grow new fields, are
 // CBOR maps with small integer keys. The first byte tells them apart.
 //
-//	relay   -> sidecar   Carried: Offer, Carry, Locate
+//	relay   -> sidecar   Carried: Offer, Carry, Try; Question
 //	sidecar -> sidecar   Carried: Offer passed on
 //	sidecar -> relay     Verdict
 //	sidecar -> relay, sidecars of the same service   UpstreamReport
@@ -32,9 +32,11 @@
 	KindOffer Kind = 0xd1 + iota
 	// KindCarry carries a packet of a flow that the receiver holds.
 	KindCarry
-	// KindLocate carries a packet of a flow whose holder is not known. The
-	// receiver takes it only if it holds the flow, and answers either way.
-	KindLocate
+	// KindTry carries a packet of a flow that the receiver may hold without
+	// knowing it. It answers when its upstream has shown.
+	KindTry
+	// KindQuestion asks whether the receiver holds a flow.
+	KindQuestion
 	// KindVerdict answers a carried packet.
 	KindVerdict
 	// KindUpstream reports an upstream.
@@ -58,6 +60,9 @@
 	// NotHeld says that the sender's upstream does not have the flow. It gives
 	// the packet back.
 	NotHeld
+	// Unsure says that the sender has run for less time than its upstream, which
+	// may have the flow.
+	Unsure
 	// Ended says that the sender has ended the flow towards the caller.
 	Ended
 )
@@ -73,6 +78,8 @@
 		return "held"
 	case NotHeld:
 		return "not_held"
+	case Unsure:
+		return "unsure"
 	case Ended:
 		return "ended"
 	default:
@@ -109,8 +116,10 @@
 
 // Sizes of fixed headers, in bytes.
 const (
-	_carriedSize = 2 + 2 + 4 + 8 + 8
-	_verdictSize = 2 + 4 + 12 + 2 + 2 + 8
+	_carriedSize  = 2 + 2 + 4 + 8 + 8
+	_verdictSize  = 2 + 4 + 12 + 2 + 2 + 8
+	_questionSize = 1 + 4 + 12 + 4
+	_keySize      = 12
 )
 
 // _lastBit marks Carried.Last in the byte of Hops.
@@ -131,7 +140,7 @@
 	return append(b, c.Packet...)
 }
 
-// DecodeCarried reads a message of KindOffer, KindCarry or KindLocate.
+// DecodeCarried reads a message of KindOffer, KindCarry or KindTry.
 func DecodeCarried(b []byte) (Carried, error) {
 	if len(b) <= _carriedSize {
 		return Carried{}, trace.BadParameter("carried packet: %d bytes are too short", len(b))
@@ -166,13 +175,10 @@
 
 // Append appends the message to b.
 func (v Verdict) Append(b []byte) []byte {
-	sidecar, caller, address := v.Sidecar.As4(), v.Flow.Caller.Addr().As4(), v.Flow.Address.Addr().As4()
+	sidecar := v.Sidecar.As4()
 	b = append(b, byte(KindVerdict), byte(v.Outcome))
 	b = append(b, sidecar[:]...)
-	b = append(b, caller[:]...)
-	b = binary.BigEndian.AppendUint16(b, v.Flow.Caller.Port())
-	b = append(b, address[:]...)
-	b = binary.BigEndian.AppendUint16(b, v.Flow.Address.Port())
+	b = appendKey(b, v.Flow)
 	b = binary.BigEndian.AppendUint16(b, v.Busy)
 	b = binary.BigEndian.AppendUint16(b, v.Slots)
 	b = binary.BigEndian.AppendUint64(b, v.Version)
@@ -187,10 +193,7 @@
 	v := Verdict{
 		Outcome: Outcome(b[1]),
 		Sidecar: netip.AddrFrom4([4]byte(b[2:6])),
-		Flow: flow.Key{
-			Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[6:10])), binary.BigEndian.Uint16(b[10:])),
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[12:16])), binary.BigEndian.Uint16(b[16:])),
-		},
+		Flow:    decodeKey(b[6:]),
 		Busy:    binary.BigEndian.Uint16(b[18:]),
 		Slots:   binary.BigEndian.Uint16(b[20:]),
 		Version: binary.BigEndian.Uint64(b[22:]),
@@ -202,6 +205,52 @@
 	return v, nil
 }
 
+// Question asks a sidecar whether it holds a flow.
+type Question struct {
+	Origin netip.Addr
+	Flow   flow.Key
+	// Ack is what the caller's packet acknowledges. It tells apart the upstreams
+	// that consented to copies of one opening packet.
+	Ack uint32
+}
+
+// Append appends the message to b.
+func (q Question) Append(b []byte) []byte {
+	origin := q.Origin.As4()
+	b = append(b, byte(KindQuestion))
+	b = append(b, origin[:]...)
+	b = appendKey(b, q.Flow)
+	return binary.BigEndian.AppendUint32(b, q.Ack)
+}
+
+// DecodeQuestion reads a message of KindQuestion.
+func DecodeQuestion(b []byte) (Question, error) {
+	if len(b) < _questionSize {
+		return Question{}, trace.BadParameter("question: %d bytes are too short", len(b))
+	}
+	return Question{
+		Origin: netip.AddrFrom4([4]byte(b[1:5])),
+		Flow:   decodeKey(b[5:]),
+		Ack:    binary.BigEndian.Uint32(b[5+_keySize:]),
+	}, nil
+}
+
+func appendKey(b []byte, key flow.Key) []byte {
+	for _, end := range [...]netip.AddrPort{key.Caller, key.Address} {
+		ip := end.Addr().As4()
+		b = append(b, ip[:]...)
+		b = binary.BigEndian.AppendUint16(b, end.Port())
+	}
+	return b
+}
+
+func decodeKey(b []byte) flow.Key {
+	return flow.Key{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[0:4])), binary.BigEndian.Uint16(b[4:])),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[6:10])), binary.BigEndian.Uint16(b[10:])),
+	}
+}
+
 // State is what a sidecar says of its upstream.
 type State uint8
 
--- a/relay/core.go
+++ b/relay/core.go
@@ -17,10 +17,14 @@
 
 // Waits and bounds of a relay.
 const (
-	// _offerTimeout is how long an offer may go unanswered: two crossings between
-	// zones and several turns of a slow process. The caller repeats its opening
-	// packet after 200 ms at the earliest.
-	_offerTimeout = 70 * time.Millisecond
+	// _minOfferTimeout is how long an offer may go unanswered at least: two
+	// crossings between zones and several turns of a slow process. The caller
+	// repeats its opening packet after 200 ms at the earliest. _maxOfferTimeout is
+	// for a relay that is itself so busy that answers wait for it.
+	_minOfferTimeout = 70 * time.Millisecond
+	_maxOfferTimeout = 400 * time.Millisecond
+	// _lateTick is the time between two ticks from which on a relay was held up.
+	_lateTick = 60 * time.Millisecond
 	// _maxAttempts bounds the upstreams that one opening packet is offered to; then
 	// the least busy one is told to take it.
 	_maxAttempts = 4
@@ -32,9 +36,18 @@
 	// _askTimeout is how long a question for a holder is open; then the next
 	// packet of the flow asks again.
 	_askTimeout = 400 * time.Millisecond
-	// _maxAsks bounds the packets of one flow that are sent to all while its
-	// holder is not known.
-	_maxAsks = 16
+	// _maxKept bounds the packets of one flow that are kept while its holder is not
+	// known: what a caller has in flight.
+	_maxKept = 16
+	// _searchPerSecond bounds what questions and tries send, in bytes a second, and
+	// _searchBurst at once: a few percent of the smallest links. After a loss of
+	// all processes there are many flows that nobody holds, and many unsure sidecars.
+	_searchPerSecond = 100_000
+	_searchBurst     = 200_000
+	// _questionBytes is what one question and its answer take on a link.
+	_questionBytes = 120
+	// _packetBytes is what a packet takes beside its own size.
+	_packetBytes = 60
 	// _settled is how long a relay must have run before silence of processes that
 	// it does not know can count as their absence.
 	_settled = 4 * time.Second
@@ -116,6 +129,12 @@
 	newestFrom netip.Addr
 	// parked are opening packets that came before the relay knew where to send them.
 	parked []parked
+	// searchBudget is what questions may send, in bytes, as of searchAt.
+	searchBudget float64
+	searchAt     time.Duration
+	// answers estimates how long answers to offers take.
+	answers  answerTime
+	lastTick time.Duration
 	// checked is when this relay or another one read the configuration in the
 	// store, and checkSpread how much longer this one waits before it does.
 	checked, checkSpread time.Duration
@@ -154,15 +173,16 @@
 
 // question is an open search for the sidecar that holds a flow.
 type question struct {
-	// asked are the sidecars in the order of the asking, and open those that have
-	// not answered.
-	asked   []netip.Addr
-	open    map[netip.Addr]bool
 	started time.Duration
-	sent    int
-	// everywhere says that sidecars of all services were asked.
-	everywhere bool
-	packet     []byte
+	// asked are the sidecars in the order of the asking, and answers what they have
+	// said; zero if nothing.
+	asked   []netip.Addr
+	answers map[netip.Addr]peer.Outcome
+	// everywhere says that sidecars of all services were asked, and tried that the
+	// unsure ones got the packet.
+	everywhere, tried bool
+	// packets are kept until the holder is known. The last one is used for a reset.
+	packets [][]byte
 }
 
 // Counts are a relay's counters since its start.
@@ -171,8 +191,9 @@
 	Packets, Opening uint64
 	// Offers went to sidecars; Unanswered are those that were not answered in time.
 	Offers, Unanswered uint64
-	// Carried went to the known holder; Asked were sent to all that may hold the flow.
-	Carried, Asked uint64
+	// Carried went to the known holder; Asked are questions who holds a flow, and
+	// Tried packets that unsure sidecars got.
+	Carried, Asked, Tried uint64
 	// Resets went to callers; Dropped packets went nowhere.
 	Resets, Dropped uint64
 	// Malformed packets or messages could not be read.
@@ -189,6 +210,8 @@
 		view:   fleet.New(_relayInterval),
 		flows:  flow.NewCache[held](maxFlows, nil),
 		offers: make(map[flow.Key]*offer),
+
+		searchBudget: _searchBurst,
 	}
 }
 
@@ -293,6 +316,11 @@
 
 // Tick does what is due. It is called about every 20 ms.
 func (c *Core) Tick(now time.Duration) {
+	if now-c.lastTick > _lateTick {
+		// Answers may have come meanwhile and not been read yet.
+		c.answers.heldUp(now)
+	}
+	c.lastTick = now
 	for _, key := range c.overdue(now) {
 		c.unanswered(now, key, c.offers[key])
 	}
@@ -314,8 +342,9 @@
 // that does not depend on chance.
 func (c *Core) overdue(now time.Duration) []flow.Key {
 	var keys []flow.Key
+	limit := c.answers.timeout()
 	for key, o := range c.offers {
-		if now-o.sent > _offerTimeout {
+		if now-max(o.sent, c.answers.since) > limit {
 			keys = append(keys, key)
 		}
 	}
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"dandelionhitch.example/decision"
-	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
 )
 
@@ -94,8 +93,8 @@
 	case peer.Ended:
 		delete(c.offers, v.Flow)
 		c.flows.Delete(v.Flow)
-	case peer.NotHeld:
-		c.notHeld(now, v, h)
+	case peer.NotHeld, peer.Unsure:
+		c.denied(now, v, h)
 	}
 }
 
@@ -105,6 +104,7 @@
 			u.Busy = max(u.Busy-1, 0)
 		}
 		c.out.Observe(decision.OfferAnswered, now-o.sent)
+		c.answers.took(now - o.sent)
 		delete(c.offers, v.Flow)
 	}
 	if h == nil {
@@ -135,82 +135,3 @@
 	}
 	c.place(now, v.Flow, o)
 }
-
-func (c *Core) found(now time.Duration, v peer.Verdict, h *held) {
-	if h == nil {
-		return
-	}
-	if h.question != nil {
-		c.out.Observe(decision.HolderFound, now-h.question.started)
-		c.out.Decide(decision.Record{
-			Flow: v.Flow, Action: decision.Found, Reason: v.Outcome.String(), Target: v.Sidecar,
-			Version: c.table.Version(), Age: now - h.question.started, Attempt: h.question.sent, Routine: true,
-		})
-	}
-	h.sidecar, h.question = v.Sidecar, nil
-}
-
-// notHeld takes a sidecar's denial. A flow is dead only if every sidecar has
-// denied it and none is silent.
-func (c *Core) notHeld(now time.Duration, v peer.Verdict, h *held) {
-	if h == nil {
-		return
-	}
-	q := h.question
-	if q == nil {
-		if h.sidecar != v.Sidecar || len(v.Packet) == 0 {
-			return
-		}
-		// The holder was wrong: nobody else was asked yet.
-		h.sidecar = netip.Addr{}
-		h.question = &question{asked: []netip.Addr{v.Sidecar}, open: map[netip.Addr]bool{v.Sidecar: false}, started: now}
-		c.ask(now, v.Flow, h, v.Packet)
-		return
-	}
-	if !q.open[v.Sidecar] {
-		return
-	}
-	q.open[v.Sidecar] = false
-	if q.pending() {
-		return
-	}
-	if !q.everywhere {
-		c.askEverywhere(now, v.Flow, q)
-		if q.pending() {
-			return
-		}
-	}
-	c.dead(now, v.Flow, h, q)
-}
-
-// pending reports whether any sidecar has not answered.
-func (q *question) pending() bool {
-	for _, open := range q.open {
-		if open {
-			return true
-		}
-	}
-	return false
-}
-
-// dead resets a flow that every sidecar has denied.
-func (c *Core) dead(now time.Duration, key flow.Key, h *held, q *question) {
-	packet := q.packet
-	h.question = nil
-	p, err := c.wire.Decode(packet)
-	switch {
-	case err != nil:
-		c.counts.Malformed++
-	case now < _settled:
-		c.counts.Dropped++
-		c.out.Decide(decision.Record{Flow: key, Action: decision.Dropped, Reason: "holder_not_known_yet", Version: c.table.Version()})
-	case h.offered > 0 && now-h.offered < _openTimeout:
-		c.counts.Dropped++
-		c.out.Decide(decision.Record{Flow: key, Action: decision.Dropped, Reason: "still_opening", Version: c.table.Version(), Age: now - h.offered})
-	case p.Size == 0 && p.Flags.Has(flow.FIN):
-		// A caller that closes needs no reset to act on.
-		c.counts.Dropped++
-	default:
-		c.reset(now, key, p.Ack, "no_holder")
-	}
-}
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -205,65 +205,7 @@
 		h = &held{}
 		c.flows.Put(key, h)
 	}
-	c.ask(now, key, h, packet)
-}
-
-// ask sends a packet to every sidecar that may hold the flow. Only the holder
-// gives it to its upstream.
-func (c *Core) ask(now time.Duration, key flow.Key, h *held, packet []byte) {
-	q := h.question
-	if q == nil || now-q.started > _askTimeout {
-		q = &question{open: make(map[netip.Addr]bool), started: now}
-		h.question = q
-	}
-	if q.sent >= _maxAsks {
-		c.counts.Dropped++
-		return
-	}
-	q.sent++
-	q.packet = append(q.packet[:0], packet...)
-	shares := c.table.Services(key.Address)
-	for _, s := range shares {
-		for _, u := range c.view.Service(s.Service) {
-			q.ask(u.Sidecar)
-		}
-	}
-	if len(q.asked) == 0 {
-		c.askEverywhere(now, key, q)
-		return
-	}
-	c.sendQuestion(now, key, q)
-}
-
-// askEverywhere widens a question to all services: the route may have led
-// elsewhere when the flow was opened.
-func (c *Core) askEverywhere(now time.Duration, key flow.Key, q *question) {
-	q.everywhere = true
-	for _, u := range c.view.Sidecars() {
-		q.ask(u.Sidecar)
-	}
-	c.sendQuestion(now, key, q)
-}
-
-func (c *Core) sendQuestion(now time.Duration, key flow.Key, q *question) {
-	c.counts.Asked++
-	c.out.Decide(decision.Record{
-		Flow: key, Action: decision.Asked, Reason: "holder_not_known", Version: c.table.Version(),
-		Age: now - q.started, Attempt: q.sent, Busy: uint16(len(q.asked)), Slots: uint16(c.view.SidecarCount()), Routine: true,
-	})
-	for _, addr := range q.asked {
-		if q.open[addr] {
-			c.send(peer.Carried{Kind: peer.KindLocate, Packet: q.packet}, addr)
-		}
-	}
-}
-
-// ask adds a sidecar to the question unless it was asked.
-func (q *question) ask(addr netip.Addr) {
-	if _, asked := q.open[addr]; !asked {
-		q.asked = append(q.asked, addr)
-		q.open[addr] = true
-	}
+	c.search(now, key, h, p, packet)
 }
 
 // send sends a caller's packet to a sidecar.
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -149,7 +149,7 @@
 // that was starting reset a packet of a flow that another upstream held.
 func TestUpstreamResetWhileTried(t *testing.T) {
 	r := newRig(t)
-	r.fromRelay(time.Millisecond, peer.KindLocate, encode(flow.ACK, 11, 501, 0, false))
+	r.fromRelay(time.Millisecond, peer.KindTry, encode(flow.ACK, 11, 501, 0, false))
 	assert.Equal(t, len(r.toUpstream), 1, "a sidecar that has just started tries the packet")
 	r.UpstreamPacket(2*time.Millisecond, encode(flow.RST, 0, 0, 0, true))
 	assert.Equal(t, len(r.toCaller), 0, "the caller must not get the reset")
@@ -159,7 +159,7 @@
 // TestTriedFlow asks a sidecar that has just started for a flow that its upstream has.
 func TestTriedFlow(t *testing.T) {
 	r := newRig(t)
-	r.fromRelay(time.Millisecond, peer.KindLocate, encode(flow.ACK, 11, 501, 5, false))
+	r.fromRelay(time.Millisecond, peer.KindTry, encode(flow.ACK, 11, 501, 5, false))
 	assert.Equal(t, len(r.verdicts), 0, "nothing is known yet")
 	r.UpstreamPacket(2*time.Millisecond, encode(flow.ACK, 501, 16, 0, true))
 	r.onlyVerdict(peer.Held)
@@ -170,7 +170,7 @@
 func TestTriedFlowBounces(t *testing.T) {
 	r := newRig(t)
 	packet := encode(flow.ACK, 11, 501, 5, false)
-	r.fromRelay(time.Millisecond, peer.KindLocate, packet)
+	r.fromRelay(time.Millisecond, peer.KindTry, packet)
 	r.UpstreamPacket(2*time.Millisecond, encode(flow.ACK|flow.Bounced, 11, 501, 5, false))
 	r.onlyVerdict(peer.NotHeld)
 	assert.DeepEqual(t, r.verdicts[0].Packet, packet)
@@ -179,11 +179,32 @@
 func TestUnknownFlowOfAKnownLife(t *testing.T) {
 	r := newRig(t)
 	assert.NilError(t, r.beat(0, nil))
-	r.fromRelay(time.Millisecond, peer.KindLocate, encode(flow.ACK, 11, 501, 0, false))
+	r.fromRelay(time.Millisecond, peer.KindTry, encode(flow.ACK, 11, 501, 0, false))
 	assert.Equal(t, len(r.toUpstream), 0)
 	r.onlyVerdict(peer.NotHeld)
 }
 
+func TestQuestions(t *testing.T) {
+	key := flow.Key{Caller: _caller, Address: _address}
+	ask := func(r *rig, ack uint32) {
+		r.forget()
+		r.PeerMessage(time.Millisecond, peer.Question{Origin: _relay, Flow: key, Ack: ack}.Append(nil))
+	}
+	r := newRig(t)
+	ask(r, 501)
+	r.onlyVerdict(peer.Unsure) // an upstream may be there that has not reported yet
+	assert.NilError(t, r.beat(0, nil))
+	ask(r, 501)
+	r.onlyVerdict(peer.NotHeld)
+	r.fromRelay(0, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+	r.UpstreamPacket(0, encode(flow.SYN|flow.ACK, 500, 11, 0, true))
+	ask(r, 900_000_001)
+	r.onlyVerdict(peer.NotHeld) // the caller answers another upstream's consent
+	ask(r, 501)
+	r.onlyVerdict(peer.Held)
+	assert.Equal(t, len(r.toUpstream), 0)
+}
+
 // TestConsentOfAnotherUpstream gives a caller's answer to the consent of an
 // upstream that got a copy of the same opening packet.
 func TestConsentOfAnotherUpstream(t *testing.T) {
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -20,7 +20,7 @@
 	}
 	var err error
 	switch kind := peer.Kind(message[0]); kind {
-	case peer.KindOffer, peer.KindCarry, peer.KindLocate:
+	case peer.KindOffer, peer.KindCarry, peer.KindTry:
 		var carried peer.Carried
 		var p flow.Packet
 		if carried, err = peer.DecodeCarried(message); err == nil {
@@ -30,6 +30,11 @@
 			c.heardVersion(carried.Version, carried.Origin)
 			c.carried(now, carried, p)
 		}
+	case peer.KindQuestion:
+		var q peer.Question
+		if q, err = peer.DecodeQuestion(message); err == nil {
+			c.question(now, q)
+		}
 	case peer.KindUpstream:
 		var r peer.UpstreamReport
 		if r, err = peer.DecodeUpstream(message); err == nil && r.Sidecar != c.self.Addr {
@@ -54,7 +59,7 @@
 	switch m.Kind {
 	case peer.KindOffer:
 		c.offer(now, key, m, p)
-	case peer.KindCarry, peer.KindLocate:
+	case peer.KindCarry, peer.KindTry:
 		c.carry(now, key, m, p)
 	}
 }
@@ -199,11 +204,25 @@
 	c.passOnOrRefuse(now, key, c.carriedAgain(h), reason)
 }
 
-// carry gives a packet to the upstream if the flow is its own.
+// question answers whether the upstream holds a flow.
+func (c *Core) question(now time.Duration, q peer.Question) {
+	h := c.flows.Get(q.Flow)
+	outcome := peer.Held
+	switch {
+	case h == nil && !c.knowsAll(now), h != nil && h.probing:
+		outcome = peer.Unsure
+	case h == nil, h.waits, !h.open && !h.answers(q.Ack):
+		outcome = peer.NotHeld
+		c.counts.NotHeld++
+	}
+	c.verdict(now, outcome, q.Flow, q.Origin, nil)
+}
+
+// carry gives a packet to the upstream if the flow is its own, or may be.
 func (c *Core) carry(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
 	h := c.flows.Get(key)
 	switch {
-	case h == nil && c.knowsAll(now):
+	case h == nil && (m.Kind != peer.KindTry || c.knowsAll(now)):
 		c.deny(now, key, m)
 		return
 	case h == nil:
@@ -215,12 +234,12 @@
 		h.origin, h.carried, h.callerAck = m.Origin, now, p.Ack
 		c.out.ToUpstream(m.Packet)
 		return
-	case h.waits, !h.open && !h.answers(p):
+	case h.waits, !h.open && !h.answers(p.Ack):
 		c.deny(now, key, m)
 		return
 	}
 	h.origin, h.carried, h.callerAck = m.Origin, now, p.Ack
-	if m.Kind == peer.KindLocate {
+	if m.Kind == peer.KindTry {
 		c.verdict(now, peer.Held, key, m.Origin, nil)
 	}
 	if h.dead || (c.isDead(now) && !h.ended) {
@@ -239,11 +258,10 @@
 	c.out.ToUpstream(m.Packet)
 }
 
-// answers reports whether a caller's first packet after the opening one answers
-// the consent of this upstream, and not that of another that got a copy.
-func (h *held) answers(p flow.Packet) bool {
+// answers reports whether a caller that acknowledges ack answers the consent of this upstream, and not that of another that got a copy.
+func (h *held) answers(ack uint32) bool {
 	const window = 1 << 17 // above what an upstream has in flight before it hears the caller
-	return h.consented && p.Ack-h.consent < window
+	return h.consented && ack-h.consent < window
 }
 
 // knowsAll reports whether a flow that this process does not know cannot be the
@@ -262,7 +280,7 @@
 func (c *Core) deny(now time.Duration, key flow.Key, m peer.Carried) {
 	c.counts.NotHeld++
 	packet := m.Packet
-	if m.Kind == peer.KindLocate {
+	if m.Kind == peer.KindTry {
 		packet = nil // the relay kept it
 	} else {
 		c.out.Decide(decision.Record{Flow: key, Action: decision.NotHeld, Target: m.Origin, Version: c.table.Version()})
