--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,7 +16,7 @@
 // Weights of a choice, in parts of an upstream's slots.
 const (
 	// _zoneCost is how much fuller an upstream in the own zone may be.
-	_zoneCost = 0.25
+	_zoneCost = 0.6
 	// _jitter spreads processes that know the same.
 	_jitter = 0.3
 	// _passMargin is how much less full a peer must be before a flow is passed
--- a/relay/core.go
+++ b/relay/core.go
@@ -61,6 +61,9 @@
 	// _reportsPerSecond the bound of reports sent by it in a large fleet.
 	_relayInterval    = time.Second
 	_reportsPerSecond = 50
+	// _namesEvery is the number of reports of which one names other processes; a
+	// process that is new is named at once.
+	_namesEvery = 8
 	// _namedRelays bounds the relays that one report names.
 	_namedRelays = 128
 	// _forgetInterval is how often silent processes are looked for.
@@ -122,7 +125,7 @@
 	eligible []*fleet.Upstream
 
 	leaving                            bool
-	sequence                           uint64
+	sequence, rounds                   uint64
 	nextReport, nextRotate, nextForget time.Duration
 	// newest is the highest version that any process has named.
 	newest     uint64
@@ -273,7 +276,7 @@
 func (c *Core) Checked(now time.Duration) {
 	c.noteChecked(now)
 	for _, r := range c.view.Relays() {
-		c.reportTo(now, r.Addr, "")
+		c.reportTo(now, r.Addr, "", false)
 	}
 }
 
@@ -303,7 +306,7 @@
 func (c *Core) Introduce(now time.Duration, relays []netip.Addr) {
 	for _, addr := range relays {
 		if addr != c.self.Addr && c.view.AddRelay(now, addr) {
-			c.reportTo(now, addr, "")
+			c.reportTo(now, addr, "", true)
 		}
 	}
 }
@@ -356,32 +359,27 @@
 func (c *Core) report(now time.Duration) {
 	count := c.view.RelayCount() + c.view.SidecarCount()
 	c.nextReport = now + max(_relayInterval, time.Duration(count)*time.Second/_reportsPerSecond)
+	names := c.rounds%_namesEvery == 0
+	c.rounds++
 	for _, r := range c.view.Relays() {
-		c.reportTo(now, r.Addr, "")
+		c.reportTo(now, r.Addr, "", names)
 	}
 	for _, u := range c.view.Sidecars() {
-		c.reportTo(now, u.Sidecar, u.Service)
+		c.reportTo(now, u.Sidecar, u.Service, names)
 	}
 }
 
-// reportTo tells one process of this relay. A sidecar also gets the sidecars of
-// its service.
-func (c *Core) reportTo(now time.Duration, addr netip.Addr, service string) {
+// reportTo tells one process of this relay, with the names of other relays and
+// of the sidecars of a service if names is set.
+func (c *Core) reportTo(now time.Duration, addr netip.Addr, service string, names bool) {
 	c.sequence++
 	r := peer.RelayReport{
 		Relay: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Leaving: c.leaving, Version: c.table.Version(), Fleet: uint32(c.view.SidecarCount()),
 		CheckedAge: c.checkedAge(now),
 	}
-	for _, known := range c.view.Relays() {
-		if known.Heard > 0 && len(r.Relays) < _namedRelays {
-			r.Relays = append(r.Relays, known.Addr)
-		}
-	}
-	if service != "" {
-		for _, u := range c.view.Service(service) {
-			r.Sidecars = append(r.Sidecars, u.Sidecar)
-		}
+	if names {
+		c.addNames(&r, service)
 	}
 	message, err := peer.AppendRelay(c.buffer[:0], r)
 	if err != nil {
@@ -392,6 +390,18 @@
 	c.out.ToPeer(addr, message)
 }
 
+// addNames adds the relays, and the sidecars of a service, to a report.
+func (c *Core) addNames(r *peer.RelayReport, service string) {
+	for _, known := range c.view.Relays() {
+		if known.Heard > 0 && len(r.Relays) < _namedRelays {
+			r.Relays = append(r.Relays, known.Addr)
+		}
+	}
+	for _, u := range c.view.Service(service) {
+		r.Sidecars = append(r.Sidecars, u.Sidecar)
+	}
+}
+
 // heardVersion notes that a process has a version.
 func (c *Core) heardVersion(v uint64, from netip.Addr) {
 	if v > c.newest {
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -48,7 +48,10 @@
 	}
 	c.heardVersion(r.Version, r.Sidecar)
 	if change.New {
-		c.reportTo(now, r.Sidecar, r.Service)
+		// The sidecars of the service learn of each other.
+		for _, other := range c.view.Service(r.Service) {
+			c.reportTo(now, other.Sidecar, r.Service, true)
+		}
 	}
 	if change.New || change.From != u.State {
 		c.out.Believe(decision.Belief{
@@ -74,7 +77,7 @@
 	c.Introduce(now, r.Relays)
 	if change.New {
 		c.out.Believe(decision.Belief{Subject: "relay", Name: r.Relay.String(), To: "heard", Reason: "report", Version: r.Sequence})
-		c.reportTo(now, r.Relay, "")
+		c.reportTo(now, r.Relay, "", true)
 	}
 }
 
