--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,91 @@
+package fleet_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/fleet"
+	"dandelionhitch.example/peer"
+)
+
+var (
+	_one = netip.MustParseAddr("10.1.0.1")
+	_two = netip.MustParseAddr("10.1.0.2")
+)
+
+func report(addr netip.Addr, incarnation, sequence uint64, state peer.State) peer.UpstreamReport {
+	return peer.UpstreamReport{Sidecar: addr, Incarnation: incarnation, Sequence: sequence, Service: "orders", State: state, Slots: 2}
+}
+
+// TestLateReports delivers reports out of order: neither an older one of the same
+// incarnation nor one of the incarnation before changes anything.
+func TestLateReports(t *testing.T) {
+	v := fleet.New(time.Second)
+	_, change := v.Report(0, report(_one, 5, 2, peer.Ready))
+	assert.Assert(t, change.New)
+	u, change := v.Report(0, report(_one, 5, 1, peer.Draining))
+	assert.Assert(t, change.Stale)
+	assert.Equal(t, u.State, peer.Ready)
+	_, change = v.Report(0, report(_one, 3, 1, peer.Ready)) // incarnations have no order
+	assert.Assert(t, change.New)
+	u, change = v.Report(0, report(_one, 5, 9, peer.Draining))
+	assert.Assert(t, change.Stale)
+	assert.Equal(t, u.State, peer.Ready)
+}
+
+func TestServiceOfAnAddressChanges(t *testing.T) {
+	v := fleet.New(time.Second)
+	v.Report(0, report(_two, 1, 1, peer.Ready))
+	v.Report(0, report(_one, 1, 1, peer.Ready))
+	assert.Equal(t, len(v.Service("orders")), 2)
+	assert.Equal(t, v.Service("orders")[0].Sidecar, _one)
+	r := report(_one, 2, 1, peer.Ready)
+	r.Service = "photos"
+	v.Report(0, r)
+	assert.Equal(t, len(v.Service("orders")), 1)
+	assert.Equal(t, len(v.Service("photos")), 1)
+	assert.Equal(t, len(v.Sidecars()), 2)
+}
+
+func TestDoubt(t *testing.T) {
+	v := fleet.New(600 * time.Millisecond)
+	u, _ := v.Report(0, report(_one, 1, 1, peer.Ready))
+	assert.Assert(t, v.Takes(time.Second, u))
+	assert.Assert(t, !v.Takes(2*time.Second, u), "it has been silent")
+	v.Report(2*time.Second, report(_one, 1, 2, peer.Ready))
+	first := v.Unanswered(2*time.Second, _one)
+	assert.Assert(t, first > 0 && !v.Takes(2*time.Second, u))
+	assert.Equal(t, v.Unanswered(2*time.Second, _one), time.Duration(0), "one doubt at a time")
+	again := v.Unanswered(2*time.Second+first, _one)
+	assert.Assert(t, again > first)
+	// A report alone does not prove that offers get through; an answer does.
+	v.Report(2*time.Second+first, report(_one, 1, 3, peer.Ready))
+	assert.Assert(t, !v.Takes(2*time.Second+first, u))
+	v.Answered(2*time.Second+first, _one, 1, 2)
+	assert.Assert(t, v.Takes(2*time.Second+first, u))
+}
+
+func TestRelays(t *testing.T) {
+	v := fleet.New(time.Second)
+	assert.Assert(t, v.AddRelay(0, _one))
+	assert.Assert(t, !v.AddRelay(0, _one))
+	assert.Equal(t, v.Relay(_one).Heard, time.Duration(0))
+	_, change := v.ReportRelay(time.Second, peer.RelayReport{Relay: _one, Incarnation: 1, Sequence: 1, Version: 7})
+	assert.Assert(t, change.New)
+	_, change = v.ReportRelay(time.Second, peer.RelayReport{Relay: _one, Incarnation: 1, Sequence: 1, Version: 9})
+	assert.Assert(t, change.Stale)
+	assert.DeepEqual(t, len(v.Holders(7, _two)), 2)
+	assert.DeepEqual(t, len(v.Holders(8, _two)), 1)
+}
+
+func TestForget(t *testing.T) {
+	v := fleet.New(time.Second)
+	v.Report(0, report(_one, 1, 1, peer.Ready))
+	v.AddRelay(0, _two)
+	assert.Equal(t, len(v.Forget(time.Minute)), 0)
+	assert.Equal(t, len(v.Forget(2*time.Minute)), 1)
+	assert.Equal(t, v.SidecarCount()+v.RelayCount()+len(v.Sidecars())+len(v.Service("orders")), 0)
+}
--- /dev/null
+++ b/flow/flow_test.go
@@ -0,0 +1,93 @@
+package flow_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionhitch.example/flow"
+)
+
+func key(n int) flow.Key {
+	return flow.Key{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), 40001),
+		Address: netip.MustParseAddrPort("198.18.0.1:443"),
+	}
+}
+
+func TestKeyText(t *testing.T) {
+	k := key(7)
+	assert.Equal(t, k.String(), "100.64.0.7:40001>198.18.0.1:443")
+	back, err := flow.ParseKey(k.String())
+	assert.NilError(t, err)
+	assert.Assert(t, back == k)
+	for _, text := range []string{"", "x", "1.2.3.4:5", "1.2.3.4:5>", ">1.2.3.4:5"} {
+		_, err := flow.ParseKey(text)
+		assert.Assert(t, err != nil, "%q", text)
+	}
+}
+
+func TestDirections(t *testing.T) {
+	k := key(1)
+	there := flow.Packet{Source: k.Caller, Destination: k.Address, Flags: flow.SYN}
+	back := flow.Packet{Source: k.Address, Destination: k.Caller, Flags: flow.SYN | flow.ACK}
+	assert.Assert(t, there.FromCaller() == k && back.ToCaller() == k)
+	assert.Assert(t, there.Opening() && !back.Opening())
+}
+
+// TestCacheAgainstMap compares the cache with a map that remembers when each flow
+// was used: what was used since the last but one Rotate is never forgotten.
+func TestCacheAgainstMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		evicted := map[flow.Key]bool{}
+		c := flow.NewCache(1000, func(k flow.Key, _ *int) { evicted[k] = true })
+		used := map[flow.Key]int{}
+		generation := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				n := rapid.IntRange(0, 20).Draw(t, "n")
+				c.Put(key(n), &n)
+				used[key(n)] = generation
+				delete(evicted, key(n))
+			},
+			"get": func(t *rapid.T) {
+				k := key(rapid.IntRange(0, 20).Draw(t, "n"))
+				last, known := used[k]
+				found := c.Get(k) != nil
+				assert.Equal(t, found, known && last >= generation-1)
+				if found {
+					used[k] = generation
+				}
+			},
+			"delete": func(t *rapid.T) {
+				k := key(rapid.IntRange(0, 20).Draw(t, "n"))
+				c.Delete(k)
+				delete(used, k)
+			},
+			"rotate": func(*rapid.T) {
+				c.Rotate()
+				generation++
+			},
+			"": func(t *rapid.T) {
+				n := 0
+				for k, last := range used {
+					if last >= generation-1 {
+						n++
+						assert.Assert(t, !evicted[k])
+					}
+				}
+				assert.Equal(t, c.Len(), n)
+			},
+		})
+	})
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	c := flow.NewCache[int](100, nil)
+	for n := range 10_000 {
+		c.Put(key(n), &n)
+		assert.Assert(t, c.Len() <= 100)
+	}
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,69 @@
+package peer_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/flow"
+	"dandelionhitch.example/peer"
+)
+
+var (
+	_addr = netip.MustParseAddr("10.1.0.1")
+	_key  = flow.Key{Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Address: netip.MustParseAddrPort("198.18.0.1:443")}
+)
+
+func TestMessagesThereAndBack(t *testing.T) {
+	carried := peer.Carried{
+		Kind: peer.KindOffer, Hops: 3, Last: true, Waited: 250 * time.Millisecond, Origin: _addr,
+		Service: peer.NewServiceID("orders"), Version: 7, Packet: []byte("packet"),
+	}
+	back, err := peer.DecodeCarried(carried.Append(nil))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back.Packet, carried.Packet)
+	back.Packet, carried.Packet = nil, nil
+	assert.Assert(t, back.Origin == carried.Origin && back.Last && back.Hops == 3 && back.Waited == carried.Waited &&
+		back.Service == carried.Service && back.Version == 7)
+
+	verdict := peer.Verdict{Outcome: peer.NotHeld, Sidecar: _addr, Flow: _key, Busy: 3, Slots: 2, Version: 9, Packet: []byte("x")}
+	v, err := peer.DecodeVerdict(verdict.Append(nil))
+	assert.NilError(t, err)
+	assert.Assert(t, v.Flow == _key && v.Sidecar == _addr && v.Outcome == peer.NotHeld && v.Busy == 3 && v.Slots == 2 && v.Version == 9)
+
+	question := peer.Question{Origin: _addr, Flow: _key, Ack: 501}
+	q, err := peer.DecodeQuestion(question.Append(nil))
+	assert.NilError(t, err)
+	assert.Assert(t, q == question)
+
+	b, err := peer.AppendRelay(nil, peer.RelayReport{Relay: _addr, Incarnation: 5, Sidecars: []netip.Addr{_addr}})
+	assert.NilError(t, err)
+	r, err := peer.DecodeRelay(b)
+	assert.NilError(t, err)
+	assert.Assert(t, r.Relay == _addr && r.Incarnation == 5 && r.Sidecars[0] == _addr)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(peer.Carried{Kind: peer.KindCarry, Origin: _addr, Packet: []byte("p")}.Append(nil))
+	f.Add(peer.Verdict{Outcome: peer.Held, Sidecar: _addr, Flow: _key}.Append(nil))
+	f.Add(peer.Question{Origin: _addr, Flow: _key}.Append(nil))
+	f.Add([]byte{byte(peer.KindUpstream), 0xa1, 1, 2})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if len(b) == 0 {
+			return
+		}
+		if c, err := peer.DecodeCarried(b); err == nil {
+			assert.DeepEqual(t, c.Append(nil), b)
+		}
+		if q, err := peer.DecodeQuestion(b); err == nil {
+			again, err := peer.DecodeQuestion(q.Append(nil))
+			assert.NilError(t, err)
+			assert.Assert(t, again == q)
+		}
+		_, _ = peer.DecodeVerdict(b)
+		_, _ = peer.DecodeUpstream(b)
+		_, _ = peer.DecodeRelay(b)
+	})
+}
--- a/standin/opaque_load_test.go
+++ b/standin/opaque_load_test.go
@@ -156,6 +156,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			l := tt.load
 			l.use = tt.use
+			if testing.Short() {
+				l.length = _seconds // under the race detector
+			}
 			d := l.play(1)
 			assert.Assert(t, len(d.Broken) == 0, "%v", d.Broken)
 			inTime, central, byChance := within(d.Calls, l.aim), l.centralQueue(d), l.randomHosts(d)
