--- a/dandelionhitch/main.go
+++ b/dandelionhitch/main.go
@@ -68,7 +68,7 @@
 		Subcommands: append(
 			[]*ffcli.Command{
 				balancerCommand(stderr), agentCommand(stderr), relayCommand(stdout, stderr), sidecarCommand(stdout, stderr),
-				tryCommand(stdout, stderr), keysCommand(stdout),
+				tryCommand(stdout, stderr), soakCommand(stdout, stderr), keysCommand(stdout),
 			},
 			operatorCommands(stdin, stdout, stderr)...,
 		),
--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -24,6 +24,7 @@
 	metrics    netip.AddrPort
 	seeds      []netip.AddrPort
 	peerPort   uint
+	peerListen netip.AddrPort
 	memoryMB   uint
 	grace      time.Duration
 	hostedMode string
@@ -52,6 +53,7 @@
 	f.text(&f.metrics, "metrics", "IP:PORT of the metrics endpoint (HTTP); not set: none")
 	f.addresses(&f.seeds, "seeds", "IP:PORT of a few relays, separated by commas; the port is ignored")
 	f.UintVar(&f.peerPort, "peer-port", 0, "port for messages between processes, the same on every VM")
+	f.text(&f.peerListen, "peer-listen", "IP:PORT where this process takes messages, if something passes them on from addr and peer-port")
 	f.UintVar(&f.memoryMB, "memory-mb", _defaultMemoryMB, "memory that this process may use, in MB")
 	f.DurationVar(&f.grace, "grace", _defaultGrace, "time that a process gets to stop")
 	f.StringVar(&f.hostedMode, "upstream-mode", _hostedMode, "how upstreams are reached; only agent is served")
--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -65,8 +65,11 @@
 	return trace.NewAggregate(errs...)
 }
 
-// peerAddr is where this process exchanges messages with others.
+// peerAddr is where this process takes messages of others.
 func (n *opaqueNode) peerAddr() netip.AddrPort {
+	if n.flags.peerListen.IsValid() {
+		return n.flags.peerListen
+	}
 	return netip.AddrPortFrom(n.flags.addr, uint16(n.flags.peerPort))
 }
 
--- a/dandelionhitch/opaque_routes.go
+++ b/dandelionhitch/opaque_routes.go
@@ -77,17 +77,17 @@
 	read platform.Version
 }
 
-// newRoutesFollower serves at self and follows. store and checks may be nil: then
+// newRoutesFollower serves at self and follows; others serve at peerPort. store and checks may be nil: then
 // only other processes are asked.
 func newRoutesFollower(
-	self netip.AddrPort, target routesTarget, store platform.Store, checks routesChecks, log *zap.Logger,
+	self netip.AddrPort, peerPort uint16, target routesTarget, store platform.Store, checks routesChecks, log *zap.Logger,
 ) (*routesFollower, error) {
 	listener, err := net.Listen("tcp4", self.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for processes that ask for routes at %s", self)
 	}
 	f := &routesFollower{
-		target: target, store: store, checks: checks, log: log, peerPort: self.Port(), listener: listener,
+		target: target, store: store, checks: checks, log: log, peerPort: peerPort, listener: listener,
 		client: &http.Client{Timeout: _fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	mux := http.NewServeMux()
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -83,10 +83,11 @@
 	}
 	self := relay.Identity{Addr: f.addr, Zone: f.zone, Incarnation: incarnation()}
 	r, err = relay.New(relay.Config{
-		Identity: self,
-		Ingress:  f.ingress,
-		PeerPort: uint16(f.peerPort),
-		MaxFlows: int(float64(f.memoryMB<<20) * _flowMemoryShare / _relayFlowBytes),
+		Identity:   self,
+		Ingress:    f.ingress,
+		PeerPort:   uint16(f.peerPort),
+		PeerListen: node.peerAddr(),
+		MaxFlows:   int(float64(f.memoryMB<<20) * _flowMemoryShare / _relayFlowBytes),
 	}, platform.PacketWire{}, node.records, times.observe)
 	if err != nil {
 		return trace.Wrap(err)
@@ -107,7 +108,7 @@
 
 // startServices starts what a relay needs beside its data path.
 func (f *relayFlags) startServices(node *opaqueNode, r *relay.Relay, self relay.Identity) error {
-	routes, err := newRoutesFollower(node.peerAddr(), r, node.store, r, node.log)
+	routes, err := newRoutesFollower(node.peerAddr(), uint16(f.peerPort), r, node.store, r, node.log)
 	if err != nil {
 		return err
 	}
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -94,6 +94,7 @@
 		Outbound:   f.outbound,
 		CallerPort: f.callers.Port(),
 		PeerPort:   uint16(f.peerPort),
+		PeerListen: node.peerAddr(),
 		MaxFlows:   int(float64(f.memoryMB<<20) * _flowMemoryShare / _sidecarFlowBytes),
 	}, platform.PacketWire{}, node.records, times.observe)
 	if err != nil {
@@ -115,7 +116,7 @@
 
 // startServices starts what a sidecar needs beside its data path.
 func (f *sidecarFlags) startServices(node *opaqueNode, s *sidecar.Sidecar) error {
-	routes, err := newRoutesFollower(node.peerAddr(), s, nil, nil, node.log)
+	routes, err := newRoutesFollower(node.peerAddr(), uint16(f.peerPort), s, nil, nil, node.log)
 	if err != nil {
 		return err
 	}
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -24,7 +24,7 @@
 type Socket struct {
 	tomb   tomb.Tomb
 	conn   *net.UDPConn
-	take   func([]byte)
+	take   func(netip.AddrPort, []byte)
 	refuse func()
 	unsent atomic.Uint64
 }
@@ -36,6 +36,12 @@
 // process listens there.
 func WithRefused(refused func()) Option { return func(s *Socket) { s.refuse = refused } }
 
+// WithSource replaces what gets the datagrams by a function that also gets where
+// each came from.
+func WithSource(take func(from netip.AddrPort, datagram []byte)) Option {
+	return func(s *Socket) { s.take = take }
+}
+
 // Listen opens a socket at local. take gets each datagram, one at a time; it must
 // not keep it.
 func Listen(local netip.AddrPort, take func([]byte), opts ...Option) (*Socket, error) {
@@ -56,7 +62,7 @@
 }
 
 func start(conn *net.UDPConn, take func([]byte), opts []Option) *Socket {
-	s := &Socket{conn: conn, take: take, refuse: func() {}}
+	s := &Socket{conn: conn, take: func(_ netip.AddrPort, datagram []byte) { take(datagram) }, refuse: func() {}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -105,10 +111,10 @@
 func (s *Socket) loop() error {
 	buffer := make([]byte, _maxSize)
 	for {
-		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		switch {
 		case err == nil:
-			s.take(buffer[:n])
+			s.take(from, buffer[:n])
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case errors.Is(err, syscall.ECONNREFUSED):
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -56,6 +56,8 @@
 	Ingress netip.AddrPort
 	// PeerPort is the UDP port for messages between processes, on every VM.
 	PeerPort uint16
+	// PeerListen is where this process takes them.
+	PeerListen netip.AddrPort
 	// MaxFlows bounds the flows that are remembered.
 	MaxFlows int
 }
@@ -69,7 +71,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var err error
-	if r.peers, err = datagram.Listen(netip.AddrPortFrom(config.Identity.Addr, config.PeerPort), r.takePeer); err != nil {
+	if r.peers, err = datagram.Listen(config.PeerListen, r.takePeer); err != nil {
 		return nil, trace.Wrap(err, "start relay")
 	}
 	if r.ingress, err = datagram.Listen(config.Ingress, r.takeIngress); err != nil {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -60,6 +60,8 @@
 	CallerPort uint16
 	// PeerPort is the UDP port for messages between processes, on every VM.
 	PeerPort uint16
+	// PeerListen is where this process takes them.
+	PeerListen netip.AddrPort
 	// MaxFlows bounds the flows that are remembered.
 	MaxFlows int
 }
@@ -73,7 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var err error
-	if s.peers, err = datagram.Listen(netip.AddrPortFrom(self.Addr, config.PeerPort), s.takePeer); err != nil {
+	if s.peers, err = datagram.Listen(config.PeerListen, s.takePeer); err != nil {
 		return nil, trace.Wrap(err, "start sidecar")
 	}
 	if s.outbound, err = datagram.Listen(config.Outbound, s.takeOutbound); err != nil {
--- /dev/null
+++ b/soak/links.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"dandelionhitch.example/datagram"
+)
+
+// ports are the same on all VMs.
+type ports struct {
+	ingress, ready, control, outbound, upstream, peer, behind uint16
+}
+
+// freePorts finds ports that are free on this machine.
+func freePorts() (ports, error) {
+	var p ports
+	for _, port := range []*uint16{&p.ingress, &p.ready, &p.control, &p.outbound, &p.upstream, &p.peer, &p.behind} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return p, trace.Wrap(err, "find a free port")
+		}
+		defer listener.Close()
+		*port = uint16(listener.Addr().(*net.TCPAddr).Port)
+	}
+	return p, nil
+}
+
+// link is what happens to messages in one direction between two VMs.
+type link struct {
+	cut   bool
+	loss  float64
+	delay time.Duration
+}
+
+// links is the proxy between the processes: it takes messages at a VM's peer port
+// and hands them to the process behind it, unless the link is disturbed.
+type links struct {
+	ports   ports
+	mu      sync.Mutex
+	random  *rand.Rand
+	state   map[[2]netip.Addr]link
+	sockets []*datagram.Socket
+	servers []net.Listener
+	running sync.WaitGroup
+}
+
+func newLinks(p ports, seed uint64) *links {
+	return &links{ports: p, random: rand.New(rand.NewPCG(seed, 1)), state: make(map[[2]netip.Addr]link)}
+}
+
+// add begins to take messages for a VM.
+func (l *links) add(addr netip.Addr) error {
+	behind := netip.AddrPortFrom(addr, l.ports.behind)
+	var socket *datagram.Socket
+	socket, err := datagram.Listen(netip.AddrPortFrom(addr, l.ports.peer), func([]byte) {},
+		datagram.WithSource(func(from netip.AddrPort, message []byte) { l.pass(socket, from.Addr(), behind, message) }))
+	if err != nil {
+		return err
+	}
+	l.sockets = append(l.sockets, socket)
+	listener, err := net.Listen("tcp4", netip.AddrPortFrom(addr, l.ports.peer).String())
+	if err != nil {
+		return trace.Wrap(err, "proxy of %v", addr)
+	}
+	l.servers = append(l.servers, listener)
+	l.running.Go(func() { l.runTCP(listener, addr, behind) })
+	return nil
+}
+
+// set changes the link from one VM to another; a zero link is undisturbed.
+func (l *links) set(from, to netip.Addr, state link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if state == (link{}) {
+		delete(l.state, [2]netip.Addr{from, to})
+		return
+	}
+	l.state[[2]netip.Addr{from, to}] = state
+}
+
+// disturb returns whether a message is lost, and how long it is delayed.
+func (l *links) disturb(from, to netip.Addr) (lost bool, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.state[[2]netip.Addr{from, to}]
+	return state.cut || l.random.Float64() < state.loss, state.delay
+}
+
+func (l *links) pass(socket *datagram.Socket, from netip.Addr, behind netip.AddrPort, message []byte) {
+	lost, delay := l.disturb(from, behind.Addr())
+	switch {
+	case lost:
+	case delay == 0:
+		socket.Send(behind, message)
+	default:
+		message = append([]byte(nil), message...)
+		time.AfterFunc(delay, func() { socket.Send(behind, message) })
+	}
+}
+
+// runTCP passes connections on. A cut in either direction makes them silent.
+func (l *links) runTCP(listener net.Listener, to netip.Addr, behind netip.AddrPort) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		l.running.Go(func() { l.runConnection(conn, to, behind) })
+	}
+}
+
+func (l *links) runConnection(conn net.Conn, to netip.Addr, behind netip.AddrPort) {
+	defer conn.Close()
+	from := conn.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
+	there, delay := l.disturb(from, to)
+	back, _ := l.disturb(to, from)
+	time.Sleep(delay)
+	if there || back {
+		_, _ = io.Copy(io.Discard, conn) // until the caller gives up
+		return
+	}
+	upstream, err := net.DialTimeout("tcp4", behind.String(), time.Second)
+	if err != nil {
+		return // the process does not run; the caller sees the closed connection
+	}
+	defer upstream.Close()
+	l.running.Go(func() {
+		_, _ = io.Copy(upstream, conn) // ends when either side closes
+		upstream.Close()
+	})
+	_, _ = io.Copy(conn, upstream)
+}
+
+func (l *links) close() {
+	for _, s := range l.sockets {
+		_ = s.Close() // nothing is lost that matters at the end
+	}
+	for _, s := range l.servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/soak/starter.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"runtime"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"gopkg.in/tomb.v2"
+)
+
+// starter starts processes that end with this one, also if it is killed: the
+// kernel ends them with the thread that started them, so one thread starts all.
+type starter struct {
+	tomb     tomb.Tomb
+	program  string
+	requests chan startRequest
+}
+
+type startRequest struct {
+	args  []string
+	log   *os.File
+	reply chan startReply
+}
+
+type startReply struct {
+	command *exec.Cmd
+	err     error
+}
+
+func newStarter(program string) *starter {
+	s := &starter{program: program, requests: make(chan startRequest)}
+	s.tomb.Go(s.loop)
+	return s
+}
+
+// start starts the program with args; its output goes to log.
+func (s *starter) start(log *os.File, args ...string) (*exec.Cmd, error) {
+	request := startRequest{args: args, log: log, reply: make(chan startReply, 1)}
+	select {
+	case s.requests <- request:
+	case <-s.tomb.Dying():
+		return nil, trace.ConnectionProblem(nil, "start %s: the soak ends", s.program)
+	}
+	reply := <-request.reply
+	return reply.command, reply.err
+}
+
+func (s *starter) loop() error {
+	runtime.LockOSThread()
+	for {
+		select {
+		case request := <-s.requests:
+			command := exec.Command(s.program, request.args...)
+			command.Stdout, command.Stderr = request.log, request.log
+			command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+			err := command.Start()
+			request.reply <- startReply{command: command, err: trace.Wrap(err, "start %s", s.program)}
+		case <-s.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (s *starter) close() {
+	s.tomb.Kill(nil)
+	_ = s.tomb.Wait() // the loop returns no error
+}
--- a/standin/opaque_upstream.go
+++ b/standin/opaque_upstream.go
@@ -56,7 +56,6 @@
 	done     time.Duration
 	working  bool
 	unacked  [][]byte
-	acked    uint32
 	end      uint32
 	nextSend time.Duration
 	wait     time.Duration
