sidecar: one that was restarted denies no flow that its upstream may hold

A relay that remembered the holder sent it a packet; the sidecar had been restarted and denied the flow for sure, the others denied it too. Ruled out: relays that did not know the sidecar (all six did). It now gives the packet to the upstream, as it does with one that is tried; a test fails without the change.

--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -166,6 +166,19 @@
 	assert.Equal(t, len(r.toCaller), 1)
 }
 
+// TestRelayRemembersMore is soak seed 100: a relay sent a packet to the holder that
+// it knew, whose sidecar had been restarted and denied a flow that its upstream
+// held; the other sidecars did not have it, and the caller got a reset.
+func TestRelayRemembersMore(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, func(h *sidecar.Heartbeat) { h.Sequence = 21 }))
+	r.fromRelay(time.Millisecond, peer.KindCarry, encode(flow.ACK, 11, 501, 5, false))
+	assert.Equal(t, len(r.verdicts), 0, "nothing is known yet")
+	assert.Equal(t, len(r.toUpstream), 1)
+	r.UpstreamPacket(2*time.Millisecond, encode(flow.ACK, 501, 16, 0, true))
+	r.onlyVerdict(peer.Held)
+}
+
 // TestTriedFlowBounces asks for a flow that the upstream gives back.
 func TestTriedFlowBounces(t *testing.T) {
 	r := newRig(t)
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -222,7 +222,7 @@
 func (c *Core) carry(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
 	h := c.flows.Get(key)
 	switch {
-	case h == nil && (m.Kind != peer.KindTry || c.knowsAll(now)):
+	case h == nil && c.knowsAll(now):
 		c.deny(now, key, m)
 		return
 	case h == nil:
