sidecar: an upstream that resets requests gets no new flows but trials

Ruled out: suspicion by silence (none; they answer at once). A sidecar counts resets before any data; two in a row, or a third of all, make it suspect, and it is tried with one flow at a time.

--- a/relay/packets.go
+++ b/relay/packets.go
@@ -139,11 +139,13 @@
 
 // choose returns the best upstream that was not tried, nil if there is none.
 // Where all are doubted, the doubt is as likely to be about this relay's own
-// links, so doubted ones are tried before a flow is refused.
+// links, so doubted ones are tried before a flow is refused, and then those that
+// their sidecars suspect.
 func (c *Core) choose(now time.Duration, o *offer) *fleet.Upstream {
 	for _, takes := range []func(*fleet.Upstream) bool{
 		func(u *fleet.Upstream) bool { return c.view.Takes(now, u) },
 		func(u *fleet.Upstream) bool { return u.State == peer.Ready },
+		func(u *fleet.Upstream) bool { return u.State == peer.Suspect },
 	} {
 		c.eligible, c.scratch = c.eligible[:0], c.scratch[:0]
 		for _, u := range c.view.Service(o.service) {
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -42,6 +42,9 @@
 // room returns how many flows the upstream may have in progress: one for each
 // slot, and as many more as are in their handshake meanwhile.
 func (c *Core) room() int {
+	if c.upstream.failing.trial {
+		return 1
+	}
 	slots := c.slots(c.now)
 	return slots + max(1, slots/2)
 }
@@ -60,6 +63,9 @@
 
 // own returns the own upstream as a candidate.
 func (c *Core) own() placement.Candidate {
+	if c.upstream.failing.trial {
+		return placement.Candidate{Busy: c.load(), Slots: 1, SameZone: true}
+	}
 	return placement.Candidate{Busy: c.load(), Slots: c.slots(c.now), SameZone: true}
 }
 
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -170,6 +170,8 @@
 	origin netip.Addr
 	// given is when the opening packet was given to the upstream.
 	given time.Duration
+	// answered says that the upstream has sent data.
+	answered bool
 	// requested is when data of the caller last began or went on.
 	requested time.Duration
 	// carried is when the last packet of the caller was given to the upstream, and
@@ -277,6 +279,7 @@
 		c.onTime++
 	}
 	c.lastTick = now
+	c.tryFailing()
 	c.checkOpenings(now)
 	c.checkHeartbeats(now)
 	c.reportDue(now)
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -371,6 +371,60 @@
 	}
 }
 
+// request sends a request on a new flow of a port and lets the upstream answer it
+// with flags and data.
+func (r *rig) request(now time.Duration, port uint16, flags flow.Flags, size byte) {
+	with := func(packet []byte) []byte { return append(packet, byte(port>>8), byte(port)) }
+	r.fromRelay(now, peer.KindOffer, with(encode(flow.SYN, 10, 0, 0, false)))
+	r.UpstreamPacket(now, with(encode(flow.SYN|flow.ACK, 500, 11, 0, true)))
+	r.fromRelay(now, peer.KindCarry, with(encode(flow.ACK, 11, 501, 5, false)))
+	r.UpstreamPacket(now, with(encode(flags, 501, 16, size, true)))
+}
+
+// TestUpstreamThatResetsRequests is what flapping upstreams on grown hundebinge
+// trouble-1 did: they consented and reset, looked idle, and got ever more flows.
+func TestUpstreamThatResetsRequests(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	for port := range uint16(3) {
+		r.request(time.Millisecond, 40_000+port, flow.RST, 0)
+	}
+	assert.Equal(t, len(r.toCaller), 6, "its answers reach the callers")
+	state := func() peer.State { return r.reports[len(r.reports)-1].State }
+	assert.Equal(t, state(), peer.Suspect)
+	assert.NilError(t, r.beat(100*time.Millisecond, nil))
+	assert.Equal(t, state(), peer.Suspect, "heartbeats say nothing about requests")
+	r.forget()
+	r.fromRelay(200*time.Millisecond, peer.KindOffer, encode(flow.SYN, 99, 0, 0, false))
+	r.onlyVerdict(peer.Refused)
+	r.Tick(500 * time.Millisecond)
+	assert.Equal(t, state(), peer.Ready, "it is tried again")
+	r.request(500*time.Millisecond, 41_000, flow.RST, 0)
+	assert.Equal(t, state(), peer.Suspect, "one more failure is enough")
+	r.Tick(1000 * time.Millisecond)
+	assert.Equal(t, state(), peer.Suspect, "the wait doubles")
+	r.Tick(1400 * time.Millisecond)
+	for port := range uint16(5) {
+		r.request(1400*time.Millisecond, 42_000+port, flow.ACK|flow.FIN, 100)
+	}
+	r.request(1400*time.Millisecond, 43_000, flow.RST, 0)
+	assert.Equal(t, state(), peer.Ready, "one failure among answers is none")
+}
+
+// TestResetBeforeConsent gives an opening packet that the upstream resets to
+// somebody else.
+func TestResetBeforeConsent(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, nil))
+	syn := encode(flow.SYN, 10, 0, 0, false)
+	r.fromRelay(0, peer.KindOffer, syn)
+	r.forget()
+	r.UpstreamPacket(0, encode(flow.RST, 0, 11, 0, true))
+	assert.Equal(t, len(r.toCaller), 0)
+	r.onlyVerdict(peer.Refused)
+	assert.DeepEqual(t, r.verdicts[0].Packet, syn)
+}
+
 // fill opens flows until the upstream has no room, and one more that waits.
 func (r *rig) fill() {
 	assert.NilError(r.t, r.beat(0, nil))
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -93,6 +93,8 @@
 		return "other_service"
 	case m.Version < c.table.Version() && !c.table.Allows(key.Address, c.self.Service):
 		return "route_changed"
+	case c.upstream.state == peer.Suspect && c.upstream.failing.until > 0 && m.Last:
+		return "" // nobody else takes it
 	case c.upstream.state != peer.Ready:
 		return "upstream_" + c.upstream.state.String()
 	case c.upstream.bounced > 0 && now-c.upstream.bounced < _bounceHold:
@@ -322,9 +324,18 @@
 		c.bounced(now, p, packet)
 		return
 	}
-	if h := c.flows.Get(p.ToCaller()); h != nil && h.probing && p.Flags.Has(flow.RST) {
-		c.deniedByReset(now, p, h)
-		return
+	if h := c.flows.Get(p.ToCaller()); h != nil && p.Flags.Has(flow.RST) {
+		switch {
+		case h.probing:
+			c.deniedByReset(now, p, h)
+			return
+		case h.watched && !h.consented:
+			c.requestFailed()
+			c.giveBack(now, h.key, h, "upstream_reset")
+			return
+		case h.requested > 0 && !h.answered && !h.ended:
+			c.requestFailed()
+		}
 	}
 	c.reply(now, p)
 	c.counts.Replies++
@@ -346,7 +357,7 @@
 // seen notes a sign of life.
 func (c *Core) seen(now time.Duration) {
 	c.upstream.seen = now
-	if c.upstream.state == peer.Suspect {
+	if c.upstream.state == peer.Suspect && c.upstream.failing.until == 0 {
 		c.setState(now, peer.Ready, "packet")
 	}
 }
@@ -369,6 +380,10 @@
 		}
 		h.consent, h.consented = p.Seq, true
 	}
+	if p.Size > 0 && !h.answered {
+		h.answered = true
+		c.requestAnswered()
+	}
 	if p.Size > 0 || p.Flags&(flow.FIN|flow.RST) != 0 {
 		if h.working && h.requested > 0 {
 			c.out.Observe(decision.FirstReply, now-h.requested)
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -39,6 +39,8 @@
 	suspected time.Duration
 	// bounced is when it last gave an opening packet back.
 	bounced time.Duration
+	// failing is what is known of requests that failed.
+	failing failing
 	// known says that all its flows came through this process.
 	known bool
 }
@@ -67,7 +69,7 @@
 	case u.state == peer.Gone:
 	case h.Draining:
 		c.setState(now, peer.Draining, "heartbeat")
-	case u.state == peer.Suspect && now-u.suspected < _suspicionHold:
+	case u.failing.until > 0, u.state == peer.Suspect && now-u.suspected < _suspicionHold:
 	default:
 		u.seen = now
 		c.setState(now, peer.Ready, "heartbeat")
--- a/standin/opaque_upstream.go
+++ b/standin/opaque_upstream.go
@@ -38,6 +38,8 @@
 	Opening func(key flow.Key)
 	// Stray is told of each packet of a flow that it does not hold.
 	Stray func(key flow.Key)
+	// Fails reports whether the next request is answered with a reset.
+	Fails func() bool
 	// Forged is told of each packet whose sum is wrong.
 	Forged func()
 
@@ -69,7 +71,8 @@
 func NewOpaqueUpstream(random *rand.Rand) *OpaqueUpstream {
 	return &OpaqueUpstream{
 		random: random, flows: make(map[flow.Key]*upstreamFlow),
-		Ran: func(flow.Key, string) {}, Opening: func(flow.Key) {}, Stray: func(flow.Key) {}, Forged: func() {},
+		Fails: func() bool { return false },
+		Ran:   func(flow.Key, string) {}, Opening: func(flow.Key) {}, Stray: func(flow.Key) {}, Forged: func() {},
 	}
 }
 
@@ -146,6 +149,11 @@
 		}
 		f.open = true
 	}
+	if len(p.Data) > 0 && f.request == "" && u.Fails() {
+		f.ended = true
+		u.send(f, flow.RST, f.consent+1, 0, nil)
+		return
+	}
 	if len(p.Data) > 0 && f.request == "" {
 		f.request = string(p.Data)
 		u.waiting = append(u.waiting, f)
--- a/standin/opaque_world_test.go
+++ b/standin/opaque_world_test.go
@@ -308,6 +308,35 @@
 	}
 }
 
+// TestOpaqueFlappingUpstreams lets two of seven upstreams fail all requests by
+// turns while their heartbeats are good.
+func TestOpaqueFlappingUpstreams(t *testing.T) {
+	d := newDay(1)
+	for _, vm := range d.orders[:2] {
+		vm.Upstream.Fails = func() bool {
+			return d.Now() > 6*_seconds && d.Now() < 10*_seconds && int(d.Now()/(900*time.Millisecond))%2 == 0
+		}
+	}
+	d.load(300, 10*_seconds)
+	d.Run(14 * _seconds)
+	d.check(t, 0.97) // chance alone would fail one in seven
+}
+
+// TestOpaqueAllFail lets all upstreams of a service fail for a while: they are
+// still tried, since nobody else is better, and serve again at once.
+func TestOpaqueAllFail(t *testing.T) {
+	d := newDay(1)
+	for _, vm := range d.orders {
+		vm.Upstream.Fails = func() bool { return d.Now() > 6*_seconds && d.Now() < 8*_seconds }
+	}
+	d.load(200, 13*_seconds)
+	d.Run(16 * _seconds)
+	assert.Assert(t, len(d.Broken) == 0, "%v", d.Broken)
+	for _, c := range d.Calls {
+		assert.Assert(t, c.Began < 11500*time.Millisecond || c.State == standin.CallAnswered, "call of %v: %v", c.Began, c.State)
+	}
+}
+
 // TestOpaqueRunsAreRepeatable plays one seed twice.
 func TestOpaqueRunsAreRepeatable(t *testing.T) {
 	var runs [2]string
