--- a/directory/directory.go
+++ b/directory/directory.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"dandelionhitch.example/flow"
@@ -38,6 +39,7 @@
 	version     uint64
 	idleTimeout time.Duration
 	routes      map[netip.AddrPort]Route
+	services    []string
 }
 
 // New returns the table of a version. Of two routes for one address the first
@@ -47,11 +49,24 @@
 	for _, r := range routes {
 		if _, taken := t.routes[r.Address]; !taken && len(r.Shares) > 0 {
 			t.routes[r.Address] = r
+			t.addServices(r)
 		}
 	}
 	return t
 }
 
+func (t *Table) addServices(r Route) {
+	for _, s := range r.Shares {
+		if !slices.Contains(t.services, s.Service) {
+			t.services = append(t.services, s.Service)
+		}
+	}
+}
+
+// ServiceNames returns the services that routes lead to. The slice must not be
+// changed.
+func (t Table) ServiceNames() []string { return t.services }
+
 // Version returns the operator's number of this state; zero says that none is known.
 func (t Table) Version() uint64 { return t.version }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -302,7 +302,8 @@
 	Version uint64 `cbor:"5,keyasint"`
 	// Relays are other relays that the sender has heard.
 	Relays []netip.Addr `cbor:"6,keyasint,omitempty"`
-	// Sidecars are those of the receiver's service that the sender has heard.
+	// Sidecars are those that the sender has heard: for a sidecar those of its
+	// service, for a relay all.
 	Sidecars []netip.Addr `cbor:"7,keyasint,omitempty"`
 	// Fleet is how many sidecars the sender has heard. Sidecars pace their reports
 	// by it.
--- a/relay/core.go
+++ b/relay/core.go
@@ -66,6 +66,8 @@
 	_namesEvery = 8
 	// _namedRelays bounds the relays that one report names.
 	_namedRelays = 128
+	// _namedSidecars bounds the sidecars that one report names.
+	_namedSidecars = 1000
 	// _forgetInterval is how often silent processes are looked for.
 	_forgetInterval = 5 * time.Second
 	// _checkInterval is how often the relays together read the configuration in the
@@ -230,10 +232,22 @@
 // Known returns the numbers of relays and sidecars that the relay knows.
 func (c *Core) Known() (relays, sidecars int) { return c.view.RelayCount(), c.view.SidecarCount() }
 
-// Ready reports whether routers should send packets here: routes and sidecars
-// are known, and the process has not been told to stop.
-func (c *Core) Ready() bool {
-	return !c.leaving && c.table.Version() > 0 && c.view.SidecarCount() > 0
+// Ready reports whether routers should send packets here: the process has not
+// been told to stop, and it knows the routes and an upstream of each service, or
+// has waited for them long enough.
+func (c *Core) Ready(now time.Duration) bool {
+	if c.leaving || c.table.Version() == 0 || c.view.SidecarCount() == 0 {
+		return false
+	}
+	if now >= _settled {
+		return true
+	}
+	for _, name := range c.table.ServiceNames() {
+		if len(c.view.Service(name)) == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // Behind returns the highest version that a process has named, if it is higher
@@ -390,15 +404,24 @@
 	c.out.ToPeer(addr, message)
 }
 
-// addNames adds the relays, and the sidecars of a service, to a report.
+// addNames adds relays to a report, and sidecars: for a sidecar those of its
+// service, for a relay all, so that it can report to them.
 func (c *Core) addNames(r *peer.RelayReport, service string) {
 	for _, known := range c.view.Relays() {
 		if known.Heard > 0 && len(r.Relays) < _namedRelays {
 			r.Relays = append(r.Relays, known.Addr)
 		}
 	}
-	for _, u := range c.view.Service(service) {
-		r.Sidecars = append(r.Sidecars, u.Sidecar)
+	sidecars := c.view.Service(service)
+	if service == "" {
+		sidecars = c.view.Sidecars()
+	}
+	first := 0
+	if len(sidecars) > _namedSidecars {
+		first = c.random.IntN(len(sidecars))
+	}
+	for i := range min(len(sidecars), _namedSidecars) {
+		r.Sidecars = append(r.Sidecars, sidecars[(first+i)%len(sidecars)].Sidecar)
 	}
 }
 
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -71,9 +71,11 @@
 	toCaller [][]byte
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newRigAt(t, _self) }
+
+func newRigAt(t *testing.T, addr netip.Addr) *rig {
 	r := &rig{t: t}
-	identity := relay.Identity{Addr: _self, Zone: "a", Incarnation: 1}
+	identity := relay.Identity{Addr: addr, Zone: "a", Incarnation: 1}
 	r.Core = relay.NewCore(identity, plainWire{}, r, 1000, rand.New(rand.NewPCG(1, 1)))
 	return r
 }
@@ -290,6 +292,30 @@
 	}
 }
 
+// TestNewRelayReportsToSidecars is what kowhai-rounds scale-2 found: a relay that
+// was added knew no upstream of one service for seconds and refused its flows,
+// since nobody had told the sidecars of it.
+func TestNewRelayReportsToSidecars(t *testing.T) {
+	old := newServingRig(t)
+	b, err := peer.AppendRelay(nil, peer.RelayReport{Relay: _other, Incarnation: 1, Sequence: 1})
+	assert.NilError(t, err)
+	old.PeerMessage(_settled, b)
+	var answer []byte
+	for _, m := range old.messages {
+		if m.kind == peer.KindRelay && m.to == _other {
+			answer = m.body
+		}
+	}
+	added := newRigAt(t, _other)
+	added.setTable(0, 1)
+	assert.Assert(t, !added.Ready(0), "no upstream is known")
+	added.PeerMessage(0, answer)
+	told := added.sent(peer.KindRelay)
+	assert.Assert(t, slices.Contains(told, _first.String()) && slices.Contains(told, _second.String()), "%v", told)
+	added.report(time.Millisecond, _first, 1, peer.Ready)
+	assert.Assert(t, added.Ready(time.Millisecond))
+}
+
 func TestParkedOpeningsAreDropped(t *testing.T) {
 	r := newRig(t)
 	r.CallerPacket(0, encode(flow.SYN, 10, 0, 0))
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -75,6 +75,11 @@
 		c.noteChecked(now - age)
 	}
 	c.Introduce(now, r.Relays)
+	for _, addr := range r.Sidecars {
+		if c.view.Upstream(addr) == nil {
+			c.reportTo(now, addr, "", false) // it reports in turn
+		}
+	}
 	if change.New {
 		c.out.Believe(decision.Belief{Subject: "relay", Name: r.Relay.String(), To: "heard", Reason: "report", Version: r.Sequence})
 		c.reportTo(now, r.Relay, "", true)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -122,7 +122,7 @@
 func (r *Relay) Ready() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Ready()
+	return r.core.Ready(r.now())
 }
 
 // Idle returns how long no caller's packet has come.
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -211,7 +211,7 @@
 		if vm.Relay == nil {
 			continue
 		}
-		if vm.process && !vm.frozen && vm.Relay.Ready() {
+		if vm.process && !vm.frozen && vm.Relay.Ready(vm.clock()) {
 			vm.misses = 0
 		} else {
 			vm.misses++
