--- /dev/null
+++ b/dandelionhitch/opaque_process_test.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"gotest.tools/v3/poll"
+
+	"dandelionhitch.example/directory"
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/soak"
+	"dandelionhitch.example/standin"
+)
+
+// TestSoak runs relays and sidecars as processes under the faults of a fixed seed.
+func TestSoak(t *testing.T) {
+	t.Setenv(_asProgram, "1")
+	report, err := soak.Run(soak.Config{
+		Program: os.Args[0], Dir: t.TempDir(), Seed: 100, Faults: 6 * time.Second, Rest: time.Second,
+		Relays: 4, Hosts: 6, CallsPerSecond: 60,
+	})
+	assert.NilError(t, err)
+	var b bytes.Buffer
+	report.Print(&b)
+	t.Log(b.String())
+	assert.Assert(t, !report.Broken(), "%s\n%s", b.String(), strings.Join(report.Faults, "\n"))
+	assert.Assert(t, report.Calls > 0 && report.Answered > report.Calls/2)
+}
+
+// TestOpaqueSettingsAreChecked reports all findings of a file at once.
+func TestOpaqueSettingsAreChecked(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "relay.json")
+	content := `{"node":"x","zone":"a","addr":"10.1.0.300","peer_port":70000,"ingress":"here","seeds":["10.1.0.1"],
+		"platform":"nowhere","upstream_mode":"tunnel","colour":"blue"}`
+	assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
+	var stderr bytes.Buffer
+	status := run(t.Context(), []string{"relay", "-config", file}, nil, &stderr, &stderr)
+	assert.Equal(t, status, _exitUsage)
+	for _, finding := range []string{
+		"-addr", "-peer-port", "-ingress", "-seeds", "-platform", `"tunnel" is not served`, "colour", "-ready: not set", "-control: not set",
+	} {
+		assert.Assert(t, cmp.Contains(stderr.String(), finding))
+	}
+}
+
+// TestDeployTemplates checks that each setting of the templates is one that the
+// role has.
+func TestDeployTemplates(t *testing.T) {
+	for role, flags := range map[string]*flagSet{
+		"relay":   newRelayFlags(nil, nil).flagSet,
+		"sidecar": newSidecarFlags(nil, nil).flagSet,
+	} {
+		content, err := os.ReadFile(filepath.Join("..", "deploy", role+".json"))
+		assert.NilError(t, err)
+		for line := range strings.Lines(string(content)) {
+			key, _, ok := strings.Cut(strings.TrimSpace(line), `":`)
+			if ok {
+				name := strings.ReplaceAll(strings.Trim(key, `"`), "_", "-")
+				assert.Assert(t, flags.Lookup(name) != nil, "%s: %s", role, name)
+			}
+		}
+	}
+}
+
+// routesTable is the data path of a routesFollower of these tests.
+type routesTable struct {
+	tables chan directory.Table
+	behind chan []netip.Addr
+	due    chan time.Duration
+	reads  chan struct{}
+}
+
+func newRoutesTable() *routesTable {
+	return &routesTable{
+		tables: make(chan directory.Table, 100), behind: make(chan []netip.Addr, 100),
+		due: make(chan time.Duration, 100), reads: make(chan struct{}, 100),
+	}
+}
+
+func (r *routesTable) SetTable(table directory.Table, _ string) bool {
+	r.tables <- table
+	return true
+}
+
+func (r *routesTable) Behind() (uint64, []netip.Addr) {
+	select {
+	case holders := <-r.behind:
+		r.behind <- holders
+		return 9, holders
+	default:
+		return 0, nil
+	}
+}
+
+func (r *routesTable) CheckDue() time.Duration {
+	select {
+	case due := <-r.due:
+		return due
+	default:
+		return time.Hour
+	}
+}
+
+func (r *routesTable) Checked() { r.reads <- struct{}{} }
+
+// TestRoutesComeFromTheStoreAndFromProcesses reads a configuration from the store
+// when that is due, and gives it to a process that the store turns away.
+func TestRoutesComeFromTheStoreAndFromProcesses(t *testing.T) {
+	store, err := standin.NewPlatform()
+	assert.NilError(t, err)
+	defer store.Close()
+	client := platform.NewClient(store.URL())
+	defer client.Close()
+	config := map[string]any{"version": 9, "routes": []any{
+		map[string]any{"name": "a", "vhost": "198.18.0.1", "pathPrefix": "/443/", "service": "orders"},
+	}}
+	value, err := json.Marshal(config)
+	assert.NilError(t, err)
+	_, err = client.Put(t.Context(), platform.ConfigurationKey, value, 0)
+	assert.NilError(t, err)
+
+	reader, turnedAway := newRoutesTable(), newRoutesTable()
+	reader.due <- 0
+	self := netip.MustParseAddrPort("127.0.7.1:0")
+	first, err := newRoutesFollower(self, 0, reader, client, reader, zap.NewNop())
+	assert.NilError(t, err)
+	defer first.Close()
+	assert.Equal(t, (<-reader.tables).Version(), uint64(9))
+	<-reader.reads
+
+	port := first.listener.Addr().String()
+	served, err := netip.ParseAddrPort(port)
+	assert.NilError(t, err)
+	second, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.2:0"), served.Port(), turnedAway, nil, nil, zap.NewNop())
+	assert.NilError(t, err)
+	defer second.Close()
+	turnedAway.behind <- []netip.Addr{served.Addr()}
+	assert.Equal(t, (<-turnedAway.tables).Version(), uint64(9))
+}
+
+// TestRoutesWhileTheStoreIsAway goes on asking a store that fails, and takes the
+// configuration soon after its return.
+func TestRoutesWhileTheStoreIsAway(t *testing.T) {
+	store, err := standin.NewPlatform(standin.WithPlatformFaults(standin.PlatformFaults{Delay: time.Hour}))
+	assert.NilError(t, err)
+	defer store.Close()
+	client := platform.NewClient(store.URL())
+	defer client.Close()
+	reader := newRoutesTable()
+	for range 50 {
+		reader.due <- 0
+	}
+	f, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.3:0"), 0, reader, client, reader, zap.NewNop())
+	assert.NilError(t, err)
+	defer f.Close()
+	time.Sleep(600 * time.Millisecond) // one call hangs, silently
+	store.SetFaults(standin.PlatformFaults{})
+	_, err = client.Put(t.Context(), platform.ConfigurationKey, []byte(`{"version":3}`), 0)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case table := <-reader.tables:
+			assert.Equal(t, table.Version(), uint64(3))
+			return poll.Success()
+		default:
+			return poll.Continue("no configuration yet")
+		}
+	}, poll.WithTimeout(3*time.Second))
+}
+
+// TestRelayProcess starts a relay by itself: it is not ready, serves metrics, reads
+// its settings again on SIGHUP, and ends in time when it is told to.
+func TestRelayProcess(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "relay.json")
+	settings := `{"node":"r1","zone":"a","addr":"127.0.7.9","ingress":"127.0.7.9:17011","ready":"127.0.7.9:17012",
+		"control":"127.0.7.9:17013","metrics":"127.0.7.9:17014","peer_port":17015,"seeds":[],"grace":"2s"}`
+	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
+	command := exec.Command(os.Args[0], "relay", "-config", file)
+	command.Env = append(os.Environ(), _asProgram+"=1")
+	var output bytes.Buffer
+	command.Stdout, command.Stderr = &output, &output
+	assert.NilError(t, command.Start())
+	defer command.Process.Kill()
+	status := func(target string) (int, string) {
+		response, err := http.Get(target)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer response.Body.Close()
+		var b bytes.Buffer
+		_, err = b.ReadFrom(response.Body)
+		assert.NilError(t, err)
+		return response.StatusCode, b.String()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if code, text := status("http://127.0.7.9:17012/-/ready"); code != http.StatusServiceUnavailable {
+			return poll.Continue("%d %s", code, text)
+		}
+		return poll.Success()
+	})
+	code, text := status("http://127.0.7.9:17014/metrics")
+	assert.Equal(t, code, http.StatusOK)
+	for _, name := range []string{"dandelionhitch_relay_packets", "dandelionhitch_known_sidecars", "dandelionhitch_settings_version"} {
+		assert.Assert(t, cmp.Contains(text, name))
+	}
+	code, _ = status("http://127.0.7.9:17013/-/instances/i-1")
+	assert.Equal(t, code, http.StatusServiceUnavailable, "a relay acknowledges no upstream")
+	assert.NilError(t, command.Process.Signal(syscall.SIGHUP))
+	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, command.Process.Signal(os.Interrupt))
+	began := time.Now()
+	assert.NilError(t, command.Wait())
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+	for _, line := range []string{`"relay started"`, `"settings read again"`, `"relay leaves"`, `"relay stopped"`} {
+		assert.Assert(t, cmp.Contains(output.String(), line))
+	}
+}
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -12,6 +12,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap"
 
+	"dandelionhitch.example/decision"
 	"dandelionhitch.example/platform"
 	"dandelionhitch.example/relay"
 )
@@ -88,7 +89,7 @@
 		PeerPort:   uint16(f.peerPort),
 		PeerListen: node.peerAddr(),
 		MaxFlows:   int(float64(f.memoryMB<<20) * _flowMemoryShare / _relayFlowBytes),
-	}, platform.PacketWire{}, node.records, times.observe)
+	}, platform.PacketWire{}, decision.NewRecorder(node.records, times.observe))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap"
 
+	"dandelionhitch.example/decision"
 	"dandelionhitch.example/platform"
 	"dandelionhitch.example/sidecar"
 )
@@ -96,7 +97,7 @@
 		PeerPort:   uint16(f.peerPort),
 		PeerListen: node.peerAddr(),
 		MaxFlows:   int(float64(f.memoryMB<<20) * _flowMemoryShare / _sidecarFlowBytes),
-	}, platform.PacketWire{}, node.records, times.observe)
+	}, platform.PacketWire{}, decision.NewRecorder(node.records, times.observe))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -34,10 +34,8 @@
 
 // Relay is a running relay.
 type Relay struct {
-	tomb    tomb.Tomb
-	start   time.Time
-	log     *decision.Log
-	observe func(decision.Span, time.Duration)
+	tomb tomb.Tomb
+	*decision.Recorder
 	ingress *datagram.Socket
 	peers   *datagram.Socket
 	// callerPort is where callers take packets, and peerPort where processes do.
@@ -62,10 +60,9 @@
 	MaxFlows int
 }
 
-// New opens a relay's sockets and starts its loops. observe gets measured times; it
-// must not block.
-func New(config Config, wire Wire, log *decision.Log, observe func(decision.Span, time.Duration)) (*Relay, error) {
-	r := &Relay{start: time.Now(), log: log, observe: observe, callerPort: config.Ingress.Port(), peerPort: config.PeerPort}
+// New opens a relay's sockets and starts its loops.
+func New(config Config, wire Wire, recorder *decision.Recorder) (*Relay, error) {
+	r := &Relay{Recorder: recorder, callerPort: config.Ingress.Port(), peerPort: config.PeerPort}
 	random := rand.New(rand.NewPCG(config.Identity.Incarnation, config.Identity.Incarnation))
 	r.core = NewCore(config.Identity, wire, r, config.MaxFlows, random)
 	r.mu.Lock()
@@ -86,7 +83,7 @@
 func (r *Relay) SetTable(table directory.Table, source string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.SetTable(r.now(), table, source)
+	return r.core.SetTable(r.Now(), table, source)
 }
 
 // CheckDue returns how long to wait before the configuration in the store is read
@@ -94,42 +91,42 @@
 func (r *Relay) CheckDue() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.CheckDue(r.now())
+	return r.core.CheckDue(r.Now())
 }
 
 // Checked notes that the configuration in the store has been read.
 func (r *Relay) Checked() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.Checked(r.now())
+	r.core.Checked(r.Now())
 }
 
 // Introduce names relays to the relay.
 func (r *Relay) Introduce(relays []netip.Addr) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.Introduce(r.now(), relays)
+	r.core.Introduce(r.Now(), relays)
 }
 
 // Leave makes the relay not ready while it goes on forwarding.
 func (r *Relay) Leave() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.Leave(r.now())
+	r.core.Leave(r.Now())
 }
 
 // Ready reports whether routers should send packets here.
 func (r *Relay) Ready() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Ready(r.now())
+	return r.core.Ready(r.Now())
 }
 
 // Idle returns how long no caller's packet has come.
 func (r *Relay) Idle() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.now() - r.lastPacket
+	return r.Now() - r.lastPacket
 }
 
 // Behind returns the highest version that a process has named, if it is higher
@@ -182,21 +179,10 @@
 	r.peers.Send(netip.AddrPortFrom(addr, r.peerPort), message)
 }
 
-// Decide logs a decision. It implements Outbox.
-func (r *Relay) Decide(record decision.Record) { r.log.Decide(r.now(), record) }
-
-// Believe logs a change of belief. It implements Outbox.
-func (r *Relay) Believe(belief decision.Belief) { r.log.Believe(r.now(), belief) }
-
-// Observe measures a span. It implements Outbox.
-func (r *Relay) Observe(span decision.Span, took time.Duration) { r.observe(span, took) }
-
-func (r *Relay) now() time.Duration { return time.Since(r.start) }
-
 func (r *Relay) takeIngress(packet []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
+	now := r.Now()
 	r.lastPacket = now
 	r.core.CallerPacket(now, packet)
 }
@@ -204,7 +190,7 @@
 func (r *Relay) takePeer(message []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.PeerMessage(r.now(), message)
+	r.core.PeerMessage(r.Now(), message)
 }
 
 func (r *Relay) loop() error {
@@ -214,7 +200,7 @@
 		select {
 		case <-ticker.C:
 			r.mu.Lock()
-			r.core.Tick(r.now())
+			r.core.Tick(r.Now())
 			r.mu.Unlock()
 		case <-r.tomb.Dying():
 			return nil
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -35,10 +35,8 @@
 
 // Sidecar is a running sidecar.
 type Sidecar struct {
-	tomb     tomb.Tomb
-	start    time.Time
-	log      *decision.Log
-	observe  func(decision.Span, time.Duration)
+	tomb tomb.Tomb
+	*decision.Recorder
 	upstream *datagram.Socket
 	outbound *datagram.Socket
 	peers    *datagram.Socket
@@ -66,10 +64,9 @@
 	MaxFlows int
 }
 
-// New opens a sidecar's sockets and starts its loops. observe gets measured times; it
-// must not block.
-func New(config Config, wire Wire, log *decision.Log, observe func(decision.Span, time.Duration)) (*Sidecar, error) {
-	s := &Sidecar{start: time.Now(), log: log, observe: observe, callerPort: config.CallerPort, peerPort: config.PeerPort}
+// New opens a sidecar's sockets and starts its loops.
+func New(config Config, wire Wire, recorder *decision.Recorder) (*Sidecar, error) {
+	s := &Sidecar{Recorder: recorder, callerPort: config.CallerPort, peerPort: config.PeerPort}
 	self := config.Identity
 	s.core = NewCore(self, wire, s, config.MaxFlows, rand.New(rand.NewPCG(self.Incarnation, self.Incarnation)))
 	s.mu.Lock()
@@ -96,28 +93,28 @@
 func (s *Sidecar) SetTable(table directory.Table, source string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.SetTable(s.now(), table, source)
+	return s.core.SetTable(s.Now(), table, source)
 }
 
 // Introduce names relays to the sidecar.
 func (s *Sidecar) Introduce(relays []netip.Addr) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.Introduce(s.now(), relays)
+	s.core.Introduce(s.Now(), relays)
 }
 
 // Heartbeat takes the upstream's heartbeat.
 func (s *Sidecar) Heartbeat(h Heartbeat) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Heartbeat(s.now(), h)
+	return s.core.Heartbeat(s.Now(), h)
 }
 
 // Leave takes the upstream's word that it ends.
 func (s *Sidecar) Leave(id string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Leave(s.now(), id)
+	return s.core.Leave(s.Now(), id)
 }
 
 // Malformed notes a call that could not be read.
@@ -178,27 +175,16 @@
 // ToUpstream gives a packet to the upstream. It implements Outbox.
 func (s *Sidecar) ToUpstream(packet []byte) { s.upstream.Write(packet) }
 
-// Decide logs a decision. It implements Outbox.
-func (s *Sidecar) Decide(record decision.Record) { s.log.Decide(s.now(), record) }
-
-// Believe logs a change of belief. It implements Outbox.
-func (s *Sidecar) Believe(belief decision.Belief) { s.log.Believe(s.now(), belief) }
-
-// Observe measures a span. It implements Outbox.
-func (s *Sidecar) Observe(span decision.Span, took time.Duration) { s.observe(span, took) }
-
-func (s *Sidecar) now() time.Duration { return time.Since(s.start) }
-
 func (s *Sidecar) takePeer(message []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.PeerMessage(s.now(), message)
+	s.core.PeerMessage(s.Now(), message)
 }
 
 func (s *Sidecar) takeOutbound(packet []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.UpstreamPacket(s.now(), packet)
+	s.core.UpstreamPacket(s.Now(), packet)
 }
 
 // refused is called by the upstream's socket, from its loop or from a write that
@@ -221,7 +207,7 @@
 func (s *Sidecar) tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	now := s.Now()
 	if s.unreachable.Swap(false) {
 		s.core.Unreachable(now)
 	}
