--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -45,7 +45,7 @@
 	if c.upstream.failing.trial {
 		return 1
 	}
-	slots := c.slots(c.now)
+	slots := c.allSlots()
 	return slots + max(1, slots/2)
 }
 
@@ -82,7 +82,7 @@
 // wait returns how long it takes until the upstream has room behind a load.
 func (c *Core) wait(load int) time.Duration {
 	excess := load - c.room() + 1
-	return time.Duration(max(excess, 0)) * c.averageRunTime() / time.Duration(c.slots(c.now))
+	return time.Duration(max(excess, 0)) * c.averageRunTime() / time.Duration(c.allSlots())
 }
 
 func (c *Core) averageRunTime() time.Duration {
@@ -92,8 +92,11 @@
 	return c.runTime
 }
 
-// ran notes the run time of a request.
+// ran notes the run time of a request, unless it had to wait for a slot.
 func (c *Core) ran(took time.Duration) {
+	if c.busy > c.allSlots() {
+		return
+	}
 	c.runTime = c.averageRunTime() + time.Duration(_runTimeWeight*float64(took-c.averageRunTime()))
 }
 
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -442,6 +442,21 @@
 	r.fromRelay(0, peer.KindOffer, packet)
 }
 
+// TestColdUpstreamUsesAllSlots fills an upstream that has just started. It is slow,
+// not smaller: hundebinge scale-2 refused callers after a loss of power while half
+// of the slots were free.
+func TestColdUpstreamUsesAllSlots(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, func(h *sidecar.Heartbeat) { h.Slots, h.Warming = 4, time.Second }))
+	assert.Equal(t, r.reports[len(r.reports)-1].Slots, uint16(2), "others get more flows")
+	r.forget()
+	for seq := range uint32(8) {
+		r.offerFrom(40_000+uint16(seq), seq)
+	}
+	assert.Equal(t, len(r.toUpstream), 6)
+	assert.Equal(t, r.Waiting(), 2)
+}
+
 func TestOpeningWaitsUntilThereIsRoom(t *testing.T) {
 	r := newRig(t)
 	r.fill()
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -137,12 +137,17 @@
 	}
 }
 
-// slots returns how many requests the upstream works on at its present speed.
+// allSlots returns how many requests the upstream works on at a time.
+func (c *Core) allSlots() int { return max(c.upstream.slots, 1) }
+
+// slots returns how many slots at full speed those of the upstream are worth. One
+// that has just started is slower, and others should get more flows; but it has
+// all its slots.
 func (c *Core) slots(now time.Duration) int {
 	if now < c.upstream.warmUntil {
 		return max(int(float64(c.upstream.slots)/_coldFactor), 1)
 	}
-	return max(c.upstream.slots, 1)
+	return c.allSlots()
 }
 
 // checkOpenings suspects an upstream that does not answer opening packets, and
