--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,9 +24,11 @@
 	// not answered; it doubles up to _maxPenalty while offers stay unanswered.
 	_firstPenalty = 500 * time.Millisecond
 	_maxPenalty   = 4 * time.Second
-	// _forget is how long a silent process is kept. The idle timeout of flows and
-	// the longest cuts are shorter.
-	_forget = 90 * time.Second
+	// _forget is how long a silent process is kept at least, and _forgetReports how
+	// many of its reports must be missing. The idle timeout of flows and the longest
+	// cuts are shorter.
+	_forget        = 90 * time.Second
+	_forgetReports = 4
 )
 
 // Upstream is a sidecar with the upstream beside it, as known here.
@@ -226,8 +228,9 @@
 // Forget drops processes that have been silent for very long and returns the
 // addresses of the relays among them.
 func (v *View) Forget(now time.Duration) []netip.Addr {
+	forget := max(_forget, _forgetReports*v.interval)
 	for _, u := range slices.Clone(v.sidecars) {
-		if now-u.Heard > _forget {
+		if now-u.Heard > forget {
 			v.unlist(u)
 			v.sidecars = remove(v.sidecars, u)
 			delete(v.upstreams, u.Sidecar)
@@ -235,7 +238,7 @@
 	}
 	var relays []netip.Addr
 	for addr, r := range v.relays {
-		if now-max(r.Heard, r.added) > _forget {
+		if now-max(r.Heard, r.added) > 2*forget {
 			delete(v.relays, addr)
 			relays = append(relays, addr)
 		}
--- a/relay/core.go
+++ b/relay/core.go
@@ -57,17 +57,17 @@
 	// _idle is how long an unused flow is kept at least, if the configuration does
 	// not say.
 	_idle = 15 * time.Second
-	// _relayInterval is the least time between two reports of a relay, and
-	// _reportsPerSecond the bound of reports sent by it in a large fleet.
-	_relayInterval    = time.Second
-	_reportsPerSecond = 50
+	// _firstInterval is how often sidecars report until the size of the fleet is known.
+	_firstInterval = time.Second
 	// _namesEvery is the number of reports of which one names other processes; a
 	// process that is new is named at once.
 	_namesEvery = 8
 	// _namedRelays bounds the relays that one report names.
 	_namedRelays = 128
-	// _namedSidecars bounds the sidecars that one report names.
-	_namedSidecars = 1000
+	// _namedSidecars bounds the sidecars that one report names to a relay: in turn
+	// to all, and to one that has just started.
+	_namedSidecars   = 100
+	_namedToNewRelay = 1000
 	// _forgetInterval is how often silent processes are looked for.
 	_forgetInterval = 5 * time.Second
 	// _checkInterval is how often the relays together read the configuration in the
@@ -212,7 +212,7 @@
 		wire:   wire,
 		out:    out,
 		random: random,
-		view:   fleet.New(_relayInterval),
+		view:   fleet.New(_firstInterval),
 		flows:  flow.NewCache[held](maxFlows, nil),
 		offers: make(map[flow.Key]*offer),
 
@@ -290,7 +290,7 @@
 func (c *Core) Checked(now time.Duration) {
 	c.noteChecked(now)
 	for _, r := range c.view.Relays() {
-		c.reportTo(now, r.Addr, "", false)
+		c.reportTo(now, r.Addr, "", 0)
 	}
 }
 
@@ -320,7 +320,7 @@
 func (c *Core) Introduce(now time.Duration, relays []netip.Addr) {
 	for _, addr := range relays {
 		if addr != c.self.Addr && c.view.AddRelay(now, addr) {
-			c.reportTo(now, addr, "", true)
+			c.reportTo(now, addr, "", _namedToNewRelay)
 		}
 	}
 }
@@ -372,8 +372,13 @@
 // report tells all known processes of this relay, paced by the size of the fleet.
 func (c *Core) report(now time.Duration) {
 	count := c.view.RelayCount() + c.view.SidecarCount()
-	c.nextReport = now + max(_relayInterval, time.Duration(count)*time.Second/_reportsPerSecond)
-	names := c.rounds%_namesEvery == 0
+	c.nextReport = now + peer.RelayInterval(count)
+	interval, _ := peer.UpstreamInterval(c.view.SidecarCount())
+	c.view.SetInterval(interval)
+	names := 0
+	if c.rounds%_namesEvery == 0 {
+		names = _namedSidecars
+	}
 	c.rounds++
 	for _, r := range c.view.Relays() {
 		c.reportTo(now, r.Addr, "", names)
@@ -384,16 +389,16 @@
 }
 
 // reportTo tells one process of this relay, with the names of other relays and
-// of the sidecars of a service if names is set.
-func (c *Core) reportTo(now time.Duration, addr netip.Addr, service string, names bool) {
+// of up to so many sidecars, those of a service for a sidecar. Zero names nobody.
+func (c *Core) reportTo(now time.Duration, addr netip.Addr, service string, names int) {
 	c.sequence++
 	r := peer.RelayReport{
 		Relay: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Leaving: c.leaving, Version: c.table.Version(), Fleet: uint32(c.view.SidecarCount()),
 		CheckedAge: c.checkedAge(now),
 	}
-	if names {
-		c.addNames(&r, service)
+	if names > 0 {
+		c.addNames(&r, service, names)
 	}
 	message, err := peer.AppendRelay(c.buffer[:0], r)
 	if err != nil {
@@ -406,7 +411,7 @@
 
 // addNames adds relays to a report, and sidecars: for a sidecar those of its
 // service, for a relay all, so that it can report to them.
-func (c *Core) addNames(r *peer.RelayReport, service string) {
+func (c *Core) addNames(r *peer.RelayReport, service string, limit int) {
 	for _, known := range c.view.Relays() {
 		if known.Heard > 0 && len(r.Relays) < _namedRelays {
 			r.Relays = append(r.Relays, known.Addr)
@@ -417,10 +422,10 @@
 		sidecars = c.view.Sidecars()
 	}
 	first := 0
-	if len(sidecars) > _namedSidecars {
+	if len(sidecars) > limit {
 		first = c.random.IntN(len(sidecars))
 	}
-	for i := range min(len(sidecars), _namedSidecars) {
+	for i := range min(len(sidecars), limit) {
 		r.Sidecars = append(r.Sidecars, sidecars[(first+i)%len(sidecars)].Sidecar)
 	}
 }
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -50,7 +50,7 @@
 	if change.New {
 		// The sidecars of the service learn of each other.
 		for _, other := range c.view.Service(r.Service) {
-			c.reportTo(now, other.Sidecar, r.Service, true)
+			c.reportTo(now, other.Sidecar, r.Service, _namedToNewRelay)
 		}
 	}
 	if change.New || change.From != u.State {
@@ -77,12 +77,12 @@
 	c.Introduce(now, r.Relays)
 	for _, addr := range r.Sidecars {
 		if c.view.Upstream(addr) == nil {
-			c.reportTo(now, addr, "", false) // it reports in turn
+			c.reportTo(now, addr, "", 0) // it reports in turn
 		}
 	}
 	if change.New {
 		c.out.Believe(decision.Belief{Subject: "relay", Name: r.Relay.String(), To: "heard", Reason: "report", Version: r.Sequence})
-		c.reportTo(now, r.Relay, "", true)
+		c.reportTo(now, r.Relay, "", _namedToNewRelay)
 	}
 }
 
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -38,14 +38,13 @@
 	// _idle is how long an unused flow is kept at least, if the configuration does
 	// not say.
 	_idle = 15 * time.Second
-	// _peerInterval and _relayInterval are the least times between two reports of
-	// load; _beatInterval is the longest time without a report. The rates bound
-	// the reports that one process sends, or that one relay gets, in a large fleet.
+	// _peerInterval is the least time between two reports of load to peers,
+	// _relayInterval that to relays, and _beatInterval the longest time between two
+	// reports to peers. _sentPerSecond bounds the reports that one process sends.
 	_peerInterval     = 40 * time.Millisecond
 	_relayInterval    = 150 * time.Millisecond
 	_beatInterval     = 600 * time.Millisecond
 	_sentPerSecond    = 100
-	_relayPerSecond   = 150
 	_forgetInterval   = 5 * time.Second
 	_suspectTicks     = 2 // ticks on time, so that a sidecar that stood still blames nobody
 	_maxTick          = 60 * time.Millisecond
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -40,14 +40,13 @@
 // allows, and now and then in any case.
 func (c *Core) reportDue(now time.Duration) {
 	peers := len(c.view.Service(c.self.Service))
-	pace := max(_peerInterval, time.Duration(peers)*time.Second/_sentPerSecond)
-	if since := now - c.reported.peers; since >= _beatInterval || (since >= pace && c.reported.peersBusy != c.load()) {
+	peerPace := max(_peerInterval, time.Duration(peers)*time.Second/_sentPerSecond)
+	if since := now - c.reported.peers; since >= _beatInterval || (since >= peerPace && c.reported.peersBusy != c.load()) {
 		c.reportPeers(now)
 	}
-	relayPace := max(_relayInterval,
-		time.Duration(c.view.RelayCount())*time.Second/_sentPerSecond,
-		time.Duration(c.fleetSize)*time.Second/_relayPerSecond)
-	beat := max(_beatInterval, relayPace)
+	beat, pace := peer.UpstreamInterval(c.fleetSize)
+	relayPace := max(_relayInterval, pace, time.Duration(c.view.RelayCount())*time.Second/_sentPerSecond)
+	beat = max(beat, relayPace)
 	since := now - c.reported.relays
 	if since >= beat || (since >= relayPace && (c.reported.relaysBusy != c.load() || c.reported.version != c.table.Version())) {
 		c.reportRelays(now)
--- /dev/null
+++ b/standin/opaque_bench_test.go
@@ -0,0 +1,49 @@
+package standin_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dandelionhitch.example/directory"
+	"dandelionhitch.example/standin"
+)
+
+// BenchmarkOpaqueControl runs fleets without calls and reports what control sends
+// and gets, a node and second, with 28 bytes of IP and UDP header for each message.
+func BenchmarkOpaqueControl(b *testing.B) {
+	for _, size := range []struct{ relays, hosts, services int }{{7, 10, 2}, {21, 56, 2}, {60, 240, 60}, {120, 480, 120}} {
+		b.Run(fmt.Sprintf("relays=%d/hosts=%d", size.relays, size.hosts), func(b *testing.B) {
+			for b.Loop() {
+				w := standin.NewOpaqueWorld(1)
+				var relays, hosts []*standin.WorldVM
+				for i := range size.relays {
+					relays = append(relays, w.AddRelay(fmt.Sprint(i%3)))
+				}
+				for i := range size.hosts {
+					hosts = append(hosts, w.AddHost(fmt.Sprint(i%3), fmt.Sprint("service", i%size.services), nil))
+				}
+				w.SetTable(directory.New(1, 0, nil))
+				const settle, span = 20 * time.Second, 40 * time.Second
+				w.Run(settle)
+				sums := func(vms []*standin.WorldVM) (sent, got float64) {
+					for _, vm := range vms {
+						sent += float64(vm.Sent.Bytes + 28*vm.Sent.Messages)
+						got += float64(vm.Got.Bytes + 28*vm.Got.Messages)
+					}
+					n := float64(len(vms)) * span.Seconds()
+					return sent / n, got / n
+				}
+				relaySent, relayGot := sums(relays)
+				hostSent, hostGot := sums(hosts)
+				w.Run(settle + span)
+				relaySent2, relayGot2 := sums(relays)
+				hostSent2, hostGot2 := sums(hosts)
+				b.ReportMetric(relaySent2-relaySent, "relay-sent-B/s")
+				b.ReportMetric(relayGot2-relayGot, "relay-got-B/s")
+				b.ReportMetric(hostSent2-hostSent, "sidecar-sent-B/s")
+				b.ReportMetric(hostGot2-hostGot, "sidecar-got-B/s")
+			}
+		})
+	}
+}
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -69,6 +69,8 @@
 	Upstream *OpaqueUpstream
 	// Service is the upstream's service.
 	Service string
+	// Sent and Got count the messages to and from other processes.
+	Sent, Got Traffic
 
 	world *OpaqueWorld
 	// process says that the process runs, and server that the upstream does.
@@ -82,6 +84,14 @@
 	configure       func(*OpaqueUpstream)
 }
 
+// Traffic counts messages between processes.
+type Traffic struct{ Messages, Bytes int }
+
+func (t *Traffic) add(message []byte) {
+	t.Messages++
+	t.Bytes += len(message)
+}
+
 // NewOpaqueWorld returns an empty world.
 func NewOpaqueWorld(seed uint64) *OpaqueWorld {
 	w := &OpaqueWorld{
@@ -512,11 +522,13 @@
 		return
 	}
 	message = append([]byte(nil), message...)
+	o.vm.Sent.add(message)
 	delay := _inZone
 	if to.Zone != o.vm.Zone {
 		delay = _acrossZones
 	}
 	o.vm.world.deliver(o.vm.Addr, to, delay, func() {
+		to.Got.add(message)
 		if to.Relay != nil {
 			to.Relay.PeerMessage(to.clock(), message)
 		} else {
