--- /dev/null
+++ b/relay/forward_test.go
@@ -0,0 +1,85 @@
+package relay_test
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/datagram"
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/flow"
+	"dandelionhitch.example/peer"
+	"dandelionhitch.example/relay"
+)
+
+// BenchmarkForward sends datagrams of 1,236 bytes through a relay to the holder of
+// their flow, and through a bare UDP relay. The ratio of the two is what counts.
+func BenchmarkForward(b *testing.B) {
+	packet := append(encode(flow.ACK, 11, 501, 200), make([]byte, 1226)...)
+	b.Run("bare", func(b *testing.B) {
+		sink := newSink(b, netip.MustParseAddrPort("127.0.9.2:0"))
+		var out *datagram.Socket
+		in, err := datagram.Listen(netip.MustParseAddrPort("127.0.9.1:0"), func(p []byte) { out.Send(sink.addr, p) })
+		assert.NilError(b, err)
+		defer in.Close()
+		out = in
+		sink.measure(b, in.Local(), packet)
+	})
+	b.Run("relay", func(b *testing.B) {
+		sink := newSink(b, netip.MustParseAddrPort("127.0.9.3:0"))
+		recorder := decision.NewRecorder(decision.NewLog(zap.NewNop()), func(decision.Span, time.Duration) {})
+		r, err := relay.New(relay.Config{
+			Identity: relay.Identity{Addr: netip.MustParseAddr("127.0.9.4"), Zone: "a", Incarnation: rand.Uint64()},
+			Ingress:  netip.MustParseAddrPort("127.0.9.4:19021"), PeerPort: sink.addr.Port(),
+			PeerListen: netip.MustParseAddrPort("127.0.9.4:19022"), MaxFlows: 1000,
+		}, plainWire{}, recorder)
+		assert.NilError(b, err)
+		defer r.Close()
+		accepted := peer.Verdict{Outcome: peer.Accepted, Sidecar: sink.addr.Addr(), Flow: _key, Slots: 2}.Append(nil)
+		sink.send(b, netip.MustParseAddrPort("127.0.9.4:19022"), accepted)
+		sink.measure(b, netip.MustParseAddrPort("127.0.9.4:19021"), packet)
+	})
+}
+
+// receiver counts what comes out of a relay, and sends into it.
+type receiver struct {
+	conn *net.UDPConn
+	addr netip.AddrPort
+}
+
+func newSink(b *testing.B, local netip.AddrPort) *receiver {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
+	assert.NilError(b, err)
+	b.Cleanup(func() { conn.Close() })
+	return &receiver{conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+}
+
+func (s *receiver) send(b *testing.B, to netip.AddrPort, datagram []byte) {
+	_, err := s.conn.WriteToUDPAddrPort(datagram, to)
+	assert.NilError(b, err)
+}
+
+// measure sends datagrams in small windows, so that none is lost.
+func (s *receiver) measure(b *testing.B, to netip.AddrPort, packet []byte) {
+	const window = 32
+	buffer := make([]byte, 1<<16)
+	b.ResetTimer()
+	for sent := 0; sent < b.N; sent += window {
+		for range window {
+			s.send(b, to, packet)
+		}
+		for got := 0; got < window; {
+			assert.NilError(b, s.conn.SetReadDeadline(time.Now().Add(time.Second)))
+			n, err := s.conn.Read(buffer)
+			assert.NilError(b, err)
+			if n > len(packet)/2 {
+				got++
+			}
+		}
+	}
+}
