--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -193,7 +193,7 @@
 	var output bytes.Buffer
 	command.Stdout, command.Stderr = &output, &output
 	assert.NilError(t, command.Start())
-	defer command.Process.Kill()
+	defer func() { _ = command.Process.Kill() }() // it has ended if the test passed
 	status := func(target string) (int, string) {
 		response, err := http.Get(target)
 		if err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -146,6 +146,8 @@
 	promises map[string]*Promise
 	faults   []string
 	tomb     tomb.Tomb
+	// started says that the loop runs.
+	started bool
 
 	mu     sync.Mutex
 	vms    []*vm
@@ -218,6 +220,7 @@
 	if err := r.listenForCallers(); err != nil {
 		return err
 	}
+	r.started = true
 	r.tomb.Go(r.loop)
 	return nil
 }
@@ -311,7 +314,9 @@
 	r.mu.Unlock()
 	// What the run sees is in its report; a stand-in that does not close in order
 	// changes nothing.
-	_ = r.tomb.Wait()
+	if r.started {
+		_ = r.tomb.Wait()
+	}
 	_ = r.client.Close()
 	_ = r.store.Close()
 }
