--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -32,7 +32,7 @@
 	// suspect, and _deadHeartbeats before a silent one counts as dead.
 	_missedHeartbeats = 3.5
 	_deadHeartbeats   = 2.2
-	// _settled is how long after a heartbeat a suspicion is kept, so that a process
+	// _suspicionHold is how long a suspicion outlasts heartbeats, so that an upstream
 	// that beats but takes no flows is not offered one at each beat.
 	_suspicionHold = 500 * time.Millisecond
 	// _idle is how long an unused flow is kept at least, if the configuration does
@@ -41,14 +41,18 @@
 	// _peerInterval is the least time between two reports of load to peers,
 	// _relayInterval that to relays, and _beatInterval the longest time between two
 	// reports to peers. _sentPerSecond bounds the reports that one process sends.
-	_peerInterval     = 40 * time.Millisecond
-	_relayInterval    = 150 * time.Millisecond
-	_beatInterval     = 600 * time.Millisecond
-	_sentPerSecond    = 100
-	_forgetInterval   = 5 * time.Second
-	_suspectTicks     = 2 // ticks on time, so that a sidecar that stood still blames nobody
-	_maxTick          = 60 * time.Millisecond
-	_largestShareSlot = 1 << 15
+	_peerInterval  = 40 * time.Millisecond
+	_relayInterval = 150 * time.Millisecond
+	_beatInterval  = 600 * time.Millisecond
+	_sentPerSecond = 100
+	// _forgetInterval is how often silent processes are looked for.
+	_forgetInterval = 5 * time.Second
+	// _suspectTicks is how many ticks in a row must have come within _maxTick before
+	// silence counts, so that a sidecar that stood still blames nobody.
+	_suspectTicks = 2
+	_maxTick      = 60 * time.Millisecond
+	// _maxSlots bounds the slots that an upstream may claim; they travel in 16 bits.
+	_maxSlots = 1 << 15
 )
 
 // Wire is what the core needs of the callers' packet format.
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -63,7 +63,7 @@
 	case h.Born != u.born || h.ID != u.id:
 		c.newLife(now, h)
 	}
-	u.sequence, u.heard, u.slots = h.Sequence, now, min(max(h.Slots, 1), _largestShareSlot)
+	u.sequence, u.heard, u.slots = h.Sequence, now, min(max(h.Slots, 1), _maxSlots)
 	u.warmUntil = now + h.Warming
 	switch {
 	case u.state == peer.Gone:
