--- /dev/null
+++ b/datagram/datagram_test.go
@@ -0,0 +1,69 @@
+package datagram_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/datagram"
+)
+
+// _patience is how long these tests wait for what must come.
+const _patience = 5 * time.Second
+
+func TestSendAndTake(t *testing.T) {
+	taken := make(chan string, 1)
+	sources := make(chan netip.AddrPort, 1)
+	receiver, err := datagram.Listen(netip.MustParseAddrPort("127.0.6.1:0"), nil,
+		datagram.WithSource(func(from netip.AddrPort, b []byte) {
+			sources <- from
+			taken <- string(b)
+		}))
+	assert.NilError(t, err)
+	defer receiver.Close()
+	sender, err := datagram.Listen(netip.MustParseAddrPort("127.0.6.2:0"), func([]byte) {})
+	assert.NilError(t, err)
+	defer sender.Close()
+	sender.Send(receiver.Local(), []byte("hello"))
+	select {
+	case from := <-sources:
+		assert.Equal(t, from, sender.Local())
+		assert.Equal(t, <-taken, "hello")
+	case <-time.After(_patience):
+		t.Fatal("no datagram came")
+	}
+	assert.Equal(t, sender.Unsent(), uint64(0))
+}
+
+// TestRefused writes to a port where nobody listens: the owner is told.
+func TestRefused(t *testing.T) {
+	gone, err := datagram.Listen(netip.MustParseAddrPort("127.0.6.3:0"), func([]byte) {})
+	assert.NilError(t, err)
+	addr := gone.Local()
+	assert.NilError(t, gone.Close())
+	refused := make(chan struct{}, 100)
+	s, err := datagram.Dial(netip.MustParseAddr("127.0.6.4"), addr, func([]byte) {}, datagram.WithRefused(func() {
+		select {
+		case refused <- struct{}{}:
+		default:
+		}
+	}))
+	assert.NilError(t, err)
+	defer s.Close()
+	s.Write([]byte("x"))
+	select {
+	case <-refused:
+	case <-time.After(_patience):
+		t.Fatal("not told")
+	}
+}
+
+func TestAddressInUse(t *testing.T) {
+	first, err := datagram.Listen(netip.MustParseAddrPort("127.0.6.5:0"), func([]byte) {})
+	assert.NilError(t, err)
+	defer first.Close()
+	_, err = datagram.Listen(first.Local(), func([]byte) {})
+	assert.ErrorContains(t, err, "listen for datagrams at 127.0.6.5")
+}
