soak: two races of the harness

Cause: the proxy used its socket before it was set, and upstreams drew run times from the random numbers of the loop that makes calls.

--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -23,11 +23,12 @@
 	packet := append(encode(flow.ACK, 11, 501, 200), make([]byte, 1226)...)
 	b.Run("bare", func(b *testing.B) {
 		sink := newSink(b, netip.MustParseAddrPort("127.0.9.2:0"))
-		var out *datagram.Socket
+		out, err := datagram.Listen(netip.MustParseAddrPort("127.0.9.1:0"), func([]byte) {})
+		assert.NilError(b, err)
+		defer out.Close()
 		in, err := datagram.Listen(netip.MustParseAddrPort("127.0.9.1:0"), func(p []byte) { out.Send(sink.addr, p) })
 		assert.NilError(b, err)
 		defer in.Close()
-		out = in
 		sink.measure(b, in.Local(), packet)
 	})
 	b.Run("relay", func(b *testing.B) {
--- a/soak/calls.go
+++ b/soak/calls.go
@@ -140,7 +140,7 @@
 		return
 	}
 	v := inZone[c.Key.Hash()%uint64(len(inZone))]
-	r.links.sockets[0].Send(netip.AddrPortFrom(v.addr, r.ports.ingress), packet)
+	r.links.out.Send(netip.AddrPortFrom(v.addr, r.ports.ingress), packet)
 }
 
 // takeReply takes a packet for a caller and checks it.
--- a/soak/links.go
+++ b/soak/links.go
@@ -42,25 +42,33 @@
 // links is the proxy between the processes: it takes messages at a VM's peer port
 // and hands them to the process behind it, unless the link is disturbed.
 type links struct {
-	ports   ports
-	mu      sync.Mutex
-	random  *rand.Rand
-	state   map[[2]netip.Addr]link
+	ports  ports
+	mu     sync.Mutex
+	random *rand.Rand
+	state  map[[2]netip.Addr]link
+	// out sends what passes; sockets take it.
+	out     *datagram.Socket
 	sockets []*datagram.Socket
 	servers []net.Listener
 	running sync.WaitGroup
 }
 
-func newLinks(p ports, seed uint64) *links {
-	return &links{ports: p, random: rand.New(rand.NewPCG(seed, 1)), state: make(map[[2]netip.Addr]link)}
+func newLinks(p ports, seed uint64) (*links, error) {
+	out, err := datagram.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func([]byte) {})
+	if err != nil {
+		return nil, err
+	}
+	return &links{
+		ports: p, random: rand.New(rand.NewPCG(seed, 1)), state: make(map[[2]netip.Addr]link),
+		out: out, sockets: []*datagram.Socket{out},
+	}, nil
 }
 
 // add begins to take messages for a VM.
 func (l *links) add(addr netip.Addr) error {
 	behind := netip.AddrPortFrom(addr, l.ports.behind)
-	var socket *datagram.Socket
-	socket, err := datagram.Listen(netip.AddrPortFrom(addr, l.ports.peer), func([]byte) {},
-		datagram.WithSource(func(from netip.AddrPort, message []byte) { l.pass(socket, from.Addr(), behind, message) }))
+	socket, err := datagram.Listen(netip.AddrPortFrom(addr, l.ports.peer), nil,
+		datagram.WithSource(func(from netip.AddrPort, message []byte) { l.pass(from.Addr(), behind, message) }))
 	if err != nil {
 		return err
 	}
@@ -93,15 +101,15 @@
 	return state.cut || l.random.Float64() < state.loss, state.delay
 }
 
-func (l *links) pass(socket *datagram.Socket, from netip.Addr, behind netip.AddrPort, message []byte) {
+func (l *links) pass(from netip.Addr, behind netip.AddrPort, message []byte) {
 	lost, delay := l.disturb(from, behind.Addr())
 	switch {
 	case lost:
 	case delay == 0:
-		socket.Send(behind, message)
+		l.out.Send(behind, message)
 	default:
 		message = append([]byte(nil), message...)
-		time.AfterFunc(delay, func() { socket.Send(behind, message) })
+		time.AfterFunc(delay, func() { l.out.Send(behind, message) })
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -179,7 +179,9 @@
 	if err != nil {
 		return nil, err
 	}
-	r.links = newLinks(r.ports, config.Seed)
+	if r.links, err = newLinks(r.ports, config.Seed); err != nil {
+		return nil, err
+	}
 	return r, nil
 }
 
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -166,9 +166,10 @@
 	r := v.run
 	v.life++
 	v.beats, v.beaten, v.draining, v.drained = 0, 0, false, 0
-	u := standin.NewOpaqueUpstream(rand.New(rand.NewPCG(r.config.Seed, uint64(v.addr.As4()[3])<<8+v.life)))
+	random := rand.New(rand.NewPCG(r.config.Seed, uint64(v.addr.As4()[3])<<8+v.life))
+	u := standin.NewOpaqueUpstream(random)
 	u.Name, u.Slots, u.Queue, u.Size = fmt.Sprintf("%v#%d", v.addr, v.life), 4, 16, 2000
-	u.Work = func() time.Duration { return time.Duration(2+r.random.IntN(30)) * time.Millisecond }
+	u.Work = func() time.Duration { return time.Duration(2+random.IntN(30)) * time.Millisecond }
 	u.Send = func(packet []byte) { v.socket.Send(netip.AddrPortFrom(v.addr, r.ports.outbound), packet) }
 	u.Ran = func(_ flow.Key, request string) { r.ran[request]++ }
 	u.Forged = func() { r.check(_unchanged, false, "upstream %s got a packet that no caller wrote so", u.Name) }
