--- a/dandelionhitch/opaque_registry.go
+++ b/dandelionhitch/opaque_registry.go
@@ -73,13 +73,13 @@
 	r.untilDone("list", r.list)
 	for r.tomb.Alive() {
 		if r.self == nil {
-			r.pause(_aloneInterval)
+			pauseUnlessDying(&r.tomb, _aloneInterval)
 			if r.alone() {
 				r.untilDone("list", r.list)
 			}
 			continue
 		}
-		r.pause(_sweepInterval + rand.N(_sweepInterval))
+		pauseUnlessDying(&r.tomb, _sweepInterval+rand.N(_sweepInterval))
 		r.untilDone("sweep", r.sweep)
 	}
 	return nil
@@ -94,7 +94,7 @@
 			return
 		}
 		r.log.Warn("registry of relays", zap.String("op", op), zap.Error(err))
-		r.pause(pause/2 + rand.N(pause))
+		pauseUnlessDying(&r.tomb, pause/2+rand.N(pause))
 		pause = min(2*pause, _maxRegistryPause)
 	}
 }
@@ -165,12 +165,3 @@
 	}
 	return nil
 }
-
-func (r *registry) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.tomb.Dying():
-	}
-}
--- a/dandelionhitch/opaque_routes.go
+++ b/dandelionhitch/opaque_routes.go
@@ -139,7 +139,7 @@
 	pause := _storePause
 	for f.tomb.Alive() {
 		if due := f.checks.CheckDue(); due > 0 {
-			f.pause(due)
+			pauseUnlessDying(&f.tomb, due)
 			continue
 		}
 		err := f.check()
@@ -156,7 +156,7 @@
 			f.log.Warn("store lost", zap.Error(err))
 			reached = false
 		}
-		f.pause(pause/2 + rand.N(pause))
+		pauseUnlessDying(&f.tomb, pause/2+rand.N(pause))
 		if f.read > 0 {
 			pause = min(2*pause, _maxStorePause)
 		}
@@ -199,7 +199,7 @@
 		if wanted, _ := f.target.Behind(); wanted == 0 {
 			continue
 		}
-		f.pause(rand.N(_fetchJitter))
+		pauseUnlessDying(&f.tomb, rand.N(_fetchJitter))
 		wanted, holders := f.target.Behind()
 		if wanted == 0 || len(holders) == 0 {
 			continue
@@ -207,7 +207,7 @@
 		holder := holders[rand.IntN(len(holders))]
 		if err := f.fetch(holder); err != nil {
 			f.log.Warn("routes not fetched", zap.Stringer("from", holder), zap.Uint64("version", wanted), zap.Error(err))
-			f.pause(_fetchJitter)
+			pauseUnlessDying(&f.tomb, _fetchJitter)
 		}
 	}
 }
@@ -251,12 +251,3 @@
 	f.mu.Unlock()
 	f.target.SetTable(table, source)
 }
-
-func (f *routesFollower) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-f.tomb.Dying():
-	}
-}
