relay, sidecar: flows that waited for the configuration

Sidecars refused late flows at half of the timeout; their callers came back at once on new flows that nobody can tell from fresh ones, and pushed the fresh ones out of time.

Change: a relay offers a flow that is past its target once, as late; it drops what its caller has given up; a sidecar lets late flows wait up to 0.85 of the timeout, behind those in time, and treats a route that it does not know yet like one without timeout.

Ruled out: fewer attempts for each flow (no difference in the played loads); the store's retry pause (the first relay has the configuration 47 ms after the store is back).

--- a/relay/packets.go
+++ b/relay/packets.go
@@ -52,7 +52,7 @@
 		c.park(now, key, came, packet, "no_route")
 		return
 	}
-	o := &offer{packet: slices.Clone(packet), service: service, came: came}
+	o := &offer{packet: slices.Clone(packet), service: service, came: came, last: c.isLate(now, key, came)}
 	if c.choose(now, o) == nil {
 		c.park(now, key, came, packet, "no_upstream")
 		return
@@ -62,6 +62,14 @@
 	c.place(now, key, o)
 }
 
+// isLate reports whether a flow whose opening packet came first at a time will not
+// be answered within its route's target any more. No upstream then takes it as
+// one that would be, so the first that is asked must take it as it is.
+func (c *Core) isLate(now time.Duration, key flow.Key, came time.Duration) bool {
+	route, ok := c.table.Route(key.Address)
+	return ok && route.Target > 0 && now-came >= route.Target
+}
+
 // place offers an opening packet to the best upstream that was not tried yet.
 // When all are busy, the least busy one gets it all the same.
 func (c *Core) place(now time.Duration, key flow.Key, o *offer) {
@@ -118,7 +126,12 @@
 	c.parked = nil
 	for _, p := range waiting {
 		header, err := c.wire.Decode(p.packet)
-		if err == nil {
+		switch route, _ := c.table.Route(p.key.Address); {
+		case err != nil:
+			c.counts.Malformed++
+		case route.Timeout > 0 && now-p.came >= route.Timeout:
+			c.tooLate(now, p, "caller_timeout")
+		default:
 			c.offer(now, p.key, header.Seq, p.came, p.packet)
 		}
 	}
@@ -128,15 +141,20 @@
 func (c *Core) dropParked(now time.Duration) {
 	old := 0
 	for old < len(c.parked) && now-c.parked[old].came > _parkTimeout {
-		c.counts.Dropped++
-		c.out.Decide(decision.Record{
-			Flow: c.parked[old].key, Action: decision.Dropped, Reason: "parked_too_long", Version: c.table.Version(), Age: now - c.parked[old].came,
-		})
+		c.tooLate(now, c.parked[old], "parked_too_long")
 		old++
 	}
 	c.parked = c.parked[old:]
 }
 
+// tooLate drops a parked packet whose caller has given up.
+func (c *Core) tooLate(now time.Duration, p parked, reason string) {
+	c.counts.Dropped++
+	c.out.Decide(decision.Record{
+		Flow: p.key, Action: decision.Dropped, Reason: reason, Version: c.table.Version(), Age: now - p.came,
+	})
+}
+
 // choose returns the best upstream that was not tried, nil if there is none.
 // Where all are doubted, the doubt is as likely to be about this relay's own
 // links, so doubted ones are tried before a flow is refused, and then those that
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -21,14 +21,15 @@
 const (
 	// _inTimeShare is the part of a route's target that an opening packet may wait
 	// and still be answered in time, and _giveUpShare the part of its timeout after
-	// which it is refused: the rest is for a second try.
+	// which it is refused: the rest is for the answer. A caller that is refused
+	// earlier comes back at once, and nobody can tell its flow from one in time.
 	_inTimeShare = 0.6
-	_giveUpShare = 0.5
+	_giveUpShare = 0.85
 	// _maxWait bounds any wait: callers repeat an opening packet for 1.4 s.
 	_maxWait = 1200 * time.Millisecond
-	// _defaultInTime and _defaultGiveUp are for routes without target or timeout.
+	// _defaultInTime is for routes without target, and those not known yet. Without
+	// a timeout a flow waits for _maxWait.
 	_defaultInTime = 100 * time.Millisecond
-	_defaultGiveUp = 500 * time.Millisecond
 	// _runTimeWeight is the weight of a new run time in their average.
 	_runTimeWeight = 0.05
 	// _firstRunTime is the average before any is known.
@@ -103,7 +104,7 @@
 // limits sets how long an opening packet may wait.
 func (c *Core) limits(h *held) {
 	route, _ := c.table.Route(h.key.Address)
-	inTime, giveUp := _defaultInTime, _defaultGiveUp
+	inTime, giveUp := _defaultInTime, _maxWait
 	if route.Target > 0 {
 		inTime = time.Duration(_inTimeShare * float64(route.Target))
 	}
