relay, sidecar, fleet: fleets that find each other without a storm

Cause: each relay that heard a new sidecar named all sidecars of the service to all of them, and each of these told all that it had not heard yet of itself, once for each report that named them. Reports of load went to all of a service: 14 KB/s at 130 of one service.

Change: a relay names the others to the new sidecar only, which tells each of them of itself, once a second at most; they answer. Relays share the naming to a process that has just started. Load goes to 16 neighbours on a ring by a hash. Reports name 32 relays and sidecars, in turn all; before it was always the first 128 relays, so that others were never named.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,6 +8,8 @@
 package fleet
 
 import (
+	"cmp"
+	"hash/fnv"
 	"net/netip"
 	"slices"
 	"time"
@@ -29,6 +31,9 @@
 	// cuts are shorter.
 	_forget        = 90 * time.Second
 	_forgetReports = 4
+	// _introduceInterval is the least time between two introductions to a process
+	// that has not answered: it may be named by every relay at once.
+	_introduceInterval = time.Second
 )
 
 // Upstream is a sidecar with the upstream beside it, as known here.
@@ -75,6 +80,8 @@
 	services map[string][]*Upstream
 	relays   map[netip.Addr]*Relay
 	interval time.Duration
+	// introduced is when this process told unknown sidecars of itself.
+	introduced map[netip.Addr]time.Duration
 }
 
 // New returns an empty view of a fleet whose sidecars report at least each interval.
@@ -84,6 +91,8 @@
 		services:  make(map[string][]*Upstream),
 		relays:    make(map[netip.Addr]*Relay),
 		interval:  interval,
+
+		introduced: make(map[netip.Addr]time.Duration),
 	}
 }
 
@@ -152,10 +161,45 @@
 // Upstream returns a sidecar's upstream, or nil.
 func (v *View) Upstream(sidecar netip.Addr) *Upstream { return v.upstreams[sidecar] }
 
+// Introduce reports whether this process should tell a sidecar that somebody
+// named of itself: it has not heard from it, and has not told it lately.
+func (v *View) Introduce(now time.Duration, sidecar netip.Addr) bool {
+	last, introduced := v.introduced[sidecar]
+	if v.upstreams[sidecar] != nil || introduced && now-last < _introduceInterval {
+		return false
+	}
+	v.introduced[sidecar] = now
+	return true
+}
+
 // Service returns the upstreams of a service in the order of their addresses.
 // The slice must not be changed.
 func (v *View) Service(name string) []*Upstream { return v.services[name] }
 
+// Neighbours returns up to count upstreams of a service that are next to self on
+// a ring in the order of a hash: chance decides who they are, and what is a
+// neighbour here has this process as its neighbour. If there are no more, it
+// returns all others.
+func (v *View) Neighbours(service string, self netip.Addr, count int) []*Upstream {
+	others := slices.DeleteFunc(slices.Clone(v.services[service]), func(u *Upstream) bool { return u.Sidecar == self })
+	if len(others) <= count {
+		return others
+	}
+	own := ringPlace(self)
+	slices.SortFunc(others, func(a, b *Upstream) int {
+		return cmp.Compare(ringPlace(a.Sidecar)-own, ringPlace(b.Sidecar)-own)
+	})
+	return append(others[:(count+1)/2], others[len(others)-count/2:]...)
+}
+
+// ringPlace returns where an address is on the ring.
+func ringPlace(addr netip.Addr) uint64 {
+	ip := addr.As16()
+	hash := fnv.New64a()
+	_, _ = hash.Write(ip[:]) // it returns no error
+	return hash.Sum64()
+}
+
 // Sidecars returns all upstreams in the order of their addresses. The slice must
 // not be changed.
 func (v *View) Sidecars() []*Upstream { return v.sidecars }
@@ -236,6 +280,11 @@
 			delete(v.upstreams, u.Sidecar)
 		}
 	}
+	for addr, at := range v.introduced {
+		if now-at >= _introduceInterval {
+			delete(v.introduced, addr)
+		}
+	}
 	var relays []netip.Addr
 	for addr, r := range v.relays {
 		if now-max(r.Heard, r.added) > 2*forget {
--- a/relay/core.go
+++ b/relay/core.go
@@ -62,12 +62,13 @@
 	// _namesEvery is the number of reports of which one names other processes; a
 	// process that is new is named at once.
 	_namesEvery = 8
-	// _namedRelays bounds the relays that one report names.
-	_namedRelays = 128
-	// _namedSidecars bounds the sidecars that one report names to a relay: in turn
-	// to all, and to one that has just started.
-	_namedSidecars   = 100
-	_namedToNewRelay = 1000
+	// _names bounds the relays, and the sidecars, that such a report names: in turn all.
+	_names = 32
+	// _namesToNew is how many sidecars all relays together name to a process that
+	// has just started, and _minNamesToNew how many each names at least: some hundred
+	// bytes, since every relay does.
+	_namesToNew    = 1000
+	_minNamesToNew = 16
 	// _forgetInterval is how often silent processes are looked for.
 	_forgetInterval = 5 * time.Second
 	// _checkInterval is how often the relays together read the configuration in the
@@ -320,7 +321,7 @@
 func (c *Core) Introduce(now time.Duration, relays []netip.Addr) {
 	for _, addr := range relays {
 		if addr != c.self.Addr && c.view.AddRelay(now, addr) {
-			c.reportTo(now, addr, "", _namedToNewRelay)
+			c.reportTo(now, addr, "", c.namesToNew())
 		}
 	}
 }
@@ -377,7 +378,7 @@
 	c.view.SetInterval(interval)
 	names := 0
 	if c.rounds%_namesEvery == 0 {
-		names = _namedSidecars
+		names = _names
 	}
 	c.rounds++
 	for _, r := range c.view.Relays() {
@@ -388,8 +389,14 @@
 	}
 }
 
-// reportTo tells one process of this relay, with the names of other relays and
-// of up to so many sidecars, those of a service for a sidecar. Zero names nobody.
+// namesToNew returns how many sidecars this relay names to a process that has just
+// started, so that the relays together name all.
+func (c *Core) namesToNew() int {
+	return max(_namesToNew/(c.view.RelayCount()+1), _minNamesToNew)
+}
+
+// reportTo tells one process of this relay, with the names of up to so many other
+// relays and sidecars, those of a service for a sidecar. Zero names nobody.
 func (c *Core) reportTo(now time.Duration, addr netip.Addr, service string, names int) {
 	c.sequence++
 	r := peer.RelayReport{
@@ -412,22 +419,35 @@
 // addNames adds relays to a report, and sidecars: for a sidecar those of its
 // service, for a relay all, so that it can report to them.
 func (c *Core) addNames(r *peer.RelayReport, service string, limit int) {
+	var heard []netip.Addr
 	for _, known := range c.view.Relays() {
-		if known.Heard > 0 && len(r.Relays) < _namedRelays {
-			r.Relays = append(r.Relays, known.Addr)
+		if known.Heard > 0 {
+			heard = append(heard, known.Addr)
 		}
 	}
+	r.Relays = c.some(heard, min(limit, _names))
 	sidecars := c.view.Service(service)
 	if service == "" {
 		sidecars = c.view.Sidecars()
 	}
-	first := 0
-	if len(sidecars) > limit {
-		first = c.random.IntN(len(sidecars))
+	var addrs []netip.Addr
+	for _, u := range sidecars {
+		addrs = append(addrs, u.Sidecar)
+	}
+	r.Sidecars = c.some(addrs, limit)
+}
+
+// some returns up to so many neighbours of a list, from a place by chance.
+func (c *Core) some(list []netip.Addr, limit int) []netip.Addr {
+	if len(list) <= limit {
+		return list
 	}
-	for i := range min(len(sidecars), limit) {
-		r.Sidecars = append(r.Sidecars, sidecars[(first+i)%len(sidecars)].Sidecar)
+	first := c.random.IntN(len(list))
+	out := make([]netip.Addr, limit)
+	for i := range out {
+		out[i] = list[(first+i)%len(list)]
 	}
+	return out
 }
 
 // heardVersion notes that a process has a version.
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -48,10 +48,8 @@
 	}
 	c.heardVersion(r.Version, r.Sidecar)
 	if change.New {
-		// The sidecars of the service learn of each other.
-		for _, other := range c.view.Service(r.Service) {
-			c.reportTo(now, other.Sidecar, r.Service, _namedToNewRelay)
-		}
+		// It tells the others of its service of itself, and they answer.
+		c.reportTo(now, r.Sidecar, r.Service, c.namesToNew())
 	}
 	if change.New || change.From != u.State {
 		c.out.Believe(decision.Belief{
@@ -76,13 +74,13 @@
 	}
 	c.Introduce(now, r.Relays)
 	for _, addr := range r.Sidecars {
-		if c.view.Upstream(addr) == nil {
+		if c.view.Introduce(now, addr) {
 			c.reportTo(now, addr, "", 0) // it reports in turn
 		}
 	}
 	if change.New {
 		c.out.Believe(decision.Belief{Subject: "relay", Name: r.Relay.String(), To: "heard", Reason: "report", Version: r.Sequence})
-		c.reportTo(now, r.Relay, "", _namedToNewRelay)
+		c.reportTo(now, r.Relay, "", c.namesToNew())
 	}
 }
 
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -40,11 +40,15 @@
 	_idle = 15 * time.Second
 	// _peerInterval is the least time between two reports of load to peers,
 	// _relayInterval that to relays, and _beatInterval the longest time between two
-	// reports to peers. _sentPerSecond bounds the reports that one process sends.
+	// reports to peers. _sentPerSecond bounds the reports that one process sends to
+	// its peers, and to relays: 80 of 95 bytes with their headers.
 	_peerInterval  = 40 * time.Millisecond
 	_relayInterval = 150 * time.Millisecond
 	_beatInterval  = 600 * time.Millisecond
-	_sentPerSecond = 100
+	_sentPerSecond = 80
+	// _neighbours bounds the peers that a sidecar tells of its load, and passes flows
+	// on to: a free slot among so many is hardly ever missed.
+	_neighbours = 16
 	// _forgetInterval is how often silent processes are looked for.
 	_forgetInterval = 5 * time.Second
 	// _suspectTicks is how many ticks in a row must have come within _maxTick before
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -19,7 +19,7 @@
 	c.fleetSize = int(r.Fleet)
 	c.Introduce(now, r.Relays)
 	for _, addr := range r.Sidecars {
-		if addr != c.self.Addr && c.view.Upstream(addr) == nil {
+		if addr != c.self.Addr && c.view.Introduce(now, addr) {
 			c.reportTo(addr)
 		}
 	}
@@ -31,15 +31,20 @@
 
 // peerReport takes the report of a sidecar of the same service.
 func (c *Core) peerReport(now time.Duration, r peer.UpstreamReport) {
-	if _, change := c.view.Report(now, r); !change.Stale && r.Service == c.self.Service {
-		c.shareWaiting(r)
+	_, change := c.view.Report(now, r)
+	if change.Stale || r.Service != c.self.Service {
+		return
+	}
+	if change.New {
+		c.reportTo(r.Sidecar)
 	}
+	c.shareWaiting(r)
 }
 
 // reportDue reports to peers and relays when something has changed and the pace
 // allows, and now and then in any case.
 func (c *Core) reportDue(now time.Duration) {
-	peers := len(c.view.Service(c.self.Service))
+	peers := min(len(c.view.Service(c.self.Service)), _neighbours)
 	peerPace := max(_peerInterval, time.Duration(peers)*time.Second/_sentPerSecond)
 	if since := now - c.reported.peers; since >= _beatInterval || (since >= peerPace && c.reported.peersBusy != c.load()) {
 		c.reportPeers(now)
@@ -61,10 +66,8 @@
 
 func (c *Core) reportPeers(now time.Duration) {
 	c.reported.peers, c.reported.peersBusy = now, c.load()
-	for _, u := range c.view.Service(c.self.Service) {
-		if u.Sidecar != c.self.Addr {
-			c.reportTo(u.Sidecar)
-		}
+	for _, u := range c.view.Neighbours(c.self.Service, c.self.Addr, _neighbours) {
+		c.reportTo(u.Sidecar)
 	}
 }
 
--- /dev/null
+++ b/standin/opaque_size_test.go
@@ -0,0 +1,53 @@
+package standin_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/directory"
+	"dandelionhitch.example/standin"
+)
+
+// _controlBudget is what control may take of a VM's link in one direction, in bytes
+// a second.
+const _controlBudget = 11_000
+
+// _headerBytes are those of IP and UDP.
+const _headerBytes = 28
+
+// TestLargeFleetFindsItself starts 300 VMs at once, with two services only. All
+// must know each other soon, and control must stay within its budget, also while
+// they get to know each other.
+func TestLargeFleetFindsItself(t *testing.T) {
+	const relays, hosts = 100, 200
+	w := standin.NewOpaqueWorld(1)
+	var vms []*standin.WorldVM
+	for i := range relays {
+		vms = append(vms, w.AddRelay(fmt.Sprint(i%3)))
+	}
+	for i := range hosts {
+		vms = append(vms, w.AddHost(fmt.Sprint(i%3), fmt.Sprint("service", min(i%3, 1)), nil))
+	}
+	w.SetTable(directory.New(1, 0, nil))
+	w.Run(5 * _seconds)
+	for _, vm := range vms {
+		if vm.Relay == nil {
+			knownRelays, _ := vm.Sidecar.Known()
+			assert.Equal(t, knownRelays, relays, "relays known at %v", vm)
+			continue
+		}
+		knownRelays, knownSidecars := vm.Relay.Known()
+		assert.Equal(t, knownRelays, relays-1, "relays known at %v", vm)
+		assert.Equal(t, knownSidecars, hosts, "sidecars known at %v", vm)
+	}
+	const span = 30 * _seconds
+	w.Run(span)
+	for _, vm := range vms {
+		for direction, traffic := range map[string]standin.Traffic{"sent": vm.Sent, "got": vm.Got} {
+			perSecond := float64(traffic.Bytes+_headerBytes*traffic.Messages) / span.Seconds()
+			assert.Assert(t, perSecond <= _controlBudget, "%v %s %.0f B/s", vm, direction, perSecond)
+		}
+	}
+}
