dandelionhitch: an agent whose incarnation is used up ends its run

Cause: an agent that hears of a higher incarnation only after it serves (a clock that went back, and keepers that did not know at the start) announced itself with one above it, while connection IDs, leases and tickets kept the old one; balancers then end its flows for good. WithNewIncarnation was never wired.

Change: such a run ends with an error and drains; the next one serves under the adopted incarnation. Before it serves, a run goes on with it as before. Ruled out: new connection IDs under the adopted incarnation beside the old flows: balancers end these all the same, and leases name the run.

--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -61,6 +62,8 @@
 	dispatcher  *dispatcher.Dispatcher
 	peerServer  *peerServer
 	agent       *agent.Agent
+	// serves says that connection IDs and leases carry the incarnation of now.
+	serves atomic.Bool
 }
 
 func agentCommand(stderr io.Writer) *ffcli.Command {
@@ -217,6 +220,7 @@
 	n.announcer, err = announcer.New(self, n.control.client, n.config.peers,
 		announcer.WithRevision(n.follower.Revision),
 		announcer.WithHigherRevision(n.follower.Offer),
+		announcer.WithNewIncarnation(n.endOldRun),
 		announcer.WithStore(parts.store),
 		announcer.WithLogger(n.log),
 		announcer.WithMeter(parts.meter),
@@ -253,6 +257,7 @@
 
 // serve starts the request and flow side.
 func (n *agentNode) serve(policy settings.Service, parts nodeParts, callers *tls.Config) error {
+	n.serves.Store(true)
 	incarnation := n.announcer.Self().Incarnation
 	run := limit.Run{Address: n.config.data, Incarnation: incarnation, Nonce: rand.Uint32()}
 	var err error
@@ -321,6 +326,17 @@
 	}
 }
 
+// endOldRun ends a run that serves under an incarnation which the fleet remembers
+// as used up. Connection IDs and leases carry it, and balancers take its flows for
+// those of a run that has ended, so only a new run can serve. Before a run serves,
+// it simply begins with the adopted incarnation.
+func (n *agentNode) endOldRun(adopted service.Incarnation) {
+	if n.serves.Load() {
+		n.tomb.Kill(trace.CompareFailed("run of %v at %v: the fleet remembers a later one, the next is %d",
+			n.config.path(), n.config.data, adopted))
+	}
+}
+
 // setKeys replaces the keys that are accepted. Connection IDs and tickets are
 // issued under the keys of the start, so an agent uses a new key from its next run on.
 func (n *agentNode) setKeys(k keys) { n.agent.SetKeys(k.packet) }
--- a/dandelionhitch/fleet_test.go
+++ b/dandelionhitch/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/keeper"
 	"dandelionhitch.example/service"
 	"dandelionhitch.example/standin"
 )
@@ -132,3 +134,39 @@
 		requestTest(t, caller, number)
 	}
 }
+
+// TestAgentEndsWhenItsIncarnationIsUsedUp has the fleet hear of a later run at an
+// agent's address after the agent serves, as after a clock that went back. Flows
+// under the old incarnation would be ended by balancers, so the agent must end
+// and a new run must serve.
+func TestAgentEndsWhenItsIncarnationIsUsedUp(t *testing.T) {
+	f := startFleet(t)
+	old := f.agents[0]
+	record := old.announcer.Self()
+	record.Incarnation, record.Seq = record.Incarnation.After(record.Incarnation+1000), 1
+	ctx, cancel := context.WithTimeout(t.Context(), _testTimeout)
+	defer cancel()
+	for _, balancer := range f.plan.balancers {
+		var reply keeper.HeartbeatReply
+		assert.NilError(t, f.agents[1].control.client.Call(ctx, balancer.control, keeper.MethodHeartbeat, &keeper.HeartbeatRequest{
+			Data: record.Data, Incarnation: record.Incarnation, Seq: record.Seq, Record: &record,
+		}, &reply))
+	}
+	select {
+	case <-old.tomb.Dying():
+	case <-ctx.Done():
+		t.Fatal("the agent goes on under an incarnation that is used up")
+	}
+	assert.ErrorContains(t, old.Close(), "remembers a later one")
+	f.agents = f.agents[1:]
+	cert, err := f.authority.issue("orders")
+	assert.NilError(t, err)
+	node, err := newAgentNode(ctx, f.plan.hosts[0].config, f.parts, &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13})
+	assert.NilError(t, err)
+	f.agents = append(f.agents, node)
+	assert.Assert(t, node.announcer.Self().Incarnation > record.Incarnation)
+	assert.NilError(t, f.awaitServing(ctx))
+	for number := range uint64(4) {
+		requestTest(t, f.dialTest(t), number)
+	}
+}
