fleet, relay: load to neighbours of the own zone, fewer names at the start

Change: three of four neighbours that get a sidecar's load are in its zone; a relay among many names four to ten sidecars to a new process, not sixteen.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,6 +34,9 @@
 	// _introduceInterval is the least time between two introductions to a process
 	// that has not answered: it may be named by every relay at once.
 	_introduceInterval = time.Second
+	// _farShare is the part of the neighbours, one in so many, that are in other
+	// zones. Bytes between zones are priced.
+	_farShare = 4
 )
 
 // Upstream is a sidecar with the upstream beside it, as known here.
@@ -176,20 +179,39 @@
 // The slice must not be changed.
 func (v *View) Service(name string) []*Upstream { return v.services[name] }
 
-// Neighbours returns up to count upstreams of a service that are next to self on
-// a ring in the order of a hash: chance decides who they are, and what is a
-// neighbour here has this process as its neighbour. If there are no more, it
-// returns all others.
-func (v *View) Neighbours(service string, self netip.Addr, count int) []*Upstream {
-	others := slices.DeleteFunc(slices.Clone(v.services[service]), func(u *Upstream) bool { return u.Sidecar == self })
-	if len(others) <= count {
-		return others
+// Neighbours returns up to count upstreams of a service that self should tell of
+// its load: most of them in its zone, the others elsewhere, so that a zone whose
+// upstreams are all busy has somewhere to go. They are next to self on a ring in
+// the order of a hash. If there are no more, it returns all.
+func (v *View) Neighbours(service string, self netip.Addr, zone string, count int) []*Upstream {
+	var near, far []*Upstream
+	for _, u := range v.services[service] {
+		switch {
+		case u.Sidecar == self:
+		case u.Zone == zone:
+			near = append(near, u)
+		default:
+			far = append(far, u)
+		}
+	}
+	if len(near)+len(far) <= count {
+		return append(near, far...)
+	}
+	farCount := max(count/_farShare, count-len(near))
+	near = nextOnRing(near, self, count-min(farCount, len(far)))
+	return append(near, nextOnRing(far, self, farCount)...)
+}
+
+// nextOnRing returns up to count upstreams next to self on the ring, on both sides.
+func nextOnRing(upstreams []*Upstream, self netip.Addr, count int) []*Upstream {
+	if len(upstreams) <= count {
+		return upstreams
 	}
 	own := ringPlace(self)
-	slices.SortFunc(others, func(a, b *Upstream) int {
+	slices.SortFunc(upstreams, func(a, b *Upstream) int {
 		return cmp.Compare(ringPlace(a.Sidecar)-own, ringPlace(b.Sidecar)-own)
 	})
-	return append(others[:(count+1)/2], others[len(others)-count/2:]...)
+	return append(upstreams[:(count+1)/2], upstreams[len(upstreams)-count/2:]...)
 }
 
 // ringPlace returns where an address is on the ring.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -102,3 +102,66 @@
 	assert.Equal(t, v.SidecarCount(), 1)
 	assert.Assert(t, v.Takes(interval, u))
 }
+
+// zoneOf spreads addresses over three zones.
+func zoneOf(addr netip.Addr) string { return string('a' + addr.As4()[3]%3) }
+
+// viewOf returns a view of a service of so many hosts in three zones.
+func viewOf(hosts int) (*fleet.View, []netip.Addr) {
+	v := fleet.New(time.Second)
+	var addrs []netip.Addr
+	for i := range hosts {
+		addr := netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)})
+		r := report(addr, 1, 1, peer.Ready)
+		r.Zone = zoneOf(addr)
+		v.Report(0, r)
+		addrs = append(addrs, addr)
+	}
+	return v, addrs
+}
+
+// TestNeighbours checks that a few others get a host's load, most of them in its
+// zone, and that every host gets the load of some in its zone and of some elsewhere.
+func TestNeighbours(t *testing.T) {
+	const count = 16
+	for _, hosts := range []int{1, 2, count, count + 1, 20, 45, 130} {
+		v, addrs := viewOf(hosts)
+		heardNear, heardFar := make(map[netip.Addr]int), make(map[netip.Addr]int)
+		for _, self := range addrs {
+			seen := make(map[netip.Addr]bool)
+			for _, u := range v.Neighbours("orders", self, zoneOf(self), count) {
+				assert.Assert(t, u.Sidecar != self && !seen[u.Sidecar], "%d hosts: %v of %v", hosts, u.Sidecar, self)
+				seen[u.Sidecar] = true
+				if u.Zone == zoneOf(self) {
+					heardNear[u.Sidecar]++
+				} else {
+					heardFar[u.Sidecar]++
+				}
+			}
+			assert.Equal(t, len(seen), min(hosts-1, count), "%d hosts, %v", hosts, self)
+		}
+		var allFar int
+		for _, addr := range addrs {
+			allFar += heardFar[addr]
+			if hosts >= 3*count {
+				assert.Equal(t, heardNear[addr], count-count/4, "%d hosts, %v", hosts, addr)
+			}
+		}
+		if hosts >= 3*count {
+			assert.Equal(t, allFar, hosts*count/4)
+		}
+	}
+}
+
+// TestIntroduceOnce has every relay name the same unknown sidecar at once.
+func TestIntroduceOnce(t *testing.T) {
+	v := fleet.New(time.Second)
+	assert.Assert(t, v.Introduce(0, _one))
+	assert.Assert(t, !v.Introduce(900*time.Millisecond, _one))
+	assert.Assert(t, v.Introduce(900*time.Millisecond, _two))
+	assert.Assert(t, v.Introduce(time.Second, _one), "the first introduction may be lost")
+	v.Forget(time.Minute)
+	assert.Assert(t, v.Introduce(time.Minute, _two))
+	v.Report(time.Minute, report(_two, 1, 1, peer.Ready))
+	assert.Assert(t, !v.Introduce(2*time.Minute, _two), "it is known")
+}
--- a/relay/core.go
+++ b/relay/core.go
@@ -65,10 +65,10 @@
 	// _names bounds the relays, and the sidecars, that such a report names: in turn all.
 	_names = 32
 	// _namesToNew is how many sidecars all relays together name to a process that
-	// has just started, and _minNamesToNew how many each names at least: some hundred
+	// has just started, and _minNamesToNew how many each names at least: some tens of
 	// bytes, since every relay does.
 	_namesToNew    = 1000
-	_minNamesToNew = 16
+	_minNamesToNew = 4
 	// _forgetInterval is how often silent processes are looked for.
 	_forgetInterval = 5 * time.Second
 	// _checkInterval is how often the relays together read the configuration in the
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -66,7 +66,7 @@
 
 func (c *Core) reportPeers(now time.Duration) {
 	c.reported.peers, c.reported.peersBusy = now, c.load()
-	for _, u := range c.view.Neighbours(c.self.Service, c.self.Addr, _neighbours) {
+	for _, u := range c.view.Neighbours(c.self.Service, c.self.Addr, c.self.Zone, _neighbours) {
 		c.reportTo(u.Sidecar)
 	}
 }
--- a/standin/opaque_load_test.go
+++ b/standin/opaque_load_test.go
@@ -24,7 +24,9 @@
 	// use is the mean share of the slots that the calls need.
 	use float64
 	// swing is how much the rate goes up and down around its mean, in 15 s.
-	swing  float64
+	swing float64
+	// skew is the share of the calls beyond an equal one that come from the first zone.
+	skew   float64
 	length time.Duration
 	// adjust, if set, changes the world before it is played.
 	adjust func(*day)
@@ -49,7 +51,11 @@
 	rate := l.use * float64(l.hosts*l.slots) / mean
 	var next func()
 	next = func() {
-		d.Call(fmt.Sprint(d.Random().IntN(l.zones)), _orders, l.timeout)
+		zone := d.Random().IntN(l.zones)
+		if d.Random().Float64() < l.skew {
+			zone = 0
+		}
+		d.Call(fmt.Sprint(zone), _orders, l.timeout)
 		now := rate * (1 + l.swing*math.Sin(2*math.Pi*(d.Now()-_worldStart).Seconds()/15))
 		if at := d.Now() + time.Duration(d.Random().ExpFloat64()*float64(_seconds)/now); at < _worldStart+l.length {
 			d.At(at, next)
@@ -133,6 +139,8 @@
 		zones: 3, relays: 24, hosts: 45, slots: 2, work: 26 * time.Millisecond,
 		aim: 250 * time.Millisecond, timeout: 2500 * time.Millisecond, length: 3 * _seconds,
 	}
+	skewed := large
+	skewed.skew = 0.4
 	small := playedLoad{
 		zones: 3, relays: 7, hosts: 7, slots: 4, work: 26 * time.Millisecond,
 		aim: 150 * time.Millisecond, timeout: 2500 * time.Millisecond, length: 5 * _seconds,
@@ -149,6 +157,7 @@
 		{"large, crest", large, 0.85, 0.99, 0.94},
 		{"large, nearly full", large, 0.95, 0.99, 0.94},
 		{"large, overload", large, 1.1, 0.9, 0.75},
+		{"large, most calls in one zone", skewed, 0.7, 0.99, 0.94},
 		{"small, calm", small, 0.5, 1, 0.96},
 		{"small, crest", small, 0.85, 0.99, 0.94},
 		{"small, overload", small, 1.1, 0.9, 0.75},
@@ -163,7 +172,7 @@
 			assert.Assert(t, len(d.Broken) == 0, "%v", d.Broken)
 			inTime, central, byChance := within(d.Calls, l.aim), l.centralQueue(d), l.randomHosts(d)
 			answered := float64(d.Outcomes()[standin.CallAnswered]) / float64(len(d.Calls))
-			t.Logf("%s; a central queue %.3f, upstreams by chance %.3f", l.summary(d), central, byChance)
+			t.Logf("%.1f MB between zones; %s; a central queue %.3f, upstreams by chance %.3f", float64(d.AcrossZones)/1e6, l.summary(d), central, byChance)
 			assert.Assert(t, answered >= tt.answered, "%.3f answered", answered)
 			assert.Assert(t, inTime >= tt.atLeast, "%.3f in time", inTime)
 			assert.Assert(t, inTime >= byChance, "%.3f in time, %.3f by chance", inTime, byChance)
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -43,6 +43,8 @@
 	StoreAway bool
 	// Calls are all calls, in the order of their start.
 	Calls []*OpaqueCall
+	// AcrossZones counts the bytes of messages between processes of different zones.
+	AcrossZones int
 	// Ran counts the runs of each request.
 	Ran map[string]int
 	// Broken are the promises that did not hold.
@@ -548,6 +550,7 @@
 	delay := _inZone
 	if to.Zone != o.vm.Zone {
 		delay = _acrossZones
+		o.vm.world.AcrossZones += len(message)
 	}
 	o.vm.world.deliver(o.vm.Addr, to, delay, func() {
 		to.Got.add(message)
