relay: the own zone is asked first for the holder of a flow, and questions are bounded

Cause: a relay that did not know a flow asked every sidecar of the service, in all zones, at each change of rotation; and what it kept meanwhile was bounded for each flow (16 packets) but not in all, so that a flood of unknown flows could fill its memory.

Change: the sidecars of the own zone are asked first, where placement puts nearly all flows, the others when these deny it or after 15 ms, and at once when an earlier question stayed open. At most 2,048 questions are open; they end after 400 ms, with a line, instead of at the flow's next packet.

Tests fail before (both).

--- a/relay/core.go
+++ b/relay/core.go
@@ -34,8 +34,13 @@
 	// _maxParked bounds the opening packets that wait so, some 100 bytes each.
 	_maxParked = 4096
 	// _askTimeout is how long a question for a holder is open; then the next
-	// packet of the flow asks again.
+	// packet of the flow asks again. _widenAfter is how long the sidecars of the own
+	// zone may take before the others are asked: several crossings of a zone.
 	_askTimeout = 400 * time.Millisecond
+	_widenAfter = 15 * time.Millisecond
+	// _maxQuestions bounds the questions that are open at a time. Each keeps what a
+	// caller has in flight, mostly one packet.
+	_maxQuestions = 2048
 	// _maxKept bounds the packets of one flow that are kept while its holder is not
 	// known: what a caller has in flight.
 	_maxKept = 16
@@ -138,6 +143,8 @@
 	// searchBudget is what questions may send, in bytes, as of searchAt.
 	searchBudget float64
 	searchAt     time.Duration
+	// questions are the open searches, the oldest first.
+	questions []openQuestion
 	// answers estimates how long answers to offers take.
 	answers  answerTime
 	lastTick time.Duration
@@ -155,6 +162,8 @@
 	offered time.Duration
 	// question is open while the holder is not known.
 	question *question
+	// searched says that an earlier question was not answered.
+	searched bool
 }
 
 // offer is an opening packet that no sidecar has answered yet.
@@ -184,9 +193,9 @@
 	// said; zero if nothing.
 	asked   []netip.Addr
 	answers map[netip.Addr]peer.Outcome
-	// everywhere says that sidecars of all services were asked, and tried that the
-	// unsure ones got the packet.
-	everywhere, tried bool
+	// wide says that the service's sidecars in all zones were asked, everywhere that
+	// those of all services were, and tried that the unsure ones got the packet.
+	wide, everywhere, tried bool
 	// packets are kept until the holder is known. The last one is used for a reset.
 	packets [][]byte
 }
@@ -343,6 +352,7 @@
 		c.unanswered(now, key, c.offers[key])
 	}
 	c.dropParked(now)
+	c.checkQuestions(now)
 	if now >= c.nextReport {
 		c.report(now)
 	}
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -33,16 +33,20 @@
 
 var errShort = errors.New("too short")
 
-// plainWire is a packet format of these tests: flags, seq, ack, size. Only _key
-// is ever carried.
+// plainWire is a packet format of these tests: flags, seq, ack, size and, if it is
+// not that of _key, the caller's port.
 type plainWire struct{}
 
 func (plainWire) Decode(b []byte) (flow.Packet, error) {
 	if len(b) < 10 {
 		return flow.Packet{}, errShort
 	}
+	source := _caller
+	if len(b) >= 12 {
+		source = netip.AddrPortFrom(_caller.Addr(), binary.BigEndian.Uint16(b[10:]))
+	}
 	return flow.Packet{
-		Source: _caller, Destination: _address, Flags: flow.Flags(b[0]),
+		Source: source, Destination: _address, Flags: flow.Flags(b[0]),
 		Seq: binary.BigEndian.Uint32(b[1:]), Ack: binary.BigEndian.Uint32(b[5:]), Size: int(b[9]),
 	}, nil
 }
@@ -111,8 +115,12 @@
 func (r *rig) forget() { r.messages, r.toCaller = nil, nil }
 
 func (r *rig) report(now time.Duration, addr netip.Addr, sequence uint64, state peer.State) {
+	r.reportFrom(now, addr, "a", sequence, state)
+}
+
+func (r *rig) reportFrom(now time.Duration, addr netip.Addr, zone string, sequence uint64, state peer.State) {
 	b, err := peer.AppendUpstream(nil, peer.UpstreamReport{
-		Sidecar: addr, Incarnation: 1, Sequence: sequence, Service: "orders", Zone: "a", State: state, Slots: 2,
+		Sidecar: addr, Incarnation: 1, Sequence: sequence, Service: "orders", Zone: zone, State: state, Slots: 2,
 	})
 	assert.NilError(r.t, err)
 	r.PeerMessage(now, b)
--- a/relay/search.go
+++ b/relay/search.go
@@ -6,22 +6,71 @@
 	"time"
 
 	"dandelionhitch.example/decision"
+	"dandelionhitch.example/fleet"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
 )
 
 // A relay that gets a packet of a flow that it does not know asks the sidecars of
-// the route's service, which know. It keeps the packets meanwhile. If all deny,
-// it asks the sidecars of all services, since the route may have led elsewhere
-// before; if some are unsure, they get the packet, which their upstream takes or
-// gives back. Only when every sidecar has denied the flow is it dead.
+// the route's service, which know: first those in its zone, where most flows are
+// placed, and the others when these deny it or take too long. It keeps the packets
+// meanwhile. If all deny, it asks the sidecars of all services, since the route may
+// have led elsewhere before; if some are unsure, they get the packet, which their
+// upstream takes or gives back. Only when every sidecar has denied the flow is it
+// dead.
+
+// openQuestion is an open search for the holder of a flow.
+type openQuestion struct {
+	key  flow.Key
+	held *held
+	*question
+}
+
+// openQuestion starts a search, or returns nil if too many are open.
+func (c *Core) openQuestion(now time.Duration, key flow.Key, h *held) *question {
+	if len(c.questions) >= _maxQuestions {
+		c.counts.Dropped++
+		c.out.Decide(decision.Record{
+			Flow: key, Action: decision.Dropped, Reason: "too_many_questions", Version: c.table.Version(), Attempt: len(c.questions),
+		})
+		return nil
+	}
+	h.question = &question{answers: make(map[netip.Addr]peer.Outcome), started: now}
+	c.questions = append(c.questions, openQuestion{key, h, h.question})
+	return h.question
+}
+
+// checkQuestions asks more sidecars where the first have not answered in time, and
+// gives up what nobody answers: the next packet of the flow asks anew.
+func (c *Core) checkQuestions(now time.Duration) {
+	c.questions = slices.DeleteFunc(c.questions, func(q openQuestion) bool {
+		switch age := now - q.started; {
+		case q.held.question != q.question:
+			return true
+		case age > _askTimeout:
+			q.held.question, q.held.searched = nil, true
+			c.counts.Dropped += uint64(len(q.packets))
+			c.out.Decide(decision.Record{
+				Flow: q.key, Action: decision.Dropped, Reason: "holder_not_found", Version: c.table.Version(), Age: age, Attempt: len(q.asked),
+			})
+			return true
+		case age >= _widenAfter && !q.wide:
+			c.widen(now, q.key, q.question)
+		}
+		return false
+	})
+}
 
 // search keeps a packet and asks who holds its flow.
 func (c *Core) search(now time.Duration, key flow.Key, h *held, p flow.Packet, packet []byte) {
+	if h.question != nil && now-h.question.started > _askTimeout {
+		h.question, h.searched = nil, true
+	}
 	q := h.question
-	if q == nil || now-q.started > _askTimeout {
-		q = &question{answers: make(map[netip.Addr]peer.Outcome), started: now}
-		h.question = q
+	if q == nil {
+		if q = c.openQuestion(now, key, h); q == nil {
+			return
+		}
 	}
 	if len(q.packets) >= _maxKept {
 		c.counts.Dropped++
@@ -31,13 +80,35 @@
 	if len(q.packets) > 1 {
 		return
 	}
+	near := c.ofService(key, func(u *fleet.Upstream) bool { return u.Zone == c.self.Zone })
+	if h.searched || !c.ask(now, key, q, p.Ack, near) {
+		c.widen(now, key, q)
+	}
+}
+
+// widen asks the sidecars of the route's service in all zones. It reports whether
+// there were any to ask.
+func (c *Core) widen(now time.Duration, key flow.Key, q *question) bool {
+	q.wide = true
+	p, err := c.wire.Decode(q.packets[0])
+	if err != nil {
+		c.counts.Malformed++
+		return false
+	}
+	return c.ask(now, key, q, p.Ack, c.ofService(key, func(*fleet.Upstream) bool { return true }))
+}
+
+// ofService returns the sidecars of the services that a flow's route leads to.
+func (c *Core) ofService(key flow.Key, where func(*fleet.Upstream) bool) []netip.Addr {
 	var sidecars []netip.Addr
 	for _, s := range c.table.Services(key.Address) {
 		for _, u := range c.view.Service(s.Service) {
-			sidecars = append(sidecars, u.Sidecar)
+			if where(u) {
+				sidecars = append(sidecars, u.Sidecar)
+			}
 		}
 	}
-	c.ask(now, key, q, p.Ack, sidecars)
+	return sidecars
 }
 
 // ask asks sidecars that were not asked yet. It reports whether there were any.
@@ -85,7 +156,7 @@
 		return
 	}
 	q := h.question
-	h.sidecar, h.question = v.Sidecar, nil
+	h.sidecar, h.question, h.searched = v.Sidecar, nil, false
 	if q == nil {
 		return
 	}
@@ -127,8 +198,10 @@
 		return
 	}
 	h.sidecar = netip.Addr{}
-	h.question = &question{answers: map[netip.Addr]peer.Outcome{v.Sidecar: peer.NotHeld}, started: now}
-	c.search(now, v.Flow, h, p, v.Packet)
+	if q := c.openQuestion(now, v.Flow, h); q != nil {
+		q.answers[v.Sidecar] = peer.NotHeld
+		c.search(now, v.Flow, h, p, v.Packet)
+	}
 }
 
 // conclude goes on with a search when all that were asked have answered.
@@ -155,6 +228,9 @@
 		c.try(now, q, unsure)
 		return
 	}
+	if !q.wide && c.widen(now, key, q) {
+		return
+	}
 	if !q.everywhere {
 		q.everywhere = true
 		var all []netip.Addr
