decision, dandelionhitch: explain a flow from saved logs

`dandelionhitch explain CALLER>ADDRESS LOG...` prints a flow's lines, what ended it and what that means, and what the same processes believed meanwhile; with a caller's address alone it lists the caller's flows and their ends.

And in the storm at 36 s resets were left out, since refusals of the same flows had used the budget up (135 left out in one second at one sidecar): resets and drops now have a budget of their own, 25 a second, and other decisions 15 (25 together before). The test of that fails with one budget (1 of 20 resets kept).

--- a/dandelionhitch/explain.go
+++ b/dandelionhitch/explain.go
@@ -21,8 +21,9 @@
 
 // explainEnvironment is what the explain command needs of its surroundings.
 type explainEnvironment struct {
-	// stdout receives the command's output.
+	// stdout receives the command's output. Logs are read from stdin if no file is named.
 	stdout io.Writer
+	stdin  io.Reader
 	// store opens the platform's object API. It is called once the flags are parsed.
 	store func() (platform.Store, error)
 	// status asks one agent for its view of its share by the control rpc
@@ -34,7 +35,7 @@
 
 // explainCommand is the operator's command that says which limits of a service
 // are in force, where they come from, who holds which share, and why flows
-// were refused.
+// were refused; or what saved logs tell about one flow.
 func explainCommand(env explainEnvironment) *ffcli.Command {
 	flags := flag.NewFlagSet("explain", flag.ContinueOnError)
 	asJSON := flags.Bool("json", false, "print JSON")
@@ -43,10 +44,13 @@
 	}
 	return &ffcli.Command{
 		Name:       "explain",
-		ShortUsage: "dandelionhitch explain [flags] SERVICE | REGION/PLACE/SERVICE",
-		ShortHelp:  "Say which limits of a service are in force, who holds them, and why flows were refused.",
+		ShortUsage: "dandelionhitch explain [flags] SERVICE | REGION/PLACE/SERVICE | CALLER>ADDRESS [LOG...] | CALLER [LOG...]",
+		ShortHelp:  "Say which limits of a service are in force, who holds them, and why flows were refused; or what logs tell of a flow.",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 && isFlow(args[0]) {
+				return trace.Wrap(explainFlows(env.stdout, env.stdin, args[0], args[1:]), "explain %s", args[0])
+			}
 			if len(args) != 1 {
 				return trace.BadParameter("want one service, got %d arguments; flags go before it", len(args))
 			}
--- /dev/null
+++ b/dandelionhitch/explain_flow.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/flow"
+)
+
+// _timeFormat is that of an explained line's time of day.
+const _timeFormat = "15:04:05.000"
+
+// causes say what an end of a flow means, and what to look at next. They are the
+// table of docs/OPERATIONS.md.
+var causes = map[string]string{
+	"reset no_route":              "the configuration in force did not have the address; see the settings below",
+	"reset no_upstream":           "no upstream of the service was known, or all were draining; see the upstreams below",
+	"reset all_refused":           "every upstream that was tried refused; the refused lines above say why",
+	"reset overloaded":            "it waited until an answer would have been of no use; busy and slots tell how full the upstreams were",
+	"reset no_holder":             "every sidecar denied the flow: its upstream had ended, or the flow was idle too long",
+	"reset upstream_dead":         "its upstream ended or was replaced while the flow was open; see the upstream below",
+	"reset upstream_bounced":      "its upstream no longer had the flow; the upstream's own log may tell why",
+	"dropped parked_too_long":     "the relay had just started and did not learn in time where to send it; see its settings and upstreams below",
+	"dropped caller_timeout":      "the relay learned where to send it after the caller had given up",
+	"dropped no_answer_to_offers": "sidecars did not answer offers; one of them may have taken it. If one relay doubts all, its own link is at fault",
+	"dropped holder_not_found":    "sidecars did not answer the question who holds the flow, so nobody can say that it is dead",
+	"dropped too_many_questions":  "the relay had too many open questions about flows that it did not know, as after the loss of many processes",
+	"dropped still_opening":       "a packet came before the flow had opened; its caller repeats it",
+	"dropped caller_closes":       "the caller closed a flow that nobody held any more; it needs no answer",
+}
+
+// isFlow reports whether an argument of explain is a flow's id or a caller, and
+// not a service.
+func isFlow(arg string) bool {
+	caller, _, _ := strings.Cut(arg, ">")
+	_, err := parseCaller(caller)
+	return err == nil
+}
+
+// parseCaller reads IP or IP:PORT.
+func parseCaller(text string) (netip.AddrPort, error) {
+	if caller, err := netip.ParseAddrPort(text); err == nil {
+		return caller, nil
+	}
+	addr, err := netip.ParseAddr(text)
+	return netip.AddrPortFrom(addr, 0), err
+}
+
+// explainFlows explains what saved logs tell about a flow, or lists a caller's flows.
+func explainFlows(out io.Writer, stdin io.Reader, arg string, files []string) error {
+	lines, err := readLogs(stdin, files)
+	if err != nil {
+		return err
+	}
+	if key, err := flow.ParseKey(arg); err == nil {
+		return explainFlow(out, key, lines)
+	}
+	caller, err := parseCaller(arg)
+	if err != nil {
+		return trace.BadParameter("%q: want CALLER_IP:PORT>ADDRESS:PORT, or CALLER_IP[:PORT]", arg)
+	}
+	flows := decision.Flows(lines, caller)
+	if len(flows) == 1 {
+		return explainFlow(out, flows[0], lines)
+	}
+	if len(flows) == 0 {
+		return trace.NotFound("no line tells of a flow of %s: see whether relays ran then, and how many lines were left out", arg)
+	}
+	table := newColumns(out)
+	fmt.Fprintln(table, "FLOW\tFIRST LINE\tLINES\tEND")
+	for _, key := range flows {
+		t := decision.NewTrail(key, lines)
+		fmt.Fprintf(table, "%v\t%s\t%d\t%s\n", key, t.Decisions[0].Time.Format(_timeFormat), len(t.Decisions), endOf(&t))
+	}
+	return trace.Wrap(table.Flush())
+}
+
+func endOf(t *decision.Trail) string {
+	end, ok := t.End()
+	if !ok {
+		return "-"
+	}
+	return string(end.Action) + " " + end.Reason
+}
+
+// readLogs reads files, or stdin if there are none.
+func readLogs(stdin io.Reader, files []string) ([]decision.Line, error) {
+	if len(files) == 0 {
+		lines, _, err := decision.ReadLines(stdin)
+		return lines, err
+	}
+	var all []decision.Line
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		lines, _, err := decision.ReadLines(file)
+		file.Close()
+		if err != nil {
+			return nil, trace.Wrap(err, "log %s", name)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func explainFlow(out io.Writer, key flow.Key, lines []decision.Line) error {
+	t := decision.NewTrail(key, lines)
+	if len(t.Decisions) == 0 {
+		return trace.NotFound("no line tells of flow %v: see whether relays ran then, and how many lines were left out", key)
+	}
+	fmt.Fprintf(out, "flow %v\n\n", key)
+	table := newColumns(out)
+	fmt.Fprintln(table, "TIME\tPROCESS\tACTION\tREASON\tTARGET\tBUSY/SLOTS\tATTEMPT\tSETTINGS\tAGE")
+	for _, l := range t.Decisions {
+		load := "-"
+		if l.Slots > 0 {
+			load = fmt.Sprintf("%d/%d", l.Busy, l.Slots)
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d ms\n", l.Time.Format(_timeFormat), l.Node, l.Action,
+			orDash(l.Reason), orDash(t.Process(l.Target)), load, l.Attempt, l.Version, l.AgeMS)
+	}
+	if err := table.Flush(); err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Fprintf(out, "\nEND\n  %s\n", cause(&t))
+	if len(t.Around) > 0 {
+		fmt.Fprintln(out, "\nMEANWHILE, AT THE SAME PROCESSES")
+	}
+	for _, l := range t.Around {
+		fmt.Fprintf(out, "  %s  %s  %s\n", l.Time.Format(_timeFormat), l.Node, around(&t, l))
+	}
+	if len(t.Omitted) > 0 {
+		fmt.Fprintln(out, "\nLINES LEFT OUT MEANWHILE")
+	}
+	for _, l := range t.Omitted {
+		fmt.Fprintf(out, "  %s: %d of routine decisions, %d of ends, %d of others, %d of beliefs\n",
+			l.Node, l.RoutineOmitted, l.EndsOmitted, l.OthersOmitted, l.BeliefsOmitted)
+	}
+	return nil
+}
+
+// cause says what ended the flow.
+func cause(t *decision.Trail) string {
+	if end, ok := t.End(); ok {
+		what := string(end.Action) + " " + end.Reason
+		if text, known := causes[what]; known {
+			return fmt.Sprintf("%s at %s: %s", what, end.Node, text)
+		}
+		return fmt.Sprintf("%s at %s", what, end.Node)
+	}
+	if last := t.Decisions[len(t.Decisions)-1]; last.Action == decision.Refused {
+		return fmt.Sprintf("refused by %s (%s), and no line tells what the relay did then", last.Node, last.Reason)
+	}
+	slowest, took := t.Slowest()
+	return fmt.Sprintf("no process ended it: the ends did, or the lines were left out. The longest pause, %v, followed %s at %s",
+		took, slowest.Action, orDash(slowest.Node))
+}
+
+// around says what a line tells that is not about the flow.
+func around(t *decision.Trail, l decision.Line) string {
+	if l.Subject == "" {
+		return strings.TrimSpace(l.Message + " " + l.Error)
+	}
+	return fmt.Sprintf("%s %s: %s to %s (%s)", l.Subject, t.Process(l.Name), orDash(l.From), orDash(l.To), orDash(l.Reason))
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/dandelionhitch/explain_text.go
+++ b/dandelionhitch/explain_text.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -83,8 +84,8 @@
 	fmt.Fprintln(b)
 }
 
-func newColumns(b *strings.Builder) *tabwriter.Writer {
-	return tabwriter.NewWriter(b, 0, 0, _tabPadding, ' ', 0)
+func newColumns(out io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(out, 0, 0, _tabPadding, ' ', 0)
 }
 
 // _refusalSpan is the RefusalWindow in words.
--- a/dandelionhitch/operator.go
+++ b/dandelionhitch/operator.go
@@ -41,7 +41,7 @@
 			stdout: stdout, stdin: stdin, store: o.store, members: o.members, flags: addFlags,
 		}),
 		explainCommand(explainEnvironment{
-			stdout: stdout, store: o.store, status: o.status, flags: addFlags,
+			stdout: stdout, stdin: stdin, store: o.store, status: o.status, flags: addFlags,
 		}),
 	}
 	for _, command := range commands {
--- a/decision/log.go
+++ b/decision/log.go
@@ -13,7 +13,8 @@
 // Bounds of the log.
 const (
 	_routinePerSecond = 5       // lines; a sample is enough, counters count all
-	_othersPerSecond  = 25      // lines; some 6 KB/s, 1% of a core of 0.06
+	_othersPerSecond  = 15      // lines; some 4 KB/s, 1% of a core of 0.06
+	_endsPerSecond    = 25      // lines; what complaints are about
 	_beliefsPerSecond = 50      // lines; a change of state of every process of one service
 	_bufferSize       = 1 << 18 // bytes; some seconds of the full budget
 	_flushInterval    = 100 * time.Millisecond
@@ -35,13 +36,15 @@
 const (
 	_routine class = iota
 	_others
+	// _ends are resets and drops. One flow may be refused many times before it ends.
+	_ends
 	_beliefs
 	_classes
 )
 
 // perSecond returns the budget of a class.
 func (c class) perSecond() int {
-	return [_classes]int{_routinePerSecond, _othersPerSecond, _beliefsPerSecond}[c]
+	return [_classes]int{_routinePerSecond, _othersPerSecond, _endsPerSecond, _beliefsPerSecond}[c]
 }
 
 // NewLog returns a log that writes to logger, usually one over a Writer.
@@ -50,8 +53,11 @@
 // Decide logs a decision.
 func (l *Log) Decide(now time.Duration, r Record) {
 	class := _others
-	if r.Routine {
+	switch {
+	case r.Routine:
 		class = _routine
+	case r.Action == Reset || r.Action == Dropped:
+		class = _ends
 	}
 	if !l.admit(now, class) {
 		return
@@ -91,7 +97,7 @@
 	if second := int64(now / time.Second); second != l.second {
 		if l.omitted != [_classes]int{} {
 			l.log.Warn("lines left out", zap.Int("routine_decisions", l.omitted[_routine]),
-				zap.Int("other_decisions", l.omitted[_others]), zap.Int("beliefs", l.omitted[_beliefs]),
+				zap.Int("other_decisions", l.omitted[_others]), zap.Int("ends", l.omitted[_ends]), zap.Int("beliefs", l.omitted[_beliefs]),
 				zap.Int64("of_second", l.second))
 		}
 		l.second, l.lines, l.omitted = second, [_classes]int{}, [_classes]int{}
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -57,6 +57,28 @@
 	assert.Assert(t, omitted > 0.85*200_000, "%v left out", omitted)
 }
 
+// TestRefusalsDoNotHideEnds has every flow refused by several upstreams and then
+// reset: what users complain of must be found.
+func TestRefusalsDoNotHideEnds(t *testing.T) {
+	const flows, refusals, second = 20, 12, time.Second
+	var b bytes.Buffer
+	l := decision.NewLog(newLogger(zapcore.AddSync(&b)))
+	for i := range flows {
+		now := second * time.Duration(i) / flows
+		for range refusals {
+			l.Decide(now, decision.Record{Action: decision.Refused, Reason: "overloaded"})
+		}
+		l.Decide(now, decision.Record{Action: decision.Reset, Reason: "all_refused"})
+	}
+	resets := 0
+	for _, fields := range lines(t, b.String()) {
+		if fields["action"] == "reset" {
+			resets++
+		}
+	}
+	assert.Equal(t, resets, flows)
+}
+
 // blockedOutput blocks until it is released.
 type blockedOutput struct {
 	release chan struct{}
