sidecar: upstreams that answer far earlier than their peers get fewer flows

Cause: an upstream that answers a part of its requests with errors (500, 429) does so in 1 to 2 ms, where answers take 12 ms at the fastest hundredth; it looks idle and gets more than its share.

Change: sidecars tell their peers their mean run time and their share of early answers (7 bytes). An answer within a quarter of the peers' median run time counts as a failure where the upstream has significantly more of them than its peers; the rest is the machinery for upstreams that reset requests.

Ruled out: the size of answers (errors 149 B; good answers of the same route from 100 B on); a route's own run times (an upstream that was slow and is well again would look early); a fixed margin (70 false alarms where all have caches).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,6 +49,10 @@
 	Busy, Slots int
 	// Late counts new flows that wait there and are late already.
 	Late int
+	// RunTime is how long a request takes there on average, zero if that is not
+	// known, and Quick the share of answers that come oddly early.
+	RunTime time.Duration
+	Quick   float64
 	// Heard is when any message came from the sidecar; Loaded is when Busy did.
 	Heard, Loaded time.Duration
 
@@ -133,6 +137,7 @@
 	u.incarnation, u.sequence = r.Incarnation, r.Sequence
 	u.Zone, u.State = r.Zone, r.State
 	u.Heard, u.Late = now, int(r.Late)
+	u.RunTime, u.Quick = time.Duration(r.RunTime)*peer.RunTimeUnit, float64(r.Quick)/100
 	v.load(u, now, int(r.Busy), int(r.Slots))
 	return u, change
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -290,8 +290,16 @@
 	// Late counts new flows that wait there and are late already; they are not
 	// part of Busy.
 	Late uint16 `cbor:"10,keyasint,omitempty"`
+	// RunTime is how long a request takes on average, in units of 100 µs; zero if
+	// that is not known.
+	RunTime uint16 `cbor:"11,keyasint,omitempty"`
+	// Quick is the share of answers that come oddly early, in percent.
+	Quick uint8 `cbor:"12,keyasint,omitempty"`
 }
 
+// RunTimeUnit is the unit of UpstreamReport.RunTime.
+const RunTimeUnit = 100 * time.Microsecond
+
 // RelayReport is what a relay tells relays and sidecars.
 type RelayReport struct {
 	Relay       netip.Addr `cbor:"1,keyasint"`
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -120,6 +120,9 @@
 	// waiting are opening packets that wait for the upstream to have room.
 	waiting []*held
 	runTime time.Duration
+	// runTimes and quicks are scratch space for what peers tell.
+	runTimes []time.Duration
+	quicks   []float64
 	// opening are flows whose opening packet the upstream was given and whose
 	// request has not come, in the order of the giving.
 	opening    []*held
@@ -179,8 +182,8 @@
 	given time.Duration
 	// answered says that the upstream has sent data.
 	answered bool
-	// requested is when data of the caller last began or went on.
-	requested time.Duration
+	// asked is when the caller's first data came, and requested when it last went on.
+	asked, requested time.Duration
 	// carried is when the last packet of the caller was given to the upstream, and
 	// callerAck what it acknowledged.
 	carried   time.Duration
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -253,6 +253,9 @@
 		h.packet = nil
 	}
 	if p.Size > 0 && !h.ended {
+		if h.asked == 0 {
+			h.asked = now
+		}
 		h.requested = now
 		c.setWorking(h, true)
 	}
@@ -330,11 +333,11 @@
 			c.deniedByReset(now, p, h)
 			return
 		case h.watched && !h.consented:
-			c.requestFailed()
+			c.requestFailed("resets_requests")
 			c.giveBack(now, h.key, h, "upstream_reset")
 			return
 		case h.requested > 0 && !h.answered && !h.ended:
-			c.requestFailed()
+			c.requestFailed("resets_requests")
 		}
 	}
 	c.reply(now, p)
@@ -382,7 +385,9 @@
 	}
 	if p.Size > 0 && !h.answered {
 		h.answered = true
-		c.requestAnswered()
+		if h.asked > 0 {
+			c.answeredAfter(now - h.asked)
+		}
 	}
 	if p.Size > 0 || p.Flags&(flow.FIN|flow.RST) != 0 {
 		if h.working && h.requested > 0 {
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -85,6 +86,8 @@
 		Service: c.self.Service, Zone: c.self.Zone, State: c.upstream.state,
 		Busy: uint16(c.load()), Slots: uint16(c.slots(c.now)), Version: c.table.Version(),
 		Late: uint16(c.busy + len(c.waiting) - c.load()),
+		// A run time of 6.5 s or more is as good as any.
+		RunTime: uint16(min(c.runTime/peer.RunTimeUnit, math.MaxUint16)), Quick: uint8(100 * c.upstream.quick),
 	})
 	if err != nil {
 		c.out.Believe(decision.Belief{Subject: "report", Name: addr.String(), Reason: err.Error()})
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -39,8 +39,10 @@
 	suspected time.Duration
 	// bounced is when it last gave an opening packet back.
 	bounced time.Duration
-	// failing is what is known of requests that failed.
+	// failing is what is known of requests that failed, and quick the share of
+	// answers that came oddly early.
 	failing failing
+	quick   float64
 	// known says that all its flows came through this process.
 	known bool
 }
--- a/standin/opaque_caller.go
+++ b/standin/opaque_caller.go
@@ -47,6 +47,8 @@
 	Began, Opened, Ended time.Duration
 	// By is the name of the upstream that answered, and Reply its answer.
 	By string
+	// Failed says that the answer was an error.
+	Failed bool
 	// Forged says that a packet came whose sum is wrong and that is no reset.
 	Forged bool
 
@@ -143,6 +145,7 @@
 	}
 	c.State, c.Ended = CallAnswered, now
 	c.By, _, _ = strings.Cut(string(whole), " ")
+	c.Failed = strings.HasSuffix(string(whole), _errorMark)
 	c.Forged = c.Forged || !strings.HasPrefix(string(whole), c.By+" "+c.Request+" ")
 	c.send(flow.ACK|flow.FIN, c.end, nil)
 }
--- a/standin/opaque_load_test.go
+++ b/standin/opaque_load_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/decision"
 	"dandelionhitch.example/directory"
 	"dandelionhitch.example/standin"
 )
@@ -35,6 +37,11 @@
 // play plays a load and returns its world.
 func (l playedLoad) play(seed uint64) *day {
 	d := &day{OpaqueWorld: standin.NewOpaqueWorld(seed)}
+	d.Beliefs = func(_ netip.Addr, b decision.Belief) {
+		if b.Reason == "answers_too_early" {
+			d.tooEarly++
+		}
+	}
 	for i := range l.relays {
 		d.relays = append(d.relays, d.AddRelay(fmt.Sprint(i%l.zones)))
 	}
@@ -175,6 +182,7 @@
 			t.Logf("%.1f MB between zones; %s; a central queue %.3f, upstreams by chance %.3f", float64(d.AcrossZones)/1e6, l.summary(d), central, byChance)
 			assert.Assert(t, answered >= tt.answered, "%.3f answered", answered)
 			assert.Assert(t, inTime >= tt.atLeast, "%.3f in time", inTime)
+			assert.Equal(t, d.tooEarly, 0, "a healthy upstream is taken for one that fails")
 			assert.Assert(t, inTime >= byChance, "%.3f in time, %.3f by chance", inTime, byChance)
 		})
 	}
--- a/standin/opaque_upstream.go
+++ b/standin/opaque_upstream.go
@@ -17,8 +17,13 @@
 	_lastRetry  = 1600 * time.Millisecond
 	// _maxRetries bounds the repetitions of an upstream's packet.
 	_maxRetries = 8
+	// _errorTime is how long an answer takes that is an error.
+	_errorTime = time.Millisecond
 )
 
+// _errorMark ends an answer that is an error.
+const _errorMark = " error"
+
 // OpaqueUpstream is a stand-in for a server of opaque flows: it answers each
 // flow's one request after some work, in a few slots with a queue before them.
 // It is a state machine in a time of its owner's; it is not safe for concurrent use.
@@ -40,6 +45,8 @@
 	Stray func(key flow.Key)
 	// Fails reports whether the next request is answered with a reset.
 	Fails func() bool
+	// Errs reports whether the next request is answered with an error, at once.
+	Errs func() bool
 	// Forged is told of each packet whose sum is wrong.
 	Forged func()
 
@@ -57,6 +64,7 @@
 	request  string
 	done     time.Duration
 	working  bool
+	failed   bool
 	unacked  [][]byte
 	end      uint32
 	nextSend time.Duration
@@ -71,8 +79,8 @@
 func NewOpaqueUpstream(random *rand.Rand) *OpaqueUpstream {
 	return &OpaqueUpstream{
 		random: random, flows: make(map[flow.Key]*upstreamFlow),
-		Fails: func() bool { return false },
-		Ran:   func(flow.Key, string) {}, Opening: func(flow.Key) {}, Stray: func(flow.Key) {}, Forged: func() {},
+		Fails: func() bool { return false }, Errs: func() bool { return false },
+		Ran: func(flow.Key, string) {}, Opening: func(flow.Key) {}, Stray: func(flow.Key) {}, Forged: func() {},
 	}
 }
 
@@ -156,8 +164,7 @@
 	}
 	if len(p.Data) > 0 && f.request == "" {
 		f.request = string(p.Data)
-		u.waiting = append(u.waiting, f)
-		u.next(now)
+		u.begin(now, f)
 	}
 	if len(f.unacked) > 0 && p.Ack == f.end {
 		f.unacked, f.ended = nil, true
@@ -167,6 +174,17 @@
 	}
 }
 
+// begin answers a request with an error, or has it wait for a slot.
+func (u *OpaqueUpstream) begin(now time.Duration, f *upstreamFlow) {
+	if u.Errs() {
+		u.running++
+		f.working, f.failed, f.done = true, true, now+_errorTime
+		return
+	}
+	u.waiting = append(u.waiting, f)
+	u.next(now)
+}
+
 // next gives free slots to waiting requests.
 func (u *OpaqueUpstream) next(now time.Duration) {
 	for u.running < u.Slots && len(u.waiting) > 0 {
@@ -182,6 +200,9 @@
 	f.working = false
 	u.running--
 	answer := append([]byte(u.Name+" "+f.request+" "), make([]byte, u.Size)...)
+	if f.failed {
+		answer = []byte(u.Name + " " + f.request + _errorMark)
+	}
 	seq := f.consent + 1
 	for len(answer) > 0 {
 		n := min(len(answer), _segment)
--- a/standin/opaque_world_test.go
+++ b/standin/opaque_world_test.go
@@ -38,6 +38,9 @@
 type day struct {
 	*standin.OpaqueWorld
 	relays, orders, photos []*standin.WorldVM
+	// tooEarly counts the times that a sidecar took its upstream for one that fails,
+	// since it answered too early.
+	tooEarly int
 }
 
 // newDay starts two relays in each of three zones, seven upstreams of orders
