dandelionhitch: mutants of the relay that the soak must find

The relay's packet format is a field of its flags.

Not shown with processes: drains, configurations in force, at most once, served again; their oracles are tested without.

--- a/dandelionhitch/process_test.go
+++ b/dandelionhitch/process_test.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +38,9 @@
 		main()
 		return
 	}
+	if name, ok := strings.CutPrefix(filepath.Base(os.Args[0]), _mutantPrefix); ok {
+		os.Exit(runMutant(strings.ReplaceAll(name, "-", " "), os.Args[1:]))
+	}
 	os.Exit(m.Run())
 }
 
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -35,10 +35,11 @@
 type relayFlags struct {
 	*opaqueFlags
 	ingress netip.AddrPort
+	wire    relay.Wire
 }
 
 func newRelayFlags(stdout, stderr io.Writer) *relayFlags {
-	f := &relayFlags{opaqueFlags: newOpaqueFlags("relay", stdout, stderr)}
+	f := &relayFlags{opaqueFlags: newOpaqueFlags("relay", stdout, stderr), wire: platform.PacketWire{}}
 	f.text(&f.ingress, "ingress", "IP:PORT where routers send callers' packets (UDP); callers take packets at its port")
 	f.require("ingress")
 	return f
@@ -89,7 +90,7 @@
 		PeerPort:   uint16(f.peerPort),
 		PeerListen: node.peerAddr(),
 		MaxFlows:   int(float64(f.memoryMB<<20) * _flowMemoryShare / _relayFlowBytes),
-	}, platform.PacketWire{}, decision.NewRecorder(node.records, times.observe))
+	}, f.wire, decision.NewRecorder(node.records, times.observe))
 	if err != nil {
 		return trace.Wrap(err)
 	}
