fleet: the newest version that a process has named

Relay and sidecar kept it each for itself, beside the list of who has which version, which the view held already. TestRelays asked Holders for a version; it now asks Newer for the same and for more cases.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -89,6 +89,9 @@
 	interval time.Duration
 	// introduced is when this process told unknown sidecars of itself.
 	introduced map[netip.Addr]time.Duration
+	// newest is the highest configuration that a process has named, and newestFrom who.
+	newest     uint64
+	newestFrom netip.Addr
 }
 
 // New returns an empty view of a fleet whose sidecars report at least each interval.
@@ -281,16 +284,26 @@
 // Relay returns a relay, or nil.
 func (v *View) Relay(addr netip.Addr) *Relay { return v.relays[addr] }
 
-// Holders returns the relays that have reported a version or a higher one, with
-// the process that was heard to have it.
-func (v *View) Holders(version uint64, named netip.Addr) []netip.Addr {
-	holders := []netip.Addr{named}
+// HeardVersion notes that a process has a version of the configuration.
+func (v *View) HeardVersion(version uint64, from netip.Addr) {
+	if version > v.newest {
+		v.newest, v.newestFrom = version, from
+	}
+}
+
+// Newer returns the highest version that a process has named, if it is higher than
+// a given one, and processes that have it: the one that named it, and relays.
+func (v *View) Newer(version uint64) (uint64, []netip.Addr) {
+	if v.newest <= version {
+		return 0, nil
+	}
+	holders := []netip.Addr{v.newestFrom}
 	for _, r := range v.Relays() {
-		if r.Version >= version && r.Addr != named {
+		if r.Version >= v.newest && r.Addr != v.newestFrom {
 			holders = append(holders, r.Addr)
 		}
 	}
-	return holders
+	return v.newest, holders
 }
 
 // RelayCount returns the number of known relays.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -77,8 +77,20 @@
 	assert.Assert(t, change.New)
 	_, change = v.ReportRelay(time.Second, peer.RelayReport{Relay: _one, Incarnation: 1, Sequence: 1, Version: 9})
 	assert.Assert(t, change.Stale)
-	assert.DeepEqual(t, len(v.Holders(7, _two)), 2)
-	assert.DeepEqual(t, len(v.Holders(8, _two)), 1)
+	for _, tt := range []struct {
+		heard, has, newer uint64
+		holders           int
+	}{
+		{7, 6, 7, 2}, // named by a sidecar, and reported by the relay
+		{7, 7, 0, 0},
+		{8, 7, 8, 1}, // the relay's stale report does not count
+		{6, 7, 8, 1}, // nobody takes a version back
+	} {
+		v.HeardVersion(tt.heard, _two)
+		newer, holders := v.Newer(tt.has)
+		assert.Equal(t, newer, tt.newer)
+		assert.Equal(t, len(holders), tt.holders)
+	}
 }
 
 func TestForget(t *testing.T) {
--- a/relay/core.go
+++ b/relay/core.go
@@ -135,9 +135,6 @@
 	leaving                            bool
 	sequence, rounds                   uint64
 	nextReport, nextRotate, nextForget time.Duration
-	// newest is the highest version that any process has named.
-	newest     uint64
-	newestFrom netip.Addr
 	// parked are opening packets that came before the relay knew where to send them.
 	parked []parked
 	// searchBudget is what questions may send, in bytes, as of searchAt.
@@ -263,10 +260,7 @@
 // Behind returns the highest version that a process has named, if it is higher
 // than the one in force, and processes that have it.
 func (c *Core) Behind() (uint64, []netip.Addr) {
-	if c.newest <= c.table.Version() {
-		return 0, nil
-	}
-	return c.newest, c.view.Holders(c.newest, c.newestFrom)
+	return c.view.Newer(c.table.Version())
 }
 
 // SetTable puts a configuration in force if its version is higher. It reports
@@ -459,10 +453,3 @@
 	}
 	return out
 }
-
-// heardVersion notes that a process has a version.
-func (c *Core) heardVersion(v uint64, from netip.Addr) {
-	if v > c.newest {
-		c.newest, c.newestFrom = v, from
-	}
-}
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -46,7 +46,7 @@
 	if change.Stale {
 		return
 	}
-	c.heardVersion(r.Version, r.Sidecar)
+	c.view.HeardVersion(r.Version, r.Sidecar)
 	if change.New {
 		// It tells the others of its service of itself, and they answer.
 		c.reportTo(now, r.Sidecar, r.Service, c.namesToNew())
@@ -68,7 +68,7 @@
 	if change.Stale {
 		return
 	}
-	c.heardVersion(r.Version, r.Relay)
+	c.view.HeardVersion(r.Version, r.Relay)
 	if age := time.Duration(r.CheckedAge) * time.Millisecond; r.CheckedAge < _neverChecked && age < now {
 		c.noteChecked(now - age)
 	}
@@ -87,7 +87,7 @@
 // verdict takes a sidecar's answer to a packet.
 func (c *Core) verdict(now time.Duration, v peer.Verdict) {
 	c.view.Answered(now, v.Sidecar, int(v.Busy), int(v.Slots))
-	c.heardVersion(v.Version, v.Sidecar)
+	c.view.HeardVersion(v.Version, v.Sidecar)
 	h := c.flows.Get(v.Flow)
 	switch v.Outcome {
 	case peer.Accepted:
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -133,8 +133,6 @@
 	reported   reported
 	nextRotate time.Duration
 	nextForget time.Duration
-	newest     uint64
-	newestFrom netip.Addr
 }
 
 // reported is what was last told to peers and relays, and when.
@@ -239,10 +237,7 @@
 // Behind returns the highest version that a process has named, if it is higher
 // than the one in force, and processes that have it.
 func (c *Core) Behind() (uint64, []netip.Addr) {
-	if c.newest <= c.table.Version() {
-		return 0, nil
-	}
-	return c.newest, c.view.Holders(c.newest, c.newestFrom)
+	return c.view.Newer(c.table.Version())
 }
 
 // Alone reports whether no relay has been heard.
@@ -266,7 +261,7 @@
 		To: strconv.FormatUint(table.Version(), 10), Reason: source, Version: table.Version(),
 	})
 	c.table = table
-	c.heardVersion(table.Version(), c.self.Addr)
+	c.view.HeardVersion(table.Version(), c.self.Addr)
 	return true
 }
 
@@ -303,13 +298,6 @@
 	}
 }
 
-// heardVersion notes that a process has a version.
-func (c *Core) heardVersion(v uint64, from netip.Addr) {
-	if v > c.newest {
-		c.newest, c.newestFrom = v, from
-	}
-}
-
 // setWorking keeps the count of requests in progress.
 func (c *Core) setWorking(h *held, working bool) {
 	if h.working == working {
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -27,7 +27,7 @@
 			p, err = c.wire.Decode(carried.Packet)
 		}
 		if err == nil {
-			c.heardVersion(carried.Version, carried.Origin)
+			c.view.HeardVersion(carried.Version, carried.Origin)
 			c.carried(now, carried, p)
 		}
 	case peer.KindQuestion:
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -16,7 +16,7 @@
 	if change.Stale {
 		return
 	}
-	c.heardVersion(r.Version, r.Relay)
+	c.view.HeardVersion(r.Version, r.Relay)
 	c.fleetSize = int(r.Fleet)
 	c.Introduce(now, r.Relays)
 	for _, addr := range r.Sidecars {
