decision: a fleet does not hide the configuration in the log

Change: changes of the configuration go with the ends of flows; a new sidecar without an upstream is no change and has no line.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -63,6 +63,9 @@
 	Routine bool
 }
 
+// SettingsSubject is the subject of beliefs about the configuration in force.
+const SettingsSubject = "settings"
+
 // Belief is a change of what a process takes for true.
 type Belief struct {
 	// Subject says what it is about, such as "upstream" or "settings".
--- a/decision/log.go
+++ b/decision/log.go
@@ -36,7 +36,9 @@
 const (
 	_routine class = iota
 	_others
-	// _ends are resets and drops. One flow may be refused many times before it ends.
+	// _ends are resets and drops, and changes of the configuration. One flow may be
+	// refused many times before it ends, and a relay that starts learns of a whole
+	// fleet while it gets its configuration.
 	_ends
 	_beliefs
 	_classes
@@ -81,7 +83,11 @@
 
 // Believe logs a change of belief.
 func (l *Log) Believe(now time.Duration, b Belief) {
-	if !l.admit(now, _beliefs) {
+	class := _beliefs
+	if b.Subject == SettingsSubject {
+		class = _ends
+	}
+	if !l.admit(now, class) {
 		return
 	}
 	l.log.Info("belief",
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -79,6 +79,19 @@
 	assert.Equal(t, resets, flows)
 }
 
+// TestFleetDoesNotHideSettings has a relay that starts learn of hundreds of
+// sidecars in the second in which it gets its configuration.
+func TestFleetDoesNotHideSettings(t *testing.T) {
+	var b bytes.Buffer
+	l := decision.NewLog(newLogger(zapcore.AddSync(&b)))
+	for range 300 {
+		l.Believe(0, decision.Belief{Subject: "upstream", To: "ready"})
+	}
+	l.Believe(0, decision.Belief{Subject: decision.SettingsSubject, To: "7"})
+	all := lines(t, b.String())
+	assert.Equal(t, all[len(all)-1]["subject"], "settings")
+}
+
 // blockedOutput blocks until it is released.
 type blockedOutput struct {
 	release chan struct{}
--- a/decision/trail.go
+++ b/decision/trail.go
@@ -136,7 +136,7 @@
 		switch {
 		case line.Message == "lines left out":
 			t.omit(line)
-		case line.Subject == "", line.Subject == "settings", line.Subject == "upstream_life":
+		case line.Subject == "", line.Subject == SettingsSubject, line.Subject == "upstream_life":
 			t.Around = append(t.Around, line)
 		case line.Subject == "upstream" || line.Subject == "sidecar":
 			// A sidecar tells of its own upstream, a relay of those that were asked.
--- a/relay/core.go
+++ b/relay/core.go
@@ -270,7 +270,7 @@
 		return false
 	}
 	c.out.Believe(decision.Belief{
-		Subject: "settings", Name: "routes", From: version(c.table.Version()), To: version(table.Version()),
+		Subject: decision.SettingsSubject, Name: "routes", From: version(c.table.Version()), To: version(table.Version()),
 		Reason: source, Version: table.Version(),
 	})
 	c.table = table
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -51,7 +51,8 @@
 		// It tells the others of its service of itself, and they answer.
 		c.reportTo(now, r.Sidecar, r.Service, c.namesToNew())
 	}
-	if change.New || change.From != u.State {
+	// A sidecar that is new and knows of no upstream changes nothing here.
+	if change.From != u.State || change.New && u.State != peer.Absent {
 		c.out.Believe(decision.Belief{
 			Subject: "upstream", Name: r.Sidecar.String(), From: change.From.String(), To: u.State.String(),
 			Reason: "report of " + r.Service, Version: r.Sequence,
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -257,7 +257,7 @@
 		return false
 	}
 	c.out.Believe(decision.Belief{
-		Subject: "settings", Name: "routes", From: strconv.FormatUint(c.table.Version(), 10),
+		Subject: decision.SettingsSubject, Name: "routes", From: strconv.FormatUint(c.table.Version(), 10),
 		To: strconv.FormatUint(table.Version(), 10), Reason: source, Version: table.Version(),
 	})
 	c.table = table
