--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -150,6 +152,37 @@
 	assert.Equal(t, (<-turnedAway.tables).Version(), uint64(9))
 }
 
+// TestSidecarsLetRelaysGoFirst tells many sidecars at once of the only process that
+// has a configuration. It must not be asked by all of them at once.
+func TestSidecarsLetRelaysGoFirst(t *testing.T) {
+	const sidecars, most, window = 24, 12, 50 * time.Millisecond
+	listener, err := net.Listen("tcp4", "127.0.7.4:0")
+	assert.NilError(t, err)
+	asked := make(chan time.Time, sidecars)
+	holder := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked <- time.Now()
+		_, _ = w.Write([]byte(`{"version":9}`))
+	})}
+	go func() { _ = holder.Serve(listener) }()
+	defer holder.Close()
+	served := listener.Addr().(*net.TCPAddr).AddrPort()
+	for range sidecars {
+		table := newRoutesTable()
+		f, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.5:0"), served.Port(), table, nil, nil, zap.NewNop())
+		assert.NilError(t, err)
+		defer f.Close()
+		table.behind <- []netip.Addr{served.Addr()}
+	}
+	var at []time.Time
+	for range sidecars {
+		at = append(at, <-asked)
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	for i := range sidecars - most {
+		assert.Assert(t, at[i+most].Sub(at[i]) > window, "%d of %d sidecars asked within %v", most+1, sidecars, window)
+	}
+}
+
 // TestRoutesWhileTheStoreIsAway goes on asking a store that fails, and takes the
 // configuration soon after its return.
 func TestRoutesWhileTheStoreIsAway(t *testing.T) {
--- a/dandelionhitch/opaque_routes.go
+++ b/dandelionhitch/opaque_routes.go
@@ -25,8 +25,11 @@
 	// _behindInterval is how often a process looks whether another has a higher
 	// version.
 	_behindInterval = 25 * time.Millisecond
-	// _fetchJitter spreads the processes that fetch a new version at once.
-	_fetchJitter = 60 * time.Millisecond
+	// _fetchJitter spreads the processes that fetch a new version at once. Relays
+	// decide where flows go, so sidecars, which are more, let them go first: the
+	// first relay that has a version would be busy with them for half a second.
+	_fetchJitter        = 60 * time.Millisecond
+	_sidecarFetchJitter = 400 * time.Millisecond
 	// _fetchTimeout bounds one fetch of a configuration.
 	_fetchTimeout = 800 * time.Millisecond
 	// _storePause is the first pause after the store could not be read, and
@@ -66,6 +69,7 @@
 	checks   routesChecks
 	log      *zap.Logger
 	peerPort uint16
+	jitter   time.Duration
 	client   *http.Client
 	server   *http.Server
 	listener net.Listener
@@ -77,8 +81,8 @@
 	read platform.Version
 }
 
-// newRoutesFollower serves at self and follows; others serve at peerPort. store and checks may be nil: then
-// only other processes are asked.
+// newRoutesFollower serves at self and follows; others serve at peerPort. store and checks are nil for a
+// sidecar: it only asks other processes.
 func newRoutesFollower(
 	self netip.AddrPort, peerPort uint16, target routesTarget, store platform.Store, checks routesChecks, log *zap.Logger,
 ) (*routesFollower, error) {
@@ -87,9 +91,12 @@
 		return nil, trace.Wrap(err, "listen for processes that ask for routes at %s", self)
 	}
 	f := &routesFollower{
-		target: target, store: store, checks: checks, log: log, peerPort: peerPort, listener: listener,
+		target: target, store: store, checks: checks, log: log, peerPort: peerPort, jitter: _fetchJitter, listener: listener,
 		client: &http.Client{Timeout: _fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	if store == nil {
+		f.jitter = _sidecarFetchJitter
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+_routesPath, f.serve)
 	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: _fetchTimeout}
@@ -199,7 +206,7 @@
 		if wanted, _ := f.target.Behind(); wanted == 0 {
 			continue
 		}
-		pauseUnlessDying(&f.tomb, rand.N(_fetchJitter))
+		pauseUnlessDying(&f.tomb, rand.N(f.jitter))
 		wanted, holders := f.target.Behind()
 		if wanted == 0 || len(holders) == 0 {
 			continue
