--- /dev/null
+++ b/standin/opaque_silence_test.go
@@ -0,0 +1,58 @@
+package standin_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/standin"
+)
+
+// silentDay plays a load on orders and photos and silences the first upstream of
+// orders at 7 s. It returns when its sidecar last gave it a new flow after that,
+// when a relay last offered it one, and how many offers there were.
+func silentDay(seed uint64, silence func(*standin.WorldVM)) (given, offered time.Duration, offers int) {
+	const at, until = 7 * _seconds, 10 * _seconds
+	d := newDay(seed)
+	silent := d.orders[0]
+	d.load(300, until)
+	d.Records = func(vm netip.Addr, r decision.Record) {
+		switch {
+		case d.Now() < at || d.Now() > until:
+		case vm == silent.Addr && r.Action == decision.Accepted:
+			given = d.Now() - at
+		case r.Action == decision.Placed && r.Target == silent.Addr:
+			offered = d.Now() - at
+			offers++
+		}
+	}
+	d.At(at, func() { silence(silent) })
+	d.Run(until)
+	return given, offered, offers
+}
+
+// TestSilentUpstreamGetsNoFlows crashes an upstream. Its sidecar must notice by
+// the opening packets that it does not answer, which takes 150 ms and two ticks
+// of 20 ms, and give it none beyond a fifth of a second.
+func TestSilentUpstreamGetsNoFlows(t *testing.T) {
+	for seed := range uint64(5) {
+		given, offered, _ := silentDay(seed, (*standin.WorldVM).KillUpstream)
+		t.Logf("seed %d: last given after %v, last offered after %v", seed, given, offered)
+		assert.Assert(t, given <= 200*time.Millisecond, "seed %d: given a flow %v after the crash", seed, given)
+	}
+}
+
+// TestFrozenHostGetsFewOffers freezes a host with its sidecar. Each of the six
+// relays learns by itself that offers are not answered; it may then try once in
+// 0.5 s, and more rarely each time.
+func TestFrozenHostGetsFewOffers(t *testing.T) {
+	const relays, triesIn3s = 6, 3 // after 0.5, 1.5 and 3.5 s
+	for seed := range uint64(5) {
+		_, offered, offers := silentDay(seed, (*standin.WorldVM).Freeze)
+		t.Logf("seed %d: %d offers, the last after %v", seed, offers, offered)
+		assert.Assert(t, offers <= relays*(2+triesIn3s), "seed %d: %d offers to a frozen host in 3 s", seed, offers)
+	}
+}
