dandelionhitch: a mutant for each promise that a program can break

Beside the relays that lie about packets: a relay that reads none after seven seconds, a sidecar that is told of no drain, relays that keep the first configuration.

"At most once" has none: a program that only moves packets cannot make two upstreams run one flow.

--- a/dandelionhitch/mutant_test.go
+++ b/dandelionhitch/mutant_test.go
@@ -2,11 +2,21 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
 	"net/netip"
+	"net/url"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -21,14 +31,34 @@
 	"dandelionhitch.example/soak"
 )
 
-// _mutantPrefix begins the name of a program whose relays do something wrong.
+// _mutantPrefix begins the name of a program that does something wrong.
 const _mutantPrefix = "mutant-"
 
-// mutants are relays that each break one promise, by the promise's name in reports.
-var mutants = map[string]relay.Wire{
-	"packets arrive as they were sent": &changingWire{},
-	"flows reach their own service":    straightWire{},
-	"open flows are not reset":         &reopeningWire{},
+// change changes settings.
+type change func(settings map[string]any, dir string) error
+
+// mutant is what a program does wrong. Its fields may be empty.
+type mutant struct {
+	// wire is a relay's packet format.
+	wire relay.Wire
+	// before, by role, changes the settings of a process before it starts. It may keep
+	// files in dir.
+	before map[string]change
+	// seed is that of a run in which the mutant shows; zero for _mutantSeed.
+	seed uint64
+}
+
+// _mutantSeed has a drain and kills among its faults, but no change of the configuration.
+const _mutantSeed = 100
+
+// mutants each break one promise, by the promise's name in reports.
+var mutants = map[string]mutant{
+	"packets arrive as they were sent":   {wire: &changingWire{}},
+	"flows reach their own service":      {wire: straightWire{}},
+	"open flows are not reset":           {wire: &reopeningWire{}},
+	"all is served after the faults":     {wire: &endingWire{}},
+	"no new flow after a drain":          {before: map[string]change{"sidecar": hideDrains}},
+	"the last configuration is in force": {before: map[string]change{"relay": keepFirst}, seed: 101},
 }
 
 // _mutantEvery is one in how many packets or flows a mutant treats wrongly.
@@ -79,15 +109,117 @@
 	return p, err
 }
 
+// endingWire reads no packets once its relay has run for some seconds.
+type endingWire struct {
+	platform.PacketWire
+	began time.Time
+}
+
+const _mutantLife = 7 * time.Second
+
+func (w *endingWire) Decode(b []byte) (flow.Packet, error) {
+	if w.began.IsZero() {
+		w.began = time.Now()
+	}
+	if time.Since(w.began) > _mutantLife {
+		return flow.Packet{}, errors.New("the packet format is forgotten")
+	}
+	return w.PacketWire.Decode(b)
+}
+
+// hideDrains puts a proxy before a sidecar that tells it of no drain.
+func hideDrains(settings map[string]any, _ string) error {
+	public, ok := settings["control"].(string)
+	if !ok {
+		return errors.New("no control address")
+	}
+	at, err := netip.ParseAddrPort(public)
+	if err != nil {
+		return err
+	}
+	hidden := netip.AddrPortFrom(at.Addr(), at.Port()+_hiddenBy).String()
+	settings["control"] = hidden
+	proxy := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) {
+		r.SetURL(&url.URL{Scheme: "http", Host: hidden})
+		body, err := io.ReadAll(r.In.Body)
+		if err != nil {
+			return // the sidecar refuses what is not whole
+		}
+		body = bytes.ReplaceAll(body, []byte("draining"), []byte("ready"))
+		r.Out.Body, r.Out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	}}
+	return serveMutant(public, proxy)
+}
+
+// keepFirst puts a proxy between a relay and the store that always gives the
+// first configuration that any relay has read.
+func keepFirst(settings map[string]any, dir string) error {
+	store, ok := settings["platform"].(string)
+	if !ok {
+		return errors.New("no store")
+	}
+	target, err := url.Parse(store)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	settings["platform"] = "http://" + listener.Addr().String()
+	proxy := &httputil.ReverseProxy{
+		Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(target) },
+		ModifyResponse: func(r *http.Response) error {
+			if r.Request.Method != http.MethodGet || r.StatusCode != http.StatusOK || !strings.Contains(r.Request.URL.Path, "config") {
+				return nil
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return err
+			}
+			kept := filepath.Join(dir, "first-configuration")
+			if first, err := os.ReadFile(kept); err == nil {
+				body = first
+			} else if err := os.WriteFile(kept, body, 0o600); err != nil {
+				return err
+			}
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+			r.Header.Set("Content-Length", strconv.Itoa(len(body)))
+			return nil
+		},
+	}
+	go func() { _ = http.Serve(listener, proxy) }() // until the process ends
+	return nil
+}
+
+// _hiddenBy is how far above its public port a hidden one is.
+const _hiddenBy = 500
+
+func serveMutant(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	go func() { _ = http.Serve(listener, handler) }() // until the process ends
+	return nil
+}
+
 // runMutant runs this program as the mutant of its name.
 func runMutant(name string, args []string) int {
-	if args[0] != "relay" {
+	m := mutants[name]
+	if change := m.before[args[0]]; change != nil {
+		if err := changeSettings(args[2], change); err != nil {
+			fmt.Fprintln(os.Stderr, "mutant:", err)
+			return _exitFailed
+		}
+	}
+	if args[0] != "relay" || m.wire == nil {
 		return run(context.Background(), args, os.Stdin, os.Stdout, os.Stderr)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	f := newRelayFlags(os.Stdout, os.Stderr)
-	f.wire = mutants[name]
+	f.wire = m.wire
 	if err := ff.Parse(f.FlagSet, args[1:], f.options()...); err != nil {
 		return _exitUsage
 	}
@@ -97,13 +229,32 @@
 	return _exitOK
 }
 
-// TestSoakFindsMutants runs the soak with relays that break a promise now and
+// changeSettings changes a process's settings file.
+func changeSettings(file string, change change) error {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var settings map[string]any
+	if err := json.Unmarshal(content, &settings); err != nil {
+		return err
+	}
+	if err := change(settings, filepath.Dir(file)); err != nil {
+		return err
+	}
+	if content, err = json.Marshal(settings); err != nil {
+		return err
+	}
+	return os.WriteFile(file, content, 0o600)
+}
+
+// TestSoakFindsMutants runs the soak with programs that break a promise now and
 // then: its report must name that promise.
 func TestSoakFindsMutants(t *testing.T) {
 	if testing.Short() {
 		t.Skip("dozens of processes under the race detector")
 	}
-	for promise := range mutants {
+	for promise, m := range mutants {
 		t.Run(promise, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
@@ -112,7 +263,7 @@
 			assert.NilError(t, err)
 			assert.NilError(t, os.Symlink(binary, program))
 			report, err := soak.Run(soak.Config{
-				Program: program, Dir: dir, Seed: 100, Faults: time.Second, Rest: time.Second,
+				Program: program, Dir: dir, Seed: cmp.Or(m.seed, _mutantSeed), Faults: 4 * time.Second, Rest: time.Second,
 				Relays: 3, Hosts: 5, CallsPerSecond: 60,
 			})
 			assert.NilError(t, err)
