relay, decision: names and errors after reading the diff

startSearch is no longer named like the type that it makes; a log without a line of JSON is an error of explain; a process whose start was not logged no longer makes lines without a process part of a trail.

--- a/dandelionhitch/explain_flow.go
+++ b/dandelionhitch/explain_flow.go
@@ -92,8 +92,7 @@
 // readLogs reads files, or stdin if there are none.
 func readLogs(stdin io.Reader, files []string) ([]decision.Line, error) {
 	if len(files) == 0 {
-		lines, _, err := decision.ReadLines(stdin)
-		return lines, err
+		return readLog("standard input", stdin)
 	}
 	var all []decision.Line
 	for _, name := range files {
@@ -101,16 +100,28 @@
 		if err != nil {
 			return nil, trace.ConvertSystemError(err)
 		}
-		lines, _, err := decision.ReadLines(file)
+		lines, err := readLog(name, file)
 		file.Close()
 		if err != nil {
-			return nil, trace.Wrap(err, "log %s", name)
+			return nil, err
 		}
 		all = append(all, lines...)
 	}
 	return all, nil
 }
 
+// readLog reads one log. Lines of other programs may stand between ours.
+func readLog(name string, r io.Reader) ([]decision.Line, error) {
+	lines, unread, err := decision.ReadLines(r)
+	if err != nil {
+		return nil, trace.Wrap(err, "log %s", name)
+	}
+	if len(lines) == 0 && unread > 0 {
+		return nil, trace.BadParameter("log %s: none of %d lines holds JSON", name, unread)
+	}
+	return lines, nil
+}
+
 func explainFlow(out io.Writer, key flow.Key, lines []decision.Line) error {
 	t := decision.NewTrail(key, lines)
 	if len(t.Decisions) == 0 {
--- a/decision/trail.go
+++ b/decision/trail.go
@@ -126,7 +126,7 @@
 	slices.SortStableFunc(t.Decisions, byTime)
 	for _, line := range t.Decisions {
 		if line.Target != "" {
-			involved[line.Target], involved[t.names[line.Target]] = true, true
+			involved[line.Target], involved[t.Process(line.Target)] = true, true
 		}
 	}
 	for _, line := range lines {
--- a/relay/search.go
+++ b/relay/search.go
@@ -26,8 +26,8 @@
 	*question
 }
 
-// openQuestion starts a search, or returns nil if too many are open.
-func (c *Core) openQuestion(now time.Duration, key flow.Key, h *held) *question {
+// startSearch starts a search, or returns nil if too many are open.
+func (c *Core) startSearch(now time.Duration, key flow.Key, h *held) *question {
 	if len(c.questions) >= _maxQuestions {
 		c.counts.Dropped++
 		c.out.Decide(decision.Record{
@@ -68,7 +68,7 @@
 	}
 	q := h.question
 	if q == nil {
-		if q = c.openQuestion(now, key, h); q == nil {
+		if q = c.startSearch(now, key, h); q == nil {
 			return
 		}
 	}
@@ -198,7 +198,7 @@
 		return
 	}
 	h.sidecar = netip.Addr{}
-	if q := c.openQuestion(now, v.Flow, h); q != nil {
+	if q := c.startSearch(now, v.Flow, h); q != nil {
 		q.answers[v.Sidecar] = peer.NotHeld
 		c.search(now, v.Flow, h, p, v.Packet)
 	}
