dandelionhitch: how long sidecars let relays go first depends on their number

Change: 6 ms for each sidecar of the fleet, 60 to 400 ms; so 60 ms at ten and 0.38 s at sixty-three.

--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -106,6 +106,11 @@
 	}
 }
 
+// _testSidecars is the size of the fleet in these tests.
+const _testSidecars = 60
+
+func (r *routesTable) Sidecars() int { return _testSidecars }
+
 func (r *routesTable) CheckDue() time.Duration {
 	select {
 	case due := <-r.due:
--- a/dandelionhitch/opaque_routes.go
+++ b/dandelionhitch/opaque_routes.go
@@ -25,11 +25,13 @@
 	// _behindInterval is how often a process looks whether another has a higher
 	// version.
 	_behindInterval = 25 * time.Millisecond
-	// _fetchJitter spreads the processes that fetch a new version at once. Relays
-	// decide where flows go, so sidecars, which are more, let them go first: the
-	// first relay that has a version would be busy with them for half a second.
-	_fetchJitter        = 60 * time.Millisecond
-	_sidecarFetchJitter = 400 * time.Millisecond
+	// _fetchJitter spreads the processes that fetch a new version at once.
+	_fetchJitter = 60 * time.Millisecond
+	// _sidecarFetchTime is what the first relay that has a version takes to give it to
+	// one sidecar, with 0.06 of a core. Relays decide where flows go, so sidecars
+	// leave it time for the other relays, up to _maxFetchJitter.
+	_sidecarFetchTime = 6 * time.Millisecond
+	_maxFetchJitter   = 400 * time.Millisecond
 	// _fetchTimeout bounds one fetch of a configuration.
 	_fetchTimeout = 800 * time.Millisecond
 	// _storePause is the first pause after the store could not be read, and
@@ -48,6 +50,8 @@
 	// Behind returns the highest version that a process has named, if it is higher
 	// than the one in force, and processes that have it.
 	Behind() (uint64, []netip.Addr)
+	// Sidecars returns how many sidecars the fleet has, as far as this process knows.
+	Sidecars() int
 }
 
 // routesChecks says when this process should read the configuration in the store.
@@ -69,7 +73,6 @@
 	checks   routesChecks
 	log      *zap.Logger
 	peerPort uint16
-	jitter   time.Duration
 	client   *http.Client
 	server   *http.Server
 	listener net.Listener
@@ -91,12 +94,9 @@
 		return nil, trace.Wrap(err, "listen for processes that ask for routes at %s", self)
 	}
 	f := &routesFollower{
-		target: target, store: store, checks: checks, log: log, peerPort: peerPort, jitter: _fetchJitter, listener: listener,
+		target: target, store: store, checks: checks, log: log, peerPort: peerPort, listener: listener,
 		client: &http.Client{Timeout: _fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	if store == nil {
-		f.jitter = _sidecarFetchJitter
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+_routesPath, f.serve)
 	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: _fetchTimeout}
@@ -206,7 +206,7 @@
 		if wanted, _ := f.target.Behind(); wanted == 0 {
 			continue
 		}
-		pauseUnlessDying(&f.tomb, rand.N(f.jitter))
+		pauseUnlessDying(&f.tomb, rand.N(f.jitter()))
 		wanted, holders := f.target.Behind()
 		if wanted == 0 || len(holders) == 0 {
 			continue
@@ -219,6 +219,14 @@
 	}
 }
 
+// jitter returns how long this process waits at most before it fetches a version.
+func (f *routesFollower) jitter() time.Duration {
+	if f.store != nil {
+		return _fetchJitter
+	}
+	return min(max(time.Duration(f.target.Sidecars())*_sidecarFetchTime, _fetchJitter), _maxFetchJitter)
+}
+
 func (f *routesFollower) fetch(holder netip.Addr) error {
 	target := "http://" + netip.AddrPortFrom(holder, f.peerPort).String() + _routesPath
 	request, err := http.NewRequestWithContext(f.ctx, http.MethodGet, target, nil)
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -234,6 +234,9 @@
 // Known returns the numbers of relays and peers that the sidecar knows.
 func (c *Core) Known() (relays, sidecars int) { return c.view.RelayCount(), c.view.SidecarCount() }
 
+// Sidecars returns how many sidecars relays have heard.
+func (c *Core) Sidecars() int { return c.fleetSize }
+
 // Behind returns the highest version that a process has named, if it is higher
 // than the one in force, and processes that have it.
 func (c *Core) Behind() (uint64, []netip.Addr) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -122,6 +122,13 @@
 	s.Believe(decision.Belief{Subject: "heartbeat", Name: id, To: "ignored", Reason: err.Error()})
 }
 
+// Sidecars returns how many sidecars the fleet has, as far as is known here.
+func (s *Sidecar) Sidecars() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Sidecars()
+}
+
 // Behind returns the highest version that a process has named, if it is higher
 // than the one in force, and processes that have it.
 func (s *Sidecar) Behind() (uint64, []netip.Addr) {
