flow, fleet, decision: what both cores did each for itself

Relay and sidecar each kept when to age their flows and when to forget silent processes, with the same two constants, and each built the same belief about the configuration. Cache.Age, View.Tick and decision.NewSettings do it now.

The ring of neighbours hashes with xxhash, as flows do, instead of FNV, and once for each sidecar instead of at each comparison of each report. Who is whose neighbour changes by that, which chance decided before.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -10,6 +10,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"dandelionhitch.example/flow"
@@ -80,6 +81,14 @@
 	Age time.Duration
 }
 
+// NewSettings returns the belief that a configuration is in force, from source.
+func NewSettings(from, to uint64, source string) Belief {
+	return Belief{
+		Subject: SettingsSubject, Name: "routes", From: strconv.FormatUint(from, 10), To: strconv.FormatUint(to, 10),
+		Reason: source, Version: to,
+	}
+}
+
 // Span is a time that is measured for many flows.
 type Span int
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,11 +9,12 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dandelionhitch.example/peer"
 )
 
@@ -31,6 +32,8 @@
 	// cuts are shorter.
 	_forget        = 90 * time.Second
 	_forgetReports = 4
+	// _forgetInterval is how often Tick looks for silent processes.
+	_forgetInterval = 5 * time.Second
 	// _introduceInterval is the least time between two introductions to a process
 	// that has not answered: it may be named by every relay at once.
 	_introduceInterval = time.Second
@@ -59,6 +62,8 @@
 	incarnation, sequence, previous uint64
 	unanswered                      int
 	penaltyUntil                    time.Duration
+	// place is where the sidecar is on the ring of neighbours.
+	place uint64
 }
 
 // Penalized reports whether offers to the upstream went unanswered lately.
@@ -89,6 +94,8 @@
 	interval time.Duration
 	// introduced is when this process told unknown sidecars of itself.
 	introduced map[netip.Addr]time.Duration
+	// nextForget is when Tick looks for silent processes next.
+	nextForget time.Duration
 	// newest is the highest configuration that a process has named, and newestFrom who.
 	newest     uint64
 	newestFrom netip.Addr
@@ -121,7 +128,7 @@
 	u, known := v.upstreams[r.Sidecar]
 	switch {
 	case !known:
-		u = &Upstream{Sidecar: r.Sidecar}
+		u = &Upstream{Sidecar: r.Sidecar, place: ringPlace(r.Sidecar)}
 		v.upstreams[r.Sidecar] = u
 		v.sidecars = insert(v.sidecars, u)
 	case r.Incarnation == u.previous, r.Incarnation == u.incarnation && r.Sequence <= u.sequence:
@@ -206,28 +213,24 @@
 		return append(near, far...)
 	}
 	farCount := max(count/_farShare, count-len(near))
-	near = nextOnRing(near, self, count-min(farCount, len(far)))
-	return append(near, nextOnRing(far, self, farCount)...)
+	place := ringPlace(self)
+	near = nextOnRing(near, place, count-min(farCount, len(far)))
+	return append(near, nextOnRing(far, place, farCount)...)
 }
 
-// nextOnRing returns up to count upstreams next to self on the ring, on both sides.
-func nextOnRing(upstreams []*Upstream, self netip.Addr, count int) []*Upstream {
+// nextOnRing returns up to count upstreams next to a place on the ring, on both sides.
+func nextOnRing(upstreams []*Upstream, place uint64, count int) []*Upstream {
 	if len(upstreams) <= count {
 		return upstreams
 	}
-	own := ringPlace(self)
-	slices.SortFunc(upstreams, func(a, b *Upstream) int {
-		return cmp.Compare(ringPlace(a.Sidecar)-own, ringPlace(b.Sidecar)-own)
-	})
+	slices.SortFunc(upstreams, func(a, b *Upstream) int { return cmp.Compare(a.place-place, b.place-place) })
 	return append(upstreams[:(count+1)/2], upstreams[len(upstreams)-count/2:]...)
 }
 
 // ringPlace returns where an address is on the ring.
 func ringPlace(addr netip.Addr) uint64 {
 	ip := addr.As16()
-	hash := fnv.New64a()
-	_, _ = hash.Write(ip[:]) // it returns no error
-	return hash.Sum64()
+	return xxhash.Sum64(ip[:])
 }
 
 // Sidecars returns all upstreams in the order of their addresses. The slice must
@@ -309,6 +312,14 @@
 // RelayCount returns the number of known relays.
 func (v *View) RelayCount() int { return len(v.relays) }
 
+// Tick does what is due.
+func (v *View) Tick(now time.Duration) {
+	if now >= v.nextForget {
+		v.nextForget = now + _forgetInterval
+		v.Forget(now)
+	}
+}
+
 // Forget drops processes that have been silent for very long and returns the
 // addresses of the relays among them.
 func (v *View) Forget(now time.Duration) []netip.Addr {
--- a/flow/cache.go
+++ b/flow/cache.go
@@ -1,5 +1,11 @@
 package flow
 
+import "time"
+
+// _minIdle is how long an unused flow is kept at least, if its owner does not know
+// the configuration's idle timeout.
+const _minIdle = 15 * time.Second
+
 // Cache maps flows to what is known of them, bounded and aged in two
 // generations: Rotate forgets what has not been used since the Rotate before.
 // It is not safe for concurrent use.
@@ -7,6 +13,8 @@
 	young, old map[Key]*V
 	limit      int
 	evicted    func(Key, *V)
+	// nextAge is when Age rotates next.
+	nextAge time.Duration
 }
 
 // NewCache returns a cache of at most limit flows. evicted is told of each flow
@@ -44,6 +52,15 @@
 	delete(c.old, key)
 }
 
+// Age rotates when it is due, so that a flow is kept for one to two idle times after
+// its last use. An idle time below 15 s counts as that.
+func (c *Cache[V]) Age(now, idle time.Duration) {
+	if now >= c.nextAge {
+		c.nextAge = now + max(idle, _minIdle)
+		c.Rotate()
+	}
+}
+
 // Rotate forgets the old generation and makes the young one old.
 func (c *Cache[V]) Rotate() {
 	if c.evicted != nil {
--- a/relay/core.go
+++ b/relay/core.go
@@ -59,9 +59,6 @@
 	// _openTimeout is how long callers try to open a flow. A flow that was offered
 	// before is not new any more.
 	_openTimeout = 1400 * time.Millisecond
-	// _idle is how long an unused flow is kept at least, if the configuration does
-	// not say.
-	_idle = 15 * time.Second
 	// _firstInterval is how often sidecars report until the size of the fleet is known.
 	_firstInterval = time.Second
 	// _namesEvery is the number of reports of which one names other processes; a
@@ -74,8 +71,6 @@
 	// bytes, since every relay does.
 	_namesToNew    = 1000
 	_minNamesToNew = 4
-	// _forgetInterval is how often silent processes are looked for.
-	_forgetInterval = 5 * time.Second
 	// _checkInterval is how often the relays together read the configuration in the
 	// store: a third of the time in which a change must be in force. They do not
 	// watch: a watch can be deaf for seconds and does not show it.
@@ -132,9 +127,9 @@
 	scratch  []placement.Candidate
 	eligible []*fleet.Upstream
 
-	leaving                            bool
-	sequence, rounds                   uint64
-	nextReport, nextRotate, nextForget time.Duration
+	leaving          bool
+	sequence, rounds uint64
+	nextReport       time.Duration
 	// parked are opening packets that came before the relay knew where to send them.
 	parked []parked
 	// searchBudget is what questions may send, in bytes, as of searchAt.
@@ -272,10 +267,7 @@
 	if table.Version() <= c.table.Version() {
 		return false
 	}
-	c.out.Believe(decision.Belief{
-		Subject: decision.SettingsSubject, Name: "routes", From: version(c.table.Version()), To: version(table.Version()),
-		Reason: source, Version: table.Version(),
-	})
+	c.out.Believe(decision.NewSettings(c.table.Version(), table.Version(), source))
 	c.table = table
 	c.nextReport = now
 	c.openParked(now)
@@ -353,14 +345,8 @@
 	if now >= c.nextReport {
 		c.report(now)
 	}
-	if now >= c.nextRotate {
-		c.nextRotate = now + max(c.table.IdleTimeout(), _idle)
-		c.flows.Rotate()
-	}
-	if now >= c.nextForget {
-		c.nextForget = now + _forgetInterval
-		c.view.Forget(now)
-	}
+	c.flows.Age(now, c.table.IdleTimeout())
+	c.view.Tick(now)
 }
 
 // overdue returns the flows whose offer was not answered in time, in an order
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"strconv"
 	"time"
 
 	"dandelionhitch.example/decision"
@@ -242,5 +241,3 @@
 	c.buffer = c.wire.AppendReset(c.buffer[:0], key, ack)
 	c.out.ToCaller(key.Caller.Addr(), c.buffer)
 }
-
-func version(v uint64) string { return strconv.FormatUint(v, 10) }
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"dandelionhitch.example/decision"
@@ -35,9 +34,6 @@
 	// _suspicionHold is how long a suspicion outlasts heartbeats, so that an upstream
 	// that beats but takes no flows is not offered one at each beat.
 	_suspicionHold = 500 * time.Millisecond
-	// _idle is how long an unused flow is kept at least, if the configuration does
-	// not say.
-	_idle = 15 * time.Second
 	// _peerInterval is the least time between two reports of load to peers,
 	// _relayInterval that to relays, and _beatInterval the longest time between two
 	// reports to peers. _sentPerSecond bounds the reports that one process sends to
@@ -49,8 +45,6 @@
 	// _neighbours bounds the peers that a sidecar tells of its load, and passes flows
 	// on to: a free slot among so many is hardly ever missed.
 	_neighbours = 16
-	// _forgetInterval is how often silent processes are looked for.
-	_forgetInterval = 5 * time.Second
 	// _suspectTicks is how many ticks in a row must have come within _maxTick before
 	// silence counts, so that a sidecar that stood still blames nobody.
 	_suspectTicks = 2
@@ -125,14 +119,12 @@
 	quicks   []float64
 	// opening are flows whose opening packet the upstream was given and whose
 	// request has not come, in the order of the giving.
-	opening    []*held
-	sequence   uint64
-	fleetSize  int
-	lastTick   time.Duration
-	onTime     int
-	reported   reported
-	nextRotate time.Duration
-	nextForget time.Duration
+	opening   []*held
+	sequence  uint64
+	fleetSize int
+	lastTick  time.Duration
+	onTime    int
+	reported  reported
 }
 
 // reported is what was last told to peers and relays, and when.
@@ -259,10 +251,7 @@
 	if table.Version() <= c.table.Version() {
 		return false
 	}
-	c.out.Believe(decision.Belief{
-		Subject: decision.SettingsSubject, Name: "routes", From: strconv.FormatUint(c.table.Version(), 10),
-		To: strconv.FormatUint(table.Version(), 10), Reason: source, Version: table.Version(),
-	})
+	c.out.Believe(decision.NewSettings(c.table.Version(), table.Version(), source))
 	c.table = table
 	c.view.HeardVersion(table.Version(), c.self.Addr)
 	return true
@@ -291,14 +280,8 @@
 	c.checkOpenings(now)
 	c.checkHeartbeats(now)
 	c.reportDue(now)
-	if now >= c.nextRotate {
-		c.nextRotate = now + max(c.table.IdleTimeout(), _idle)
-		c.flows.Rotate()
-	}
-	if now >= c.nextForget {
-		c.nextForget = now + _forgetInterval
-		c.view.Forget(now)
-	}
+	c.flows.Age(now, c.table.IdleTimeout())
+	c.view.Tick(now)
 }
 
 // setWorking keeps the count of requests in progress.
