soak: ports that runs on one machine do not share

Runs that start together could find the same free ports, since a port was free again as soon as it was found, and then one run's VMs answered the other's callers. A run now listens on its ports at an address that no VM has until it ends.

--- a/soak/links.go
+++ b/soak/links.go
@@ -18,18 +18,33 @@
 	ingress, ready, control, outbound, upstream, peer, behind uint16
 }
 
-// freePorts finds ports that are free on this machine.
-func freePorts() (ports, error) {
-	var p ports
+// reservation keeps ports from other runs on this machine: all runs have the same
+// addresses, so two must not have the same port.
+type reservation struct {
+	ports     ports
+	listeners []net.Listener
+}
+
+// reservePorts takes ports that are free, by listening where no VM does.
+func reservePorts() (*reservation, error) {
+	r := &reservation{}
+	p := &r.ports
 	for _, port := range []*uint16{&p.ingress, &p.ready, &p.control, &p.outbound, &p.upstream, &p.peer, &p.behind} {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
-			return p, trace.Wrap(err, "find a free port")
+			r.close()
+			return nil, trace.Wrap(err, "find a free port")
 		}
-		defer listener.Close()
+		r.listeners = append(r.listeners, listener)
 		*port = uint16(listener.Addr().(*net.TCPAddr).Port)
 	}
-	return p, nil
+	return r, nil
+}
+
+func (r *reservation) close() {
+	for _, listener := range r.listeners {
+		listener.Close()
+	}
 }
 
 // link is what happens to messages in one direction between two VMs.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -143,6 +143,7 @@
 	starter  *starter
 	links    *links
 	ports    ports
+	reserved *reservation
 	promises map[string]*Promise
 	faults   []string
 	tomb     tomb.Tomb
@@ -175,10 +176,10 @@
 	for _, name := range []string{_flowsKept, _ownService, _unchanged, _drained, _once, _inForce, _servedAgain} {
 		r.promises[name] = &Promise{Name: name}
 	}
-	r.ports, err = freePorts()
-	if err != nil {
+	if r.reserved, err = reservePorts(); err != nil {
 		return nil, err
 	}
+	r.ports = r.reserved.ports
 	if r.links, err = newLinks(r.ports, config.Seed); err != nil {
 		return nil, err
 	}
@@ -321,6 +322,7 @@
 	}
 	_ = r.client.Close()
 	_ = r.store.Close()
+	r.reserved.close()
 }
 
 // logPath is where the log of a VM's process goes.
