standin, soak: one copy of the routers' rule

The world of standin and the soak each chose the relay for a caller's packet, by rules that differed where fewer than half of a zone's relays are in rotation. standin.Route is the platform's rule and serves both.

--- a/soak/calls.go
+++ b/soak/calls.go
@@ -121,26 +121,17 @@
 	c.Start(r.now(), r.random.Uint32())
 }
 
-// route hands a caller's packet to a relay in rotation, as routers do.
+// route hands a caller's packet to a relay, as routers do.
 func (r *run) route(c *call, packet []byte) {
-	var inZone, anywhere []*vm
+	var relays []*vm
 	for _, v := range r.vms {
-		if v.isHost() || v.misses >= _maxMisses {
-			continue
+		if !v.isHost() {
+			relays = append(relays, v)
 		}
-		anywhere = append(anywhere, v)
-		if v.zone == c.zone {
-			inZone = append(inZone, v)
-		}
-	}
-	if len(inZone) == 0 {
-		inZone = anywhere
 	}
-	if len(inZone) == 0 {
-		return
+	if v := standin.Route(relays, c.zone, c.Key); v != nil {
+		r.links.out.Send(netip.AddrPortFrom(v.addr, r.ports.ingress), packet)
 	}
-	v := inZone[c.Key.Hash()%uint64(len(inZone))]
-	r.links.out.Send(netip.AddrPortFrom(v.addr, r.ports.ingress), packet)
 }
 
 // takeReply takes a packet for a caller and checks it.
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -83,6 +83,12 @@
 
 func (v *vm) isHost() bool { return v.service != "" }
 
+// InZone implements standin.Entry.
+func (v *vm) InZone(zone string) bool { return v.zone == zone }
+
+// InRotation implements standin.Entry.
+func (v *vm) InRotation() bool { return v.misses < _maxMisses }
+
 func (v *vm) String() string { return fmt.Sprintf("%v", v.addr) }
 
 // at returns an address of the VM.
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -234,40 +234,25 @@
 	w.at(w.now+_probeInterval, w.probe)
 }
 
-// route hands a caller's packet to a relay in its zone, as routers do: to one in
-// rotation, or to any if fewer than half are. If none is, it goes to another zone
-// that has one in rotation.
+// route hands a caller's packet to a relay, as routers do.
 func (w *OpaqueWorld) route(zone string, key flow.Key, packet []byte) {
-	var inZone, zoneReady, ready []*WorldVM
+	var relays []*WorldVM
 	for _, vm := range w.list {
-		if vm.Relay == nil {
-			continue
-		}
-		if vm.Zone == zone {
-			inZone = append(inZone, vm)
-		}
-		if vm.misses >= _maxMisses {
-			continue
-		}
-		ready = append(ready, vm)
-		if vm.Zone == zone {
-			zoneReady = append(zoneReady, vm)
+		if vm.Relay != nil {
+			relays = append(relays, vm)
 		}
 	}
-	choice := zoneReady
-	switch {
-	case len(zoneReady) == 0 && len(ready) > 0:
-		choice = ready
-	case 2*len(zoneReady) < len(inZone):
-		choice = inZone
-	}
-	if len(choice) == 0 {
-		return
+	if vm := Route(relays, zone, key); vm != nil {
+		w.deliver(key.Caller.Addr(), vm, _toCaller, func() { vm.Relay.CallerPacket(vm.clock(), packet) })
 	}
-	vm := choice[key.Hash()%uint64(len(choice))]
-	w.deliver(key.Caller.Addr(), vm, _toCaller, func() { vm.Relay.CallerPacket(vm.clock(), packet) })
 }
 
+// InZone implements Entry.
+func (vm *WorldVM) InZone(zone string) bool { return vm.Zone == zone }
+
+// InRotation implements Entry.
+func (vm *WorldVM) InRotation() bool { return vm.misses < _maxMisses }
+
 // deliver plays f at a VM after a delay, unless the message is lost or the
 // process does not run then. A frozen process gets it when it wakes.
 func (w *OpaqueWorld) deliver(from netip.Addr, to *WorldVM, delay time.Duration, f func()) {
