--- a/standin/opaque_load_test.go
+++ b/standin/opaque_load_test.go
@@ -34,8 +34,12 @@
 	adjust func(*day)
 }
 
-// play plays a load and returns its world.
-func (l playedLoad) play(seed uint64) *day {
+// build returns the load's world before its first call. Upstreams work as long as
+// work says, which is called for each request; nil stands for the load's own.
+func (l playedLoad) build(seed uint64, work func(*day) time.Duration) *day {
+	if work == nil {
+		work = func(d *day) time.Duration { return drawWork(d.Random(), l.work) }
+	}
 	d := &day{OpaqueWorld: standin.NewOpaqueWorld(seed)}
 	d.Beliefs = func(_ netip.Addr, b decision.Belief) {
 		if b.Reason == "answers_too_early" {
@@ -48,14 +52,29 @@
 	for i := range l.hosts {
 		d.orders = append(d.orders, d.AddHost(fmt.Sprint(i%l.zones), "orders", func(u *standin.OpaqueUpstream) {
 			u.Slots, u.Size = l.slots, 2000
-			u.Work = func() time.Duration { return drawWork(d.Random(), l.work) }
+			u.Work = func() time.Duration { return work(d) }
 		}))
 	}
-	d.SetTable(directory.New(1, 15*_seconds, []directory.Route{
+	d.SetTable(l.table())
+	return d
+}
+
+// table returns the configuration of the load's one route.
+func (l playedLoad) table() directory.Table {
+	return directory.New(1, 15*_seconds, []directory.Route{
 		{Address: _orders, Shares: []directory.Share{{Service: "orders", Weight: 1}}, Target: l.aim, Timeout: l.timeout},
-	}))
+	})
+}
+
+// rate returns the mean rate of calls, in calls a second.
+func (l playedLoad) rate() float64 {
 	mean := l.work.Seconds() * (1 + 0.03*6)
-	rate := l.use * float64(l.hosts*l.slots) / mean
+	return l.use * float64(l.hosts*l.slots) / mean
+}
+
+// play plays a load and returns its world.
+func (l playedLoad) play(seed uint64) *day {
+	d, rate := l.build(seed, nil), l.rate()
 	var next func()
 	next = func() {
 		zone := d.Random().IntN(l.zones)
--- a/standin/opaque_return_test.go
+++ b/standin/opaque_return_test.go
@@ -9,7 +9,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"dandelionhitch.example/directory"
 	"dandelionhitch.example/standin"
 )
 
@@ -54,30 +53,24 @@
 const (
 	_returnHosts, _returnSlots = 7, 2
 	_returnWork                = 13 * time.Millisecond
+	_returnUse                 = 0.35
 	_returnTarget              = 100 * time.Millisecond
 )
 
-func playReturn(seed uint64, use float64) *returnDay {
-	d := &returnDay{day: &day{OpaqueWorld: standin.NewOpaqueWorld(seed)}, timeout: _seconds, back: _lostAt + _backAfter}
-	for i := range 4 {
-		d.relays = append(d.relays, d.AddRelay(fmt.Sprint(i%3)))
+func playReturn(seed uint64) *returnDay {
+	l := playedLoad{
+		zones: 3, relays: 4, hosts: _returnHosts, slots: _returnSlots, work: _returnWork, use: _returnUse,
+		aim: _returnTarget, timeout: _seconds,
 	}
-	for i := range _returnHosts {
-		d.orders = append(d.orders, d.AddHost(fmt.Sprint(i%3), "orders", func(u *standin.OpaqueUpstream) {
-			u.Slots, u.Size = _returnSlots, 2000
-			u.Work = func() time.Duration {
-				took := drawWork(d.Random(), _returnWork)
-				if since := d.Now() - _lostAt - _startedAfter; since >= 0 && since < _coldFor {
-					took = time.Duration(float64(took) * _coldFactor)
-				}
-				return took
-			}
-		}))
-	}
-	table := directory.New(1, 15*_seconds, []directory.Route{
-		{Address: _orders, Shares: []directory.Share{{Service: "orders", Weight: 1}}, Target: _returnTarget, Timeout: d.timeout},
+	table := l.table()
+	d := &returnDay{timeout: l.timeout, back: _lostAt + _backAfter}
+	d.day = l.build(seed, func(d *day) time.Duration {
+		took := drawWork(d.Random(), l.work)
+		if since := d.Now() - _lostAt - _startedAfter; since >= 0 && since < _coldFor {
+			took = time.Duration(float64(took) * _coldFactor)
+		}
+		return took
 	})
-	d.SetTable(table)
 	d.At(_lostAt, func() {
 		d.StoreAway = true
 		for _, vm := range slices.Concat(d.relays, d.orders) {
@@ -102,8 +95,7 @@
 		}
 	})
 	d.At(d.back+_sidecarsBehind, func() { d.SetTable(table) })
-	mean := _returnWork.Seconds() * (1 + 0.03*6)
-	d.send(use*_returnHosts*_returnSlots/mean, _lostAt+7*_seconds)
+	d.send(l.rate(), _lostAt+7*_seconds)
 	d.Run(_lostAt + 9*_seconds)
 	return d
 }
@@ -146,13 +138,18 @@
 // share returns the share of the requests that began in a span of time, from the
 // return of the configuration on, and were answered within a time.
 func (d *returnDay) share(from, to, within time.Duration) float64 {
+	return d.shareOf(from, to, within, func(r *request) (time.Duration, bool) { return r.ended - r.began, r.answered })
+}
+
+// shareOf is share with answers of a model: how long each took, if there was one.
+func (d *returnDay) shareOf(from, to, within time.Duration, answer func(*request) (time.Duration, bool)) float64 {
 	all, good := 0, 0
 	for _, r := range d.requests {
 		if r.began < d.back+from || r.began >= d.back+to {
 			continue
 		}
 		all++
-		if r.answered && r.ended-r.began <= within {
+		if took, ok := answer(r); ok && took <= within {
 			good++
 		}
 	}
@@ -178,19 +175,11 @@
 			}
 		}
 	}
-	share := func(from, to, within time.Duration) float64 {
-		all, good := 0, 0
-		for _, r := range d.requests {
-			if r.began >= d.back+from && r.began < d.back+to {
-				all++
-				if t, ok := took[r]; ok && t <= within {
-					good++
-				}
-			}
-		}
-		return float64(good) / float64(all)
+	answer := func(r *request) (time.Duration, bool) {
+		t, ok := took[r]
+		return t, ok
 	}
-	return share(0, _freshFor, aim), share(-_waitedFor, 0, d.timeout)
+	return d.shareOf(0, _freshFor, aim, answer), d.shareOf(-_waitedFor, 0, d.timeout, answer)
 }
 
 // next returns the request that the oracle serves next, nil if there is none.
@@ -219,9 +208,9 @@
 // least half as many must be answered as an oracle could.
 func TestCallersThatWaitForTheConfiguration(t *testing.T) {
 	skipUnderRaceDetector(t)
-	const use, inTime = 0.35, 0.88
+	const inTime = 0.88
 	for seed := range uint64(3) {
-		d := playReturn(seed, use)
+		d := playReturn(seed)
 		assert.Assert(t, len(d.Broken) == 0, "%v", d.Broken)
 		fresh, later := d.share(0, _freshFor, _returnTarget), d.share(_freshFor, 2*_seconds, _returnTarget)
 		waited := d.share(-_waitedFor, 0, d.timeout)
