dandelionhitch: relay and sidecar start what is beside their data path in one place

Both had the same start of routes, readiness, control, registry and settings, four HTTP servers of their own and two ways to pause. Behaviour is the same; a relay no longer counts sidecars for a wait that only sidecars have.

--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -60,7 +60,7 @@
 	announcer   *announcer.Announcer
 	leaseholder *leaseholder.Leaseholder
 	dispatcher  *dispatcher.Dispatcher
-	peerServer  *peerServer
+	peerServer  *httpServer
 	agent       *agent.Agent
 	// serves says that connection IDs and leases carry the incarnation of now.
 	serves atomic.Bool
--- a/dandelionhitch/metrics.go
+++ b/dandelionhitch/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,7 +14,6 @@
 	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
-	"gopkg.in/tomb.v2"
 )
 
 // _meterName is the instrumentation scope of all metrics.
@@ -26,10 +24,9 @@
 
 // metricsServer serves a process's metrics over HTTP at /metrics.
 type metricsServer struct {
-	tomb     tomb.Tomb
 	provider *sdkmetric.MeterProvider
-	listener net.Listener
-	server   *http.Server
+	// server is nil if the metrics are not served.
+	server *httpServer
 }
 
 // newMetricsServer serves at address; a zero address collects without serving.
@@ -46,15 +43,14 @@
 	if !address.IsValid() {
 		return m, nil
 	}
-	m.listener, err = net.Listen("tcp", address.String())
+	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "start metrics at %s", address)
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /ready", readiness(ready))
-	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: _metricsReadTimeout}
-	m.tomb.Go(m.run)
+	m.server = serveHTTP("metrics", listener, &http.Server{Handler: mux, ReadHeaderTimeout: _metricsReadTimeout})
 	return m, nil
 }
 
@@ -65,18 +61,11 @@
 func (m *metricsServer) Close() error {
 	errs := []error{m.provider.Shutdown(context.Background())}
 	if m.server != nil {
-		errs = append(errs, m.server.Close(), m.tomb.Wait())
+		errs = append(errs, m.server.Close())
 	}
 	return trace.NewAggregate(errs...)
 }
 
-func (m *metricsServer) run() error {
-	if err := m.server.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
-		return trace.Wrap(err, "serve metrics")
-	}
-	return nil
-}
-
 func readiness(ready func() bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		if !ready() {
--- a/dandelionhitch/mutant_test.go
+++ b/dandelionhitch/mutant_test.go
@@ -53,9 +53,9 @@
 
 // mutants each break one promise, by the promise's name in reports.
 var mutants = map[string]mutant{
-	"packets arrive as they were sent":   {wire: &changingWire{}},
+	"packets arrive as they were sent":   {wire: &someWire{wrong: changeByte}},
 	"flows reach their own service":      {wire: straightWire{}},
-	"open flows are not reset":           {wire: &reopeningWire{}},
+	"open flows are not reset":           {wire: &someWire{wrong: reopen}},
 	"all is served after the faults":     {wire: &endingWire{}},
 	"no new flow after a drain":          {before: map[string]change{"sidecar": hideDrains}},
 	"the last configuration is in force": {before: map[string]change{"relay": keepFirst}, seed: 101},
@@ -64,22 +64,30 @@
 // _mutantEvery is one in how many packets or flows a mutant treats wrongly.
 const _mutantEvery = 20
 
-// changingWire changes a byte of some packets with data.
-type changingWire struct {
+// someWire treats some packets with data wrongly.
+type someWire struct {
 	platform.PacketWire
+	wrong   func(b []byte, p *flow.Packet)
 	packets int
 }
 
-func (w *changingWire) Decode(b []byte) (flow.Packet, error) {
+func (w *someWire) Decode(b []byte) (flow.Packet, error) {
 	p, err := w.PacketWire.Decode(b)
 	if err == nil && p.Size > 0 {
 		if w.packets++; w.packets%_mutantEvery == 0 {
-			b[len(b)-1] ^= 1
+			w.wrong(b, &p)
 		}
 	}
 	return p, err
 }
 
+// changeByte changes a byte of a packet.
+func changeByte(b []byte, _ *flow.Packet) { b[len(b)-1] ^= 1 }
+
+// reopen takes a packet for an opening one, which goes to any upstream; one that
+// does not have the flow gives it back.
+func reopen(_ []byte, p *flow.Packet) { p.Flags = flow.SYN }
+
 // straightWire takes some flows for those of the address before theirs, which
 // another service has.
 type straightWire struct{ platform.PacketWire }
@@ -92,23 +100,6 @@
 	return p, err
 }
 
-// reopeningWire takes some packets with data for opening ones, which go to any
-// upstream; one that does not have the flow gives them back.
-type reopeningWire struct {
-	platform.PacketWire
-	packets int
-}
-
-func (w *reopeningWire) Decode(b []byte) (flow.Packet, error) {
-	p, err := w.PacketWire.Decode(b)
-	if err == nil && p.Size > 0 {
-		if w.packets++; w.packets%_mutantEvery == 0 {
-			p.Flags = flow.SYN
-		}
-	}
-	return p, err
-}
-
 // endingWire reads no packets once its relay has run for some seconds.
 type endingWire struct {
 	platform.PacketWire
@@ -137,7 +128,9 @@
 	if err != nil {
 		return err
 	}
-	hidden := netip.AddrPortFrom(at.Addr(), at.Port()+_hiddenBy).String()
+	ip := at.Addr().As4()
+	ip[1] += _hiddenBy
+	hidden := netip.AddrPortFrom(netip.AddrFrom4(ip), at.Port()).String()
 	settings["control"] = hidden
 	proxy := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) {
 		r.SetURL(&url.URL{Scheme: "http", Host: hidden})
@@ -192,8 +185,9 @@
 	return nil
 }
 
-// _hiddenBy is how far above its public port a hidden one is.
-const _hiddenBy = 500
+// _hiddenBy is how far the second octet of a hidden address is from that of its VM:
+// no VM or caller of a soak is there.
+const _hiddenBy = 10
 
 func serveMutant(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"io"
 	"net/netip"
 	"net/url"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap/zapcore"
 
 	"dandelionhitch.example/platform"
@@ -43,6 +46,9 @@
 	_defaultMemoryMB = 64
 )
 
+// _flowMemoryShare is the part of a process's memory that flows may fill.
+const _flowMemoryShare = 0.3
+
 func newOpaqueFlags(role string, stdout, stderr io.Writer) *opaqueFlags {
 	f := &opaqueFlags{flagSet: newFlagSet("dandelionhitch "+role, stderr), logOutput: stdout}
 	f.StringVar(&f.node, "node", "", "name of this VM in logs")
@@ -63,15 +69,57 @@
 	return f
 }
 
-// checkOpaque checks what relay and sidecar share.
-func (f *opaqueFlags) checkOpaque(args []string) error {
+// check checks what relay and sidecar share.
+func (f *opaqueFlags) check(args []string) error {
 	if f.peerPort > 1<<16-1 {
 		f.add("-peer-port", trace.BadParameter("%d is not a port", f.peerPort))
 	}
 	if f.hostedMode != _hostedMode {
 		f.add("-upstream-mode", trace.BadParameter("%q is not served, only %q is", f.hostedMode, _hostedMode))
 	}
-	return f.check(args)
+	return f.flagSet.check(args)
+}
+
+// common returns the settings that relay and sidecar share.
+func (f *opaqueFlags) common() *opaqueFlags { return f }
+
+// opaqueRole is the settings of a relay or of a sidecar.
+type opaqueRole interface {
+	common() *opaqueFlags
+	check(args []string) error
+	// run runs the process until ctx ends.
+	run(ctx context.Context) error
+}
+
+func opaqueCommand(name, help string, f opaqueRole) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "dandelionhitch " + name + " -config FILE [flags]",
+		ShortHelp:  help,
+		FlagSet:    f.common().FlagSet,
+		Options:    f.common().options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := f.check(args); err != nil {
+				return err
+			}
+			return f.run(ctx)
+		},
+	}
+}
+
+// readSeeds returns the seeds of a settings file, which must be right as a whole.
+// read holds nothing yet.
+func readSeeds(path string, read opaqueRole) ([]netip.Addr, error) {
+	f := read.common()
+	if err := ff.Parse(f.FlagSet, []string{"-config", path}, f.options()...); err != nil {
+		return nil, err
+	}
+	return f.seedAddrs(), read.check(nil)
+}
+
+// maxFlows returns how many flows the process may remember, each of so many bytes.
+func (f *opaqueFlags) maxFlows(bytes float64) int {
+	return int(float64(f.memoryMB<<20) * _flowMemoryShare / bytes)
 }
 
 // seedAddrs returns the seeds' VMs.
--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/netip"
 	"runtime/debug"
 	"time"
@@ -124,3 +125,56 @@
 func (h histograms) observe(span decision.Span, took time.Duration) {
 	h[span].Record(context.Background(), took.Seconds())
 }
+
+// opaqueServices is what a relay or sidecar has beside its data path, and what
+// differs between them.
+type opaqueServices struct {
+	// target is the data path.
+	target interface {
+		routesTarget
+		registryTarget
+	}
+	// ready answers routers, and control upstreams.
+	ready   func() bool
+	control http.Handler
+	// settings returns settings of this role that hold nothing yet.
+	settings func() opaqueRole
+	// store and checks are nil for a sidecar, which does not read the configuration
+	// in the store; jitter is how long it waits at most before it fetches one.
+	store  platform.Store
+	checks routesChecks
+	jitter func() time.Duration
+	// self, heard and alone are those of a registry.
+	self  *relayEntry
+	heard func(netip.Addr) bool
+	alone func() bool
+}
+
+// startServices starts what a process has beside its data path.
+func (n *opaqueNode) startServices(s opaqueServices) error {
+	f := n.flags
+	routes, err := newRoutesFollower(n.peerAddr(), uint16(f.peerPort), s.target, s.store, s.checks, s.jitter, n.log)
+	if err != nil {
+		return err
+	}
+	n.add(routes)
+	ready, err := newHTTPServer("readiness", f.ready, platform.ReadyHandler(s.ready))
+	if err != nil {
+		return err
+	}
+	n.add(ready)
+	control, err := newHTTPServer("control", f.control, s.control)
+	if err != nil {
+		return err
+	}
+	n.add(control)
+	s.target.Introduce(f.seedAddrs())
+	if n.store != nil {
+		r := &registry{store: n.store, log: n.log, target: s.target, self: s.self, heard: s.heard, alone: s.alone}
+		r.start()
+		n.add(r)
+	}
+	read := func(path string) ([]netip.Addr, error) { return readSeeds(path, s.settings()) }
+	n.add(newSettingsReloader(f.file, n.log, read, s.target.Introduce))
+	return nil
+}
--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -106,10 +106,11 @@
 	}
 }
 
-// _testSidecars is the size of the fleet in these tests.
-const _testSidecars = 60
+// jitterOfSidecar is that of a sidecar in a fleet of sixty.
+func jitterOfSidecar() time.Duration { return sidecarFetchJitter(60) }
 
-func (r *routesTable) Sidecars() int { return _testSidecars }
+// jitterOfRelay is that of a relay.
+func jitterOfRelay() time.Duration { return _fetchJitter }
 
 func (r *routesTable) CheckDue() time.Duration {
 	select {
@@ -141,16 +142,16 @@
 	reader, turnedAway := newRoutesTable(), newRoutesTable()
 	reader.due <- 0
 	self := netip.MustParseAddrPort("127.0.7.1:0")
-	first, err := newRoutesFollower(self, 0, reader, client, reader, zap.NewNop())
+	first, err := newRoutesFollower(self, 0, reader, client, reader, jitterOfRelay, zap.NewNop())
 	assert.NilError(t, err)
 	defer first.Close()
 	assert.Equal(t, (<-reader.tables).Version(), uint64(9))
 	<-reader.reads
 
-	port := first.listener.Addr().String()
+	port := first.server.listener.Addr().String()
 	served, err := netip.ParseAddrPort(port)
 	assert.NilError(t, err)
-	second, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.2:0"), served.Port(), turnedAway, nil, nil, zap.NewNop())
+	second, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.2:0"), served.Port(), turnedAway, nil, nil, jitterOfSidecar, zap.NewNop())
 	assert.NilError(t, err)
 	defer second.Close()
 	turnedAway.behind <- []netip.Addr{served.Addr()}
@@ -173,7 +174,7 @@
 	served := listener.Addr().(*net.TCPAddr).AddrPort()
 	for range sidecars {
 		table := newRoutesTable()
-		f, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.5:0"), served.Port(), table, nil, nil, zap.NewNop())
+		f, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.5:0"), served.Port(), table, nil, nil, jitterOfSidecar, zap.NewNop())
 		assert.NilError(t, err)
 		defer f.Close()
 		table.behind <- []netip.Addr{served.Addr()}
@@ -200,7 +201,7 @@
 	for range 50 {
 		reader.due <- 0
 	}
-	f, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.3:0"), 0, reader, client, reader, zap.NewNop())
+	f, err := newRoutesFollower(netip.MustParseAddrPort("127.0.7.3:0"), 0, reader, client, reader, jitterOfRelay, zap.NewNop())
 	assert.NilError(t, err)
 	defer f.Close()
 	time.Sleep(600 * time.Millisecond) // one call hangs, silently
--- a/dandelionhitch/opaque_registry.go
+++ b/dandelionhitch/opaque_registry.go
@@ -73,13 +73,13 @@
 	r.untilDone("list", r.list)
 	for r.tomb.Alive() {
 		if r.self == nil {
-			pauseUnlessDying(&r.tomb, _aloneInterval)
+			sleepContext(r.ctx, _aloneInterval)
 			if r.alone() {
 				r.untilDone("list", r.list)
 			}
 			continue
 		}
-		pauseUnlessDying(&r.tomb, _sweepInterval+rand.N(_sweepInterval))
+		sleepContext(r.ctx, _sweepInterval+rand.N(_sweepInterval))
 		r.untilDone("sweep", r.sweep)
 	}
 	return nil
@@ -94,7 +94,7 @@
 			return
 		}
 		r.log.Warn("registry of relays", zap.String("op", op), zap.Error(err))
-		pauseUnlessDying(&r.tomb, pause/2+rand.N(pause))
+		sleepContext(r.ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, _maxRegistryPause)
 	}
 }
--- a/dandelionhitch/opaque_routes.go
+++ b/dandelionhitch/opaque_routes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -50,8 +49,6 @@
 	// Behind returns the highest version that a process has named, if it is higher
 	// than the one in force, and processes that have it.
 	Behind() (uint64, []netip.Addr)
-	// Sidecars returns how many sidecars the fleet has, as far as this process knows.
-	Sidecars() int
 }
 
 // routesChecks says when this process should read the configuration in the store.
@@ -71,11 +68,11 @@
 	target   routesTarget
 	store    platform.Store
 	checks   routesChecks
+	jitter   func() time.Duration
 	log      *zap.Logger
 	peerPort uint16
 	client   *http.Client
-	server   *http.Server
-	listener net.Listener
+	server   *httpServer
 
 	mu      sync.Mutex
 	value   []byte
@@ -85,21 +82,22 @@
 }
 
 // newRoutesFollower serves at self and follows; others serve at peerPort. store and checks are nil for a
-// sidecar: it only asks other processes.
+// sidecar: it only asks other processes. jitter is how long it waits at most before that.
 func newRoutesFollower(
-	self netip.AddrPort, peerPort uint16, target routesTarget, store platform.Store, checks routesChecks, log *zap.Logger,
+	self netip.AddrPort, peerPort uint16, target routesTarget, store platform.Store, checks routesChecks,
+	jitter func() time.Duration, log *zap.Logger,
 ) (*routesFollower, error) {
 	listener, err := net.Listen("tcp4", self.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for processes that ask for routes at %s", self)
 	}
 	f := &routesFollower{
-		target: target, store: store, checks: checks, log: log, peerPort: peerPort, listener: listener,
+		target: target, store: store, checks: checks, jitter: jitter, log: log, peerPort: peerPort,
 		client: &http.Client{Timeout: _fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+_routesPath, f.serve)
-	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: _fetchTimeout}
+	f.server = serveHTTP("routes", listener, &http.Server{Handler: mux, ReadHeaderTimeout: _fetchTimeout})
 	f.ctx = f.tomb.Context(context.Background())
 	f.tomb.Go(f.run)
 	return f, nil
@@ -108,12 +106,10 @@
 // Close stops following and serving, and waits.
 func (f *routesFollower) Close() error {
 	f.tomb.Kill(nil)
-	f.server.Close()
-	return f.tomb.Wait()
+	return trace.NewAggregate(f.server.Close(), f.tomb.Wait())
 }
 
 func (f *routesFollower) run() error {
-	f.tomb.Go(f.loopServe)
 	if f.store != nil {
 		f.tomb.Go(f.loopStore)
 	}
@@ -121,13 +117,6 @@
 	return nil
 }
 
-func (f *routesFollower) loopServe() error {
-	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
-		return trace.Wrap(err, "serve routes")
-	}
-	return nil
-}
-
 func (f *routesFollower) serve(w http.ResponseWriter, _ *http.Request) {
 	f.mu.Lock()
 	value := f.value
@@ -146,7 +135,7 @@
 	pause := _storePause
 	for f.tomb.Alive() {
 		if due := f.checks.CheckDue(); due > 0 {
-			pauseUnlessDying(&f.tomb, due)
+			sleepContext(f.ctx, due)
 			continue
 		}
 		err := f.check()
@@ -163,7 +152,7 @@
 			f.log.Warn("store lost", zap.Error(err))
 			reached = false
 		}
-		pauseUnlessDying(&f.tomb, pause/2+rand.N(pause))
+		sleepContext(f.ctx, pause/2+rand.N(pause))
 		if f.read > 0 {
 			pause = min(2*pause, _maxStorePause)
 		}
@@ -206,7 +195,7 @@
 		if wanted, _ := f.target.Behind(); wanted == 0 {
 			continue
 		}
-		pauseUnlessDying(&f.tomb, rand.N(f.jitter()))
+		sleepContext(f.ctx, rand.N(f.jitter()))
 		wanted, holders := f.target.Behind()
 		if wanted == 0 || len(holders) == 0 {
 			continue
@@ -214,17 +203,15 @@
 		holder := holders[rand.IntN(len(holders))]
 		if err := f.fetch(holder); err != nil {
 			f.log.Warn("routes not fetched", zap.Stringer("from", holder), zap.Uint64("version", wanted), zap.Error(err))
-			pauseUnlessDying(&f.tomb, _fetchJitter)
+			sleepContext(f.ctx, _fetchJitter)
 		}
 	}
 }
 
-// jitter returns how long this process waits at most before it fetches a version.
-func (f *routesFollower) jitter() time.Duration {
-	if f.store != nil {
-		return _fetchJitter
-	}
-	return min(max(time.Duration(f.target.Sidecars())*_sidecarFetchTime, _fetchJitter), _maxFetchJitter)
+// sidecarFetchJitter returns how long a sidecar waits at most before it fetches a
+// version, in a fleet of so many.
+func sidecarFetchJitter(sidecars int) time.Duration {
+	return min(max(time.Duration(sidecars)*_sidecarFetchTime, _fetchJitter), _maxFetchJitter)
 }
 
 func (f *routesFollower) fetch(holder netip.Addr) error {
--- a/dandelionhitch/peers.go
+++ b/dandelionhitch/peers.go
@@ -2,14 +2,12 @@
 
 import (
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
-	"gopkg.in/tomb.v2"
 
 	"dandelionhitch.example/announcer"
 	"dandelionhitch.example/dispatcher"
@@ -50,38 +48,15 @@
 
 func levelOf(percent uint8) int { return int(percent) * _maxLoad / _percent }
 
-// peerServer answers the other agents of the service.
-type peerServer struct {
-	tomb     tomb.Tomb
-	listener net.Listener
-	server   *http.Server
-}
-
-func newPeerServer(address netip.AddrPort, config *tls.Config, handler http.Handler) (*peerServer, error) {
+// newPeerServer answers the other agents of the service.
+func newPeerServer(address netip.AddrPort, config *tls.Config, handler http.Handler) (*httpServer, error) {
 	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for peers at %s", address)
 	}
-	p := &peerServer{
-		listener: listener,
-		server: &http.Server{
-			Handler:           handler,
-			TLSConfig:         config.Clone(),
-			ReadHeaderTimeout: _peerReadTimeout,
-		},
-	}
-	p.tomb.Go(p.run)
-	return p, nil
-}
-
-func (p *peerServer) run() error {
-	if err := p.server.ServeTLS(p.listener, "", ""); !errors.Is(err, http.ErrServerClosed) {
-		return trace.Wrap(err, "serve peers")
-	}
-	return nil
-}
-
-// Close cuts the peers' requests and waits for the server.
-func (p *peerServer) Close() error {
-	return trace.NewAggregate(p.server.Close(), p.tomb.Wait())
+	return serveHTTP("peers", listener, &http.Server{
+		Handler:           handler,
+		TLSConfig:         config.Clone(),
+		ReadHeaderTimeout: _peerReadTimeout,
+	}), nil
 }
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap"
 
@@ -20,8 +19,6 @@
 const (
 	// _relayFlowBytes is what a relay needs for a flow that it remembers.
 	_relayFlowBytes = 256
-	// _flowMemoryShare is the part of a process's memory that flows may fill.
-	_flowMemoryShare = 0.3
 	// _quiet is how long no packet must come before a relay that leaves ends:
 	// routers ask it twice a second and wait for two misses.
 	_quiet = 900 * time.Millisecond
@@ -46,29 +43,7 @@
 }
 
 func relayCommand(stdout, stderr io.Writer) *ffcli.Command {
-	f := newRelayFlags(stdout, stderr)
-	return &ffcli.Command{
-		Name:       "relay",
-		ShortUsage: "dandelionhitch relay -config FILE [flags]",
-		ShortHelp:  "Forward opaque packets of callers to the sidecars beside upstreams.",
-		FlagSet:    f.FlagSet,
-		Options:    f.options(),
-		Exec: func(ctx context.Context, args []string) error {
-			if err := f.checkOpaque(args); err != nil {
-				return err
-			}
-			return f.run(ctx)
-		},
-	}
-}
-
-// readSeeds returns the seeds of a settings file.
-func (f *relayFlags) readSeeds(path string) ([]netip.Addr, error) {
-	read := newRelayFlags(io.Discard, io.Discard)
-	if err := ff.Parse(read.FlagSet, []string{"-config", path}, read.options()...); err != nil {
-		return nil, err
-	}
-	return read.seedAddrs(), read.checkOpaque(nil)
+	return opaqueCommand("relay", "Forward opaque packets of callers to the sidecars beside upstreams.", newRelayFlags(stdout, stderr))
 }
 
 // run runs the relay until ctx ends and routers have left it.
@@ -89,7 +64,7 @@
 		Ingress:    f.ingress,
 		PeerPort:   uint16(f.peerPort),
 		PeerListen: node.peerAddr(),
-		MaxFlows:   int(float64(f.memoryMB<<20) * _flowMemoryShare / _relayFlowBytes),
+		MaxFlows:   f.maxFlows(_relayFlowBytes),
 	}, f.wire, decision.NewRecorder(node.records, times.observe))
 	if err != nil {
 		return trace.Wrap(err)
@@ -110,35 +85,17 @@
 
 // startServices starts what a relay needs beside its data path.
 func (f *relayFlags) startServices(node *opaqueNode, r *relay.Relay, self relay.Identity) error {
-	routes, err := newRoutesFollower(node.peerAddr(), uint16(f.peerPort), r, node.store, r, node.log)
-	if err != nil {
-		return err
-	}
-	node.add(routes)
-	ready, err := newHTTPServer("readiness", f.ready, platform.ReadyHandler(r.Ready))
-	if err != nil {
-		return err
-	}
-	node.add(ready)
 	// Upstreams report to the sidecar on their host; a relay cannot stop new flows
 	// to them and so must not acknowledge.
 	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "upstreams report to their sidecar", http.StatusServiceUnavailable)
 	})
-	control, err := newHTTPServer("control", f.control, refuse)
-	if err != nil {
-		return err
-	}
-	node.add(control)
-	r.Introduce(f.seedAddrs())
-	if node.store != nil {
-		entry := &relayEntry{Addr: f.addr, Zone: f.zone, Incarnation: self.Incarnation}
-		registry := &registry{store: node.store, log: node.log, target: r, self: entry, heard: r.Heard}
-		registry.start()
-		node.add(registry)
-	}
-	node.add(newSettingsReloader(f.file, node.log, f.readSeeds, r.Introduce))
-	return nil
+	return node.startServices(opaqueServices{
+		target: r, ready: r.Ready, control: refuse,
+		settings: func() opaqueRole { return newRelayFlags(io.Discard, io.Discard) },
+		store:    node.store, checks: r, jitter: func() time.Duration { return _fetchJitter },
+		self: &relayEntry{Addr: f.addr, Zone: f.zone, Incarnation: self.Incarnation}, heard: r.Heard,
+	})
 }
 
 // drain forwards until routers have left the relay, or its time to stop is over.
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap"
 
@@ -44,36 +43,14 @@
 }
 
 func sidecarCommand(stdout, stderr io.Writer) *ffcli.Command {
-	f := newSidecarFlags(stdout, stderr)
-	return &ffcli.Command{
-		Name:       "sidecar",
-		ShortUsage: "dandelionhitch sidecar -config FILE [flags]",
-		ShortHelp:  "Carry opaque packets between callers and the upstream on this host.",
-		FlagSet:    f.FlagSet,
-		Options:    f.options(),
-		Exec: func(ctx context.Context, args []string) error {
-			if err := f.checkSidecar(args); err != nil {
-				return err
-			}
-			return f.run(ctx)
-		},
-	}
+	return opaqueCommand("sidecar", "Carry opaque packets between callers and the upstream on this host.", newSidecarFlags(stdout, stderr))
 }
 
-func (f *sidecarFlags) checkSidecar(args []string) error {
+func (f *sidecarFlags) check(args []string) error {
 	if f.heartbeat <= 0 {
 		f.add("-heartbeat", trace.BadParameter("%v is not above zero", f.heartbeat))
 	}
-	return f.checkOpaque(args)
-}
-
-// readSeeds returns the seeds of a settings file.
-func (f *sidecarFlags) readSeeds(path string) ([]netip.Addr, error) {
-	read := newSidecarFlags(io.Discard, io.Discard)
-	if err := ff.Parse(read.FlagSet, []string{"-config", path}, read.options()...); err != nil {
-		return nil, err
-	}
-	return read.seedAddrs(), read.checkSidecar(nil)
+	return f.opaqueFlags.check(args)
 }
 
 // run runs the sidecar until ctx ends.
@@ -96,7 +73,7 @@
 		CallerPort: f.callers.Port(),
 		PeerPort:   uint16(f.peerPort),
 		PeerListen: node.peerAddr(),
-		MaxFlows:   int(float64(f.memoryMB<<20) * _flowMemoryShare / _sidecarFlowBytes),
+		MaxFlows:   f.maxFlows(_sidecarFlowBytes),
 	}, platform.PacketWire{}, decision.NewRecorder(node.records, times.observe))
 	if err != nil {
 		return trace.Wrap(err)
@@ -117,29 +94,12 @@
 
 // startServices starts what a sidecar needs beside its data path.
 func (f *sidecarFlags) startServices(node *opaqueNode, s *sidecar.Sidecar) error {
-	routes, err := newRoutesFollower(node.peerAddr(), uint16(f.peerPort), s, nil, nil, node.log)
-	if err != nil {
-		return err
-	}
-	node.add(routes)
-	ready, err := newHTTPServer("readiness", f.ready, platform.ReadyHandler(func() bool { return true }))
-	if err != nil {
-		return err
-	}
-	node.add(ready)
-	control, err := newHTTPServer("control", f.control, platform.HeartbeatHandler(s))
-	if err != nil {
-		return err
-	}
-	node.add(control)
-	s.Introduce(f.seedAddrs())
-	if node.store != nil {
-		registry := &registry{store: node.store, log: node.log, target: s, alone: s.Alone}
-		registry.start()
-		node.add(registry)
-	}
-	node.add(newSettingsReloader(f.file, node.log, f.readSeeds, s.Introduce))
-	return nil
+	return node.startServices(opaqueServices{
+		target: s, ready: func() bool { return true }, control: platform.HeartbeatHandler(s),
+		settings: func() opaqueRole { return newSidecarFlags(io.Discard, io.Discard) },
+		jitter:   func() time.Duration { return sidecarFetchJitter(s.Sidecars()) },
+		alone:    s.Alone,
+	})
 }
 
 func sidecarFigures(s *sidecar.Sidecar) func() []figure {
--- a/dandelionhitch/try_caller.go
+++ b/dandelionhitch/try_caller.go
@@ -131,18 +131,6 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// sleepContext waits and reports whether ctx still stands.
-func sleepContext(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // isCrossed reports whether an answer came from another service.
 func isCrossed(err error) bool {
 	var crossed *standin.CrossedError
--- a/relay/core.go
+++ b/relay/core.go
@@ -252,9 +252,6 @@
 	return true
 }
 
-// Sidecars returns how many sidecars the relay has heard.
-func (c *Core) Sidecars() int { return c.view.SidecarCount() }
-
 // Behind returns the highest version that a process has named, if it is higher
 // than the one in force, and processes that have it.
 func (c *Core) Behind() (uint64, []netip.Addr) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -129,13 +129,6 @@
 	return r.Now() - r.lastPacket
 }
 
-// Sidecars returns how many sidecars the fleet has, as far as is known here.
-func (r *Relay) Sidecars() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.core.Sidecars()
-}
-
 // Behind returns the highest version that a process has named, if it is higher
 // than the one in force, and processes that have it.
 func (r *Relay) Behind() (uint64, []netip.Addr) {
