relay, dandelionhitch: a store in trouble is spared by the fleet as a whole

Cause: relays shared the duty of reading config/main only as long as reads succeeded.

Attempts are shared as reads are: relays tell each other when one fails, takes more than 60 ms, or begins while the store is in trouble, and the others wait 0.25 s and a bit by chance. A relay that is turned away while others are served waits up to 4 s longer. The client reads once. A relay whose list or entry failed waits until some relay has reached the store again; an entry that the list has is not written; a sidecar lists relays only if no seed has answered for 0.4 s.

Ruled out: backing off by a relay's own failures alone (with all turned away the return went unnoticed for over a second, played with 4 relays).

--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -142,7 +142,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "platform URL")
 	}
-	return platform.NewClient(base, platform.WithReadBudget(_storeCallTimeout), platform.WithCallTimeout(_storeCallTimeout)), nil
+	// Who reads again after a failure, and when, is decided for the fleet as a whole.
+	return platform.NewClient(base, platform.WithReadTries(1), platform.WithCallTimeout(_storeCallTimeout)), nil
 }
 
 const (
--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -144,10 +144,11 @@
 	store  platform.Store
 	checks routesChecks
 	jitter func() time.Duration
-	// self, heard and alone are those of a registry.
-	self  *relayEntry
-	heard func(netip.Addr) bool
-	alone func() bool
+	// self, heard, alone and storeSeen are those of a registry.
+	self      *relayEntry
+	heard     func(netip.Addr) bool
+	alone     func() bool
+	storeSeen func() (time.Duration, bool)
 }
 
 // startServices starts what a process has beside its data path.
@@ -170,7 +171,10 @@
 	n.add(control)
 	s.target.Introduce(f.seedAddrs())
 	if n.store != nil {
-		r := &registry{store: n.store, log: n.log, target: s.target, self: s.self, heard: s.heard, alone: s.alone}
+		r := &registry{
+			store: n.store, log: n.log, target: s.target,
+			self: s.self, heard: s.heard, alone: s.alone, storeSeen: s.storeSeen,
+		}
 		r.start()
 		n.add(r)
 	}
--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -123,6 +123,10 @@
 
 func (r *routesTable) Checked() { r.reads <- struct{}{} }
 
+func (r *routesTable) CheckStarted() {}
+func (r *routesTable) CheckPending() {}
+func (r *routesTable) CheckFailed()  {}
+
 // TestRoutesComeFromTheStoreAndFromProcesses reads a configuration from the store
 // when that is due, and gives it to a process that the store turns away.
 func TestRoutesComeFromTheStoreAndFromProcesses(t *testing.T) {
--- a/dandelionhitch/opaque_registry.go
+++ b/dandelionhitch/opaque_registry.go
@@ -22,8 +22,15 @@
 	// longest.
 	_registryPause    = 200 * time.Millisecond
 	_maxRegistryPause = 2 * time.Second
-	// _aloneInterval is how often a process that has heard no relay looks again.
+	// _aloneInterval is how often a process that has heard no relay looks again, and
+	// _firstAlone how long a sidecar that has just started waits for one of its seeds.
 	_aloneInterval = time.Second
+	_firstAlone    = 400 * time.Millisecond
+	// _storeSeenInterval is how often a relay whose call has failed looks whether
+	// another one has reached the store since, and _regainedSpread the time over
+	// which they all then call again.
+	_storeSeenInterval = 200 * time.Millisecond
+	_regainedSpread    = 2 * time.Second
 	// _sweepInterval is how often a relay looks for entries of relays that have
 	// ended without removing them; with jitter, so that one relay does it for all.
 	_sweepInterval = 60 * time.Second
@@ -55,6 +62,11 @@
 	alone func() bool
 	// heard reports whether a relay has been heard.
 	heard func(netip.Addr) bool
+	// storeSeen returns how long ago a relay has reached the store, and whether one
+	// has; nil for a sidecar.
+	storeSeen func() (time.Duration, bool)
+	// entered says that the entry of this process is in the store.
+	entered bool
 }
 
 func (r *registry) start() {
@@ -69,22 +81,31 @@
 }
 
 func (r *registry) loop() error {
-	r.untilDone("enter", r.enter)
+	if r.self == nil {
+		return r.loopSidecar()
+	}
 	r.untilDone("list", r.list)
+	r.untilDone("enter", r.enter)
 	for r.tomb.Alive() {
-		if r.self == nil {
-			sleepContext(r.ctx, _aloneInterval)
-			if r.alone() {
-				r.untilDone("list", r.list)
-			}
-			continue
-		}
 		sleepContext(r.ctx, _sweepInterval+rand.N(_sweepInterval))
 		r.untilDone("sweep", r.sweep)
 	}
 	return nil
 }
 
+// loopSidecar looks for relays while none is heard. Mostly a seed answers, and the
+// store needs no call of each sidecar of a fleet that starts.
+func (r *registry) loopSidecar() error {
+	sleepContext(r.ctx, _firstAlone)
+	for r.tomb.Alive() {
+		if r.alone() {
+			r.untilDone("list", r.list)
+		}
+		sleepContext(r.ctx, _aloneInterval)
+	}
+	return nil
+}
+
 // untilDone repeats a call with growing pauses until it succeeds.
 func (r *registry) untilDone(op string, call func() error) {
 	pause := _registryPause
@@ -93,16 +114,32 @@
 		if err == nil {
 			return
 		}
+		failed := time.Now()
 		r.log.Warn("registry of relays", zap.String("op", op), zap.Error(err))
 		sleepContext(r.ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, _maxRegistryPause)
+		r.awaitStore(failed)
 	}
 }
 
-// enter writes the own entry. It is the same object for every run at an address,
-// so an answer that was lost, or a write that comes late, does no harm.
+// awaitStore waits, for a call that failed, until a relay has reached the store since
+// then. A process that hears no relay does not wait, and a sidecar that does has no
+// need to call.
+func (r *registry) awaitStore(failed time.Time) {
+	for r.tomb.Alive() && !r.alone() && r.storeSeen != nil {
+		if age, seen := r.storeSeen(); seen && age < time.Since(failed) {
+			sleepContext(r.ctx, rand.N(_regainedSpread))
+			return
+		}
+		sleepContext(r.ctx, _storeSeenInterval)
+	}
+}
+
+// enter writes the own entry unless the list had it. It is the same object for every
+// run at an address, so an answer that was lost, or a write that comes late, does no
+// harm.
 func (r *registry) enter() error {
-	if r.self == nil {
+	if r.entered {
 		return nil
 	}
 	value, err := json.Marshal(r.self)
@@ -127,6 +164,7 @@
 	for _, object := range objects {
 		if addr, ok := r.entryAddr(object); ok {
 			found = append(found, addr)
+			r.entered = r.entered || r.self != nil && addr == r.self.Addr
 		}
 	}
 	r.log.Info("relays listed", zap.Int("count", len(found)))
--- a/dandelionhitch/opaque_routes.go
+++ b/dandelionhitch/opaque_routes.go
@@ -33,11 +33,9 @@
 	_maxFetchJitter   = 400 * time.Millisecond
 	// _fetchTimeout bounds one fetch of a configuration.
 	_fetchTimeout = 800 * time.Millisecond
-	// _storePause is the first pause after the store could not be read, and
-	// _maxStorePause the longest: a fleet that starts while the store is away has
-	// nothing else to wait for.
-	_storePause    = 150 * time.Millisecond
-	_maxStorePause = time.Second
+	// _storePending is how long the store may take for a read before other relays hear
+	// of it: many times what it takes when it is well.
+	_storePending = 60 * time.Millisecond
 	// _maxRoutes bounds a configuration, in bytes, as the store does.
 	_maxRoutes = platform.MaxValueSize + 1<<10
 )
@@ -51,12 +49,17 @@
 	Behind() (uint64, []netip.Addr)
 }
 
-// routesChecks says when this process should read the configuration in the store.
+// routesChecks says when this process should read the configuration in the store,
+// also after failures, and shares that duty with other processes.
 type routesChecks interface {
 	// CheckDue returns how long to wait; zero says now.
 	CheckDue() time.Duration
-	// Checked notes that it has been read.
+	// CheckStarted notes that the read begins, CheckPending that it takes long, and
+	// Checked or CheckFailed how it ended.
+	CheckStarted()
+	CheckPending()
 	Checked()
+	CheckFailed()
 }
 
 // routesFollower keeps a process at the newest configuration that it can reach,
@@ -132,7 +135,6 @@
 // loopStore reads the configuration in the store when this process is due to.
 func (f *routesFollower) loopStore() error {
 	reached := true
-	pause := _storePause
 	for f.tomb.Alive() {
 		if due := f.checks.CheckDue(); due > 0 {
 			sleepContext(f.ctx, due)
@@ -146,16 +148,13 @@
 			f.log.Info("store regained")
 			fallthrough
 		case err == nil:
-			reached, pause = true, _storePause
+			reached = true
 			continue
 		case reached:
 			f.log.Warn("store lost", zap.Error(err))
 			reached = false
 		}
-		sleepContext(f.ctx, pause/2+rand.N(pause))
-		if f.read > 0 {
-			pause = min(2*pause, _maxStorePause)
-		}
+		f.checks.CheckFailed()
 	}
 	return nil
 }
@@ -169,6 +168,9 @@
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, timeout)
 	defer cancel()
+	f.checks.CheckStarted()
+	pending := time.AfterFunc(_storePending, f.checks.CheckPending)
+	defer pending.Stop()
 	object, err := f.store.Get(ctx, platform.ConfigurationKey)
 	if err != nil {
 		return err
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -94,7 +94,8 @@
 		target: r, ready: r.Ready, control: refuse,
 		settings: func() opaqueRole { return newRelayFlags(io.Discard, io.Discard) },
 		store:    node.store, checks: r, jitter: func() time.Duration { return _fetchJitter },
-		self: &relayEntry{Addr: f.addr, Zone: f.zone, Incarnation: self.Incarnation}, heard: r.Heard,
+		self:  &relayEntry{Addr: f.addr, Zone: f.zone, Incarnation: self.Incarnation},
+		heard: r.Heard, alone: r.Alone, storeSeen: r.StoreSeenAge,
 	})
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -287,6 +287,16 @@
 // Relay returns a relay, or nil.
 func (v *View) Relay(addr netip.Addr) *Relay { return v.relays[addr] }
 
+// Alone reports whether no relay has been heard.
+func (v *View) Alone() bool {
+	for _, r := range v.relays {
+		if r.Heard > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // HeardVersion notes that a process has a version of the configuration.
 func (v *View) HeardVersion(version uint64, from netip.Addr) {
 	if version > v.newest {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -324,6 +324,9 @@
 	// CheckedAge is how long ago, in ms, the sender or a relay that it heard read
 	// the configuration in the store.
 	CheckedAge uint32 `cbor:"9,keyasint"`
+	// TriedAge is one more than that of the last attempt, whether it succeeded or
+	// not; zero if none is known.
+	TriedAge uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // AppendUpstream appends an upstream report to b.
--- a/relay/core.go
+++ b/relay/core.go
@@ -71,16 +71,6 @@
 	// bytes, since every relay does.
 	_namesToNew    = 1000
 	_minNamesToNew = 4
-	// _checkInterval is how often the relays together read the configuration in the
-	// store: a third of the time in which a change must be in force. They do not
-	// watch: a watch can be deaf for seconds and does not show it.
-	_checkInterval = time.Second
-	// _checkStagger, for each relay, is the range in which they choose who reads
-	// next, up to _maxStagger.
-	_checkStagger = 40 * time.Millisecond
-	_maxStagger   = 500 * time.Millisecond
-	// _neverChecked is the age that a report gives if no read is known.
-	_neverChecked = 1<<32 - 1
 )
 
 // Wire is what the core needs of the callers' packet format.
@@ -141,9 +131,8 @@
 	// answers estimates how long answers to offers take.
 	answers  answerTime
 	lastTick time.Duration
-	// checked is when this relay or another one read the configuration in the
-	// store, and checkSpread how much longer this one waits before it does.
-	checked, checkSpread time.Duration
+	// checks is what is known of the fleet's reads of the configuration.
+	checks checks
 }
 
 // held is what a relay knows of a flow. All of it can be lost.
@@ -276,38 +265,46 @@
 }
 
 // CheckDue returns how long this relay should wait before it reads the
-// configuration in the store; zero says now. The relays share this duty without
-// a leader: each waits a little longer by chance, and hears when another did it.
-func (c *Core) CheckDue(now time.Duration) time.Duration {
-	if c.checked == 0 {
-		return 0
+// configuration in the store; zero says now.
+func (c *Core) CheckDue(now time.Duration) time.Duration { return c.checks.due(now) }
+
+// CheckStarted notes that this relay begins to read the configuration in the store.
+// While the store is in trouble, it tells the other relays, which then wait.
+func (c *Core) CheckStarted(now time.Duration) {
+	if c.checks.tellsStart(now) {
+		c.CheckPending(now)
 	}
-	return max(0, c.checked+_checkInterval+c.checkSpread-now)
+}
+
+// CheckPending notes that the store has not answered this relay yet, and tells the
+// other relays, which then wait.
+func (c *Core) CheckPending(now time.Duration) {
+	c.checks.noteTried(now, c.view.RelayCount()+1, c.random)
+	c.tellRelays(now)
+}
+
+// CheckFailed notes that this relay could not read it, and tells the others.
+func (c *Core) CheckFailed(now time.Duration) {
+	c.checks.failed(now)
+	c.CheckPending(now)
 }
 
 // Checked notes that this relay has read the configuration in the store, and
 // tells the other relays.
 func (c *Core) Checked(now time.Duration) {
-	c.noteChecked(now)
-	for _, r := range c.view.Relays() {
-		c.reportTo(now, r.Addr, "", 0)
-	}
+	c.checks.failures = 0
+	c.checks.noteRead(now, c.view.RelayCount()+1, c.random)
+	c.tellRelays(now)
 }
 
-func (c *Core) noteChecked(at time.Duration) {
-	if at > c.checked {
-		c.checked = at
-		spread := min(time.Duration(c.view.RelayCount()+1)*_checkStagger, _maxStagger)
-		c.checkSpread = time.Duration(c.random.Int64N(int64(spread)))
-	}
-}
+// StoreSeen returns when a relay last read the configuration in the store, as far as
+// this one knows; zero if none has.
+func (c *Core) StoreSeen() time.Duration { return c.checks.read }
 
-// checkedAge returns the age of the last read that is known, in ms.
-func (c *Core) checkedAge(now time.Duration) uint32 {
-	if c.checked == 0 {
-		return _neverChecked
+func (c *Core) tellRelays(now time.Duration) {
+	for _, r := range c.view.Relays() {
+		c.reportTo(now, r.Addr, "", 0)
 	}
-	return uint32(min((now - c.checked).Milliseconds(), _neverChecked-1))
 }
 
 // Leave notes that the process was told to stop, and tells the others.
@@ -331,6 +328,9 @@
 	return r != nil && r.Heard > 0
 }
 
+// Alone reports whether no other relay has been heard.
+func (c *Core) Alone() bool { return c.view.Alone() }
+
 // Tick does what is due. It is called about every 20 ms.
 func (c *Core) Tick(now time.Duration) {
 	if now-c.lastTick > _lateTick {
@@ -397,7 +397,7 @@
 	r := peer.RelayReport{
 		Relay: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Leaving: c.leaving, Version: c.table.Version(), Fleet: uint32(c.view.SidecarCount()),
-		CheckedAge: c.checkedAge(now),
+		CheckedAge: c.checks.readAge(now), TriedAge: c.checks.triedAge(now),
 	}
 	if names > 0 {
 		c.addNames(&r, service, names)
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -70,9 +70,7 @@
 		return
 	}
 	c.view.HeardVersion(r.Version, r.Relay)
-	if age := time.Duration(r.CheckedAge) * time.Millisecond; r.CheckedAge < _neverChecked && age < now {
-		c.noteChecked(now - age)
-	}
+	c.checks.heard(now, r.CheckedAge, r.TriedAge, c.view.RelayCount()+1, c.random)
 	c.Introduce(now, r.Relays)
 	for _, addr := range r.Sidecars {
 		if c.view.Introduce(now, addr) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -94,6 +94,36 @@
 	return r.core.CheckDue(r.Now())
 }
 
+// CheckStarted notes that the read of the configuration in the store begins.
+func (r *Relay) CheckStarted() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.CheckStarted(r.Now())
+}
+
+// CheckPending notes that the store has not answered the read yet.
+func (r *Relay) CheckPending() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.CheckPending(r.Now())
+}
+
+// CheckFailed notes that the configuration in the store could not be read.
+func (r *Relay) CheckFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.CheckFailed(r.Now())
+}
+
+// StoreSeenAge returns how long ago a relay last read the configuration in the
+// store, and whether that is known.
+func (r *Relay) StoreSeenAge() (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := r.core.StoreSeen()
+	return r.Now() - seen, seen > 0
+}
+
 // Checked notes that the configuration in the store has been read.
 func (r *Relay) Checked() {
 	r.mu.Lock()
@@ -144,6 +174,13 @@
 	return r.core.Heard(addr)
 }
 
+// Alone reports whether no other relay has been heard.
+func (r *Relay) Alone() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Alone()
+}
+
 // Stats are figures of a relay for its metrics.
 type Stats struct {
 	Counts
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -237,14 +237,7 @@
 }
 
 // Alone reports whether no relay has been heard.
-func (c *Core) Alone() bool {
-	for _, r := range c.view.Relays() {
-		if r.Heard > 0 {
-			return false
-		}
-	}
-	return true
-}
+func (c *Core) Alone() bool { return c.view.Alone() }
 
 // SetTable puts a configuration in force if its version is higher. It reports
 // whether it did.
