--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -120,6 +120,7 @@
 
 // runAgent runs an agent until ctx ends, then drains it.
 func runAgent(ctx context.Context, flags *nodeFlags, config agentConfig, callers credentialFiles) error {
+	surviveSignals()
 	callerTLS, err := callers.callers()
 	if err != nil {
 		return err
--- a/dandelionhitch/balancer.go
+++ b/dandelionhitch/balancer.go
@@ -103,6 +103,7 @@
 
 // runBalancer runs a balancer until ctx ends, then drains it.
 func runBalancer(ctx context.Context, flags *nodeFlags, config balancerConfig) error {
+	surviveSignals()
 	parts, closeParts, err := flags.openNode(func() bool { return ctx.Err() == nil })
 	if err != nil {
 		return err
--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -33,6 +33,7 @@
 
 // openOpaqueNode opens what the flags name.
 func openOpaqueNode(f *opaqueFlags, ready func() bool) (*opaqueNode, error) {
+	surviveSignals()
 	debug.SetMemoryLimit(int64(float64(f.memoryMB) * _memoryShare * (1 << 20)))
 	n := &opaqueNode{flags: f, writer: decision.NewWriter(f.logOutput)}
 	n.log = newLogger(n.writer, f.logLevel).With(zap.String("node", f.node))
--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -271,3 +271,43 @@
 		assert.Assert(t, cmp.Contains(output.String(), line))
 	}
 }
+
+// TestProcessOutlivesItsLogReader closes the other end of a relay's standard output,
+// and sends signals that only ask for something, before and while it stops.
+func TestProcessOutlivesItsLogReader(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "relay.json")
+	settings := `{"node":"r2","zone":"a","addr":"127.0.7.11","ingress":"127.0.7.11:17021","ready":"127.0.7.11:17022",
+		"control":"127.0.7.11:17023","peer_port":17025,"seeds":[],"grace":"2s"}`
+	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
+	command := exec.Command(os.Args[0], "relay", "-config", file)
+	command.Env = append(os.Environ(), _asProgram+"=1")
+	output, err := command.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, command.Start())
+	defer func() { _ = command.Process.Kill() }() // it has ended if the test passed
+	answers := func() bool {
+		response, err := http.Get("http://127.0.7.11:17022/-/ready")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return true
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !answers() {
+			return poll.Continue("not started")
+		}
+		return poll.Success()
+	})
+	assert.NilError(t, output.Close())
+	for range 5 {
+		assert.NilError(t, command.Process.Signal(syscall.SIGHUP)) // each writes a line
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Assert(t, answers(), "the process has ended with its log's reader")
+	for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		assert.NilError(t, command.Process.Signal(s))
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.NilError(t, command.Wait())
+}
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -88,10 +88,22 @@
 	node.log.Info("sidecar started", zap.String("zone", f.zone), zap.String("service", f.service),
 		zap.Stringer("upstream", f.upstream), zap.Int("seeds", len(f.seeds)))
 	<-ctx.Done()
-	node.log.Info("sidecar stopped", zap.Int("busy", s.Stats().Busy))
+	f.drain(s, node.log)
 	return nil
 }
 
+// drain carries what the upstream has until it is answered, or the time to stop is
+// over.
+func (f *sidecarFlags) drain(s *sidecar.Sidecar, log *zap.Logger) {
+	began := time.Now()
+	s.Stop()
+	log.Info("sidecar stops", zap.Int("busy", s.Stats().Busy), zap.Duration("grace", f.grace))
+	for !s.Drained() && time.Since(began) < f.grace-_stopMargin {
+		time.Sleep(_stopCheck)
+	}
+	log.Info("sidecar stopped", zap.Duration("after", time.Since(began)), zap.Int("busy", s.Stats().Busy))
+}
+
 // startServices starts what a sidecar needs beside its data path.
 func (f *sidecarFlags) startServices(node *opaqueNode, s *sidecar.Sidecar) error {
 	return node.startServices(opaqueServices{
@@ -108,6 +120,7 @@
 		return []figure{
 			{"sidecar_accepted", int64(st.Accepted)},
 			{"sidecar_passed_on", int64(st.PassedOn)},
+			{"sidecar_stray", int64(st.Stray)},
 			{"sidecar_refused", int64(st.Refused)},
 			{"sidecar_bounced", int64(st.Bounced)},
 			{"sidecar_carried", int64(st.Carried)},
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -22,11 +22,12 @@
 
 // Socket is a UDP socket over IPv4.
 type Socket struct {
-	tomb   tomb.Tomb
-	conn   *net.UDPConn
-	take   func(netip.AddrPort, []byte)
-	refuse func()
-	unsent atomic.Uint64
+	tomb      tomb.Tomb
+	conn      *net.UDPConn
+	take      func(netip.AddrPort, []byte)
+	refuse    func()
+	recovered func(cause any)
+	unsent    atomic.Uint64
 }
 
 // Option changes a Socket.
@@ -36,6 +37,13 @@
 // process listens there.
 func WithRefused(refused func()) Option { return func(s *Socket) { s.refuse = refused } }
 
+// WithRecovered sets what is called when take panics. The datagram is lost, and the
+// loop goes on: one that nobody foresaw must not end the process, which would get it
+// again.
+func WithRecovered(recovered func(cause any)) Option {
+	return func(s *Socket) { s.recovered = recovered }
+}
+
 // WithSource replaces what gets the datagrams by a function that also gets where
 // each came from.
 func WithSource(take func(from netip.AddrPort, datagram []byte)) Option {
@@ -114,7 +122,7 @@
 		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		switch {
 		case err == nil:
-			s.take(from, buffer[:n])
+			s.handle(from, buffer[:n])
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case errors.Is(err, syscall.ECONNREFUSED):
@@ -124,3 +132,14 @@
 		}
 	}
 }
+
+func (s *Socket) handle(from netip.AddrPort, datagram []byte) {
+	if s.recovered != nil {
+		defer func() {
+			if cause := recover(); cause != nil {
+				s.recovered(cause)
+			}
+		}()
+	}
+	s.take(from, datagram)
+}
--- a/datagram/datagram_test.go
+++ b/datagram/datagram_test.go
@@ -67,3 +67,25 @@
 	_, err = datagram.Listen(first.Local(), func([]byte) {})
 	assert.ErrorContains(t, err, "listen for datagrams at 127.0.6.5")
 }
+
+// TestPanicLosesOneDatagram goes on after a datagram that its owner cannot handle.
+func TestPanicLosesOneDatagram(t *testing.T) {
+	taken, causes := make(chan string, 10), make(chan any, 10)
+	s, err := datagram.Listen(netip.MustParseAddrPort("127.0.6.6:0"), func(b []byte) {
+		if string(b) == "bad" {
+			panic("not foreseen")
+		}
+		taken <- string(b)
+	}, datagram.WithRecovered(func(cause any) { causes <- cause }))
+	assert.NilError(t, err)
+	defer s.Close()
+	s.Send(s.Local(), []byte("bad"))
+	s.Send(s.Local(), []byte("good"))
+	select {
+	case got := <-taken:
+		assert.Equal(t, got, "good")
+	case <-time.After(_patience):
+		t.Fatal("no datagram came")
+	}
+	assert.Equal(t, <-causes, "not foreseen")
+}
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -9,7 +9,9 @@
 package decision
 
 import (
+	"fmt"
 	"net/netip"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -89,6 +91,18 @@
 	}
 }
 
+// _maxStack bounds the stack of a panic in a log line, in bytes.
+const _maxStack = 1500
+
+// NewPanic returns the belief that a datagram was lost since its handling panicked.
+// It must be called while the panic is recovered.
+func NewPanic(cause any) Belief {
+	stack := debug.Stack()
+	return Belief{
+		Subject: "datagram", Name: fmt.Sprint(cause), To: "lost", Reason: "panic: " + string(stack[:min(len(stack), _maxStack)]),
+	}
+}
+
 // Span is a time that is measured for many flows.
 type Span int
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -68,10 +68,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var err error
-	if r.peers, err = datagram.Listen(config.PeerListen, r.takePeer); err != nil {
+	if r.peers, err = datagram.Listen(config.PeerListen, r.takePeer, datagram.WithRecovered(r.recovered)); err != nil {
 		return nil, trace.Wrap(err, "start relay")
 	}
-	if r.ingress, err = datagram.Listen(config.Ingress, r.takeIngress); err != nil {
+	if r.ingress, err = datagram.Listen(config.Ingress, r.takeIngress, datagram.WithRecovered(r.recovered)); err != nil {
 		r.peers.Close()
 		return nil, trace.Wrap(err, "start relay")
 	}
@@ -230,6 +230,11 @@
 	r.core.PeerMessage(r.Now(), message)
 }
 
+// recovered logs a datagram that the core could not handle.
+func (r *Relay) recovered(cause any) {
+	r.Believe(decision.NewPanic(cause))
+}
+
 func (r *Relay) loop() error {
 	ticker := time.NewTicker(_tick)
 	defer ticker.Stop()
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -132,12 +132,12 @@
 
 // admitWaiting gives the upstream what waits, as far as it has room.
 func (c *Core) admitWaiting() {
-	for len(c.waiting) > 0 && c.busy < c.room() && c.upstream.state == peer.Ready {
+	for len(c.waiting) > 0 && c.busy < c.room() && c.state() == peer.Ready {
 		h := c.nextWaiting()
 		c.dropWaiting(h)
 		c.give(h)
 	}
-	if c.busy < c.slots(c.now) && len(c.waiting) == 0 {
+	if c.busy < c.slots(c.now) && len(c.waiting) == 0 && !c.stopping {
 		c.askForWork()
 	}
 }
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -119,7 +119,9 @@
 	quicks   []float64
 	// opening are flows whose opening packet the upstream was given and whose
 	// request has not come, in the order of the giving.
-	opening   []*held
+	opening []*held
+	// stopping says that the process has been told to stop.
+	stopping  bool
 	sequence  uint64
 	fleetSize int
 	lastTick  time.Duration
@@ -151,9 +153,9 @@
 	// last says that the relay has tried others.
 	last bool
 	// opening and consent are the sequence numbers of the caller's opening packet
-	// and of the upstream's consent.
-	opening, consent uint32
-	consented        bool
+	// and of the upstream's consent, and latest that of the upstream's last packet.
+	opening, consent, latest uint32
+	consented                bool
 	// open says that the caller has answered the consent.
 	open bool
 	// working says that the upstream has a request of the flow to answer.
@@ -178,6 +180,9 @@
 	// callerAck what it acknowledged.
 	carried   time.Duration
 	callerAck uint32
+	// doubted is when the upstream, which has been silent for long, got a packet of the
+	// flow to show whether it lives.
+	doubted time.Duration
 }
 
 // Counts are a sidecar's counters since its start.
@@ -190,6 +195,8 @@
 	Carried, Replies uint64
 	// NotHeld counts denials, Resets resets to callers, Dropped dropped packets.
 	NotHeld, Resets, Dropped uint64
+	// Stray packets of the upstream were of an earlier flow with the same ends.
+	Stray uint64
 	// Malformed packets or messages could not be read.
 	Malformed uint64
 }
@@ -260,6 +267,26 @@
 	}
 }
 
+// Stop notes that the process was told to stop: the upstream gets no new flows, and
+// what waits goes to peers. What the upstream has goes on being carried.
+func (c *Core) Stop(now time.Duration) {
+	c.now = now
+	c.stopping = true
+	c.reportAll(now)
+	c.moveWaiting(_stopping)
+}
+
+// Drained reports whether nothing is lost if a process that was told to stop ends:
+// no request is in progress, or the upstream is not there to answer.
+func (c *Core) Drained() bool {
+	switch c.upstream.state {
+	case peer.Ready, peer.Draining:
+		return c.busy == 0 && len(c.waiting) == 0
+	default:
+		return true
+	}
+}
+
 // Tick does what is due. It is called about every 20 ms.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -91,6 +91,8 @@
 	switch {
 	case m.Service != c.id:
 		return "other_service"
+	case c.stopping:
+		return _stopping
 	case m.Version < c.table.Version() && !c.table.Allows(key.Address, c.self.Service):
 		return "route_changed"
 	case c.upstream.state == peer.Suspect && c.upstream.failing.until > 0 && m.Last:
@@ -103,6 +105,9 @@
 	return ""
 }
 
+// _stopping is the reason of a refusal since this process was told to stop.
+const _stopping = "sidecar_stops"
+
 // accept takes an opening packet for the own upstream.
 func (c *Core) accept(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
 	h := &held{
@@ -251,7 +256,7 @@
 	if m.Kind == peer.KindTry {
 		c.verdict(now, peer.Held, key, m.Origin, nil)
 	}
-	if h.dead || (c.isDead(now) && !h.ended) {
+	if h.dead || !h.ended && c.isDead(now) && c.showsNoLife(now, h) {
 		c.kill(now, key, h, p)
 		return
 	}
@@ -271,6 +276,19 @@
 	c.out.ToUpstream(m.Packet)
 }
 
+// showsNoLife reports whether an upstream that counts as dead has not answered a
+// packet of the flow either. One that was only silent, as when its heartbeats do not
+// get through, answers and keeps its flows; the caller repeats its packet.
+func (c *Core) showsNoLife(now time.Duration, h *held) bool {
+	if c.upstream.state == peer.Gone {
+		return true
+	}
+	if h.doubted == 0 || c.upstream.seen >= h.doubted {
+		h.doubted = now
+	}
+	return now-h.doubted >= _consentTimeout
+}
+
 // answers reports whether a caller that acknowledges ack answers the consent of this upstream, and not that of another that got a copy.
 func (h *held) answers(ack uint32) bool {
 	const window = 1 << 17 // above what an upstream has in flight before it hears the caller
@@ -348,6 +366,13 @@
 			c.requestFailed("resets_requests")
 		}
 	}
+	if h := c.flows.Get(p.ToCaller()); h != nil && !h.sent(p) {
+		c.counts.Stray++
+		c.out.Decide(decision.Record{
+			Flow: h.key, Action: decision.Dropped, Reason: "earlier_flow_of_caller", Service: c.self.Service, Version: c.table.Version(),
+		})
+		return
+	}
 	c.reply(now, p)
 	c.counts.Replies++
 	c.out.ToCaller(p.Destination.Addr(), packet)
@@ -373,6 +398,20 @@
 	}
 }
 
+// sent reports whether the upstream's packet is of this flow. A late one of an earlier
+// flow with the same ends has a number far from those of this one.
+func (h *held) sent(p flow.Packet) bool {
+	const window = 1 << 20 // far above what an upstream has in flight
+	if !h.consented || p.Flags&(flow.SYN|flow.RST) != 0 {
+		return true
+	}
+	if p.Seq-h.latest < window {
+		h.latest = p.Seq
+		return true
+	}
+	return h.latest-p.Seq < window
+}
+
 // reply learns from a packet for a caller.
 func (c *Core) reply(now time.Duration, p flow.Packet) {
 	key := p.ToCaller()
@@ -389,7 +428,7 @@
 		if !h.consented && h.given > 0 {
 			c.out.Observe(decision.ConsentGiven, now-h.given)
 		}
-		h.consent, h.consented = p.Seq, true
+		h.consent, h.latest, h.consented = p.Seq, p.Seq, true
 	}
 	if p.Size > 0 && !h.answered {
 		h.answered = true
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -79,11 +79,19 @@
 	}
 }
 
+// state returns the upstream's state as others should see it.
+func (c *Core) state() peer.State {
+	if c.stopping && c.upstream.state == peer.Ready {
+		return peer.Draining
+	}
+	return c.upstream.state
+}
+
 func (c *Core) reportTo(addr netip.Addr) {
 	c.sequence++
 	message, err := peer.AppendUpstream(c.buffer[:0], peer.UpstreamReport{
 		Sidecar: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
-		Service: c.self.Service, Zone: c.self.Zone, State: c.upstream.state,
+		Service: c.self.Service, Zone: c.self.Zone, State: c.state(),
 		Busy: uint16(c.load()), Slots: uint16(c.slots(c.now)), Version: c.table.Version(),
 		Late: uint16(c.busy + len(c.waiting) - c.load()),
 		// A run time of 6.5 s or more is as good as any.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -72,10 +72,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var err error
-	if s.peers, err = datagram.Listen(config.PeerListen, s.takePeer); err != nil {
+	if s.peers, err = datagram.Listen(config.PeerListen, s.takePeer, datagram.WithRecovered(s.recovered)); err != nil {
 		return nil, trace.Wrap(err, "start sidecar")
 	}
-	if s.outbound, err = datagram.Listen(config.Outbound, s.takeOutbound); err != nil {
+	if s.outbound, err = datagram.Listen(config.Outbound, s.takeOutbound, datagram.WithRecovered(s.recovered)); err != nil {
 		s.peers.Close()
 		return nil, trace.Wrap(err, "start sidecar")
 	}
@@ -117,6 +117,20 @@
 	return s.core.Leave(s.Now(), id)
 }
 
+// Stop ends new flows to the upstream, and goes on carrying what it has.
+func (s *Sidecar) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Stop(s.Now())
+}
+
+// Drained reports whether nothing is lost if a sidecar that was stopped ends.
+func (s *Sidecar) Drained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Drained()
+}
+
 // Malformed notes a call that could not be read.
 func (s *Sidecar) Malformed(id string, err error) {
 	s.Believe(decision.Belief{Subject: "heartbeat", Name: id, To: "ignored", Reason: err.Error()})
@@ -198,6 +212,11 @@
 // the core asked for, so it must not take the lock: the loop notes it.
 func (s *Sidecar) refused() { s.unreachable.Store(true) }
 
+// recovered logs a datagram that the core could not handle.
+func (s *Sidecar) recovered(cause any) {
+	s.Believe(decision.NewPanic(cause))
+}
+
 func (s *Sidecar) loop() error {
 	ticker := time.NewTicker(_tick)
 	defer ticker.Stop()
