--- a/standin/opaque_return_test.go
+++ b/standin/opaque_return_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/decision"
 	"dandelionhitch.example/standin"
 )
 
@@ -42,6 +43,9 @@
 	requests []*request
 	// back is when the relays get the configuration.
 	back time.Duration
+	// waits counts the flows that had to wait at a sidecar, and gaveUp those of them
+	// that were refused in the end.
+	waits, gaveUp int
 }
 
 const (
@@ -95,6 +99,14 @@
 		}
 		return took
 	})
+	d.Records = func(_ netip.Addr, r decision.Record) {
+		switch {
+		case r.Action == decision.Waits && r.Reason == "":
+			d.waits++
+		case r.Action == decision.Reset && r.Reason == "overloaded":
+			d.gaveUp++
+		}
+	}
 	d.Warming = func() time.Duration { return max(started+l.coldFor-d.Now(), 0) }
 	d.At(_lostAt, func() {
 		d.StoreAway = true
@@ -249,6 +261,7 @@
 			t.Logf("%s, seed %d: %.3f of the fresh in time, of an oracle's %.3f, then %.3f; %.3f of the waiting answered, of an oracle's %.3f",
 				d.load.name, seed, fresh, bestFresh, later, waited, bestWaited)
 			assert.Check(t, fresh >= test.inTime && later >= test.inTime, "seed %d: %.3f in time at first, then %.3f", seed, fresh, later)
+			t.Logf("%d waited at sidecars, %d of them were refused", d.waits, d.gaveUp)
 			assert.Check(t, waited >= bestWaited/2, "seed %d: %.3f of the waiting answered, an oracle %.3f", seed, waited, bestWaited)
 		}
 	}
