--- /dev/null
+++ b/dandelionhitch/opaque_registry_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"dandelionhitch.example/platform"
+	"dandelionhitch.example/standin"
+)
+
+// introduced keeps the relays that a registry has found.
+type introduced struct {
+	mu     sync.Mutex
+	relays []netip.Addr
+}
+
+func (i *introduced) Introduce(relays []netip.Addr) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.relays = append(i.relays, relays...)
+}
+
+func (i *introduced) has(addr netip.Addr) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, known := range i.relays {
+		if known == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// registryRig is the registry of a relay before a stand-in's store.
+type registryRig struct {
+	*registry
+	store *standin.Platform
+	found introduced
+	// seenAt is when another relay has reached the store, in Unix ns; zero if none has.
+	seenAt atomic.Int64
+	isLone atomic.Bool
+}
+
+func newRegistryRig(t *testing.T, self string) *registryRig {
+	t.Helper()
+	store, err := standin.NewPlatform()
+	assert.NilError(t, err)
+	client := platform.NewClient(store.URL(), platform.WithReadTries(1), platform.WithCallTimeout(200*time.Millisecond))
+	r := &registryRig{store: store}
+	r.registry = &registry{
+		store: client, log: zap.NewNop(), target: &r.found,
+		self:  &relayEntry{Addr: netip.MustParseAddr(self), Zone: "a", Incarnation: 1},
+		heard: func(netip.Addr) bool { return true },
+		alone: r.isLone.Load,
+		storeSeen: func() (time.Duration, bool) {
+			at := r.seenAt.Load()
+			return time.Since(time.Unix(0, at)), at > 0
+		},
+	}
+	t.Cleanup(func() {
+		assert.NilError(t, r.Close())
+		assert.NilError(t, client.Close())
+		assert.NilError(t, store.Close())
+	})
+	return r
+}
+
+func (r *registryRig) calls() int {
+	c := r.store.Counts()
+	return c.Reads + c.Writes + c.Cut
+}
+
+// await waits until the entry of the rig's relay is in the store.
+func (r *registryRig) await(t *testing.T) {
+	t.Helper()
+	client := platform.NewClient(r.store.URL())
+	defer client.Close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := client.Get(t.Context(), r.key()); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// TestRelayEntersOnce writes no entry that the list has: a fleet that starts again
+// after a loss of power makes one call a relay.
+func TestRelayEntersOnce(t *testing.T) {
+	r := newRegistryRig(t, "10.1.0.1")
+	r.start()
+	r.await(t)
+	assert.Equal(t, r.store.Counts().Writes, 1)
+	again := &registry{
+		store: r.registry.store, log: zap.NewNop(), target: &r.found,
+		self: r.self, heard: r.heard, alone: r.alone, storeSeen: r.storeSeen,
+	}
+	again.start()
+	defer again.Close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !r.found.has(r.self.Addr) {
+			return poll.Continue("not listed")
+		}
+		return poll.Success()
+	})
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, r.store.Counts().Writes, 1, "the entry is there")
+}
+
+// TestEntriesAfterTheStoreWasAway starts a relay while the store is away: it does not
+// go on calling, and its entry is there about two seconds after another relay has
+// reached the store.
+func TestEntriesAfterTheStoreWasAway(t *testing.T) {
+	r := newRegistryRig(t, "10.1.0.2")
+	r.store.SetFaults(standin.PlatformFaults{Outage: true})
+	r.start()
+	time.Sleep(2 * time.Second)
+	assert.Assert(t, r.calls() <= 2, "%d calls while the store is away", r.calls())
+	r.store.SetFaults(standin.PlatformFaults{})
+	r.seenAt.Store(time.Now().UnixNano())
+	began := time.Now()
+	r.await(t)
+	const about = 500 * time.Millisecond
+	assert.Assert(t, time.Since(began) < _regainedSpread+about, "%v", time.Since(began))
+}
+
+// TestLoneRelayGoesOnCalling has nobody who could tell it of the store's return.
+func TestLoneRelayGoesOnCalling(t *testing.T) {
+	r := newRegistryRig(t, "10.1.0.3")
+	r.isLone.Store(true)
+	r.store.SetFaults(standin.PlatformFaults{Outage: true})
+	r.start()
+	time.Sleep(time.Second)
+	r.store.SetFaults(standin.PlatformFaults{})
+	r.await(t)
+}
