dispatcher: an upstream's late second copy of an answer reaches no other caller

Requests that may be repeated used kept connections to the upstream. One that repeats an answer late, on a connection that is in use again, had it taken for the answer of the next request (TestLateCopyOfAnAnswer, seen failing: GET /sheet/1 got /sheet/0). Each connection is used once now, as it was for other requests already; both ends are on one host. Ruled out: net/http notices a copy only while the connection is idle.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -57,11 +57,6 @@
 	lastIssue  atomic.Int64
 	lastNumber atomic.Uint64
 
-	// single is a transport that uses each connection once, so that a request
-	// that may not be repeated never meets a connection that the upstream is
-	// about to close.
-	single http.RoundTripper
-
 	base context.Context
 	stop context.CancelFunc
 }
@@ -89,7 +84,7 @@
 	if d.admission, err = newAdmission(policy, d.logger); err != nil {
 		return nil, trace.Wrap(err, "dispatcher queue")
 	}
-	d.setTransports()
+	d.setTransport()
 	d.tickets = newRegistry[ticket.Number](d.bounds)
 	d.transfers = newRegistry[transferKey](d.bounds)
 	d.base, d.stop = context.WithCancel(context.Background())
@@ -113,24 +108,14 @@
 	return err
 }
 
-const (
-	// _idleConns is how many connections to the upstream are kept open.
-	_idleConns = 64
-	// _idleTime is how long they are kept.
-	_idleTime = 30 * time.Second
-)
-
-func (d *Dispatcher) setTransports() {
-	if d.transport != nil {
-		d.single = d.transport
-		return
-	}
-	d.transport = &http.Transport{
-		MaxIdleConnsPerHost: _idleConns,
-		IdleConnTimeout:     _idleTime,
-		DisableCompression:  true,
+// setTransport makes the transport to the upstream if none was given. It uses each
+// connection once: an upstream may send a second copy of an answer late, and the next
+// request on the connection would get it. Nor does a request then meet a connection
+// that the upstream is about to close.
+func (d *Dispatcher) setTransport() {
+	if d.transport == nil {
+		d.transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	}
-	d.single = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 }
 
 // ServeHTTP answers a caller's request.
@@ -188,10 +173,8 @@
 	d.stop()
 	<-d.requests.idle()
 	errs := []error{d.admission.close(), d.tickets.close(), d.transfers.close(), d.telemetry.close()}
-	for _, transport := range []http.RoundTripper{d.transport, d.single} {
-		if t, ok := transport.(*http.Transport); ok {
-			t.CloseIdleConnections()
-		}
+	if t, ok := d.transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
 	}
 	return trace.NewAggregate(errs...)
 }
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -44,10 +44,6 @@
 // run sends the request to the upstream under the slot id and relays the
 // answer. An error means that nothing was answered yet.
 func (x *exchange) run(id queue.ID) error {
-	transport := x.d.single
-	if x.idempotent() {
-		transport = x.d.transport
-	}
 	ctx := x.untilDeadline()
 	defer ctx.end()
 	result := queue.Aborted
@@ -61,7 +57,7 @@
 		request.Header.Set(HeaderTicket, strconv.FormatUint(uint64(x.ticket), 10))
 	}
 	setDeadline(request.Header, time.Until(x.deadline))
-	response, err := transport.RoundTrip(request)
+	response, err := x.d.transport.RoundTrip(request)
 	if err != nil {
 		err = sendError(ctx, err)
 		result = resultOf(err)
