--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -177,3 +177,29 @@
 	v.Report(time.Minute, report(_two, 1, 1, peer.Ready))
 	assert.Assert(t, !v.Introduce(2*time.Minute, _two), "it is known")
 }
+
+// TestNamesMakeNoUpstream names a sidecar that may have ended long ago: only its own
+// report makes its upstream one that gets flows.
+func TestNamesMakeNoUpstream(t *testing.T) {
+	v := fleet.New(time.Second)
+	assert.Assert(t, v.Introduce(0, _one))
+	assert.Assert(t, v.Upstream(_one) == nil)
+	assert.Equal(t, len(v.Sidecars()), 0)
+	v.Report(0, report(_one, 1, 1, peer.Gone))
+	assert.Assert(t, !v.Introduce(time.Minute, _one), "it is known already")
+	assert.Assert(t, !v.Takes(0, v.Upstream(_one)))
+}
+
+// TestReplacedIncarnationStaysAway restarts a sidecar whose upstream has changed its
+// service: a late report of the run before must not bring that back.
+func TestReplacedIncarnationStaysAway(t *testing.T) {
+	v := fleet.New(time.Second)
+	v.Report(0, report(_one, 5, 7, peer.Ready))
+	now := report(_one, 6, 1, peer.Ready)
+	now.Service = "photos"
+	v.Report(0, now)
+	_, change := v.Report(0, report(_one, 5, 99, peer.Ready))
+	assert.Assert(t, change.Stale)
+	assert.Equal(t, len(v.Service("orders")), 0)
+	assert.Equal(t, len(v.Service("photos")), 1)
+}
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -189,6 +189,42 @@
 	assert.Equal(t, len(r.toCaller), 1)
 }
 
+// TestUnansweredOfferIsNoRefusal loses the answers of all sidecars: each may have given
+// the flow to its upstream, so the caller must not be told that nobody has.
+func TestUnansweredOfferIsNoRefusal(t *testing.T) {
+	r := newServingRig(t)
+	r.CallerPacket(_settled, encode(flow.SYN, 10, 0, 0))
+	for now := _settled; now < _settled+3*time.Second; now += 20 * time.Millisecond {
+		r.Tick(now)
+	}
+	assert.Assert(t, len(r.sent(peer.KindOffer)) >= 2)
+	assert.Equal(t, len(r.toCaller), 0)
+}
+
+// TestOverloadedAnswersForItsPeers offers a flow as late at once when a sidecar says
+// that neither it nor a peer can take it in time, and refuses it when that is in vain.
+func TestOverloadedAnswersForItsPeers(t *testing.T) {
+	r := newServingRig(t)
+	syn := encode(flow.SYN, 10, 0, 0)
+	r.CallerPacket(_settled, syn)
+	first := r.sent(peer.KindOffer)
+	r.forget()
+	r.answer(_settled, netip.MustParseAddr(first[0]), peer.Overloaded, syn)
+	assert.Equal(t, len(r.sent(peer.KindOffer)), 1)
+	offered, err := peer.DecodeCarried(r.messages[len(r.messages)-1].body)
+	assert.NilError(t, err)
+	assert.Assert(t, offered.Last)
+	for range 4 {
+		offers := r.sent(peer.KindOffer)
+		r.forget()
+		if len(offers) == 0 {
+			break
+		}
+		r.answer(_settled, netip.MustParseAddr(offers[0]), peer.Overloaded, syn)
+	}
+	assert.Equal(t, len(r.sent(peer.KindOffer)), 0)
+}
+
 // TestRefusedOverload hears that a sidecar has refused the caller: the opening
 // packet must not be offered again.
 func TestRefusedOverload(t *testing.T) {
