--- a/dandelionhitch/explain_flow.go
+++ b/dandelionhitch/explain_flow.go
@@ -19,20 +19,21 @@
 // causes say what an end of a flow means, and what to look at next. They are the
 // table of docs/OPERATIONS.md.
 var causes = map[string]string{
-	"reset no_route":              "the configuration in force did not have the address; see the settings below",
-	"reset no_upstream":           "no upstream of the service was known, or all were draining; see the upstreams below",
-	"reset all_refused":           "every upstream that was tried refused; the refused lines above say why",
-	"reset overloaded":            "it waited until an answer would have been of no use; busy and slots tell how full the upstreams were",
-	"reset no_holder":             "every sidecar denied the flow: its upstream had ended, or the flow was idle too long",
-	"reset upstream_dead":         "its upstream ended or was replaced while the flow was open; see the upstream below",
-	"reset upstream_bounced":      "its upstream no longer had the flow; the upstream's own log may tell why",
-	"dropped parked_too_long":     "the relay had just started and did not learn in time where to send it; see its settings and upstreams below",
-	"dropped caller_timeout":      "the relay learned where to send it after the caller had given up",
-	"dropped no_answer_to_offers": "sidecars did not answer offers; one of them may have taken it. If one relay doubts all, its own link is at fault",
-	"dropped holder_not_found":    "sidecars did not answer the question who holds the flow, so nobody can say that it is dead",
-	"dropped too_many_questions":  "the relay had too many open questions about flows that it did not know, as after the loss of many processes",
-	"dropped still_opening":       "a packet came before the flow had opened; its caller repeats it",
-	"dropped caller_closes":       "the caller closed a flow that nobody held any more; it needs no answer",
+	"reset no_route":                 "the configuration in force did not have the address; see the settings below",
+	"reset no_upstream":              "no upstream of the service was known, or all were draining; see the upstreams below",
+	"reset all_refused":              "every upstream that was tried refused; the refused lines above say why",
+	"reset overloaded":               "it could not have been answered before its caller gives up; busy and slots tell how full the upstreams were",
+	"reset no_holder":                "every sidecar denied the flow: its upstream had ended, or the flow was idle too long",
+	"reset upstream_dead":            "its upstream ended or was replaced while the flow was open; see the upstream below",
+	"reset upstream_bounced":         "its upstream no longer had the flow; the upstream's own log may tell why",
+	"dropped parked_too_long":        "the relay had just started and did not learn in time where to send it; see its settings and upstreams below",
+	"dropped caller_timeout":         "the relay learned where to send it after the caller had given up",
+	"dropped no_answer_to_offers":    "sidecars did not answer offers; one of them may have taken it. If one relay doubts all, its own link is at fault",
+	"dropped holder_not_found":       "sidecars did not answer the question who holds the flow, so nobody can say that it is dead",
+	"dropped too_many_questions":     "the relay had too many open questions about flows that it did not know, as after the loss of many processes",
+	"dropped still_opening":          "a packet came before the flow had opened; its caller repeats it",
+	"dropped earlier_flow_of_caller": "a late packet of the upstream was of an earlier flow from the same port; no failure",
+	"dropped caller_closes":          "the caller closed a flow that nobody held any more; it needs no answer",
 }
 
 // isFlow reports whether an argument of explain is a flow's id or a caller, and
