--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,6 +26,7 @@
 	for at := _start + 500*time.Millisecond; at < end; at += time.Duration(300+r.random.IntN(900)) * time.Millisecond {
 		lasts := min(time.Duration(200+r.random.IntN(3500))*time.Millisecond, end-at)
 		events = append(events, r.draw(at, at+lasts)...)
+		events = append(events, r.drawMore(at, at+lasts)...)
 	}
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return events
@@ -92,6 +93,32 @@
 	}
 }
 
+// drawMore now and then returns another fault. It has random numbers of its own, so
+// that seeds which found something keep the faults that they had.
+func (r *run) drawMore(from, until time.Duration) []event {
+	v := r.vms[r.more.IntN(len(r.vms))]
+	other := r.vms[r.more.IntN(len(r.vms))]
+	switch r.more.IntN(10) {
+	case 0:
+		return []event{{from, fmt.Sprintf("malformed messages to %v", v), func() { r.links.sendMalformed(v.addr) }}}
+	case 1:
+		return []event{
+			{from, fmt.Sprintf("late copies from %v to %v", v, other), func() { r.links.set(v.addr, other.addr, link{copies: 0.3}) }},
+			{until, fmt.Sprintf("late copies from %v to %v end", v, other), func() { r.links.set(v.addr, other.addr, link{}) }},
+		}
+	case 2:
+		host := r.vms[r.config.Relays+r.more.IntN(r.config.Hosts)]
+		stop := func() { host.signal(syscall.SIGTERM) }
+		return []event{
+			{from, fmt.Sprintf("tell the sidecar of %v to stop", host), stop},
+			{from + 50*time.Millisecond, fmt.Sprintf("tell the sidecar of %v again", host), stop},
+			{from + _grace, fmt.Sprintf("start the sidecar of %v", host), host.restart},
+		}
+	default:
+		return nil
+	}
+}
+
 // pick draws a relay or a host.
 func (r *run) pick(host bool) *vm {
 	if host {
--- a/soak/links.go
+++ b/soak/links.go
@@ -52,8 +52,13 @@
 	cut   bool
 	loss  float64
 	delay time.Duration
+	// copies is the share of the messages that come a second time, _copyDelay later.
+	copies float64
 }
 
+// _copyDelay is how late second copies come: after most flows have ended.
+const _copyDelay = 1500 * time.Millisecond
+
 // links is the proxy between the processes: it takes messages at a VM's peer port
 // and hands them to the process behind it, unless the link is disturbed.
 type links struct {
@@ -108,16 +113,42 @@
 	l.state[[2]netip.Addr{from, to}] = state
 }
 
-// disturb returns whether a message is lost, and how long it is delayed.
-func (l *links) disturb(from, to netip.Addr) (lost bool, delay time.Duration) {
+// disturb returns whether a message is lost, how long it is delayed, and whether it
+// comes again later.
+func (l *links) disturb(from, to netip.Addr) (lost bool, delay time.Duration, again bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state := l.state[[2]netip.Addr{from, to}]
-	return state.cut || l.random.Float64() < state.loss, state.delay
+	lost = state.cut || l.random.Float64() < state.loss
+	return lost, state.delay, state.copies > 0 && l.random.Float64() < state.copies
 }
 
+// sendMalformed sends a process what no process sends: unknown kinds, reports that
+// are no reports, and the beginnings of messages.
+func (l *links) sendMalformed(to netip.Addr) {
+	behind := netip.AddrPortFrom(to, l.ports.behind)
+	for kind := range byte(_kinds) {
+		for _, size := range []int{1, 5, 17} {
+			message := make([]byte, size)
+			for i := range message {
+				message[i] = byte(i * 37)
+			}
+			message[0] = kind
+			l.out.Send(behind, message)
+		}
+	}
+	l.out.Send(behind, nil)
+}
+
+// _kinds is above the number of kinds of messages.
+const _kinds = 16
+
 func (l *links) pass(from netip.Addr, behind netip.AddrPort, message []byte) {
-	lost, delay := l.disturb(from, behind.Addr())
+	lost, delay, again := l.disturb(from, behind.Addr())
+	if again {
+		message := append([]byte(nil), message...)
+		time.AfterFunc(_copyDelay, func() { l.out.Send(behind, message) })
+	}
 	switch {
 	case lost:
 	case delay == 0:
@@ -142,8 +173,8 @@
 func (l *links) runConnection(conn net.Conn, to netip.Addr, behind netip.AddrPort) {
 	defer conn.Close()
 	from := conn.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
-	there, delay := l.disturb(from, to)
-	back, _ := l.disturb(to, from)
+	there, delay, _ := l.disturb(from, to)
+	back, _, _ := l.disturb(to, from)
 	time.Sleep(delay)
 	if there || back {
 		_, _ = io.Copy(io.Discard, conn) // until the caller gives up
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -137,6 +137,7 @@
 type run struct {
 	config   Config
 	random   *rand.Rand
+	more     *rand.Rand
 	began    time.Time
 	store    *standin.Platform
 	client   *platform.Client
@@ -168,7 +169,8 @@
 		return nil, err
 	}
 	r := &run{
-		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)), began: time.Now(), store: store,
+		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
+		more: rand.New(rand.NewPCG(config.Seed, 2)), began: time.Now(), store: store,
 		client:   platform.NewClient(store.URL()),
 		starter:  newStarter(config.Program),
 		promises: make(map[string]*Promise), active: make(map[flow.Key]*call), ran: make(map[string]int),
