--- a/sidecar/failures_test.go
+++ b/sidecar/failures_test.go
@@ -11,9 +11,8 @@
 	"dandelionhitch.example/sidecar"
 )
 
-// TestUpstreamThatWasOnlySilentKeepsItsFlows stops the heartbeats of an upstream that
-// goes on working: a caller's packet must reach it before the flow counts as dead.
-func TestUpstreamThatWasOnlySilentKeepsItsFlows(t *testing.T) {
+// newSilentRig has an open flow of an upstream that has given no sign of life for 4 s.
+func newSilentRig(t *testing.T) *rig {
 	r := newRig(t)
 	assert.NilError(t, r.beat(0, nil))
 	r.openFlow(0)
@@ -21,6 +20,13 @@
 		r.Tick(now)
 	}
 	r.forget()
+	return r
+}
+
+// TestUpstreamThatWasOnlySilentKeepsItsFlows stops the heartbeats of an upstream that
+// goes on working: a caller's packet must reach it before the flow counts as dead.
+func TestUpstreamThatWasOnlySilentKeepsItsFlows(t *testing.T) {
+	r := newSilentRig(t)
 	request := encode(flow.ACK, 11, 501, 5, false)
 	r.fromRelay(4*time.Second, peer.KindCarry, request)
 	assert.Equal(t, len(r.toCaller), 0, "the upstream was not asked yet")
@@ -35,13 +41,7 @@
 // TestUpstreamThatAnswersNothingEndsItsFlows is the other case: the repeated packet
 // ends the flow.
 func TestUpstreamThatAnswersNothingEndsItsFlows(t *testing.T) {
-	r := newRig(t)
-	assert.NilError(t, r.beat(0, nil))
-	r.openFlow(0)
-	for now := time.Duration(0); now < 4*time.Second; now += 20 * time.Millisecond {
-		r.Tick(now)
-	}
-	r.forget()
+	r := newSilentRig(t)
 	request := encode(flow.ACK, 11, 501, 5, false)
 	r.fromRelay(4*time.Second, peer.KindCarry, request)
 	r.fromRelay(4*time.Second+time.Millisecond, peer.KindCarry, request)
