peer: a carried packet that has waited more than a minute is refused

FuzzDecode found in a minute that such a message decodes and encodes to another one. No process sends one.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -107,7 +107,7 @@
 	// the upstream is busy.
 	Last bool
 	// Waited is how long ago the relay got the opening packet first, in whole ms,
-	// up to a minute.
+	// up to _maxWaited.
 	Waited time.Duration
 	// Origin is the relay that got the packet from the caller.
 	Origin netip.Addr
@@ -127,6 +127,9 @@
 	_keySize      = 12
 )
 
+// _maxWaited bounds Carried.Waited: many times what callers wait for a flow.
+const _maxWaited = time.Minute
+
 // _lastBit marks Carried.Last in the byte of Hops.
 const _lastBit = 0x80
 
@@ -138,7 +141,7 @@
 		hops |= _lastBit
 	}
 	b = append(b, byte(c.Kind), hops)
-	b = binary.BigEndian.AppendUint16(b, uint16(min(max(c.Waited, 0), time.Minute)/time.Millisecond))
+	b = binary.BigEndian.AppendUint16(b, uint16(min(max(c.Waited, 0), _maxWaited)/time.Millisecond))
 	b = append(b, origin[:]...)
 	b = binary.BigEndian.AppendUint64(b, uint64(c.Service))
 	b = binary.BigEndian.AppendUint64(b, c.Version)
@@ -150,11 +153,15 @@
 	if len(b) <= _carriedSize {
 		return Carried{}, trace.BadParameter("carried packet: %d bytes are too short", len(b))
 	}
+	waited := time.Duration(binary.BigEndian.Uint16(b[2:])) * time.Millisecond
+	if waited > _maxWaited {
+		return Carried{}, trace.BadParameter("carried packet: it has waited %v, more than %v", waited, _maxWaited)
+	}
 	return Carried{
 		Kind:    Kind(b[0]),
 		Hops:    b[1] &^ _lastBit,
 		Last:    b[1]&_lastBit != 0,
-		Waited:  time.Duration(binary.BigEndian.Uint16(b[2:])) * time.Millisecond,
+		Waited:  waited,
 		Origin:  netip.AddrFrom4([4]byte(b[4:8])),
 		Service: ServiceID(binary.BigEndian.Uint64(b[8:])),
 		Version: binary.BigEndian.Uint64(b[16:]),
