sidecar: one look-up of the flow for a packet of the upstream

The check for packets of an earlier flow had added a third look-up to the path of every reply. The flow is looked up once and handed on; behaviour is the same.

--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -353,7 +353,8 @@
 		c.bounced(now, p, packet)
 		return
 	}
-	if h := c.flows.Get(p.ToCaller()); h != nil && p.Flags.Has(flow.RST) {
+	h := c.flows.Get(p.ToCaller())
+	if h != nil && p.Flags.Has(flow.RST) {
 		switch {
 		case h.probing:
 			c.deniedByReset(now, p, h)
@@ -366,14 +367,14 @@
 			c.requestFailed("resets_requests")
 		}
 	}
-	if h := c.flows.Get(p.ToCaller()); h != nil && !h.belongs(p) {
+	if h != nil && !h.belongs(p) {
 		c.counts.Stray++
 		c.out.Decide(decision.Record{
 			Flow: h.key, Action: decision.Dropped, Reason: "earlier_flow_of_caller", Service: c.self.Service, Version: c.table.Version(),
 		})
 		return
 	}
-	c.reply(now, p)
+	c.reply(now, p, h)
 	c.counts.Replies++
 	c.out.ToCaller(p.Destination.Addr(), packet)
 }
@@ -413,10 +414,9 @@
 	return h.latest-p.Seq < window
 }
 
-// reply learns from a packet for a caller.
-func (c *Core) reply(now time.Duration, p flow.Packet) {
+// reply learns from a packet for a caller; h is nil if its flow is not known.
+func (c *Core) reply(now time.Duration, p flow.Packet, h *held) {
 	key := p.ToCaller()
-	h := c.flows.Get(key)
 	if h == nil {
 		h = &held{key: key, open: true, carried: now, callerAck: p.Seq}
 		c.flows.Put(key, h)
