leaseholder: start the workers of a test from within their tomb

TestLoweringLimitDuringAdmissions started its workers one by one. The first could end before the next was started, and tomb.Go panics once all goroutines have terminated. The goroutine that starts them now belongs to the same tomb, so the tomb lives until all are started. Load, bounds and checks are unchanged. The leaseholder was not at fault.

--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -223,6 +223,21 @@
 	return nil
 }
 
+// workerGroup runs eight goroutines of one worker.
+type workerGroup struct {
+	tomb   tomb.Tomb
+	worker *worker
+}
+
+// run starts the goroutines. As long as it runs, the tomb stays alive, even if all
+// goroutines that were started have ended.
+func (g *workerGroup) run() error {
+	for range 8 {
+		g.tomb.Go(g.worker.run)
+	}
+	return nil
+}
+
 // TestLoweringLimitDuringAdmissions changes the limit while workers open and end
 // flows. Once a lowered limit is in force, no flow may be admitted above it. The race
 // detector must find no data race.
@@ -233,16 +248,14 @@
 		w := &worker{holder: g.holders[0]}
 		w.maxOpen.Store(60)
 		for _, flows := range []int64{160, 32, 320, 16} {
-			var workers tomb.Tomb
+			workers := workerGroup{worker: w}
 			allowed := flows * 3 / 16
 			w.maxOpen.Store(max(allowed, w.maxOpen.Load()))
-			for range 8 {
-				workers.Go(w.run)
-			}
+			workers.tomb.Go(workers.run)
 			g.flows.Store(flows)
 			g.holders[0].Refresh()
 			w.maxOpen.Store(allowed)
-			assert.NilError(t, workers.Wait())
+			assert.NilError(t, workers.tomb.Wait())
 			assert.Assert(t, !w.exceeded.Load(), "more than %d flows", allowed)
 			assert.Equal(t, g.holders[0].Status().Open, 0)
 			admitted, _ := g.admitAll(0)
