dispatcher: spend the handover budget only if the request still waits

A request that started while a peer was chosen for it took a handover from the budget and was not handed over. One message to the admission loop now does both or neither.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -43,7 +43,7 @@
 	actions []queue.Action
 }
 
-// admissionMessage is a message to the admission loop: offer, finish, cancel,
+// admissionMessage is a message to the admission loop: offer, finish, cancel, leave,
 // withdraw or drain.
 type admissionMessage interface{ admissionMessage() }
 
@@ -67,6 +67,14 @@
 	reply chan bool
 }
 
+// leave removes a waiting request from the queue and takes one handover from the budget,
+// or does neither. The reply is false if the request no longer waits or the budget is
+// exhausted.
+type leave struct {
+	id    queue.ID
+	reply chan bool
+}
+
 // withdraw takes one retry or handover from a budget. The reply is false if the
 // budget is exhausted.
 type withdraw struct {
@@ -89,6 +97,7 @@
 func (offer) admissionMessage()    {}
 func (finish) admissionMessage()   {}
 func (cancel) admissionMessage()   {}
+func (leave) admissionMessage()    {}
 func (withdraw) admissionMessage() {}
 func (drain) admissionMessage()    {}
 
@@ -151,6 +160,14 @@
 	return a.awaitReply(reply)
 }
 
+// leave removes a waiting request from the queue and takes one handover from the budget,
+// or does neither. It returns false if the budget is exhausted or the reply channel of
+// the request already holds a Start or Refuse.
+func (a *admission) leave(id queue.ID) bool {
+	reply := make(chan bool, 1)
+	return a.send(leave{id: id, reply: reply}) && a.awaitReply(reply)
+}
+
 // withdraw takes one retry or handover from the budget. It returns false if the
 // budget is exhausted.
 func (a *admission) withdraw(budget budgetKind) bool {
@@ -204,10 +221,13 @@
 	case finish:
 		a.actions = a.queue.Finish(a.actions, now, m.id, m.result)
 	case cancel:
-		var ok bool
-		a.actions, ok = a.queue.Cancel(a.actions, now, m.id)
-		if ok {
-			delete(a.pending, m.id)
+		m.reply <- a.cancelWaiting(now, m.id)
+	case leave:
+		budget := &a.budgets[_budgetHandOver]
+		ok := budget.Withdraw()
+		if ok && !a.cancelWaiting(now, m.id) {
+			budget.Return()
+			ok = false
 		}
 		m.reply <- ok
 	case withdraw:
@@ -217,6 +237,17 @@
 	}
 }
 
+// cancelWaiting removes a request from the queue. It returns false if the request does
+// not wait.
+func (a *admission) cancelWaiting(now time.Duration, id queue.ID) bool {
+	var ok bool
+	a.actions, ok = a.queue.Cancel(a.actions, now, id)
+	if ok {
+		delete(a.pending, id)
+	}
+	return ok
+}
+
 // advance ticks the queue, delivers its actions, updates the load and sets the
 // timer.
 func (a *admission) advance(timer *time.Timer) {
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -245,7 +245,7 @@
 		return leftForPeer{}, false
 	}
 	peer, ok := x.choosePeer(queue.MaxLoad)
-	if !ok || !x.d.admission.cancel(id) {
+	if !ok || !x.d.admission.leave(id) {
 		return leftForPeer{}, false
 	}
 	return leftForPeer{peer: peer, maxWait: maxWait}, true
@@ -302,7 +302,7 @@
 			}
 		case refused:
 			peer, ok := x.choosePeer(queue.CrowdedLoad)
-			if !ok {
+			if !ok || !x.d.admission.withdraw(_budgetHandOver) {
 				x.answerNotRun("refused", queueRefusalProblem(a.Refuse))
 				return
 			}
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -73,10 +73,10 @@
 	return loads
 }
 
-// choosePeer returns a peer to which to hand the request over, and takes one handover
-// from the budget. The peer's load is less than the parameter below, and the request
-// has not been handed over to that peer yet. choosePeer returns false if there is no
-// such peer, the budget is exhausted or the request may not be handed over.
+// choosePeer returns a peer to which to hand the request over. The peer's load is less
+// than the parameter below, and the request has not been handed over to that peer yet.
+// choosePeer returns false if there is no such peer or the request may not be handed
+// over. It takes nothing from a budget.
 func (x *exchange) choosePeer(below int) (Peer, bool) {
 	d := x.d
 	if d.peers == nil || x.fromPeer || x.ticket != 0 || len(x.triedPeers) >= queue.MaxHandOvers {
@@ -91,7 +91,7 @@
 		}
 	}
 	i, ok := queue.Choose(loads, below, d.random(), d.random())
-	if !ok || !d.admission.withdraw(_budgetHandOver) {
+	if !ok {
 		return Peer{}, false
 	}
 	return peers[i], true
--- a/queue/budget.go
+++ b/queue/budget.go
@@ -29,6 +29,9 @@
 	return true
 }
 
+// Return puts back the token of a retry that was allowed and not made.
+func (b *Budget) Return() { b.tokens = min(b.burst, b.tokens+1) }
+
 // The budgets of the agent in front of an upstream, as shares of the agent's requests.
 const (
 	// _retryShare is the share of retries of requests that may have started,
