soak: resolve an ambiguous write of the configuration

After a lost answer the run took the version of whatever was stored, and went on as if its write had taken effect. It now compares, writes again under the same condition, and checks against both configurations while the outcome is unknown. TestAmbiguousWriteIsResolved failed before: the stored configuration routed to orders.

--- a/soak/calls.go
+++ b/soak/calls.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"strings"
 	"time"
 
@@ -40,6 +41,9 @@
 	service string
 }
 
+// _readRetryInterval is how long putConfiguration waits after a failed read.
+const _readRetryInterval = 20 * time.Millisecond
+
 // serviceAddress returns the address 198.18.0.n:443, which callers call.
 func (r *run) serviceAddress(n byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, n}), 443)
@@ -54,7 +58,7 @@
 	case r.serviceAddress(_photosAddress):
 		return service == _photos
 	case r.serviceAddress(_switchedAddress):
-		return service == r.switchedService || r.now()-r.switchedAt < _oldRouteGracePeriod
+		return service == r.switchedService || service == r.unresolvedService || r.now()-r.switchedAt < _oldRouteGracePeriod
 	default:
 		return false
 	}
@@ -80,20 +84,53 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	objectVersion, err := r.client.Put(ctx, platform.ConfigurationKey, value, r.objectVersion)
+	objectVersion, err := r.putConfiguration(ctx, value)
 	if platform.IsAmbiguous(err) {
-		var current platform.Object
-		if current, err = r.client.Get(ctx, platform.ConfigurationKey); err == nil {
-			objectVersion = current.Version
-		}
+		r.unresolvedService = service
+		return err // the previous configuration or this one is in force
 	}
 	if err != nil {
 		return err // the store is unavailable; the previous configuration stays in force
 	}
+	r.unresolvedService = ""
 	r.objectVersion, r.configVersion, r.switchedService, r.switchedAt = objectVersion, version, service, r.now()
 	return nil
 }
 
+// putConfiguration writes a configuration over the last one. After a lost answer it
+// repeats the write until the stored object shows whether it took effect. The condition
+// on the version lets at most one of the copies do so. The error is ambiguous if ctx ends
+// first.
+func (r *run) putConfiguration(ctx context.Context, value []byte) (platform.Version, error) {
+	if r.unresolvedService != "" {
+		if current, err := r.objects.Get(ctx, platform.ConfigurationKey); err == nil {
+			r.objectVersion = current.Version
+		}
+	}
+	version, err := r.objects.Put(ctx, platform.ConfigurationKey, value, r.objectVersion)
+	for ambiguous := err; platform.IsAmbiguous(ambiguous) && err != nil; {
+		current, readErr := r.objects.Get(ctx, platform.ConfigurationKey)
+		switch {
+		case ctx.Err() != nil:
+			return 0, ambiguous
+		case readErr == nil && equalJSON(current.Value, value):
+			return current.Version, nil
+		case readErr == nil:
+			version, err = r.objects.Put(ctx, platform.ConfigurationKey, value, r.objectVersion)
+		default:
+			time.Sleep(_readRetryInterval)
+		}
+	}
+	return version, err
+}
+
+// equalJSON reports whether two JSON values are equal. The store may format them
+// differently.
+func equalJSON(a, b []byte) bool {
+	var x, y any
+	return json.Unmarshal(a, &x) == nil && json.Unmarshal(b, &y) == nil && reflect.DeepEqual(x, y)
+}
+
 // listenForCallers opens the callers' sockets, which receive replies.
 func (r *run) listenForCallers() error {
 	for i := range byte(_callerCount) {
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"encoding/json"
 	"net/netip"
 	"strings"
 	"testing"
@@ -203,6 +205,35 @@
 	assert.Equal(t, h.breaches(_lastConfig), 1)
 }
 
+// lossyStore loses the answer to the first write, which does not take effect.
+type lossyStore struct {
+	platform.Store
+	lost bool
+}
+
+// Put implements platform.Store.
+func (s *lossyStore) Put(ctx context.Context, key string, value json.RawMessage, expected platform.Version) (platform.Version, error) {
+	if !s.lost {
+		s.lost = true
+		return 0, &platform.AmbiguousError{Op: "put", Key: key, Err: context.DeadlineExceeded}
+	}
+	return s.Store.Put(ctx, key, value, expected)
+}
+
+// TestAmbiguousWriteIsResolved loses the answer to a write that has no effect. The run
+// must not take the stored configuration for the one that it wrote.
+func TestAmbiguousWriteIsResolved(t *testing.T) {
+	h := newHarness(t)
+	h.objects = &lossyStore{Store: h.objects}
+	assert.NilError(t, h.writeConfiguration(_photos))
+	object, err := h.client.Get(t.Context(), platform.ConfigurationKey)
+	assert.NilError(t, err)
+	table, _, err := platform.DecodeConfiguration(object.Value)
+	assert.NilError(t, err)
+	assert.Assert(t, table.Allows(h.serviceAddress(_switchedAddress), _photos), "the stored configuration routes to %s", _orders)
+	assert.Equal(t, h.objectVersion, object.Version)
+}
+
 func TestUnansweredCallAfterFaultsIsBreach(t *testing.T) {
 	h := newHarness(t)
 	h.config.FaultDuration = -time.Hour
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -150,13 +150,15 @@
 	startTime   time.Time
 	store       *standin.Platform
 	client      *platform.Client
-	starter     *starter
-	proxy       *proxy
-	ports       ports
-	reserved    *reservation
-	promises    map[string]*Promise
-	faults      []string
-	tomb        tomb.Tomb
+	// objects is client, unless a test replaces it.
+	objects  platform.Store
+	starter  *starter
+	proxy    *proxy
+	ports    ports
+	reserved *reservation
+	promises map[string]*Promise
+	faults   []string
+	tomb     tomb.Tomb
 	// loopStarted reports whether tomb has a goroutine to wait for.
 	loopStarted bool
 
@@ -172,8 +174,11 @@
 	// at switchedAt and routes _switchedAddress to switchedService.
 	configVersion   uint64
 	switchedService string
-	switchedAt      time.Duration
-	objectVersion   platform.Version
+	// unresolvedService is the service to which the last write routes _switchedAddress, if
+	// it is not known whether that write took effect, and empty otherwise.
+	unresolvedService string
+	switchedAt        time.Duration
+	objectVersion     platform.Version
 }
 
 func newRun(config Config) (*run, error) {
@@ -188,6 +193,7 @@
 		starter:  newStarter(config.Program),
 		promises: make(map[string]*Promise), active: make(map[flow.Key]*call), executions: make(map[string]int),
 	}
+	r.objects = r.client
 	for _, name := range []string{_noReset, _rightService, _unaltered, _noFlowAfterDrain, _atMostOnce, _lastConfig, _recovery} {
 		r.promises[name] = &Promise{Name: name}
 	}
@@ -311,7 +317,7 @@
 			r.check(_recovery, c.State == standin.CallAnswered, "flow %v: state %d", c.Key, c.State)
 		}
 		if c.Began > settled && c.State == standin.CallAnswered && c.Key.Address == r.serviceAddress(_switchedAddress) {
-			r.check(_lastConfig, c.service == r.switchedService,
+			r.check(_lastConfig, c.service == r.switchedService || c.service == r.unresolvedService,
 				"flow %v reached %s, the configuration says %s", c.Key, c.service, r.switchedService)
 		}
 	}
