relay: a question that the search budget delays is sent later, not taken for asked

Two faults of the search for a flow's holder, found by reading. Sidecars counted as asked although the budget did not cover the question, so the search waited for answers that could not come until it timed out after 400 ms; a search now remembers that its next step waits for the budget and takes it at a later tick. A holder that was asked but not tried did not get the first buffered packet, if other sidecars had been tried with it. TestSearchOverBudget and TestHolderThatWasNotTriedGetsAllPackets failed before.

--- a/relay/core.go
+++ b/relay/core.go
@@ -207,9 +207,12 @@
 	asked   []netip.Addr
 	answers map[netip.Addr]peer.Outcome
 	// askedAllZones is set when the sidecars of the route's services were asked in all
-	// zones, askedAllServices when the sidecars of all services were asked, and
-	// triedUnsure when the first buffered packet was sent to the unsure sidecars.
-	askedAllZones, askedAllServices, triedUnsure bool
+	// zones, and askedAllServices when the sidecars of all services were asked.
+	askedAllZones, askedAllServices bool
+	// overBudget is set while the next step of the search waits for the search budget.
+	overBudget bool
+	// tried are the unsure sidecars to which the first buffered packet was sent.
+	tried []netip.Addr
 	// packets are the caller's packets that are buffered until the holder is found. A
 	// reset of the flow uses the acknowledgment number of the last one.
 	packets [][]byte
--- a/relay/search.go
+++ b/relay/search.go
@@ -63,6 +63,8 @@
 				Flow: q.key, Action: decision.Dropped, Reason: "holder_not_found", Version: c.table.Version(), Age: age, Attempt: len(q.asked),
 			})
 			return true
+		case q.overBudget:
+			c.advanceSearch(now, q.key, q.state, q.question)
 		case age >= _widenSearchAfter && !q.askedAllZones:
 			c.askAllZones(now, q.key, q.question)
 		}
@@ -97,15 +99,16 @@
 }
 
 // askAllZones asks the sidecars of the route's services in all zones. It reports whether
-// any of them had not been asked before.
+// any of them had not been asked before, as askSidecars does.
 func (c *Core) askAllZones(now time.Duration, key flow.Key, q *question) bool {
-	q.askedAllZones = true
 	p, err := c.wire.Decode(q.packets[0])
 	if err != nil {
 		c.counts.Malformed++
 		return false
 	}
-	return c.askSidecars(now, key, q, p.Ack, c.sidecarsOfRoute(key, func(*fleet.Upstream) bool { return true }))
+	pending := c.askSidecars(now, key, q, p.Ack, c.sidecarsOfRoute(key, func(*fleet.Upstream) bool { return true }))
+	q.askedAllZones = !q.overBudget
+	return pending
 }
 
 // sidecarsOfRoute returns the sidecars of the services that a flow's route leads to,
@@ -123,20 +126,21 @@
 }
 
 // askSidecars sends the question to each of the given sidecars that has not been asked
-// yet, and reports whether there was such a sidecar. It sends nothing if the search
-// budget does not cover all of them, but still returns true.
+// yet, and reports whether there was such a sidecar. If the search budget does not cover
+// all of them, it asks none and sets q.overBudget, and checkQuestions tries again.
 func (c *Core) askSidecars(now time.Duration, key flow.Key, q *question, ack uint32, sidecars []netip.Addr) bool {
-	first := len(q.asked)
-	for _, addr := range sidecars {
-		if _, known := q.answers[addr]; !known {
-			q.answers[addr] = 0
-			q.asked = append(q.asked, addr)
-		}
-	}
-	added := q.asked[first:]
-	if len(added) == 0 || !c.spendSearchBudget(now, len(added)*_questionBytes) {
+	added := slices.DeleteFunc(sidecars, func(addr netip.Addr) bool {
+		_, known := q.answers[addr]
+		return known
+	})
+	q.overBudget = len(added) > 0 && !c.spendSearchBudget(now, len(added)*_questionBytes)
+	if len(added) == 0 || q.overBudget {
 		return len(added) > 0
 	}
+	q.asked = append(q.asked, added...)
+	for _, addr := range added {
+		q.answers[addr] = 0
+	}
 	c.counts.Asked++
 	c.out.LogDecision(decision.Record{
 		Flow: key, Action: decision.Asked, Reason: "holder_not_known", Version: c.table.Version(),
@@ -179,7 +183,7 @@
 		Flow: v.Flow, Action: decision.Found, Reason: v.Outcome.String(), Target: v.Sidecar,
 		Version: c.table.Version(), Age: now - q.started, Attempt: len(q.asked), Routine: true,
 	})
-	if q.triedUnsure {
+	if slices.Contains(q.tried, v.Sidecar) {
 		q.packets = q.packets[1:] // the holder got the first one from tryUnsure
 	}
 	for _, packet := range q.packets {
@@ -247,12 +251,13 @@
 		return
 	}
 	if !q.askedAllServices {
-		q.askedAllServices = true
 		var all []netip.Addr
 		for _, u := range c.view.Sidecars() {
 			all = append(all, u.Sidecar)
 		}
-		if c.askSidecars(now, key, q, p.Ack, all) {
+		pending := c.askSidecars(now, key, q, p.Ack, all)
+		q.askedAllServices = !q.overBudget
+		if pending {
 			return
 		}
 	}
@@ -262,10 +267,14 @@
 // tryUnsure sends the first buffered packet to the sidecars that are unsure. They answer
 // with Held or NotHeld once their upstream has accepted the packet or returned it.
 func (c *Core) tryUnsure(now time.Duration, q *question, unsure []netip.Addr) {
-	if q.triedUnsure || !c.spendSearchBudget(now, len(unsure)*(len(q.packets[0])+_packetOverheadBytes)) {
+	if len(q.tried) > 0 {
+		return
+	}
+	q.overBudget = !c.spendSearchBudget(now, len(unsure)*(len(q.packets[0])+_packetOverheadBytes))
+	if q.overBudget {
 		return
 	}
-	q.triedUnsure = true
+	q.tried = unsure
 	for _, addr := range unsure {
 		q.answers[addr] = 0
 		c.counts.Tried++
--- a/relay/search_test.go
+++ b/relay/search_test.go
@@ -87,3 +87,34 @@
 	c.Tick(_afterStartup + 20*time.Second) // the search budget is full again
 	assert.Assert(t, openSearches(_afterStartup+20*time.Second) > 0, "new searches are possible again")
 }
+
+// TestSearchOverBudget exhausts the search budget. A question that it does not cover must
+// not count as asked: it is sent once the budget suffices, and the flow is not reset
+// meanwhile.
+func TestSearchOverBudget(t *testing.T) {
+	c := newServingCore(t)
+	packet := encodePacket(flow.ACK, 1, 2, 10)
+	for port := range uint16(833) { // questions to two sidecars, of 120 bytes each
+		c.CallerPacket(_afterStartup, binary.BigEndian.AppendUint16(encodePacket(flow.ACK, 1, 2, 10), 1000+port))
+	}
+	c.clearSent()
+	c.CallerPacket(_afterStartup, packet)
+	assert.Equal(t, len(c.receivers(peer.KindQuestion)), 0)
+	c.Tick(_afterStartup + 20*time.Millisecond)
+	assert.DeepEqual(t, c.receivers(peer.KindQuestion), []string{_firstSidecar.String(), _secondSidecar.String()})
+	assert.Equal(t, len(c.toCaller), 0)
+}
+
+// TestHolderThatWasNotTriedGetsAllPackets sends a packet of a flow to an unsure sidecar
+// while the flow's holder, which was asked but not tried, is slow to answer. The holder
+// must get the packet too.
+func TestHolderThatWasNotTriedGetsAllPackets(t *testing.T) {
+	c := newTwoZoneCore(t)
+	c.CallerPacket(_afterStartup, encodePacket(flow.ACK, 1, 2, 10))
+	c.sendVerdict(_afterStartup, _firstSidecar, peer.Unsure, nil)
+	c.sendVerdict(_afterStartup, _secondSidecar, peer.NotHeld, nil)
+	assert.DeepEqual(t, c.receivers(peer.KindTry), []string{_firstSidecar.String()})
+	c.Tick(_afterStartup + 20*time.Millisecond)
+	c.sendVerdict(_afterStartup+21*time.Millisecond, _farSidecar, peer.Held, nil)
+	assert.DeepEqual(t, c.receivers(peer.KindCarry), []string{_farSidecar.String()})
+}
