relay, sidecar: retries of refused callers are known at every relay of the zone

Cause: a refused caller retries at once on a new flow, and routers choose the relay of that flow anew. Only the relay that had refused the caller knew it for a retry; at the others it counted as a fresh call with its whole target before it, twice for each call. And a refusal was remembered for a fixed 100 ms, so fresh calls of other users at the same address were taken for retries.

Change: a relay tells the relays of its zone of each refusal (8 bytes); how long it is remembered follows the round trips to callers that the relay observes, from 20 to 150 ms. A late flow is delivered only into a free slot, not into the room that covers handshakes.

TestRefusalIsSharedWithinZone failed before.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 //	sidecar -> relay     Verdict
 //	sidecar -> relay, sidecars of the same service   UpstreamReport
 //	relay   -> relay, sidecar                        RelayReport
+//	relay   -> relays of its zone                    Refusal
 //	relay, sidecar -> relay, sidecar                 Ask, Part, Defer: configurations
 package peer
 
@@ -52,6 +53,8 @@
 	KindAsk
 	KindPart
 	KindDefer
+	// KindRefusal is a Refusal.
+	KindRefusal
 )
 
 // Outcome is the answer to a Carried or a Question.
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -1,15 +1,15 @@
 package peer
 
 // Kinds is the number of message kinds.
-const Kinds = int(KindDefer-KindOffer) + 1
+const Kinds = int(KindRefusal-KindOffer) + 1
 
 // String returns the kind's name in metrics.
 func (k Kind) String() string {
-	if k < KindOffer || k > KindDefer {
+	if k < KindOffer || k > KindRefusal {
 		return "unknown"
 	}
 	return [Kinds]string{
-		"offer", "carry", "try", "question", "verdict", "upstream_report", "relay_report", "ask", "part", "defer",
+		"offer", "carry", "try", "question", "verdict", "upstream_report", "relay_report", "ask", "part", "defer", "refusal",
 	}[k-KindOffer]
 }
 
@@ -23,7 +23,7 @@
 // Add counts the bytes of a message. The near argument tells whether the message's receiver is
 // in the zone of this process. Messages of unknown kinds are ignored.
 func (t *Traffic) Add(message []byte, near bool) {
-	if len(message) == 0 || Kind(message[0]) < KindOffer || Kind(message[0]) > KindDefer {
+	if len(message) == 0 || Kind(message[0]) < KindOffer || Kind(message[0]) > KindRefusal {
 		return
 	}
 	kind := Kind(message[0]) - KindOffer
--- a/relay/answers.go
+++ b/relay/answers.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// rttEstimator estimates how long sidecars take to answer offers, as TCP estimates its
-// round-trip time (RFC 6298). The measured times include the time that an answer waits in
+// rttEstimator estimates a round-trip time as TCP does (RFC 6298). For the answers of
+// sidecars to offers, the measured times include the time that an answer waits in
 // this relay's socket, so that a busy relay allows for its own delay and does not
 // consider sidecars unresponsive.
 type rttEstimator struct {
@@ -28,5 +28,14 @@
 
 // timeout returns how long to wait for the answer to an offer.
 func (e *rttEstimator) timeout() time.Duration {
-	return min(max(e.mean+4*e.deviation, _minOfferTimeout), _maxOfferTimeout)
+	return e.bounded(_minOfferTimeout, _minOfferTimeout, _maxOfferTimeout)
+}
+
+// bounded returns the time that almost all round trips take, between lower and upper, or
+// initial if none was observed.
+func (e *rttEstimator) bounded(initial, lower, upper time.Duration) time.Duration {
+	if e.mean == 0 {
+		return initial
+	}
+	return min(max(e.mean+4*e.deviation, lower), upper)
 }
--- a/relay/core.go
+++ b/relay/core.go
@@ -167,6 +167,9 @@
 	arrival    arrival
 	// firstOffered is when the opening packet was first offered; zero if it was not.
 	firstOffered time.Duration
+	// deliveredAt is when a sidecar answered that it has delivered the opening packet to its
+	// upstream without a wait; zero if it has not or the caller has sent a packet since.
+	deliveredAt time.Duration
 	// question is the open search for the holder; nil if there is none.
 	question *question
 	// searchFailed is set if the last question timed out.
@@ -245,7 +248,7 @@
 		flows:  flow.NewCache[flowState](maxFlows, nil),
 		offers: make(map[flow.Key]*offer),
 
-		returning:    make(returningCallers),
+		returning:    newReturningCallers(),
 		searchBudget: _searchBurstBytes,
 	}
 	c.configs = distribution.New(self.Addr, true, out, random)
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -447,3 +447,45 @@
 func (*discardOutbox) LogDecision(decision.Record)              {}
 func (*discardOutbox) LogBelief(decision.Belief)                {}
 func (*discardOutbox) ObserveSpan(decision.Span, time.Duration) {}
+
+// TestRefusalIsSharedWithinZone refuses a caller's flow at one relay. Another relay of the
+// zone, to which routers may send the retry, must take it for one; relays of other zones
+// are not told.
+func TestRefusalIsSharedWithinZone(t *testing.T) {
+	c := newServingCore(t)
+	near, far := netip.MustParseAddr("10.0.0.2"), netip.MustParseAddr("10.0.0.3")
+	for addr, zone := range map[netip.Addr]string{near: "a", far: "b"} {
+		report, err := peer.AppendRelay(nil, peer.RelayReport{Relay: addr, Incarnation: 1, Sequence: 1, Zone: zone})
+		assert.NilError(t, err)
+		c.PeerMessage(_afterStartup, report)
+	}
+	c.clearSent()
+	c.CallerPacket(_afterStartup, encodePacket(flow.SYN, 7, 0, 0))
+	c.sendVerdict(_afterStartup+30*time.Millisecond, _firstSidecar, peer.Ended, nil)
+	assert.DeepEqual(t, c.receivers(peer.KindRefusal), []string{near.String()})
+	for _, m := range c.messages {
+		if m.kind == peer.KindRefusal {
+			r, err := peer.DecodeRefusal(m.body)
+			assert.NilError(t, err)
+			assert.Equal(t, r, peer.Refusal{Caller: _caller.Addr(), Waited: 30 * time.Millisecond})
+			other := newServingCore(t)
+			other.PeerMessage(_afterStartup, m.body)
+			other.CallerPacket(_afterStartup, encodePacket(flow.SYN, 9, 0, 0))
+			offers := other.offersWaited(t)
+			assert.DeepEqual(t, offers, []time.Duration{30 * time.Millisecond})
+		}
+	}
+}
+
+// offersWaited returns how long the callers of the offers that were sent have waited.
+func (c *testCore) offersWaited(t *testing.T) []time.Duration {
+	var waited []time.Duration
+	for _, m := range c.messages {
+		if m.kind == peer.KindOffer {
+			carried, err := peer.DecodeCarried(m.body)
+			assert.NilError(t, err)
+			waited = append(waited, carried.Waited)
+		}
+	}
+	return waited
+}
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -34,6 +34,11 @@
 		}
 	case peer.KindAsk, peer.KindPart, peer.KindDefer:
 		c.handleConfiguration(now, message)
+	case peer.KindRefusal:
+		var r peer.Refusal
+		if r, err = peer.DecodeRefusal(message); err == nil {
+			c.returning.add(now, r.Caller, arrival{first: now - r.Waited, retries: int(r.Retries)})
+		}
 	default:
 		c.counts.Malformed++
 		return
@@ -100,7 +105,7 @@
 		c.handleHeld(now, v, f)
 	case peer.Ended:
 		if f != nil && f.firstOffered > 0 {
-			c.returning.add(now, v.Flow.Caller.Addr(), f.arrival)
+			c.noteRefused(now, v.Flow.Caller.Addr(), f.arrival)
 		}
 		delete(c.offers, v.Flow)
 		c.flows.Delete(v.Flow)
@@ -126,6 +131,9 @@
 		c.flows.Put(v.Flow, f)
 	}
 	f.holder = v.Sidecar
+	if v.Busy <= v.Slots {
+		f.deliveredAt = now
+	}
 }
 
 // handleRefused offers the opening packet of a flow elsewhere after a sidecar has
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -205,7 +205,7 @@
 	}
 	c.flows.Delete(key)
 	c.sendReset(now, key, 0, "all_refused")
-	c.returning.add(now, key.Caller.Addr(), o.arrival)
+	c.noteRefused(now, key.Caller.Addr(), o.arrival)
 }
 
 // offerTimedOut penalizes the sidecar that did not answer the last offer in time, and
@@ -228,6 +228,10 @@
 	f := c.flows.Get(key)
 	if f != nil && f.holder.IsValid() && f.question == nil {
 		c.counts.Carried++
+		if f.deliveredAt > 0 {
+			c.returning.roundTrip.observe(now - f.deliveredAt)
+			f.deliveredAt = 0
+		}
 		c.sendCarried(peer.Carried{Kind: peer.KindCarry, Packet: packet}, f.holder)
 		return
 	}
--- a/relay/returning_test.go
+++ b/relay/returning_test.go
@@ -13,7 +13,7 @@
 func TestRetryKeepsFirstArrival(t *testing.T) {
 	const ms = time.Millisecond
 	caller, other := netip.MustParseAddr("100.64.0.7"), netip.MustParseAddr("100.64.0.8")
-	r := make(returningCallers)
+	r := newReturningCallers()
 	r.add(700*ms, caller, arrival{first: 500 * ms})
 	assert.Equal(t, r.takeArrival(710*ms, other), arrival{first: 710 * ms})
 	first := r.takeArrival(710*ms, caller)
@@ -27,25 +27,40 @@
 	assert.Equal(t, r.takeArrival(735*ms, caller), arrival{first: 735 * ms}, "callers retry at most twice")
 }
 
-// TestRefusalExpires checks that a flow that begins after _retryWindow does not inherit
+// TestRefusalExpires checks that a flow that begins after the window does not inherit
 // the arrival time of a refused one.
 func TestRefusalExpires(t *testing.T) {
 	caller := netip.MustParseAddr("100.64.0.7")
-	r := make(returningCallers)
+	r := newReturningCallers()
 	r.add(0, caller, arrival{})
-	later := _retryWindow + time.Millisecond
+	later := _initialRetryWindow + time.Millisecond
 	assert.Equal(t, r.takeArrival(later, caller), arrival{first: later})
 	r.add(0, caller, arrival{})
 	r.expire(later)
-	assert.Equal(t, len(r), 0)
+	assert.Equal(t, len(r.refusals), 0)
 }
 
 // TestReturningCallersAreBounded refuses more than _maxReturningCallers callers. The
 // relay must not remember more than that.
 func TestReturningCallersAreBounded(t *testing.T) {
-	r := make(returningCallers)
+	r := newReturningCallers()
 	for i := range _maxReturningCallers + 10 {
 		r.add(0, netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), arrival{})
 	}
-	assert.Equal(t, len(r), _maxReturningCallers)
+	assert.Equal(t, len(r.refusals), _maxReturningCallers)
+}
+
+// TestWindowFollowsRoundTrips checks that refusals are remembered for as long as callers
+// take to return, as observed, so that few new flows of another user at the same address
+// are taken for retries.
+func TestWindowFollowsRoundTrips(t *testing.T) {
+	r := newReturningCallers()
+	for range 50 {
+		r.roundTrip.observe(2 * time.Millisecond)
+	}
+	assert.Equal(t, r.window(), _minRetryWindow)
+	for range 50 {
+		r.roundTrip.observe(60 * time.Millisecond)
+	}
+	assert.Assert(t, r.window() > 60*time.Millisecond && r.window() <= _maxRetryWindow, "%v", r.window())
 }
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -16,6 +16,9 @@
 // only after a long wait. A sidecar therefore delivers few more flows to its upstream
 // than the upstream has slots, and queues the others.
 //
+// Late flows get only free slots: one that waits inside the upstream would delay a flow
+// that can still be answered in time.
+//
 // A queued flow has two deadlines. It is late once it can no longer be answered within
 // its route's target latency. Flows that are not late go first, in the order of priority
 // and age, and late ones follow, since a late answer is better than none. The second
@@ -150,6 +153,9 @@
 func (c *Core) admitWaiting() {
 	for len(c.waiting) > 0 && c.busy < c.capacity() && c.reportedState() == peer.Ready {
 		f := c.nextWaiting()
+		if c.now >= f.targetStart && c.busy >= c.totalSlots() {
+			break // a flow that is not late may arrive, and must not wait behind this one
+		}
 		c.dequeue(f)
 		c.deliver(f)
 	}
--- a/standin/opaque_upstream.go
+++ b/standin/opaque_upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dandelionhitch.example/flow"
@@ -55,8 +56,11 @@
 	// OnCorrupted is called for each packet whose checksum is wrong.
 	OnCorrupted func()
 
-	random  *rand.Rand
-	flows   map[flow.Key]*upstreamFlow
+	random *rand.Rand
+	flows  map[flow.Key]*upstreamFlow
+	// order holds the flows in the order in which they were opened, so that a run depends
+	// on its seed alone.
+	order   []*upstreamFlow
 	running int
 	waiting []*upstreamFlow
 }
@@ -126,16 +130,20 @@
 // Tick finishes the requests and retransmits the answers that are due, and drops flows that
 // have been idle for too long.
 func (u *OpaqueUpstream) Tick(now time.Duration) {
-	for key, f := range u.flows {
+	u.order = slices.DeleteFunc(u.order, func(f *upstreamFlow) bool {
 		switch {
+		case u.flows[f.key] != f && !f.running && len(f.unacked) == 0:
+			return true // replaced by a later flow with the same key
 		case f.running && now >= f.doneAt:
 			u.finish(now, f)
 		case len(f.unacked) > 0 && now >= f.nextSend:
 			u.retry(now, f)
-		case now-f.lastReceived > 20*time.Second:
-			delete(u.flows, key)
+		case u.flows[f.key] == f && now-f.lastReceived > 20*time.Second:
+			delete(u.flows, f.key)
+			return true
 		}
-	}
+		return false
+	})
 }
 
 func (u *OpaqueUpstream) handleOpening(now time.Duration, key flow.Key, p OpaquePacket, packet []byte) {
@@ -147,6 +155,7 @@
 		}
 		f = &upstreamFlow{key: key, openingSeq: p.Seq, consentSeq: u.random.Uint32(), lastReceived: now}
 		u.flows[key] = f
+		u.order = append(u.order, f)
 		u.OnOpening(key)
 	}
 	if !f.open {
