evacuation, relay, sidecar, platform: evacuate an availability zone and take it back

Change: package evacuation holds a set of zones with the store's revision. Relays read the operator's entries with the shared reads of the configuration, where the setting evacuation_bound says that there may be any; whoever reads a change reports it to all processes at once, and later reports repeat it. Relays offer flows elsewhere. Sidecars of the zone take none, whatever a relay believes, move what waits, and report their upstream as draining, which reaches relays with an older set by a second way. Open flows stay. If only evacuated zones have upstreams, flows are refused at once. A process that did not run for 1.4 s refuses the offers that waited in its socket.

Weighed: a watch for each relay would bring the change sooner, but costs a call per relay and 30 s and can stop delivering without an error; the poll takes at most 2 s of 5.

TestEvacuatedZoneGetsNoFlows (kills, loss, freezes, a deaf relay, the store down, 100 processes) and TestAllZonesAreEvacuated; TestEvacuationIsChecked shows that the check of the simulation catches a fleet that does not hear of it.

--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -32,9 +32,12 @@
 	memoryMB     uint
 	grace        time.Duration
 	upstreamMode string
-	platform     platformFlags
-	logLevel     zapcore.Level
-	logOutput    io.Writer
+	// evacuationBound is the time within which an evacuation must be in force. It is zero
+	// where operators evacuate no zones.
+	evacuationBound time.Duration
+	platform        platformFlags
+	logLevel        zapcore.Level
+	logOutput       io.Writer
 }
 
 // _agentUpstreamMode is the only supported value of -upstream-mode: upstreams are
@@ -47,6 +50,10 @@
 	_defaultMemoryMB = 64
 )
 
+// _minEvacuationBound is the shortest bound that the shared reads of the store can keep:
+// twice their longest interval.
+const _minEvacuationBound = 4 * time.Second
+
 // _flowMemoryShare is the fraction of -memory-mb that flow state may take.
 const _flowMemoryShare = 0.3
 
@@ -64,6 +71,8 @@
 	f.text(&f.peerListen, "peer-listen", "IP:PORT where this process takes messages, if something passes them on from addr and peer-port")
 	f.UintVar(&f.memoryMB, "memory-mb", _defaultMemoryMB, "memory that this process may use, in MB")
 	f.DurationVar(&f.grace, "grace", _defaultGrace, "time that a process gets to stop")
+	f.DurationVar(&f.evacuationBound, "evacuation-bound", 0,
+		"time within which the evacuation of a zone must be in force; 0: zones are not evacuated, and the store is not asked for it")
 	f.StringVar(&f.upstreamMode, "upstream-mode", _agentUpstreamMode, "how upstreams are reached; only agent is served")
 	f.text(&f.logLevel, "log-level", "debug, info, warn or error")
 	f.platform.add(f.flagSet)
@@ -77,6 +86,9 @@
 	if f.peerPort > 1<<16-1 {
 		f.add("-peer-port", trace.BadParameter("%d is not a port", f.peerPort))
 	}
+	if f.evacuationBound < 0 || f.evacuationBound > 0 && f.evacuationBound < _minEvacuationBound {
+		f.add("-evacuation-bound", trace.BadParameter("%v is neither 0 nor at least %v", f.evacuationBound, _minEvacuationBound))
+	}
 	if f.upstreamMode != _agentUpstreamMode {
 		f.add("-upstream-mode", trace.BadParameter("%q is not served, only %q is", f.upstreamMode, _agentUpstreamMode))
 	}
--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -14,6 +14,7 @@
 
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/distribution"
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/peer"
 	"dandelionhitch.example/platform"
 )
@@ -29,7 +30,8 @@
 	log       *zap.Logger
 	decisions *decision.Log
 	metrics   *metricsServer
-	store     platform.Store
+	// store is nil if the settings name no store.
+	store *platform.Client
 	// closers are closed in reverse order.
 	closers []io.Closer
 }
@@ -95,6 +97,15 @@
 	return h, nil
 }
 
+// evacuationMetrics returns the metrics of the evacuated zones that are in force.
+func evacuationMetrics(set evacuation.Set, flows uint64) []metricValue {
+	return []metricValue{
+		{"evacuated_zones", int64(len(set.Zones()))},
+		{"evacuations_revision", int64(set.Revision())},
+		{"evacuation_moved_flows", int64(flows)},
+	}
+}
+
 // metricValue is the current value of one metric.
 type metricValue struct {
 	name  string
@@ -182,7 +193,7 @@
 func (n *opaqueNode) startServices(s opaqueServices) error {
 	f := n.flags
 	if n.store != nil && s.configTarget != nil {
-		n.add(newStoreReader(s.configTarget, n.store, n.log))
+		n.add(newStoreReader(s.configTarget, n.store, f.evacuationBound > 0, n.log))
 	}
 	ready, err := newHTTPServer("readiness", f.ready, platform.ReadyHandler(s.ready))
 	if err != nil {
--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/poll"
 
 	"dandelionhitch.example/directory"
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/platform"
 	"dandelionhitch.example/soak"
 	"dandelionhitch.example/standin"
@@ -79,13 +80,14 @@
 // that the reader puts in force to the channel tables, and a value for each successful read
 // to the channel reads. One read is due for each zero that a test sends to the channel due.
 type fakeConfigurationTarget struct {
-	tables chan directory.Table
-	due    chan time.Duration
-	reads  chan struct{}
+	tables      chan directory.Table
+	evacuations chan evacuation.Set
+	due         chan time.Duration
+	reads       chan struct{}
 }
 
 func newFakeConfigurationTarget() *fakeConfigurationTarget {
-	return &fakeConfigurationTarget{tables: make(chan directory.Table, 100), due: make(chan time.Duration, 100), reads: make(chan struct{}, 100)}
+	return &fakeConfigurationTarget{tables: make(chan directory.Table, 100), evacuations: make(chan evacuation.Set, 100), due: make(chan time.Duration, 100), reads: make(chan struct{}, 100)}
 }
 
 func (f *fakeConfigurationTarget) SetTable(table directory.Table, _ string) bool {
@@ -93,6 +95,8 @@
 	return true
 }
 
+func (f *fakeConfigurationTarget) SetEvacuations(set evacuation.Set, _ string) { f.evacuations <- set }
+
 func (f *fakeConfigurationTarget) UntilRead() time.Duration {
 	select {
 	case due := <-f.due:
@@ -108,8 +112,8 @@
 func (f *fakeConfigurationTarget) ReadPending() {}
 func (f *fakeConfigurationTarget) ReadFailed()  {}
 
-// TestStoreReaderAppliesConfiguration checks that a configuration in the store is
-// put in force when a read is due.
+// TestStoreReaderAppliesConfiguration checks that the configuration and the evacuated
+// zones in the store are put in force when a read is due.
 func TestStoreReaderAppliesConfiguration(t *testing.T) {
 	store, err := standin.NewPlatform()
 	assert.NilError(t, err)
@@ -126,10 +130,21 @@
 
 	target := newFakeConfigurationTarget()
 	target.due <- 0
-	r := newStoreReader(target, client, zap.NewNop())
+	r := newStoreReader(target, client, true, zap.NewNop())
 	defer r.Close()
 	assert.Equal(t, (<-target.tables).Version(), uint64(9))
 	<-target.reads
+	assert.Equal(t, (<-target.evacuations).String(), "none")
+
+	version, err := client.Put(t.Context(), platform.EvacuationsKind+"/oslo-a", []byte("{}"), 0)
+	assert.NilError(t, err)
+	target.due <- 0
+	<-target.reads
+	assert.Equal(t, (<-target.evacuations).String(), "oslo-a")
+	assert.NilError(t, client.Delete(t.Context(), platform.EvacuationsKind+"/oslo-a", version))
+	target.due <- 0
+	<-target.reads
+	assert.Equal(t, (<-target.evacuations).String(), "none")
 }
 
 // TestStoreReaderRecoversFromOutage starts a storeReader while the store does not
@@ -145,7 +160,7 @@
 	for range 50 {
 		target.due <- 0
 	}
-	r := newStoreReader(target, client, zap.NewNop())
+	r := newStoreReader(target, client, true, zap.NewNop())
 	defer r.Close()
 	time.Sleep(600 * time.Millisecond) // one call hangs without an answer
 	store.SetFaults(standin.PlatformFaults{})
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -119,7 +119,7 @@
 func relayMetrics(r *relay.Relay) func() []metricValue {
 	return func() []metricValue {
 		s := r.Stats()
-		return append([]metricValue{
+		return append(append([]metricValue{
 			{"relay_packets", int64(s.Packets)},
 			{"relay_openings", int64(s.Openings)},
 			{"relay_offers", int64(s.Offers)},
@@ -135,6 +135,6 @@
 			{"known_relays", int64(s.Relays)},
 			{"known_sidecars", int64(s.Sidecars)},
 			{"settings_version", int64(s.Version)},
-		}, sharedMetrics(s.Behind, s.Configurations, s.Traffic)...)
+		}, sharedMetrics(s.Behind, s.Configurations, s.Traffic)...), evacuationMetrics(s.Evacuations, s.Evacuated)...)
 	}
 }
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -117,7 +117,7 @@
 func sidecarMetrics(s *sidecar.Sidecar) func() []metricValue {
 	return func() []metricValue {
 		st := s.Stats()
-		return append([]metricValue{
+		return append(append([]metricValue{
 			{"sidecar_accepted", int64(st.Accepted)},
 			{"sidecar_passed_on", int64(st.PassedOn)},
 			{"sidecar_stray", int64(st.Stray)},
@@ -135,6 +135,6 @@
 			{"known_relays", int64(st.Relays)},
 			{"known_peers", int64(st.Peers)},
 			{"settings_version", int64(st.Version)},
-		}, sharedMetrics(st.Behind, st.Configurations, st.Traffic)...)
+		}, sharedMetrics(st.Behind, st.Configurations, st.Traffic)...), evacuationMetrics(st.Evacuations, st.Evacuated)...)
 	}
 }
--- a/dandelionhitch/store_reader.go
+++ b/dandelionhitch/store_reader.go
@@ -8,6 +8,7 @@
 	"gopkg.in/tomb.v2"
 
 	"dandelionhitch.example/directory"
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/platform"
 )
 
@@ -24,11 +25,13 @@
 	_storeReadTimeout = 10 * time.Second
 )
 
-// configurationTarget is the part of a relay that schedules reads of the configuration
-// in the store and receives their results.
+// configurationTarget is the part of a relay that schedules reads of the store and
+// receives the configuration and the evacuated zones.
 type configurationTarget interface {
 	// SetTable puts a configuration in force if its version is higher.
 	SetTable(table directory.Table, source string) bool
+	// SetEvacuations puts evacuated zones in force if they are newer.
+	SetEvacuations(set evacuation.Set, source string)
 	// UntilRead returns how long to wait until the next read, zero if it is due. The wait
 	// includes the backoff after failures.
 	UntilRead() time.Duration
@@ -40,21 +43,24 @@
 	ReadFailed()
 }
 
-// storeReader reads the configuration from the store whenever its relay says that a read is
-// due. The relay then distributes the configuration to the other processes.
+// storeReader reads the configuration, and the evacuated zones where there may be any,
+// from the store whenever its relay says that a read is due. The relay then distributes
+// both to the other processes.
 type storeReader struct {
 	tomb   tomb.Tomb
 	ctx    context.Context
 	target configurationTarget
-	store  platform.Store
+	store  *platform.Client
 	log    *zap.Logger
+	// evacuations is set if the operator may evacuate zones.
+	evacuations bool
 	// lastVersion is the version in the store of the configuration that was read last, zero
 	// before the first read.
 	lastVersion platform.Version
 }
 
-func newStoreReader(target configurationTarget, store platform.Store, log *zap.Logger) *storeReader {
-	r := &storeReader{target: target, store: store, log: log}
+func newStoreReader(target configurationTarget, store *platform.Client, evacuations bool, log *zap.Logger) *storeReader {
+	r := &storeReader{target: target, store: store, evacuations: evacuations, log: log}
 	r.ctx = r.tomb.Context(context.Background())
 	r.tomb.Go(r.loop)
 	return r
@@ -94,7 +100,7 @@
 	return nil
 }
 
-// check reads the configuration from the store and puts a new version in force. It returns
+// check reads the store and puts what is new in force. It returns
 // an error, too, if the store has no configuration yet.
 func (r *storeReader) check() error {
 	ctx, cancel := context.WithTimeout(r.ctx, _storeReadTimeout)
@@ -113,6 +119,13 @@
 		r.lastVersion = object.Version
 		r.adopt(object.Value)
 	}
+	if r.evacuations {
+		set, err := r.store.Evacuations(ctx)
+		if err != nil {
+			return err
+		}
+		r.target.SetEvacuations(set, "store")
+	}
 	r.target.ReadSucceeded()
 	return nil
 }
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/flow"
 )
 
@@ -98,6 +99,11 @@
 	}
 }
 
+// NewEvacuations returns the belief that the set of evacuated zones has changed.
+func NewEvacuations(from, to evacuation.Set, source string) Belief {
+	return Belief{Subject: "evacuated_zones", Name: "zones", From: from.String(), To: to.String(), Reason: source, Version: to.Revision()}
+}
+
 // _maxStack limits the stack trace of a panic in a log line, in bytes.
 const _maxStack = 1500
 
--- /dev/null
+++ b/evacuation/evacuation.go
@@ -0,0 +1,81 @@
+// Package evacuation tells which availability zones the operator has evacuated.
+//
+// The upstreams of an evacuated zone get no new flows until the operator takes the zone
+// back. Their open flows stay, and the relays of the zone go on serving callers with
+// upstreams of other zones.
+//
+// The operator's entries lie in the store. Relays read them together, and processes pass
+// them on in their reports. The store numbers its states in ascending order, so of two
+// sets the one with the higher revision is in force, whichever way it came.
+package evacuation
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Limits of a set, which travels in reports.
+const (
+	// MaxZones is the maximum number of evacuated zones.
+	MaxZones = 32
+	// MaxZoneSize is the maximum length of a zone's name in bytes.
+	MaxZoneSize = 63
+)
+
+// Set holds the evacuated zones at one revision of the store. It is immutable. The zero
+// Set means that the evacuated zones are not known, and contains none.
+type Set struct {
+	revision uint64
+	// zones are sorted and distinct.
+	zones []string
+}
+
+// New returns the set of zones that were evacuated at a revision of the store. It returns
+// a BadParameter or LimitExceeded error if the revision is zero, if there are too many
+// zones, or if a zone's name is empty or too long.
+func New(revision uint64, zones []string) (Set, error) {
+	if revision == 0 {
+		return Set{}, trace.BadParameter("evacuated zones: the revision is zero")
+	}
+	sorted := slices.Clone(zones)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	if len(sorted) > MaxZones {
+		return Set{}, trace.LimitExceeded("evacuated zones: %d zones, want at most %d", len(sorted), MaxZones)
+	}
+	for _, zone := range sorted {
+		if zone == "" || len(zone) > MaxZoneSize {
+			return Set{}, trace.BadParameter("evacuated zone %q: want 1 to %d bytes", zone, MaxZoneSize)
+		}
+	}
+	return Set{revision: revision, zones: sorted}, nil
+}
+
+// Revision returns the store's revision, or zero if the evacuated zones are not known.
+func (s Set) Revision() uint64 { return s.revision }
+
+// Zones returns the evacuated zones in ascending order. The caller must not modify the
+// slice.
+func (s Set) Zones() []string { return s.zones }
+
+// Contains reports whether the zone is known to be evacuated.
+func (s Set) Contains(zone string) bool {
+	_, found := slices.BinarySearch(s.zones, zone)
+	return found
+}
+
+// Newer reports whether the set is of a later revision than other.
+func (s Set) Newer(other Set) bool { return s.revision > other.revision }
+
+// SameZones reports whether both sets contain the same zones.
+func (s Set) SameZones(other Set) bool { return slices.Equal(s.zones, other.zones) }
+
+// String returns the zones, separated by commas, for logs.
+func (s Set) String() string {
+	if len(s.zones) == 0 {
+		return "none"
+	}
+	return strings.Join(s.zones, ",")
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -25,6 +25,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/flow"
 )
 
@@ -356,6 +357,24 @@
 	AttemptAge uint32 `cbor:"10,keyasint,omitempty"`
 	// Zone is the zone of the relay. It is set in reports that name other processes.
 	Zone string `cbor:"11,keyasint,omitempty"`
+	// EvacuationRevision and EvacuatedZones are the set of evacuated zones that the sender
+	// has in force. The revision is zero if it knows none.
+	EvacuationRevision uint64   `cbor:"12,keyasint,omitempty"`
+	EvacuatedZones     []string `cbor:"13,keyasint,omitempty"`
+}
+
+// Evacuations returns the set of evacuated zones in the report.
+func (r RelayReport) Evacuations() (evacuation.Set, error) {
+	if r.EvacuationRevision == 0 {
+		return evacuation.Set{}, nil
+	}
+	return evacuation.New(r.EvacuationRevision, r.EvacuatedZones)
+}
+
+// WithEvacuations returns the report with the given set of evacuated zones.
+func (r RelayReport) WithEvacuations(set evacuation.Set) RelayReport {
+	r.EvacuationRevision, r.EvacuatedZones = set.Revision(), set.Zones()
+	return r
 }
 
 // AppendUpstream appends an encoded upstream report to b.
@@ -395,5 +414,8 @@
 	if !r.Relay.Is4() {
 		return r, trace.BadParameter("relay report: invalid relay address %v", r.Relay)
 	}
+	if _, err := r.Evacuations(); err != nil {
+		return r, trace.Wrap(err, "relay report")
+	}
 	return r, nil
 }
--- a/relay/core.go
+++ b/relay/core.go
@@ -10,6 +10,7 @@
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/directory"
 	"dandelionhitch.example/distribution"
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/fleet"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
@@ -155,6 +156,8 @@
 	storeReads readSchedule
 	// configs exchanges configurations with other processes.
 	configs *distribution.Member
+	// evacuations are the zones whose upstreams get no new flows.
+	evacuations evacuation.Set
 }
 
 // flowState is what a relay knows of a flow. It is a cache: a relay that loses it
@@ -186,6 +189,8 @@
 	// lastResort is sent as peer.Carried.LastResort: sidecars then accept the packet even if
 	// its answer will miss the route's target, as long as the caller still waits.
 	lastResort bool
+	// evacuated is set if an upstream was left out because its zone is evacuated.
+	evacuated bool
 	// tried are the sidecars that the packet was offered to, the latest last.
 	tried []netip.Addr
 	// unanswered are the sidecars in tried that did not answer in time. Each may have
@@ -232,6 +237,9 @@
 	Carried, Asked, Tried uint64
 	// Resets counts resets sent to callers, and Dropped packets that were discarded.
 	Resets, Dropped uint64
+	// Evacuated counts flows that were placed in another zone, or not placed at all,
+	// because a zone is evacuated.
+	Evacuated uint64
 	// Malformed counts packets and messages that could not be decoded.
 	Malformed uint64
 }
@@ -490,7 +498,7 @@
 		Relay: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Leaving: c.leaving, Version: c.table.Version(), SidecarCount: uint32(c.view.SidecarCount()),
 		ReadAge: c.storeReads.readAge(now), AttemptAge: c.storeReads.attemptAge(now),
-	}
+	}.WithEvacuations(c.evacuations)
 	if nameLimit > 0 {
 		c.addNames(&r, service, nameLimit)
 	}
--- /dev/null
+++ b/relay/evacuations.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"time"
+
+	"dandelionhitch.example/decision"
+	"dandelionhitch.example/evacuation"
+)
+
+// _reasonEvacuated is the reason for placing a flow in another zone than it would
+// otherwise be placed in, or for not placing it.
+const _reasonEvacuated = "zone_evacuated"
+
+// Evacuations returns the evacuated zones, as far as this relay knows.
+func (c *Core) Evacuations() evacuation.Set { return c.evacuations }
+
+// SetEvacuations puts the evacuated zones that were read from the store in force, unless
+// those in force are newer. If the zones differ, the next tick reports to all processes.
+func (c *Core) SetEvacuations(now time.Duration, set evacuation.Set, source string) {
+	if c.adoptEvacuations(now, set, source) {
+		c.nextReport = now
+	}
+}
+
+// handleEvacuations puts the evacuated zones of another relay's report in force if they
+// are newer, and passes them on.
+func (c *Core) handleEvacuations(now time.Duration, set evacuation.Set, source string) {
+	if !c.adoptEvacuations(now, set, source) {
+		return
+	}
+	for _, addr := range c.view.RandomProcesses(_fetchFanout, c.random) {
+		c.reportTo(now, addr, "", 0)
+	}
+}
+
+// adoptEvacuations puts a newer set in force. It reports whether the zones have changed.
+func (c *Core) adoptEvacuations(now time.Duration, set evacuation.Set, source string) bool {
+	if !set.Newer(c.evacuations) {
+		return false
+	}
+	old := c.evacuations
+	c.evacuations = set
+	if set.SameZones(old) {
+		return false
+	}
+	c.out.LogBelief(decision.NewEvacuations(old, set, source))
+	c.offerParked(now)
+	return true
+}
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -79,6 +79,9 @@
 	}
 	c.noteVersion(now, r.Version, r.Relay)
 	c.storeReads.noteReport(now, r.ReadAge, r.AttemptAge, c.view.RelayCount()+1, c.random)
+	if set, err := r.Evacuations(); err == nil { // checked when the report was decoded
+		c.handleEvacuations(now, set, "relay "+r.Relay.String())
+	}
 	c.AddRelays(now, r.Relays)
 	for _, addr := range r.Sidecars {
 		if c.view.Introduce(now, addr) {
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -58,7 +58,12 @@
 	}
 	o := &offer{packet: slices.Clone(packet), service: service, arrival: arrived, lastResort: c.isLate(now, key, arrived.first)}
 	if c.chooseUpstream(now, o) == nil {
-		c.park(now, key, arrived, packet, "no_upstream")
+		reason := "no_upstream"
+		if o.evacuated {
+			c.counts.Evacuated++
+			reason = _reasonEvacuated
+		}
+		c.park(now, key, arrived, packet, reason)
 		return
 	}
 	c.flows.Put(key, &flowState{openingSeq: seq, arrival: arrived, firstOffered: now})
@@ -96,8 +101,13 @@
 	o.lastSent = now
 	o.tried = append(o.tried, u.Sidecar)
 	c.counts.Offers++
+	reason := ""
+	if o.evacuated && len(o.tried) == 1 {
+		c.counts.Evacuated++
+		reason = _reasonEvacuated
+	}
 	c.out.LogDecision(decision.Record{
-		Flow: key, Action: decision.Placed, Target: u.Sidecar, Service: o.service, Version: c.table.Version(),
+		Flow: key, Action: decision.Placed, Reason: reason, Target: u.Sidecar, Service: o.service, Version: c.table.Version(),
 		Busy: uint16(u.Busy), Slots: uint16(u.Slots), Age: now - u.LoadUpdatedAt, Attempt: len(o.tried), Routine: len(o.tried) == 1,
 	})
 	u.CountOffer()
@@ -169,7 +179,8 @@
 // If no upstream is usable without doubt, it falls back to ready upstreams whose
 // sidecars sent no reports or did not answer offers, since the cause may as well be this
 // relay's own network. Upstreams that their own sidecars suspect to have failed come
-// last.
+// last. Upstreams in evacuated zones get no flows in any case; o.evacuated is set if there
+// are any.
 func (c *Core) chooseUpstream(now time.Duration, o *offer) *fleet.Upstream {
 	for _, usable := range []func(*fleet.Upstream) bool{
 		func(u *fleet.Upstream) bool { return c.view.Eligible(now, u) },
@@ -181,6 +192,10 @@
 			if !usable(u) || slices.Contains(o.tried, u.Sidecar) {
 				continue
 			}
+			if c.evacuations.Contains(u.Zone) {
+				o.evacuated = true
+				continue
+			}
 			c.eligible = append(c.eligible, u)
 			c.candidates = append(c.candidates, placement.Candidate{Busy: u.Busy, Slots: u.Slots, SameZone: u.Zone == c.self.Zone})
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,7 @@
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/directory"
 	"dandelionhitch.example/distribution"
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/peer"
 )
 
@@ -95,6 +96,14 @@
 	return r.core.SetTable(r.Now(), table, source)
 }
 
+// SetEvacuations puts the evacuated zones that were read from the store in force, unless
+// those in force are newer.
+func (r *Relay) SetEvacuations(set evacuation.Set, source string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.SetEvacuations(r.Now(), set, source)
+}
+
 // UntilRead returns how long to wait before this relay reads the configuration from the
 // store; zero means that a read is due.
 func (r *Relay) UntilRead() time.Duration {
@@ -200,6 +209,8 @@
 	Configurations distribution.Counts
 	// Traffic counts the messages sent to other processes.
 	Traffic peer.Traffic
+	// Evacuations are the evacuated zones, as far as this relay knows.
+	Evacuations evacuation.Set
 }
 
 // Stats returns the current values of the relay's metrics.
@@ -209,7 +220,7 @@
 	relays, sidecars := r.core.Known()
 	_, behind := r.core.Behind(r.Now())
 	return Stats{
-		Behind: behind, Configurations: r.core.ConfigurationCounts(), Traffic: r.traffic,
+		Evacuations: r.core.Evacuations(), Behind: behind, Configurations: r.core.ConfigurationCounts(), Traffic: r.traffic,
 		Counts: r.core.Counts(), Flows: r.core.Flows(), Relays: relays, Sidecars: sidecars,
 		Unsent: r.peers.Unsent() + r.ingress.Unsent(), Version: r.core.Table().Version(),
 	}
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -159,7 +159,7 @@
 		c.dequeue(f)
 		c.deliver(f)
 	}
-	if c.busy < c.effectiveSlots(c.now) && len(c.waiting) == 0 && !c.stopping {
+	if c.busy < c.effectiveSlots(c.now) && len(c.waiting) == 0 && c.reportedState() == peer.Ready {
 		c.announceFreeSlots()
 	}
 }
@@ -226,6 +226,9 @@
 // passWaitingTo passes waiting flows to a peer, at most one for each free slot in the
 // peer's report.
 func (c *Core) passWaitingTo(to peer.UpstreamReport) {
+	if c.evacuations.Contains(to.Zone) {
+		return
+	}
 	for free := int(to.Slots) - int(to.Busy); free > 0 && len(c.waiting) > 0 && to.State == peer.Ready; free-- {
 		f := c.nextWaiting()
 		if f.hops >= _maxTransfers {
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -8,6 +8,7 @@
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/directory"
 	"dandelionhitch.example/distribution"
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/fleet"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
@@ -58,6 +59,11 @@
 	// was itself stalled would make its upstream suspect.
 	_minTimelyTicks = 2
 	_maxTickGap     = 60 * time.Millisecond
+	// _staleOfferGap is the time without a tick after which offers in the socket may be
+	// older than callers wait for a flow to open. For _resumePeriod after such a gap, the
+	// upstream gets no new flow: what this process knows is as old as the gap is long.
+	_staleOfferGap = 1400 * time.Millisecond
+	_resumePeriod  = 40 * time.Millisecond
 	// _maxSlots bounds the slots that an upstream may report. Messages have 16 bits for
 	// them.
 	_maxSlots = 1 << 15
@@ -152,9 +158,14 @@
 	// that each came within _maxTickGap of the previous tick.
 	lastTick    time.Duration
 	timelyTicks int
+	// resumedAt is the time of the last tick that came more than _staleOfferGap after the
+	// previous tick.
+	resumedAt time.Duration
 	lastReports reportTimes
 	// configs exchanges configuration versions with other processes.
 	configs *distribution.Member
+	// evacuations are the zones whose upstreams get no new flows.
+	evacuations evacuation.Set
 }
 
 // reportTimes holds the times of the last reports to peers and to relays, and the loads
@@ -230,6 +241,9 @@
 	// Stray counts packets of the upstream that belonged to an earlier flow between the
 	// same caller address and service address.
 	Stray uint64
+	// Evacuated counts opening packets that the upstream did not get because its zone is
+	// evacuated.
+	Evacuated uint64
 	// Malformed counts packets and messages that could not be decoded.
 	Malformed uint64
 }
@@ -349,6 +363,9 @@
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
 	c.refuseTooLate()
+	if now-c.lastTick > _staleOfferGap {
+		c.resumedAt = now
+	}
 	if now-c.lastTick > _maxTickGap {
 		c.timelyTicks = 0
 	} else {
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -80,6 +80,10 @@
 		c.sendVerdict(now, peer.Accepted, key, m.Origin, nil)
 		return
 	}
+	if c.stalled(now) {
+		c.refuseAfterStall(now, key, m)
+		return
+	}
 	if reason := c.rejectReason(now, key, m); reason != "" {
 		c.passOnOrRefuse(now, key, m, reason)
 		return
@@ -91,6 +95,23 @@
 	c.accept(now, key, m, p)
 }
 
+// stalled reports whether this process did not run for so long that an offer which it
+// handles now may have waited in the socket since before.
+func (c *Core) stalled(now time.Duration) bool {
+	return c.lastTick > 0 && now-c.lastTick > _staleOfferGap || c.resumedAt > 0 && now-c.resumedAt < _resumePeriod
+}
+
+// refuseAfterStall refuses an offer that may be older than the caller waits. The relay has
+// kept the packet if it still wants to place the flow.
+func (c *Core) refuseAfterStall(now time.Duration, key flow.Key, m peer.Carried) {
+	c.counts.Refused++
+	c.out.LogDecision(decision.Record{
+		Flow: key, Action: decision.Refused, Reason: "sidecar_stalled", Service: c.self.Service, Version: c.table.Version(),
+		Age: now - c.lastTick, Attempt: int(m.Hops) + 1,
+	})
+	c.sendVerdict(now, peer.Refused, key, m.Origin, nil)
+}
+
 // rejectReason returns why the upstream must not get a new flow, or "" if it may.
 func (c *Core) rejectReason(now time.Duration, key flow.Key, m peer.Carried) string {
 	switch {
@@ -98,6 +119,9 @@
 		return "other_service"
 	case c.stopping:
 		return _reasonStopping
+	case c.evacuated():
+		c.counts.Evacuated++
+		return _reasonEvacuated
 	case m.Version < c.table.Version() && !c.table.Allows(key.Address, c.self.Service):
 		return "route_changed"
 	case c.upstream.state == peer.Suspect && c.upstream.failures.retryAt > 0 && m.LastResort:
@@ -162,7 +186,7 @@
 func (c *Core) collectPeers(now time.Duration) {
 	c.eligible, c.candidates = c.eligible[:0], c.candidates[:0]
 	for _, u := range c.view.Service(c.self.Service) {
-		if u.Sidecar != c.self.Addr && c.view.Eligible(now, u) {
+		if u.Sidecar != c.self.Addr && c.view.Eligible(now, u) && !c.evacuations.Contains(u.Zone) {
 			c.eligible = append(c.eligible, u)
 			c.candidates = append(c.candidates, placement.Candidate{Busy: u.Busy, Slots: u.Slots, SameZone: u.Zone == c.self.Zone})
 		}
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -17,6 +17,9 @@
 		return
 	}
 	c.noteVersion(now, r.Version, r.Relay)
+	if set, err := r.Evacuations(); err == nil { // checked when the report was decoded
+		c.adoptEvacuations(now, set, "relay "+r.Relay.String())
+	}
 	c.fleetSize = int(r.SidecarCount)
 	c.AddRelays(now, r.Relays)
 	for _, addr := range r.Sidecars {
@@ -84,9 +87,10 @@
 }
 
 // reportedState returns the upstream's state as reported to others: a ready upstream
-// counts as draining once its sidecar has been told to stop.
+// counts as draining once its sidecar has been told to stop, and while its zone is
+// evacuated.
 func (c *Core) reportedState() peer.State {
-	if c.stopping && c.upstream.state == peer.Ready {
+	if (c.stopping || c.evacuated()) && c.upstream.state == peer.Ready {
 		return peer.Draining
 	}
 	return c.upstream.state
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -34,6 +34,7 @@
 	"dandelionhitch.example/datagram"
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/distribution"
+	"dandelionhitch.example/evacuation"
 	"dandelionhitch.example/peer"
 )
 
@@ -162,6 +163,8 @@
 	Configurations distribution.Counts
 	// Traffic counts the messages sent to other processes.
 	Traffic peer.Traffic
+	// Evacuations are the evacuated zones, as far as this sidecar knows.
+	Evacuations evacuation.Set
 }
 
 // Stats returns the current values.
@@ -171,7 +174,7 @@
 	relays, peers := s.core.Known()
 	_, behind := s.core.Behind(s.Now())
 	return Stats{
-		Behind: behind, Configurations: s.core.ConfigurationCounts(), Traffic: s.traffic,
+		Evacuations: s.core.Evacuations(), Behind: behind, Configurations: s.core.ConfigurationCounts(), Traffic: s.traffic,
 		Counts: s.core.Counts(), Flows: s.core.Flows(), Busy: s.core.Busy(), Relays: relays, Peers: peers,
 		Unsent: s.upstream.Unsent() + s.outbound.Unsent() + s.peers.Unsent(), Version: s.core.Table().Version(),
 	}
--- /dev/null
+++ b/standin/opaque_evacuation_test.go
@@ -0,0 +1,132 @@
+package standin_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhitch.example/standin"
+)
+
+// evacuationLoad is a load during which zone 0 is evacuated and taken back.
+func evacuationLoad(relays, hosts int, utilization float64) loadProfile {
+	return loadProfile{
+		name: "evacuation", zones: 3, relays: relays, hosts: hosts, slots: 2, runTime: 20 * time.Millisecond,
+		utilization: utilization, target: 250 * time.Millisecond, timeout: 2500 * time.Millisecond, duration: 12 * _seconds,
+	}
+}
+
+const (
+	_evacuateAt = _callsStart + _seconds
+	_takeBackAt = _evacuateAt + 7*_seconds
+)
+
+// evacuateZone evacuates zone 0 and takes it back. It sets atEnd and afterwards to the
+// number of flows that were opened there in the last two seconds of the evacuation, and
+// from two to four seconds after it.
+func evacuateZone(s *scenario, atEnd, afterwards *int) {
+	s.At(_evacuateAt, func() { s.Evacuate("0") })
+	s.At(_takeBackAt-2*_seconds, func() { *atEnd = -s.OpenedIn("0") })
+	s.At(_takeBackAt, func() { *atEnd += s.OpenedIn("0"); s.TakeBack("0") })
+	s.At(_takeBackAt+2*_seconds, func() { *afterwards = -s.OpenedIn("0") })
+	s.At(_takeBackAt+4*_seconds, func() { *afterwards += s.OpenedIn("0") })
+}
+
+// killInTurn kills a relay and a sidecar three times a second, and starts them again.
+func killInTurn(s *scenario) {
+	for i := range 20 {
+		at := _evacuateAt + time.Duration(i)*_seconds/3
+		relay, host := s.relays[i%len(s.relays)], s.orders[(7*i)%len(s.orders)]
+		s.At(at, func() { relay.KillProcess(); host.KillProcess() })
+		s.At(at+300*time.Millisecond, func() { relay.StartRelay(); host.StartSidecar() })
+	}
+}
+
+// TestEvacuatedZoneGetsNoFlows evacuates a zone and takes it back under load and faults.
+// The simulation checks that no flow is opened in the zone once the bound is over. Calls
+// must be served elsewhere meanwhile, and in the zone afterwards.
+func TestEvacuatedZoneGetsNoFlows(t *testing.T) {
+	skipUnderRaceDetector(t)
+	for _, tt := range []struct {
+		name          string
+		relays, hosts int
+		utilization   float64
+		// minAnswered is the least fraction of calls that must be answered.
+		minAnswered float64
+		faults      func(*scenario)
+	}{
+		{"half of the capacity", 8, 24, 0.5, 0.999, nil},
+		{"two thirds remain for 0.9 of the capacity", 8, 24, 0.9, 0.6, nil},
+		{"one hundred processes", 25, 63, 0.5, 0.999, nil},
+		{"a relay hears no reports", 8, 24, 0.4, 0.9, func(s *scenario) {
+			s.DropMessage = func(from, to netip.Addr) bool {
+				return to == s.relays[0].Addr && from.As4()[0] == 10 && s.Now() > _evacuateAt
+			}
+		}},
+		{"messages are lost", 8, 24, 0.4, 0.95, func(s *scenario) {
+			s.DropMessage = func(netip.Addr, netip.Addr) bool { return s.Random().Float64() < 0.03 }
+		}},
+		{"processes are killed", 8, 24, 0.4, 0.9, killInTurn},
+		{"the store is down for 1.5 s", 8, 24, 0.4, 0.999, func(s *scenario) {
+			s.At(_evacuateAt, func() { s.StoreDown = true })
+			s.At(_evacuateAt+1500*time.Millisecond, func() { s.StoreDown = false })
+		}},
+		{"machines freeze", 8, 24, 0.4, 0.9, func(s *scenario) {
+			for _, vm := range []*standin.SimulatedVM{s.relays[0], s.relays[1], s.orders[0], s.orders[3]} {
+				s.At(_evacuateAt, vm.Freeze)
+				s.At(_evacuateAt+5*_seconds, vm.Thaw)
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			load := evacuationLoad(tt.relays, tt.hosts, tt.utilization)
+			var atEnd, afterwards int
+			load.adjust = func(s *scenario) {
+				evacuateZone(s, &atEnd, &afterwards)
+				if tt.faults != nil {
+					tt.faults(s)
+				}
+			}
+			s := load.run(1)
+			assert.Assert(t, len(s.Violations) == 0, "%v", s.Violations[:min(len(s.Violations), 3)])
+			answered := float64(s.Outcomes()[standin.CallAnswered]) / float64(len(s.Calls))
+			t.Logf("%s, %d flows opened in the zone before it was taken back, %d afterwards", load.summary(s), atEnd, afterwards)
+			assert.Assert(t, answered >= tt.minAnswered, "%.4f of the calls were answered", answered)
+			assert.Equal(t, atEnd, 0)
+			assert.Assert(t, afterwards > 0)
+		})
+	}
+}
+
+// TestAllZonesAreEvacuated evacuates all zones. Calls must be refused at once.
+func TestAllZonesAreEvacuated(t *testing.T) {
+	load := evacuationLoad(4, 6, 0.3)
+	load.adjust = func(s *scenario) {
+		for zone := range load.zones {
+			s.At(_evacuateAt, func() { s.Evacuate(fmt.Sprint(zone)) })
+		}
+	}
+	s := load.run(1)
+	assert.Assert(t, len(s.Violations) == 0, "%v", s.Violations)
+	for _, c := range s.Calls {
+		if c.Began > _evacuateAt+4*_seconds {
+			assert.Equal(t, c.State, standin.CallReset)
+			assert.Assert(t, c.Ended-c.Began < 20*time.Millisecond, "refused after %v", c.Ended-c.Began)
+		}
+	}
+}
+
+// TestEvacuationIsChecked evacuates a zone of a fleet that cannot read the store. The
+// simulation must report the flows that are opened there.
+func TestEvacuationIsChecked(t *testing.T) {
+	load := evacuationLoad(4, 6, 0.3)
+	load.adjust = func(s *scenario) {
+		s.At(_evacuateAt, func() { s.Evacuate("0"); s.StoreDown = true })
+	}
+	s := load.run(1)
+	assert.Assert(t, len(s.Violations) > 0 && strings.Contains(s.Violations[0], "after its zone was evacuated"), "%v", s.Violations)
+}
--- /dev/null
+++ b/standin/opaque_evacuations.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"dandelionhitch.example/evacuation"
+)
+
+const (
+	// _evacuationReadDelay is the longest time after a change of the evacuated zones until
+	// a relay reads it from the store: the longest interval between two shared reads.
+	_evacuationReadDelay = 2 * time.Second
+	// _evacuationBound is the time after an evacuation within which the upstreams of the
+	// zone must get no new flows any more. Users allow 5 s.
+	_evacuationBound = 4 * time.Second
+)
+
+// evacuationEntries are the operator's entries for evacuated zones in the store, and what
+// the checks need of them.
+type evacuationEntries struct {
+	revision uint64
+	// since holds when each zone was evacuated.
+	since map[string]time.Duration
+	// openings counts the flows that were opened in each zone.
+	openings map[string]int
+}
+
+// Evacuate adds the operator's entry for a zone to the store. From _evacuationBound on, a
+// flow that is opened at an upstream of the zone is a violation.
+func (s *Simulation) Evacuate(zone string) {
+	if s.evacuations.since == nil {
+		s.evacuations.since = make(map[string]time.Duration)
+	}
+	s.evacuations.since[zone] = s.now
+	s.changeEvacuations()
+}
+
+// TakeBack removes the operator's entry for a zone from the store.
+func (s *Simulation) TakeBack(zone string) {
+	delete(s.evacuations.since, zone)
+	s.changeEvacuations()
+}
+
+// OpenedIn returns the number of flows that were opened in a zone so far.
+func (s *Simulation) OpenedIn(zone string) int { return s.evacuations.openings[zone] }
+
+// changeEvacuations gives the entries a new revision, and lets a random relay read them
+// after a random delay. If that relay is not running then, others are tried.
+func (s *Simulation) changeEvacuations() {
+	s.evacuations.revision++
+	revision := s.evacuations.revision
+	var read func()
+	read = func() {
+		relays := slices.DeleteFunc(slices.Clone(s.vms), func(vm *SimulatedVM) bool { return vm.Relay == nil })
+		reader := relays[s.random.IntN(len(relays))]
+		switch {
+		case revision != s.evacuations.revision: // a later change is read instead
+		case reader.processUp && !reader.frozen && !s.StoreDown:
+			reader.readEvacuations()
+		default:
+			s.schedule(s.now+_coreTick, read)
+		}
+	}
+	s.schedule(s.now+time.Duration(s.random.Int64N(int64(_evacuationReadDelay))), read)
+}
+
+// readEvacuations passes the entries in the store to the VM's relay.
+func (vm *SimulatedVM) readEvacuations() {
+	e := vm.sim.evacuations
+	if vm.sim.StoreDown || e.revision == 0 {
+		return
+	}
+	set, err := evacuation.New(e.revision, slices.Collect(maps.Keys(e.since)))
+	if err != nil {
+		vm.sim.addViolation("evacuated zones: %v", err)
+		return
+	}
+	vm.Relay.SetEvacuations(vm.clock(), set, "simulation")
+}
+
+// checkEvacuation counts a flow that is opened at the VM's upstream, and checks that its
+// zone is not evacuated.
+func (s *Simulation) checkEvacuation(vm *SimulatedVM) {
+	if s.evacuations.openings == nil {
+		s.evacuations.openings = make(map[string]int)
+	}
+	s.evacuations.openings[vm.Zone]++
+	if since, evacuated := s.evacuations.since[vm.Zone]; evacuated && s.now-since > _evacuationBound {
+		s.addViolation("a flow was opened at %v, %v after its zone was evacuated", vm, s.now-since)
+	}
+}
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -78,6 +78,7 @@
 	strayPackets map[flow.Key]int
 	table        directory.Table
 	nextAddr     [4]byte
+	evacuations  evacuationEntries
 }
 
 // SimulatedVM is a VM of a Simulation. It runs either a relay, or a sidecar and an
@@ -391,6 +392,7 @@
 	vm.Relay = relay.NewCore(identity, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random)
 	vm.addRelays(vm.Relay.AddRelays)
 	vm.loadTable()
+	vm.readEvacuations()
 }
 
 // StartSidecar starts the VM's sidecar. It knows the addresses of the relays, and the
@@ -453,6 +455,7 @@
 	}
 	service := vm.Service
 	u.OnOpening = func(key flow.Key) {
+		s.checkEvacuation(vm)
 		if !s.table.Allows(key.Address, service) {
 			s.addViolation("flow %v was opened at %s of service %s, to which no route of its address leads", key, u.Name, service)
 		}
