sidecar, directory, distribution: a cold upstream gets what its service states that it bears

Change: the operator's rate travels in the table (its encoding is as before where no rate is stated). The sidecar, which sees every packet of its upstream, counts the opening packets of the last 1.05 s, copies included, and delivers no more than the rate, within the bound of the settings cold_overage and cold_slack. A full cold upstream reports itself busy, so offers go elsewhere. A sidecar that finds a cold upstream at its start takes the second before for full; a zone that is taken back and an upstream that lost a flow count as cold until the next heartbeat. The number of slots that a cold upstream reports comes from the same rate where it is stated, else from the slow-down as before.

TestZoneIsTakenBackCold, TestColdUpstreamGetsStatedRate and others; TestColdRateIsChecked shows that the simulation's check catches processes that do not know the rate.

--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -26,6 +26,7 @@
 	outbound  netip.AddrPort
 	callers   netip.AddrPort
 	heartbeat time.Duration
+	cold      sidecar.ColdBound
 }
 
 // _defaultHeartbeat is the longest interval between heartbeats of the users' upstreams.
@@ -38,6 +39,9 @@
 	f.text(&f.outbound, "outbound", "IP:PORT where the upstream sends its packets (UDP)")
 	f.text(&f.callers, "callers", "IP:PORT whose port is the one at which callers take packets")
 	f.DurationVar(&f.heartbeat, "heartbeat", _defaultHeartbeat, "how often the upstream reports")
+	f.Float64Var(&f.cold.Overage, "cold-overage", 0,
+		"bound of the requests that a cold upstream gets in a second, as a multiple of the rate that its service states; 0: the rate itself")
+	f.Float64Var(&f.cold.Slack, "cold-slack", 0, "requests a second that are added to this bound")
 	f.require("service", "upstream", "outbound", "callers")
 	return f
 }
@@ -50,6 +54,9 @@
 	if f.heartbeat <= 0 {
 		f.add("-heartbeat", trace.BadParameter("%v is not above zero", f.heartbeat))
 	}
+	if f.cold.Overage < 0 || f.cold.Slack < 0 {
+		f.add("-cold-overage", trace.BadParameter("%v with a slack of %v is below zero", f.cold.Overage, f.cold.Slack))
+	}
 	return f.opaqueFlags.check(args)
 }
 
@@ -74,6 +81,7 @@
 		PeerPort:   uint16(f.peerPort),
 		PeerListen: node.peerAddr(),
 		MaxFlows:   f.maxFlows(_sidecarFlowBytes),
+		Cold:       f.cold,
 	}, platform.PacketWire{}, decision.NewRecorder(node.decisions, spans.observe))
 	if err != nil {
 		return trace.Wrap(err)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -8,6 +8,7 @@
 package directory
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -38,6 +39,14 @@
 	Priority int
 }
 
+// Cold tells how a service's upstreams behave after a start.
+type Cold struct {
+	// For is how long an upstream is cold after its start.
+	For time.Duration
+	// PerSecond is how many requests a cold upstream bears in a second, above zero.
+	PerSecond float64
+}
+
 // Table holds the routes of one version of the configuration. The zero Table has no
 // routes.
 type Table struct {
@@ -45,6 +54,7 @@
 	idleTimeout time.Duration
 	routes      map[netip.AddrPort]Route
 	services    []string
+	cold        map[string]Cold
 }
 
 // New returns the table of a version. Routes without shares are ignored, and so are all
@@ -68,6 +78,23 @@
 	}
 }
 
+// WithCold returns the table with the behaviour of cold upstreams by service. Services
+// whose rate is not above zero are left out: no rate is stated for them.
+func (t Table) WithCold(cold map[string]Cold) Table {
+	t.cold = maps.Clone(cold)
+	maps.DeleteFunc(t.cold, func(_ string, c Cold) bool { return !(c.PerSecond > 0) || c.For < 0 })
+	return t
+}
+
+// Cold returns how the cold upstreams of a service behave, and whether that is stated.
+func (t Table) Cold(service string) (Cold, bool) {
+	c, ok := t.cold[service]
+	return c, ok
+}
+
+// ColdServices returns the services with a stated rate for cold upstreams, sorted by name.
+func (t Table) ColdServices() []string { return slices.Sorted(maps.Keys(t.cold)) }
+
 // ServiceNames returns the names of all services in the routes. The caller must not modify
 // the slice.
 func (t Table) ServiceNames() []string { return t.services }
--- a/distribution/codec.go
+++ b/distribution/codec.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/binary"
 	"io"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -37,6 +38,11 @@
 	// encodedDelta.
 	_formatTable format = 1 + iota
 	_formatDelta
+	// _formatColdTable and _formatColdDelta are followed by a compressed encodedColdTable or
+	// encodedColdDelta. They are used only for tables that state the rates of cold
+	// upstreams, so that processes of earlier versions can read all others.
+	_formatColdTable
+	_formatColdDelta
 )
 
 // encodedTable is the encoding of a table on the wire. The encoding is deterministic:
@@ -49,6 +55,52 @@
 	Routes      encodedRoutes
 }
 
+// encodedColdTable is an encodedTable with the rates of cold upstreams.
+type encodedColdTable struct {
+	_     struct{} `cbor:",toarray"`
+	Table encodedTable
+	Cold  []encodedCold
+}
+
+// encodedColdDelta is an encodedDelta with the rates of cold upstreams in the later
+// version, of which there are few.
+type encodedColdDelta struct {
+	_     struct{} `cbor:",toarray"`
+	Delta encodedDelta
+	Cold  []encodedCold
+}
+
+// encodedCold is the behaviour of the cold upstreams of a service.
+type encodedCold struct {
+	_         struct{} `cbor:",toarray"`
+	Service   string
+	For       time.Duration
+	PerSecond float64
+}
+
+// encodeCold encodes the rates of cold upstreams, in the order of their services.
+func encodeCold(table directory.Table) []encodedCold {
+	var out []encodedCold
+	for _, service := range table.ColdServices() {
+		c, _ := table.Cold(service)
+		out = append(out, encodedCold{Service: service, For: c.For, PerSecond: c.PerSecond})
+	}
+	return out
+}
+
+// decodeCold decodes the rates of cold upstreams.
+func decodeCold(encoded []encodedCold) (map[string]directory.Cold, error) {
+	cold := make(map[string]directory.Cold, len(encoded))
+	for _, e := range encoded {
+		if e.Service == "" || e.For < 0 || e.For > _maxRouteTime || !(e.PerSecond > 0 && e.PerSecond <= math.MaxInt32) {
+			return nil, trace.BadParameter("service %q is cold for %v and bears %v requests a second: name is empty or value out of range",
+				e.Service, e.For, e.PerSecond)
+		}
+		cold[e.Service] = directory.Cold{For: e.For, PerSecond: e.PerSecond}
+	}
+	return cold, nil
+}
+
 // encodedRoutes is a list of routes in address order. Most routes of a configuration
 // differ only in the address, so everything else is stored once, in a template.
 type encodedRoutes struct {
@@ -100,9 +152,12 @@
 }
 
 func newSnapshot(table directory.Table) (snapshot, error) {
-	encoded, err := cbor.Marshal(encodedTable{
-		Version: table.Version(), IdleTimeout: table.IdleTimeout(), Routes: encodeRoutes(table.Routes()),
-	})
+	plain := encodedTable{Version: table.Version(), IdleTimeout: table.IdleTimeout(), Routes: encodeRoutes(table.Routes())}
+	var message any = plain
+	if cold := encodeCold(table); len(cold) > 0 {
+		message = encodedColdTable{Table: plain, Cold: cold}
+	}
+	encoded, err := cbor.Marshal(message)
 	if err != nil {
 		return snapshot{}, trace.Wrap(err, "encode configuration %d", table.Version())
 	}
@@ -239,10 +294,15 @@
 	return d
 }
 
-// apply returns the version that results from applying the delta to the snapshot from. It
-// fails if that snapshot is not the delta's base or the result does not have the expected
-// checksum.
-func (d encodedDelta) apply(from snapshot) (snapshot, error) {
+// apply returns the version that results from applying the delta to the snapshot from, with
+// the given rates of cold upstreams. It fails if that snapshot is not the delta's base or
+// the result does not have the expected checksum.
+func (d encodedDelta) apply(from snapshot, cold []encodedCold) (snapshot, error) {
+	s, err := d.applyTo(from, cold)
+	return s, trace.Wrap(err, "configuration: change from %d to %d", d.Base, d.Version)
+}
+
+func (d encodedDelta) applyTo(from snapshot, encoded []encodedCold) (snapshot, error) {
 	if d.Base != from.table.Version() || d.BaseSum != from.sum {
 		return snapshot{}, trace.BadParameter("base is configuration %d (sum %x), but configuration %d (sum %x) is in force",
 			d.Base, d.BaseSum, from.table.Version(), from.sum)
@@ -263,7 +323,11 @@
 			routes = append(routes, r)
 		}
 	}
-	to, err := newSnapshot(directory.New(d.Version, d.IdleTimeout, routes))
+	cold, err := decodeCold(encoded)
+	if err != nil {
+		return snapshot{}, err
+	}
+	to, err := newSnapshot(directory.New(d.Version, d.IdleTimeout, routes).WithCold(cold))
 	if err != nil {
 		return snapshot{}, err
 	}
@@ -291,15 +355,28 @@
 }
 
 // packTable returns a payload that holds the whole table.
-func (s snapshot) packTable() ([]byte, error) { return pack(_formatTable, s.encoded) }
+func (s snapshot) packTable() ([]byte, error) { return pack(s.tableFormat(), s.encoded) }
+
+// tableFormat returns the format of the encoded table.
+func (s snapshot) tableFormat() format {
+	if len(s.table.ColdServices()) > 0 {
+		return _formatColdTable
+	}
+	return _formatTable
+}
 
 // packDelta returns a payload that holds the change from one version to another.
 func packDelta(from, to snapshot) ([]byte, error) {
-	message, err := cbor.Marshal(newDelta(from, to))
+	delta := newDelta(from, to)
+	f, change := _formatDelta, any(delta)
+	if cold := encodeCold(to.table); len(cold) > 0 {
+		f, change = _formatColdDelta, encodedColdDelta{Delta: delta, Cold: cold}
+	}
+	message, err := cbor.Marshal(change)
 	if err != nil {
 		return nil, trace.Wrap(err, "encode change from configuration %d to %d", from.table.Version(), to.table.Version())
 	}
-	return pack(_formatDelta, message)
+	return pack(f, message)
 }
 
 // unpack returns the version that a payload holds. The from argument is the version in force,
@@ -315,26 +392,36 @@
 	if len(message) > _maxEncodedSize {
 		return snapshot{}, trace.LimitExceeded("configuration: payload decompresses to more than %d bytes", _maxEncodedSize)
 	}
-	switch format(payload[0]) {
-	case _formatTable:
-		return decodeTable(message)
+	switch f := format(payload[0]); f {
+	case _formatTable, _formatColdTable:
+		return decodeTable(f, message)
 	case _formatDelta:
 		var d encodedDelta
 		if err := cbor.Unmarshal(message, &d); err != nil {
 			return snapshot{}, trace.BadParameter("configuration: decode change: %v", err)
 		}
-		s, err := d.apply(from)
-		return s, trace.Wrap(err, "configuration: change from %d to %d", d.Base, d.Version)
+		return d.apply(from, nil)
+	case _formatColdDelta:
+		var d encodedColdDelta
+		if err := cbor.Unmarshal(message, &d); err != nil {
+			return snapshot{}, trace.BadParameter("configuration: decode change: %v", err)
+		}
+		return d.Delta.apply(from, d.Cold)
 	default:
 		return snapshot{}, trace.BadParameter("configuration: unknown payload format %d", payload[0])
 	}
 }
 
-func decodeTable(message []byte) (snapshot, error) {
-	var e encodedTable
-	if err := cbor.Unmarshal(message, &e); err != nil {
+func decodeTable(f format, message []byte) (snapshot, error) {
+	var withCold encodedColdTable
+	target := any(&withCold.Table)
+	if f == _formatColdTable {
+		target = &withCold
+	}
+	if err := cbor.Unmarshal(message, target); err != nil {
 		return snapshot{}, trace.BadParameter("configuration: decode table: %v", err)
 	}
+	e := withCold.Table
 	if e.Version == 0 || e.IdleTimeout < 0 || e.IdleTimeout > _maxRouteTime {
 		return snapshot{}, trace.BadParameter("configuration %d: version is zero or idle timeout %v is out of range", e.Version, e.IdleTimeout)
 	}
@@ -342,5 +429,10 @@
 	if err != nil {
 		return snapshot{}, trace.Wrap(err, "configuration %d", e.Version)
 	}
-	return snapshot{table: directory.New(e.Version, e.IdleTimeout, routes), encoded: message, sum: xxhash.Sum64(message)}, nil
+	cold, err := decodeCold(withCold.Cold)
+	if err != nil {
+		return snapshot{}, trace.Wrap(err, "configuration %d", e.Version)
+	}
+	table := directory.New(e.Version, e.IdleTimeout, routes).WithCold(cold)
+	return snapshot{table: table, encoded: message, sum: xxhash.Sum64(message)}, nil
 }
--- a/distribution/codec_test.go
+++ b/distribution/codec_test.go
@@ -114,7 +114,7 @@
 		}
 		again, err := newSnapshot(got.table)
 		assert.NilError(t, err)
-		decoded, err := decodeTable(again.encoded)
+		decoded, err := decodeTable(again.tableFormat(), again.encoded)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, decoded.table.Routes(), got.table.Routes(), _cmpAddrPort)
 	})
--- a/distribution/distribution.go
+++ b/distribution/distribution.go
@@ -123,6 +123,7 @@
 // revision is an earlier version of the configuration.
 type revision struct {
 	version, sum uint64
+	format       format
 	encoded      []byte
 }
 
@@ -252,7 +253,7 @@
 // adopt puts a version in force.
 func (m *Member) adopt(now time.Duration, s snapshot, source string) {
 	if m.version() > 0 {
-		m.history = slices.Insert(m.history, 0, revision{version: m.version(), sum: m.current.sum, encoded: m.current.encoded})
+		m.history = slices.Insert(m.history, 0, revision{version: m.version(), sum: m.current.sum, format: m.current.tableFormat(), encoded: m.current.encoded})
 		m.history = m.history[:min(len(m.history), _maxHistory)]
 	}
 	m.current, m.source, m.wantWhole = s, source, false
--- a/distribution/server.go
+++ b/distribution/server.go
@@ -274,7 +274,7 @@
 	if historyIndex < 0 {
 		return m.current.packTable()
 	}
-	from, err := decodeTable(m.history[historyIndex].encoded)
+	from, err := decodeTable(m.history[historyIndex].format, m.history[historyIndex].encoded)
 	if err != nil {
 		return nil, err
 	}
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -54,7 +54,11 @@
 		return 1
 	}
 	slots := c.totalSlots()
-	return slots + max(1, slots/2)
+	capacity := slots + max(1, slots/2)
+	if room := c.coldRoom(); room < capacity {
+		return min(capacity, c.busy+room)
+	}
+	return capacity
 }
 
 // load returns the number of flows that precede a new one: those in progress and those
@@ -73,9 +77,9 @@
 // ownCandidate returns the local upstream as a candidate for placement.
 func (c *Core) ownCandidate() placement.Candidate {
 	if c.upstream.failures.onTrial {
-		return placement.Candidate{Busy: c.load(), Slots: 1, SameZone: true}
+		return placement.Candidate{Busy: c.reportedLoad(), Slots: 1, SameZone: true}
 	}
-	return placement.Candidate{Busy: c.load(), Slots: c.effectiveSlots(c.now), SameZone: true}
+	return placement.Candidate{Busy: c.reportedLoad(), Slots: c.effectiveSlots(c.now), SameZone: true}
 }
 
 // startsInTime reports whether the upstream is expected to get a flow's opening packet
@@ -92,7 +96,7 @@
 // flow. load is the number of flows that precede this flow.
 func (c *Core) expectedWait(load int) time.Duration {
 	excess := load - c.capacity() + 1
-	return time.Duration(max(excess, 0)) * c.timings.endInterval(c.totalSlots())
+	return time.Duration(max(excess, 0)) * max(c.timings.endInterval(c.totalSlots()), c.coldInterval())
 }
 
 // expectedLateStart returns when the upstream is expected to get a late flow. ahead is
@@ -167,6 +171,7 @@
 // deliver sends a flow's opening packet to the upstream.
 func (c *Core) deliver(f *flowState) {
 	f.deliveredAt = c.now
+	c.gate.noteDelivery(c.now)
 	if !f.awaitsRequest {
 		f.awaitsRequest = true
 		c.awaitingRequest = append(c.awaitingRequest, f)
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -160,14 +160,21 @@
 	timelyTicks int
 	// resumedAt is the time of the last tick that came more than _staleOfferGap after the
 	// previous tick.
-	resumedAt time.Duration
+	resumedAt   time.Duration
 	lastReports reportTimes
 	// configs exchanges configuration versions with other processes.
 	configs *distribution.Member
 	// evacuations are the zones whose upstreams get no new flows.
 	evacuations evacuation.Set
+	gate        coldGate
 }
 
+// Option configures a Core.
+type Option func(*Core)
+
+// WithColdBound bounds the requests that the upstream gets while it is cold.
+func WithColdBound(bound ColdBound) Option { return func(c *Core) { c.gate.bound = bound } }
+
 // reportTimes holds the times of the last reports to peers and to relays, and the loads
 // that they contained.
 type reportTimes struct {
@@ -249,7 +256,7 @@
 }
 
 // NewCore returns a core without configuration, flows, or known relays and peers.
-func NewCore(self Identity, wire Wire, out Outbox, maxFlows int, random *rand.Rand) *Core {
+func NewCore(self Identity, wire Wire, out Outbox, maxFlows int, random *rand.Rand, opts ...Option) *Core {
 	c := &Core{
 		self:      self,
 		serviceID: peer.NewServiceID(self.Service),
@@ -261,6 +268,9 @@
 	}
 	c.flows = flow.NewCache(maxFlows, c.onEvict)
 	c.configs = distribution.New(self.Addr, false, out, random, distribution.WithAskDelay(c.askDelay))
+	for _, opt := range opts {
+		opt(c)
+	}
 	return c
 }
 
@@ -373,6 +383,9 @@
 	}
 	c.lastTick = now
 	c.startTrialIfDue()
+	if c.gate.cold(now) {
+		c.admitWaiting()
+	}
 	c.checkAwaitingRequest(now)
 	c.checkHeartbeats(now)
 	c.reportIfDue(now)
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -18,11 +18,12 @@
 )
 
 var (
-	_self    = netip.MustParseAddr("10.1.0.1")
-	_relay   = netip.MustParseAddr("10.1.0.9")
-	_peer    = netip.MustParseAddr("10.1.0.2")
-	_address = netip.MustParseAddrPort("198.18.0.1:443")
-	_caller  = netip.MustParseAddrPort("100.64.0.7:40001")
+	_self     = netip.MustParseAddr("10.1.0.1")
+	_relay    = netip.MustParseAddr("10.1.0.9")
+	_peer     = netip.MustParseAddr("10.1.0.2")
+	_upstream = netip.AddrPortFrom(_self, 8080)
+	_address  = netip.MustParseAddrPort("198.18.0.1:443")
+	_caller   = netip.MustParseAddrPort("100.64.0.7:40001")
 )
 
 // testWire is the packet format of these tests: flags, seq, ack, size, direction (1 for
--- a/sidecar/evacuations.go
+++ b/sidecar/evacuations.go
@@ -37,6 +37,7 @@
 	if c.evacuated() {
 		c.redirectWaiting(_reasonEvacuated)
 	} else {
+		c.suspectRestart()
 		c.admitWaiting()
 	}
 }
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -74,7 +74,8 @@
 	f := c.flows.Get(key)
 	if f != nil && f.openingSeq == p.Seq && !f.probing && !f.dead {
 		f.origin = m.Origin
-		if !f.ended && !f.queued {
+		if !f.ended && !f.queued && c.coldRoom() > 0 {
+			c.gate.noteDelivery(now)
 			c.out.ToUpstream(m.Packet)
 		}
 		c.sendVerdict(now, peer.Accepted, key, m.Origin, nil)
@@ -514,6 +515,7 @@
 		c.counts.NotHeld++
 		c.sendVerdict(now, peer.NotHeld, key, f.origin, packet)
 	case !f.dead && !f.ended:
+		c.suspectRestart()
 		f.dead = true
 		c.setInProgress(f, false)
 		c.sendReset(now, key, p.Ack, "upstream_bounced")
@@ -527,7 +529,7 @@
 func (c *Core) sendVerdict(now time.Duration, outcome peer.Outcome, key flow.Key, to netip.Addr, packet []byte) {
 	c.buffer = peer.Verdict{
 		Outcome: outcome, Sidecar: c.self.Addr, Flow: key,
-		Busy: uint16(c.load()), Slots: uint16(c.effectiveSlots(now)), Version: c.table.Version(), Packet: packet,
+		Busy: uint16(c.reportedLoad()), Slots: uint16(c.effectiveSlots(now)), Version: c.table.Version(), Packet: packet,
 	}.Append(c.buffer[:0])
 	c.out.ToPeer(to, c.buffer)
 }
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -53,14 +53,14 @@
 func (c *Core) reportIfDue(now time.Duration) {
 	peers := min(len(c.view.Service(c.self.Service)), _maxNeighbours)
 	minPeerInterval := max(_minPeerInterval, time.Duration(peers)*time.Second/_maxReportsPerSecond)
-	if since := now - c.lastReports.peersAt; since >= _maxPeerInterval || (since >= minPeerInterval && c.lastReports.peersLoad != c.load()) {
+	if since := now - c.lastReports.peersAt; since >= _maxPeerInterval || (since >= minPeerInterval && c.lastReports.peersLoad != c.reportedLoad()) {
 		c.reportToPeers(now)
 	}
 	maxRelayInterval, fleetInterval := peer.UpstreamInterval(c.fleetSize)
 	minRelayInterval := max(_minRelayInterval, fleetInterval, time.Duration(c.view.RelayCount())*time.Second/_maxReportsPerSecond)
 	maxRelayInterval = max(maxRelayInterval, minRelayInterval)
 	since := now - c.lastReports.relaysAt
-	if since >= maxRelayInterval || (since >= minRelayInterval && c.lastReports.relaysLoad != c.load()) {
+	if since >= maxRelayInterval || (since >= minRelayInterval && c.lastReports.relaysLoad != c.reportedLoad()) {
 		c.reportToRelays(now)
 	}
 }
@@ -73,14 +73,14 @@
 }
 
 func (c *Core) reportToPeers(now time.Duration) {
-	c.lastReports.peersAt, c.lastReports.peersLoad = now, c.load()
+	c.lastReports.peersAt, c.lastReports.peersLoad = now, c.reportedLoad()
 	for _, u := range c.view.Neighbours(c.self.Service, c.self.Addr, c.self.Zone, _maxNeighbours) {
 		c.reportTo(u.Sidecar)
 	}
 }
 
 func (c *Core) reportToRelays(now time.Duration) {
-	c.lastReports.relaysAt, c.lastReports.relaysLoad = now, c.load()
+	c.lastReports.relaysAt, c.lastReports.relaysLoad = now, c.reportedLoad()
 	for _, r := range c.view.Relays() {
 		c.reportTo(r.Addr)
 	}
@@ -102,7 +102,7 @@
 	message, err := peer.AppendUpstream(c.buffer[:0], peer.UpstreamReport{
 		Sidecar: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Service: c.self.Service, Zone: c.self.Zone, State: c.reportedState(),
-		Busy: uint16(c.load()), Slots: uint16(c.effectiveSlots(c.now)), Version: c.table.Version(),
+		Busy: uint16(c.reportedLoad()), Slots: uint16(c.effectiveSlots(c.now)), Version: c.table.Version(),
 		Late: uint16(c.busy + len(c.waiting) - c.load()),
 		// The field holds up to 6.5 s. Longer run times need not be distinguished.
 		RunTime: uint16(min(c.timings.runTime.value/peer.RunTimeUnit, math.MaxUint16)), EarlyPercent: uint8(100 * c.upstream.earlyShare),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -75,6 +75,8 @@
 	PeerListen netip.AddrPort
 	// MaxFlows is the maximum number of flows in the flow table.
 	MaxFlows int
+	// Cold bounds the requests that the upstream gets while it is cold.
+	Cold ColdBound
 }
 
 // New opens the sidecar's sockets and starts its goroutines. It returns an error if a
@@ -82,7 +84,7 @@
 func New(config Config, wire Wire, recorder *decision.Recorder) (*Sidecar, error) {
 	s := &Sidecar{Recorder: recorder, callerPort: config.CallerPort, peerPort: config.PeerPort}
 	self := config.Identity
-	s.core = NewCore(self, wire, s, config.MaxFlows, rand.New(rand.NewPCG(self.Incarnation, self.Incarnation)))
+	s.core = NewCore(self, wire, s, config.MaxFlows, rand.New(rand.NewPCG(self.Incarnation, self.Incarnation)), WithColdBound(config.Cold))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var err error
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -33,9 +33,7 @@
 	id             string
 	born, sequence uint64
 	slots          int
-	// warmUntil is when the upstream reaches full speed after its start.
-	warmUntil time.Duration
-	state     peer.State
+	state          peer.State
 	// lastHeartbeat is when the last heartbeat arrived. lastSeen is when the last packet
 	// arrived, or the last heartbeat that made or kept the upstream ready.
 	lastHeartbeat, lastSeen time.Duration
@@ -72,7 +70,7 @@
 		c.startLife(now, h)
 	}
 	u.sequence, u.lastHeartbeat, u.slots = h.Sequence, now, min(max(h.Slots, 1), _maxSlots)
-	u.warmUntil = now + h.WarmupLeft
+	c.noteHeartbeatColdness(h)
 	switch {
 	case u.state == peer.Gone:
 	case h.Draining:
@@ -123,6 +121,7 @@
 		// process has not seen.
 		allFlowsSeen: !first || h.Sequence <= 1,
 	}
+	c.noteNewLife()
 }
 
 // setState changes the upstream's state, reports it to relays and peers, and delivers
@@ -155,7 +154,10 @@
 // upstream does at its present speed. While the upstream warms up, this is less than
 // totalSlots, so that other upstreams get more flows. Admission still uses all slots.
 func (c *Core) effectiveSlots(now time.Duration) int {
-	if now < c.upstream.warmUntil {
+	if rate := c.coldRate(); rate > 0 && c.gate.cold(now) {
+		return min(max(int(rate*c.timings.runTime.value.Seconds()), 1), c.totalSlots())
+	}
+	if now < c.gate.until {
 		return max(int(math.Ceil(float64(c.upstream.slots)/_coldSlowdown-0.5)), 1)
 	}
 	return c.totalSlots()
--- a/standin/opaque_evacuation_test.go
+++ b/standin/opaque_evacuation_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/directory"
 	"dandelionhitch.example/standin"
 )
 
@@ -83,6 +84,7 @@
 		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			load := evacuationLoad(tt.relays, tt.hosts, tt.utilization)
 			var atEnd, afterwards int
 			load.adjust = func(s *scenario) {
@@ -102,6 +104,83 @@
 	}
 }
 
+// TestZoneIsTakenBackCold takes an evacuated zone back whose upstreams have just become
+// cold. No cold upstream may get more than users allow in any second, also with kills,
+// lost messages and restarted upstreams. Each must get flows all the same.
+func TestZoneIsTakenBackCold(t *testing.T) {
+	skipUnderRaceDetector(t)
+	for _, tt := range []struct {
+		name          string
+		relays, hosts int
+		utilization   float64
+		faults        func(*scenario)
+	}{
+		{"half of the capacity", 8, 24, 0.5, nil},
+		{"0.9 of the capacity", 8, 24, 0.9, nil},
+		{"overload", 8, 24, 1.2, nil},
+		{"one hundred processes", 25, 63, 0.5, nil},
+		{"processes are killed", 8, 24, 0.5, func(s *scenario) {
+			for i := range 12 {
+				at := _takeBackAt + time.Duration(i)*_seconds/4
+				relay, host := s.relays[i%len(s.relays)], s.orders[3*i%len(s.orders)]
+				s.At(at, func() { relay.KillProcess(); host.KillProcess() })
+				s.At(at+100*time.Millisecond, func() { relay.StartRelay(); host.StartSidecar() })
+			}
+		}},
+		{"upstreams restart and messages are lost", 8, 24, 0.5, func(s *scenario) {
+			s.DropMessage = func(netip.Addr, netip.Addr) bool { return s.Random().Float64() < 0.03 }
+			for i := range 12 {
+				host := s.orders[i]
+				s.At(_callsStart+time.Duration(i)*_seconds/2, func() {
+					host.KillUpstream()
+					host.ColdUntil = s.Now() + 2*_seconds
+					host.StartUpstream()
+				})
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			load := evacuationLoad(tt.relays, tt.hosts, tt.utilization)
+			load.cold = directory.Cold{For: 2 * _seconds, PerSecond: 15}
+			var atEnd, afterwards, cold int
+			load.adjust = func(s *scenario) {
+				evacuateZone(s, &atEnd, &afterwards)
+				s.At(_takeBackAt-100*time.Millisecond, func() {
+					for _, host := range s.orders {
+						if host.Zone == "0" {
+							host.ColdUntil = s.Now() + 4*_seconds
+						}
+					}
+					cold = -s.OpenedIn("0")
+				})
+				s.At(_takeBackAt+3900*time.Millisecond, func() { cold += s.OpenedIn("0") })
+				if tt.faults != nil {
+					tt.faults(s)
+				}
+			}
+			s := load.run(1)
+			assert.Assert(t, len(s.Violations) == 0, "%v", s.Violations[:min(len(s.Violations), 3)])
+			t.Logf("%s, %d flows opened in the zone while it was cold", load.summary(s), cold)
+			assert.Assert(t, cold >= tt.hosts/3*10, "%d flows opened in the zone while it was cold", cold)
+		})
+	}
+}
+
+// TestColdRateIsChecked plays the same without the stated rate in the processes' tables.
+// The simulation must report that cold upstreams get too much.
+func TestColdRateIsChecked(t *testing.T) {
+	load := evacuationLoad(4, 6, 0.9)
+	load.adjust = func(s *scenario) {
+		for _, host := range s.orders {
+			host.ColdUntil = time.Minute
+		}
+		s.StateColdRate("orders", directory.Cold{For: time.Minute, PerSecond: 5})
+	}
+	s := load.run(1)
+	assert.Assert(t, len(s.Violations) > 0 && strings.Contains(s.Violations[0], "while it is cold"), "%v", s.Violations)
+}
+
 // TestAllZonesAreEvacuated evacuates all zones. Calls must be refused at once.
 func TestAllZonesAreEvacuated(t *testing.T) {
 	load := evacuationLoad(4, 6, 0.3)
--- a/standin/opaque_evacuations.go
+++ b/standin/opaque_evacuations.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dandelionhitch.example/directory"
 	"dandelionhitch.example/evacuation"
 )
 
@@ -91,3 +92,40 @@
 		s.addViolation("a flow was opened at %v, %v after its zone was evacuated", vm, s.now-since)
 	}
 }
+
+// Users allow a cold upstream _coldOverage times its stated rate plus _coldSlack requests
+// in any second.
+const (
+	_coldOverage = 1.5
+	_coldSlack   = 5
+)
+
+// StateColdRate makes the checks assume a rate for the cold upstreams of a service that
+// the processes do not get.
+func (s *Simulation) StateColdRate(service string, cold directory.Cold) {
+	s.table = s.table.WithCold(map[string]directory.Cold{service: cold})
+}
+
+// coldCount holds when flows were opened at a cold upstream within the last second.
+type coldCount struct{ openedAt []time.Duration }
+
+// warmupLeft returns how much longer the VM's upstream is cold.
+func (vm *SimulatedVM) warmupLeft() time.Duration {
+	return max(vm.sim.WarmupLeft(), vm.ColdUntil-vm.sim.now)
+}
+
+// checkColdRate counts a flow that is opened at the VM's upstream. If the upstream is
+// cold, it must not have got more than users allow in the last second.
+func (vm *SimulatedVM) checkColdRate(count *coldCount) {
+	now := vm.sim.now
+	cold, stated := vm.sim.table.Cold(vm.Service)
+	if !stated || vm.warmupLeft() <= 0 {
+		count.openedAt = nil
+		return
+	}
+	count.openedAt = append(count.openedAt, now)
+	count.openedAt = slices.DeleteFunc(count.openedAt, func(at time.Duration) bool { return now-at >= time.Second })
+	if n := float64(len(count.openedAt)); n > cold.PerSecond*_coldOverage+_coldSlack {
+		vm.sim.addViolation("%v flows were opened within a second at %v, which bears %v while it is cold", n, vm, cold.PerSecond)
+	}
+}
--- a/standin/opaque_load_test.go
+++ b/standin/opaque_load_test.go
@@ -35,6 +35,8 @@
 	// spread evenly over the zones.
 	skew     float64
 	duration time.Duration
+	// cold is the stated behaviour of cold upstreams; its rate is zero if it is not stated.
+	cold directory.Cold
 	// adjust, if not nil, is called before the simulation runs, for example to inject
 	// faults.
 	adjust func(*scenario)
@@ -74,7 +76,7 @@
 func (l loadProfile) table() directory.Table {
 	return directory.New(1, 15*_seconds, []directory.Route{
 		{Address: _ordersAddr, Shares: []directory.Share{{Service: "orders", Weight: 1}}, TargetLatency: l.target, Timeout: l.timeout},
-	})
+	}).WithCold(map[string]directory.Cold{"orders": l.cold})
 }
 
 // rate returns the mean rate of calls per second that gives the utilization. The factor 1 +
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -92,6 +92,9 @@
 	Upstream *OpaqueUpstream
 	// Service is the service of the host's upstream.
 	Service string
+	// ColdUntil is the time until which the host's upstream is cold, besides the time that
+	// Simulation.WarmupLeft returns.
+	ColdUntil time.Duration
 	// Sent and Received count the messages to and from other VMs' processes.
 	Sent, Received Traffic
 
@@ -454,8 +457,10 @@
 		}
 	}
 	service := vm.Service
+	var cold coldCount
 	u.OnOpening = func(key flow.Key) {
 		s.checkEvacuation(vm)
+		vm.checkColdRate(&cold)
 		if !s.table.Allows(key.Address, service) {
 			s.addViolation("flow %v was opened at %s of service %s, to which no route of its address leads", key, u.Name, service)
 		}
@@ -488,7 +493,7 @@
 	vm.heartbeats++
 	err := vm.Sidecar.Heartbeat(vm.clock(), sidecar.Heartbeat{
 		ID: vm.Upstream.Name, Service: vm.Service, Addr: netip.AddrPortFrom(vm.Addr, _upstreamPort), Slots: vm.Upstream.Slots,
-		Draining: vm.draining, WarmupLeft: vm.sim.WarmupLeft(), Born: start, Sequence: vm.heartbeats,
+		Draining: vm.draining, WarmupLeft: vm.warmupLeft(), Born: start, Sequence: vm.heartbeats,
 	})
 	if err != nil {
 		vm.sim.addViolation("heartbeat refused: %v", err)
