relay, sidecar: callers on flows that ended in a power loss are told soon

(1) An upstream and its sidecar start together, and the upstream's first calls fail until the sidecar listens; so each sidecar got a heartbeat of number 2 or 3 first (age 40 to 130 ms) and stayed unsure of unknown flows for the upstream's whole life. (2) Searches spent their budget on questions and had none left for the next step; they timed out after 400 ms, 460 a second. (3) A relay reset no flow in the first 4 s after its start.

Change: a sidecar knows all flows of an upstream that is younger than 0.7 heartbeat intervals at the first heartbeat that it hears, since no earlier sidecar can have acknowledged one. A search begins only if its budget covers questions to all sidecars, and may then go on. A relay resets flows from 0.5 s on if each sidecar that others named has reported and no new one has appeared for 0.3 s. The budget is 200 KB/s, counted in one direction (it was 100, counted in both).

A batch of questions in one datagram would cost less and is not built.

Replaces the step that waited for the budget: a search that began is not stopped any more.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -220,6 +220,17 @@
 	return true
 }
 
+// AllHeard reports whether each sidecar that another process has named since this
+// process started has reported, except those that were removed as silent.
+func (v *View) AllHeard() bool {
+	for addr := range v.introduced {
+		if v.upstreams[addr] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // Service returns the upstreams of a service in address order. The caller must not
 // modify the slice.
 func (v *View) Service(name string) []*Upstream { return v.services[name] }
--- a/relay/core.go
+++ b/relay/core.go
@@ -54,19 +54,26 @@
 	_maxBufferedPackets = 16
 	// _searchBytesPerSecond and _searchBurstBytes are the rate and the burst of the token
 	// bucket for searches, that is, for questions and for packets tried at unsure
-	// sidecars (see search.go). The rate is a few percent of the capacity of the smallest
-	// links. Without this limit, searches would fill the links after the loss of all
+	// sidecars (see search.go). The rate is a sixth of the capacity of the smallest links.
+	// Without this limit, searches would fill the links after the loss of all
 	// processes, when many flows have no holder and many sidecars are unsure.
-	_searchBytesPerSecond = 100_000
-	_searchBurstBytes     = 200_000
-	// _questionBytes is the size of one question and its answer on a link.
-	_questionBytes = 120
+	_searchBytesPerSecond = 200_000
+	_searchBurstBytes     = 400_000
+	// _questionBytes is the size of one question, and about that of its answer, on a link.
+	// Links carry both directions independently.
+	_questionBytes = 60
 	// _packetOverheadBytes is what headers add to the size of a forwarded packet.
 	_packetOverheadBytes = 60
 	// _startupPeriod is the time after a relay's start during which the relay may not
 	// know all running processes yet. During this time, it resets no flow for lack of a
 	// route, an upstream or a holder, since there may be one that it does not know.
 	_startupPeriod = 4 * time.Second
+	// Resets for lack of a holder begin earlier, _minSearchStartup after the start, if each
+	// sidecar that another relay has named has reported, and no further sidecar has appeared
+	// for _discoveryQuietPeriod. Callers on flows that ended in a power loss would else
+	// repeat their packets until their time is over.
+	_minSearchStartup     = 500 * time.Millisecond
+	_discoveryQuietPeriod = 300 * time.Millisecond
 	// _callerOpenTimeout is how long callers repeat the opening packet of a flow. A
 	// flow that was first offered longer ago is no longer being opened.
 	_callerOpenTimeout = 1400 * time.Millisecond
@@ -141,10 +148,8 @@
 	nextReport             time.Duration
 	// parked are the opening packets that arrived before the relay knew where to send
 	// them, in the order in which they were parked.
-	parked []parked
-	// searchBudget is the number of bytes that searches may send, as of searchBudgetAt.
-	searchBudget   float64
-	searchBudgetAt time.Duration
+	parked       []parked
+	searchBudget searchBudget
 	// questions are the open questions, the oldest first.
 	questions []openQuestion
 	// returning are the callers that are expected to retry after a refusal.
@@ -156,6 +161,8 @@
 	storeReads readSchedule
 	// configs exchanges configurations with other processes.
 	configs *distribution.Member
+	// lastNewSidecar is when a sidecar last reported for the first time.
+	lastNewSidecar time.Duration
 	// evacuations are the zones whose upstreams get no new flows.
 	evacuations evacuation.Set
 }
@@ -217,8 +224,6 @@
 	// askedAllZones is set when the sidecars of the route's services were asked in all
 	// zones, and askedAllServices when the sidecars of all services were asked.
 	askedAllZones, askedAllServices bool
-	// overBudget is set while the next step of the search waits for the search budget.
-	overBudget bool
 	// tried are the unsure sidecars to which the first buffered packet was sent.
 	tried []netip.Addr
 	// packets are the caller's packets that are buffered until the holder is found. A
@@ -257,7 +262,7 @@
 		offers: make(map[flow.Key]*offer),
 
 		returning:    newReturningCallers(),
-		searchBudget: _searchBurstBytes,
+		searchBudget: searchBudget{bytes: _searchBurstBytes},
 	}
 	c.configs = distribution.New(self.Addr, true, out, random)
 	return c
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -55,6 +55,7 @@
 	}
 	c.noteVersion(now, r.Version, r.Sidecar)
 	if change.New {
+		c.lastNewSidecar = now
 		// The report names sidecars of the same service. The new sidecar then reports to
 		// them, and they report to it.
 		c.reportTo(now, r.Sidecar, r.Service, c.namesToNewProcess())
--- a/relay/search.go
+++ b/relay/search.go
@@ -35,12 +35,20 @@
 }
 
 // startSearch opens a question for the holder of a flow. It returns nil if too many
-// questions are open.
+// questions are open or the search budget does not suffice: the caller will repeat its
+// packet.
 func (c *Core) startSearch(now time.Duration, key flow.Key, f *flowState) *question {
-	if len(c.questions) >= _maxQuestions {
+	reason := ""
+	switch {
+	case len(c.questions) >= _maxQuestions:
+		reason = "too_many_questions"
+	case !c.searchBudget.allows(now, c.view.SidecarCount()):
+		reason = "search_budget"
+	}
+	if reason != "" {
 		c.counts.Dropped++
 		c.out.LogDecision(decision.Record{
-			Flow: key, Action: decision.Dropped, Reason: "too_many_questions", Version: c.table.Version(), Attempt: len(c.questions),
+			Flow: key, Action: decision.Dropped, Reason: reason, Version: c.table.Version(), Attempt: len(c.questions),
 		})
 		return nil
 	}
@@ -63,8 +71,6 @@
 				Flow: q.key, Action: decision.Dropped, Reason: "holder_not_found", Version: c.table.Version(), Age: age, Attempt: len(q.asked),
 			})
 			return true
-		case q.overBudget:
-			c.advanceSearch(now, q.key, q.state, q.question)
 		case age >= _widenSearchAfter && !q.askedAllZones:
 			c.askAllZones(now, q.key, q.question)
 		}
@@ -99,16 +105,15 @@
 }
 
 // askAllZones asks the sidecars of the route's services in all zones. It reports whether
-// any of them had not been asked before, as askSidecars does.
+// any of them had not been asked before.
 func (c *Core) askAllZones(now time.Duration, key flow.Key, q *question) bool {
+	q.askedAllZones = true
 	p, err := c.wire.Decode(q.packets[0])
 	if err != nil {
 		c.counts.Malformed++
 		return false
 	}
-	pending := c.askSidecars(now, key, q, p.Ack, c.sidecarsOfRoute(key, func(*fleet.Upstream) bool { return true }))
-	q.askedAllZones = !q.overBudget
-	return pending
+	return c.askSidecars(now, key, q, p.Ack, c.sidecarsOfRoute(key, func(*fleet.Upstream) bool { return true }))
 }
 
 // sidecarsOfRoute returns the sidecars of the services that a flow's route leads to,
@@ -126,17 +131,16 @@
 }
 
 // askSidecars sends the question to each of the given sidecars that has not been asked
-// yet, and reports whether there was such a sidecar. If the search budget does not cover
-// all of them, it asks none and sets q.overBudget, and checkQuestions tries again.
+// yet, and reports whether there was such a sidecar.
 func (c *Core) askSidecars(now time.Duration, key flow.Key, q *question, ack uint32, sidecars []netip.Addr) bool {
 	added := slices.DeleteFunc(sidecars, func(addr netip.Addr) bool {
 		_, known := q.answers[addr]
 		return known
 	})
-	q.overBudget = len(added) > 0 && !c.spendSearchBudget(now, len(added)*_questionBytes)
-	if len(added) == 0 || q.overBudget {
-		return len(added) > 0
+	if len(added) == 0 {
+		return false
 	}
+	c.searchBudget.spend(len(added) * _questionBytes)
 	q.asked = append(q.asked, added...)
 	for _, addr := range added {
 		q.answers[addr] = 0
@@ -153,20 +157,24 @@
 	return true
 }
 
-// spendSearchBudget takes size bytes from the search budget. If the budget does not
-// suffice, it returns false and counts a dropped packet, which the flow's caller will
-// repeat.
-func (c *Core) spendSearchBudget(now time.Duration, size int) bool {
-	c.searchBudget = min(c.searchBudget+(now-c.searchBudgetAt).Seconds()*_searchBytesPerSecond, _searchBurstBytes)
-	c.searchBudgetAt = now
-	if c.searchBudget < float64(size) {
-		c.counts.Dropped++
-		return false
-	}
-	c.searchBudget -= float64(size)
-	return true
+// searchBudget is the token bucket for searches. A search begins only if the bucket holds
+// enough for questions to all sidecars. Its later steps may overdraw the bucket, so that
+// what was spent on a search is not lost because the rest of it is not affordable.
+type searchBudget struct {
+	// bytes is how much searches may send, as of updatedAt.
+	bytes     float64
+	updatedAt time.Duration
 }
 
+// allows reports whether a search that may ask the given number of sidecars may begin.
+func (b *searchBudget) allows(now time.Duration, sidecars int) bool {
+	b.bytes = min(b.bytes+(now-b.updatedAt).Seconds()*_searchBytesPerSecond, _searchBurstBytes)
+	b.updatedAt = now
+	return b.bytes >= min(float64(sidecars*_questionBytes), _searchBurstBytes/2)
+}
+
+func (b *searchBudget) spend(size int) { b.bytes -= float64(size) }
+
 // handleHeld records the sidecar that has answered that it holds a flow, and sends it
 // the buffered packets.
 func (c *Core) handleHeld(now time.Duration, v peer.Verdict, f *flowState) {
@@ -244,20 +252,19 @@
 		return
 	}
 	if len(unsure) > 0 {
-		c.tryUnsure(now, q, unsure)
+		c.tryUnsure(q, unsure)
 		return
 	}
 	if !q.askedAllZones && c.askAllZones(now, key, q) {
 		return
 	}
 	if !q.askedAllServices {
+		q.askedAllServices = true
 		var all []netip.Addr
 		for _, u := range c.view.Sidecars() {
 			all = append(all, u.Sidecar)
 		}
-		pending := c.askSidecars(now, key, q, p.Ack, all)
-		q.askedAllServices = !q.overBudget
-		if pending {
+		if c.askSidecars(now, key, q, p.Ack, all) {
 			return
 		}
 	}
@@ -266,14 +273,11 @@
 
 // tryUnsure sends the first buffered packet to the sidecars that are unsure. They answer
 // with Held or NotHeld once their upstream has accepted the packet or returned it.
-func (c *Core) tryUnsure(now time.Duration, q *question, unsure []netip.Addr) {
+func (c *Core) tryUnsure(q *question, unsure []netip.Addr) {
 	if len(q.tried) > 0 {
 		return
 	}
-	q.overBudget = !c.spendSearchBudget(now, len(unsure)*(len(q.packets[0])+_packetOverheadBytes))
-	if q.overBudget {
-		return
-	}
+	c.searchBudget.spend(len(unsure) * (len(q.packets[0]) + _packetOverheadBytes))
 	q.tried = unsure
 	for _, addr := range unsure {
 		q.answers[addr] = 0
@@ -282,6 +286,15 @@
 	}
 }
 
+// knowsSidecars reports whether this relay knows all sidecars that may hold flows, so that
+// a flow that all of them deny has no holder.
+func (c *Core) knowsSidecars(now time.Duration) bool {
+	if now >= _startupPeriod {
+		return true
+	}
+	return now >= _minSearchStartup && now-c.lastNewSidecar >= _discoveryQuietPeriod && c.view.AllHeard()
+}
+
 // endWithoutHolder ends the search for a flow that every sidecar has denied. It resets
 // the flow, unless the relay has just started, the flow may still be opening, or the
 // packet only closes the flow.
@@ -289,7 +302,7 @@
 	f.question = nil
 	record := decision.Record{Flow: key, Action: decision.Dropped, Version: c.table.Version()}
 	switch {
-	case now < _startupPeriod:
+	case !c.knowsSidecars(now):
 		record.Reason = "holder_not_known_yet"
 	case f.firstOffered > 0 && now-f.firstOffered < _callerOpenTimeout:
 		record.Reason, record.Age = "still_opening", now-f.firstOffered
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -546,3 +546,19 @@
 	assert.NilError(t, err)
 	return message
 }
+
+// TestYoungUpstreamHasNoUnknownFlows starts an upstream and its sidecar together. The
+// upstream's first heartbeats fail, since the sidecar does not listen yet. No earlier
+// sidecar can have given flows to an upstream that is younger than a heartbeat interval,
+// so the sidecar denies flows that it does not know. It is unsure beside an older one.
+func TestYoungUpstreamHasNoUnknownFlows(t *testing.T) {
+	for age, want := range map[time.Duration]peer.Outcome{
+		0: peer.Unsure, 300 * time.Millisecond: peer.NotHeld, 700 * time.Millisecond: peer.Unsure, time.Minute: peer.Unsure,
+	} {
+		r := newRig(t)
+		assert.NilError(t, r.sendHeartbeat(20*time.Millisecond, func(h *sidecar.Heartbeat) { h.Sequence, h.Age = 3, age }))
+		r.clearSent()
+		r.PeerMessage(30*time.Millisecond, peer.Question{Origin: _relay, Flow: flow.Key{Caller: _caller, Address: _address}}.Append(nil))
+		r.assertOnlyVerdict(want)
+	}
+}
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -26,6 +26,8 @@
 	// Born is a number that grows with each life of the upstream, which is one run of its
 	// process. Sequence is the number of the heartbeat within that life.
 	Born, Sequence uint64
+	// Age is the time since the upstream's start, or zero if it is not known.
+	Age time.Duration
 }
 
 // upstream is the state of the local upstream, as the sidecar knows it.
@@ -49,6 +51,10 @@
 	allFlowsSeen bool
 }
 
+// _heartbeatSpacing is the least time between an acknowledged heartbeat and the next one,
+// as a fraction of the heartbeat interval.
+const _heartbeatSpacing = 0.7
+
 // _coldSlowdown is the factor by which an upstream is slower while it warms up,
 // according to the users' data sheets.
 const _coldSlowdown = 1.6
@@ -101,7 +107,7 @@
 	u := &c.upstream
 	first := u.born == 0 && u.id == ""
 	c.out.LogBelief(decision.Belief{
-		Subject: "upstream_life", Name: h.ID, From: u.id, To: h.ID, Reason: "heartbeat", Version: h.Sequence, Age: now - u.lastHeartbeat,
+		Subject: "upstream_life", Name: h.ID, From: u.id, To: h.ID, Reason: "heartbeat", Version: h.Sequence, Age: h.Age,
 	})
 	if !first {
 		c.flows.All(func(_ flow.Key, f *flowState) bool {
@@ -119,11 +125,20 @@
 		id: h.ID, born: h.Born, lastSeen: now, state: peer.Absent,
 		// An upstream that was running before this process started may have flows that this
 		// process has not seen.
-		allFlowsSeen: !first || h.Sequence <= 1,
+		allFlowsSeen: !first || c.isFirstHeartbeat(h),
 	}
 	c.noteNewLife()
 }
 
+// isFirstHeartbeat reports whether no sidecar can have acknowledged an earlier heartbeat of
+// the upstream's life, and so have given it flows: the heartbeat has the first number, or
+// the upstream is so young that it would still wait for the time of its next heartbeat.
+// When all processes of a host start together, the upstream's first calls fail until the
+// sidecar listens.
+func (c *Core) isFirstHeartbeat(h Heartbeat) bool {
+	return h.Sequence <= 1 || h.Age > 0 && h.Age < time.Duration(_heartbeatSpacing*float64(c.self.Heartbeat))
+}
+
 // setState changes the upstream's state, reports it to relays and peers, and delivers
 // or redirects the waiting flows.
 func (c *Core) setState(now time.Duration, state peer.State, reason string) {
