--- a/relay/search.go
+++ b/relay/search.go
@@ -292,7 +292,9 @@
 	if now >= _startupPeriod {
 		return true
 	}
-	return now >= _minSearchStartup && now-c.lastNewSidecar >= _discoveryQuietPeriod && c.view.AllHeard()
+	// A relay that hears from no other one may be cut off from sidecars, too.
+	connected := !c.view.Isolated() || c.view.RelayCount() == 0
+	return connected && now >= _minSearchStartup && now-c.lastNewSidecar >= _discoveryQuietPeriod && c.view.AllHeard()
 }
 
 // endWithoutHolder ends the search for a flow that every sidecar has denied. It resets
--- a/relay/search_test.go
+++ b/relay/search_test.go
@@ -135,21 +135,27 @@
 		name       string
 		at, last   time.Duration // when the packet arrives, and when the last sidecar has reported
 		named      []netip.Addr
+		isolated   bool
 		wantResets int
 	}{
-		{"all are known", 700 * ms, 100 * ms, nil, 1},
-		{"the relay has just started", 450 * ms, 100 * ms, nil, 0},
-		{"a sidecar was discovered a moment ago", 700 * ms, 500 * ms, nil, 0},
-		{"a named sidecar has not reported", 700 * ms, 100 * ms, []netip.Addr{netip.MustParseAddr("10.3.0.1")}, 0},
+		{"all are known", 700 * ms, 100 * ms, nil, false, 1},
+		{"the relay has just started", 450 * ms, 100 * ms, nil, false, 0},
+		{"a sidecar was discovered a moment ago", 700 * ms, 500 * ms, nil, false, 0},
+		{"a named sidecar has not reported", 700 * ms, 100 * ms, []netip.Addr{netip.MustParseAddr("10.3.0.1")}, false, 0},
+		{"no other relay is heard", 700 * ms, 100 * ms, nil, true, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := newTestCore(t)
 			c.setTable(50*ms, 1)
 			c.sendReport(60*ms, _firstSidecar, 1, peer.Ready)
 			c.sendReport(tt.last, _secondSidecar, 1, peer.Ready)
-			report, err := peer.AppendRelay(nil, peer.RelayReport{Relay: netip.MustParseAddr("10.0.0.2"), Incarnation: 1, Sequence: 1, Sidecars: tt.named})
+			other := netip.MustParseAddr("10.0.0.2")
+			c.AddRelays(50*ms, []netip.Addr{other})
+			report, err := peer.AppendRelay(nil, peer.RelayReport{Relay: other, Incarnation: 1, Sequence: 1, Sidecars: tt.named})
 			assert.NilError(t, err)
-			c.PeerMessage(100*ms, report)
+			if !tt.isolated {
+				c.PeerMessage(100*ms, report)
+			}
 			c.CallerPacket(tt.at, encodePacket(flow.ACK, 1, 2, 10))
 			c.sendVerdict(tt.at, _firstSidecar, peer.NotHeld, nil)
 			c.sendVerdict(tt.at, _secondSidecar, peer.NotHeld, nil)
