--- a/dandelionhitch/explain_flow.go
+++ b/dandelionhitch/explain_flow.go
@@ -22,6 +22,7 @@
 var _endExplanations = map[string]string{
 	"reset no_route":                 "the configuration in force did not have the address; see the settings below",
 	"reset no_upstream":              "no upstream of the service was known, or all were draining; see the upstreams below",
+	"reset zone_evacuated":           "all upstreams of the service were in zones that the operator had evacuated",
 	"reset all_refused":              "every upstream that was tried refused; the refused lines above say why",
 	"reset overloaded":               "it could not have been answered before its caller gives up; busy and slots tell how full the upstreams were",
 	"reset no_holder":                "every sidecar denied the flow: its upstream had ended, or the flow was idle too long",
@@ -31,6 +32,7 @@
 	"dropped caller_timeout":         "the relay learned where to send it after the caller had given up",
 	"dropped no_answer_to_offers":    "sidecars did not answer offers; one of them may have taken it. If one relay doubts all, its own link is at fault",
 	"dropped holder_not_found":       "sidecars did not answer the question who holds the flow, so nobody can say that it is dead",
+	"dropped search_budget":          "the relay had too many packets of flows that it did not know; their callers repeat them",
 	"dropped too_many_questions":     "the relay had too many open questions about flows that it did not know, as after the loss of many processes",
 	"dropped still_opening":          "a packet came before the flow had opened; its caller repeats it",
 	"dropped earlier_flow_of_caller": "a late packet of the upstream was of an earlier flow from the same port; no failure",
