--- a/relay/core.go
+++ b/relay/core.go
@@ -242,8 +242,7 @@
 	Carried, Asked, Tried uint64
 	// Resets counts resets sent to callers, and Dropped packets that were discarded.
 	Resets, Dropped uint64
-	// Evacuated counts flows that were placed in another zone, or not placed at all,
-	// because a zone is evacuated.
+	// Evacuated counts new flows for which upstreams of evacuated zones were left out.
 	Evacuated uint64
 	// Malformed counts packets and messages that could not be decoded.
 	Malformed uint64
--- a/relay/evacuations.go
+++ b/relay/evacuations.go
@@ -7,8 +7,8 @@
 	"dandelionhitch.example/evacuation"
 )
 
-// _reasonEvacuated is the reason for placing a flow in another zone than it would
-// otherwise be placed in, or for not placing it.
+// _reasonEvacuated is the reason for leaving out upstreams of evacuated zones when a flow
+// is placed, or for not placing it.
 const _reasonEvacuated = "zone_evacuated"
 
 // Evacuations returns the evacuated zones, as far as this relay knows.
