--- a/standin/opaque_evacuation_test.go
+++ b/standin/opaque_evacuation_test.go
@@ -171,6 +171,7 @@
 // The simulation must report that cold upstreams get too much.
 func TestColdRateIsChecked(t *testing.T) {
 	load := evacuationLoad(4, 6, 0.9)
+	load.duration = 2 * _seconds
 	load.adjust = func(s *scenario) {
 		for _, host := range s.orders {
 			host.ColdUntil = time.Minute
@@ -184,6 +185,7 @@
 // TestAllZonesAreEvacuated evacuates all zones. Calls must be refused at once.
 func TestAllZonesAreEvacuated(t *testing.T) {
 	load := evacuationLoad(4, 6, 0.3)
+	load.duration = 7 * _seconds
 	load.adjust = func(s *scenario) {
 		for zone := range load.zones {
 			s.At(_evacuateAt, func() { s.Evacuate(fmt.Sprint(zone)) })
@@ -203,6 +205,7 @@
 // simulation must report the flows that are opened there.
 func TestEvacuationIsChecked(t *testing.T) {
 	load := evacuationLoad(4, 6, 0.3)
+	load.duration = 7 * _seconds
 	load.adjust = func(s *scenario) {
 		s.At(_evacuateAt, func() { s.Evacuate("0"); s.StoreDown = true })
 	}
