platform, dandelionhitch, relay: log the store's epoch and dropped sets of zones

An outage and a restoration of the store look the same in logs and metrics, and a set of evacuated zones that is dropped as older leaves no trace. New metrics: store_epoch, store_revision. No logic changes.

--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -193,7 +193,11 @@
 func (n *opaqueNode) startServices(s opaqueServices) error {
 	f := n.flags
 	if n.store != nil && s.configTarget != nil {
-		n.add(newStoreReader(s.configTarget, n.store, f.evacuationBound > 0, n.log))
+		reader := newStoreReader(s.configTarget, n.store, f.evacuationBound > 0, n.log)
+		n.add(reader)
+		if err := n.registerMetrics(reader.metrics); err != nil {
+			return err
+		}
 	}
 	ready, err := newHTTPServer("readiness", f.ready, platform.ReadyHandler(s.ready))
 	if err != nil {
--- a/dandelionhitch/store_reader.go
+++ b/dandelionhitch/store_reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -57,6 +58,11 @@
 	// lastVersion is the version in the store of the configuration that was read last, zero
 	// before the first read.
 	lastVersion platform.Version
+	// epoch is the epoch of the store that was logged last, valid if epochKnown is set.
+	epoch      platform.Epoch
+	epochKnown bool
+	// revision is the version in the store of the configuration that was read last.
+	revision atomic.Uint64
 }
 
 func newStoreReader(target configurationTarget, store *platform.Client, evacuations bool, log *zap.Logger) *storeReader {
@@ -115,6 +121,7 @@
 	if err != nil {
 		return err
 	}
+	r.logEpoch(object.Version)
 	if object.Version != r.lastVersion {
 		r.lastVersion = object.Version
 		r.adopt(object.Value)
@@ -130,6 +137,32 @@
 	return nil
 }
 
+// logEpoch logs the epoch of the store at the first read and whenever it has changed. The
+// store's revisions are comparable only within an epoch.
+func (r *storeReader) logEpoch(version platform.Version) {
+	r.revision.Store(uint64(version))
+	epoch := r.store.Epoch()
+	fields := []zap.Field{
+		zap.Uint16("epoch", uint16(epoch)), zap.Uint64("revision", uint64(version)), zap.Uint64("last_revision", uint64(r.lastVersion)),
+	}
+	switch {
+	case !r.epochKnown:
+		r.log.Info("store read", fields...)
+	case epoch != r.epoch:
+		r.log.Warn("store restored from a copy", append(fields, zap.Uint16("last_epoch", uint16(r.epoch)))...)
+	}
+	r.epoch, r.epochKnown = epoch, true
+}
+
+// metrics returns the revision and epoch of the store at the last read of the
+// configuration.
+func (r *storeReader) metrics() []metricValue {
+	return []metricValue{
+		{"store_revision", int64(r.revision.Load())},
+		{"store_epoch", int64(r.store.Epoch())},
+	}
+}
+
 // adopt decodes a configuration and puts it in force if it is newer. It refuses one
 // that cannot be decoded and ignores single routes that are invalid.
 func (r *storeReader) adopt(value []byte) {
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -104,6 +104,14 @@
 	return Belief{Subject: "evacuated_zones", Name: "zones", From: from.String(), To: to.String(), Reason: source, Version: to.Revision()}
 }
 
+// NewIgnoredEvacuations returns the belief that a set of evacuated zones was not put in
+// force because it is older than the one that is.
+func NewIgnoredEvacuations(inForce, ignored evacuation.Set, source string) Belief {
+	b := NewEvacuations(inForce, inForce, source)
+	b.Reason = fmt.Sprintf("%s is older: revision %d with %v", source, ignored.Revision(), ignored)
+	return b
+}
+
 // _maxStack limits the stack trace of a panic in a log line, in bytes.
 const _maxStack = 1500
 
--- a/relay/evacuations.go
+++ b/relay/evacuations.go
@@ -17,6 +17,9 @@
 // SetEvacuations puts the evacuated zones that were read from the store in force, unless
 // those in force are newer. If the zones differ, the next tick reports to all processes.
 func (c *Core) SetEvacuations(now time.Duration, set evacuation.Set, source string) {
+	if c.evacuations.Newer(set) && !set.SameZones(c.evacuations) {
+		c.out.LogBelief(decision.NewIgnoredEvacuations(c.evacuations, set, source))
+	}
 	if c.adoptEvacuations(now, set, source) {
 		c.nextReport = now
 	}
