standin: restore the platform's store from a copy

Objects, revisions and retained events go back to those of the copy, waiting watches are aborted, a watch from a revision that the store does not have gets 410, and each response counts the restorations.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -80,6 +80,24 @@
 // SetFaults replaces the faults to inject.
 func (p *Platform) SetFaults(faults PlatformFaults) { p.faults.set(faults) }
 
+// PlatformCopy is a copy of a Platform's objects at one time.
+type PlatformCopy struct {
+	version, lastDropped platform.Version
+	events               []platformEvent
+	entries              map[string]platformEntry
+}
+
+// Copy returns a copy of the objects, from which Restore can restore them.
+func (p *Platform) Copy() PlatformCopy { return p.objects.copyOf() }
+
+// Restore replaces the objects by those of a copy and aborts all waiting watches. Changes
+// since the copy are lost, and their versions are given out again. The responses count
+// the restorations in the header platform.HeaderEra.
+func (p *Platform) Restore(c PlatformCopy) {
+	p.objects.restore(c)
+	p.faults.abortWatches()
+}
+
 // Counts returns the numbers of calls since the start.
 func (p *Platform) Counts() PlatformCounts { return p.faults.snapshot() }
 
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -3,8 +3,11 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"dandelionhitch.example/platform"
 )
 
 // PlatformFaults are the faults that a Platform injects. Fractions are from 0 to 1.
@@ -73,6 +76,14 @@
 	f.faults = faults
 }
 
+// abortWatches aborts all waiting watches, as at the beginning of an outage.
+func (f *platformFaults) abortWatches() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.outage)
+	f.outage = make(chan struct{})
+}
+
 // nextOutage returns a channel that is closed when the next outage begins.
 func (f *platformFaults) nextOutage() <-chan struct{} {
 	f.mu.Lock()
@@ -136,6 +147,7 @@
 			http.Error(w, "unavailable", http.StatusServiceUnavailable)
 			return
 		}
+		w.Header().Set(platform.HeaderEra, strconv.Itoa(p.objects.currentEra()))
 		next.ServeHTTP(w, r)
 	})
 }
--- a/standin/platform_objects.go
+++ b/standin/platform_objects.go
@@ -32,6 +32,8 @@
 	maxEvents   int
 	lastDropped platform.Version
 	changed     chan struct{}
+	// era counts the copies from which the objects were restored, from one.
+	era int
 }
 
 // platformEntry is an object with its previous versions. It is retained when the
@@ -52,6 +54,7 @@
 func newPlatformObjects() *platformObjects {
 	return &platformObjects{
 		version: 1, entries: make(map[string]*platformEntry), maxEvents: _platformMaxEvents, changed: make(chan struct{}),
+		era: 1,
 	}
 }
 
@@ -90,8 +93,9 @@
 	return page
 }
 
-// eventsSince returns the events of a kind after a version, whether all of them are
-// still retained, and a channel that is closed at the next change of any object.
+// eventsSince returns the events of a kind after a version, whether the store has that
+// version and still retains all events after it, and a channel that is closed at the next
+// change of any object.
 func (o *platformObjects) eventsSince(kind string, version platform.Version) (platform.Events, bool, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -101,7 +105,7 @@
 			events.Events = append(events.Events, e.event)
 		}
 	}
-	return events, version >= o.lastDropped, o.changed
+	return events, version >= o.lastDropped && version <= o.version, o.changed
 }
 
 // put writes a value if the object's version is the expected one, which is zero for an
@@ -138,6 +142,39 @@
 	return entry.current, true
 }
 
+// copyOf returns a copy of the objects and the retained events.
+func (o *platformObjects) copyOf() PlatformCopy {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := PlatformCopy{version: o.version, lastDropped: o.lastDropped, events: slices.Clone(o.events), entries: make(map[string]platformEntry)}
+	for key, entry := range o.entries {
+		c.entries[key] = entry.clone()
+	}
+	return c
+}
+
+// restore replaces the objects and events by those of a copy, and begins a new era.
+func (o *platformObjects) restore(c PlatformCopy) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.era++
+	o.version, o.lastDropped, o.events = c.version, c.lastDropped, slices.Clone(c.events)
+	o.entries = make(map[string]*platformEntry, len(c.entries))
+	for key, entry := range c.entries {
+		restored := entry.clone()
+		o.entries[key] = &restored
+	}
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// currentEra returns the number of copies from which the objects were restored, plus one.
+func (o *platformObjects) currentEra() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.era
+}
+
 func (o *platformObjects) entry(key string) *platformEntry {
 	entry, ok := o.entries[key]
 	if !ok {
@@ -169,6 +206,10 @@
 	return e.current
 }
 
+func (e *platformEntry) clone() platformEntry {
+	return platformEntry{current: e.current, exists: e.exists, previous: slices.Clone(e.previous)}
+}
+
 func (e *platformEntry) version() platform.Version { return e.object().Version }
 
 func (e *platformEntry) savePrevious() {
