--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -267,3 +267,83 @@
 	}
 	assert.NilError(t, command.Wait())
 }
+
+// restoredStore is a store whose reader has read a configuration and evacuated zones
+// since the store was copied.
+type restoredStore struct {
+	*standin.Platform
+	client *platform.Client
+	copied standin.PlatformCopy
+	target *fakeConfigurationTarget
+	// evacuated is the last set that was read.
+	evacuated evacuation.Set
+}
+
+// newRestoredStore copies a store with a configuration of version 1, and then changes the
+// configuration to version 2 and evacuates a zone and takes it back.
+func newRestoredStore(t *testing.T) *restoredStore {
+	t.Helper()
+	store, err := standin.NewPlatform()
+	assert.NilError(t, err)
+	s := &restoredStore{Platform: store, client: platform.NewClient(store.URL()), target: newFakeConfigurationTarget()}
+	version := s.put(t, platform.ConfigurationKey, `{"version":1}`, 0)
+	s.copied = store.Copy()
+	s.put(t, platform.ConfigurationKey, `{"version":2}`, version)
+	entry := s.put(t, platform.EvacuationsKind+"/oslo-a", `{}`, 0)
+	assert.NilError(t, s.client.Delete(t.Context(), platform.EvacuationsKind+"/oslo-a", entry))
+	r := newStoreReader(s.target, s.client, true, zap.NewNop())
+	t.Cleanup(func() {
+		assert.NilError(t, r.Close())
+		assert.NilError(t, s.client.Close())
+		assert.NilError(t, store.Close())
+	})
+	s.read()
+	assert.Equal(t, (<-s.target.tables).Version(), uint64(2))
+	return s
+}
+
+// put writes an object as another client of the store does.
+func (s *restoredStore) put(t *testing.T, key, value string, expected platform.Version) platform.Version {
+	t.Helper()
+	operator := platform.NewClient(s.URL())
+	defer operator.Close()
+	version, err := operator.Put(t.Context(), key, []byte(value), expected)
+	assert.NilError(t, err)
+	return version
+}
+
+// read lets the reader read the store.
+func (s *restoredStore) read() {
+	s.target.due <- 0
+	<-s.target.reads
+	s.evacuated = <-s.target.evacuations
+}
+
+// TestEvacuationAfterRestoredStoreIsNewer guards against dropping a set of evacuated zones
+// whose revision is lower than one that was read before the store was restored.
+func TestEvacuationAfterRestoredStoreIsNewer(t *testing.T) {
+	s := newRestoredStore(t)
+	before := s.evacuated
+	s.Restore(s.copied)
+	s.put(t, platform.EvacuationsKind+"/oslo-b", `{}`, 0)
+	s.read()
+	assert.Equal(t, s.evacuated.String(), "oslo-b")
+	assert.Assert(t, s.evacuated.Newer(before), "revision %d was read before %d", before.Revision(), s.evacuated.Revision())
+}
+
+// TestConfigurationWithReusedRevisionIsRead guards against taking a configuration for
+// unchanged because a restored store has given its revision out again.
+func TestConfigurationWithReusedRevisionIsRead(t *testing.T) {
+	s := newRestoredStore(t)
+	s.Restore(s.copied)
+	object, err := s.client.Get(t.Context(), platform.ConfigurationKey)
+	assert.NilError(t, err)
+	s.put(t, platform.ConfigurationKey, `{"version":3}`, object.Version)
+	s.read()
+	select {
+	case table := <-s.target.tables:
+		assert.Equal(t, table.Version(), uint64(3))
+	default:
+		t.Error("the configuration was not put in force")
+	}
+}
