platform: order versions across restorations of the store

Cause: the store's revision was taken for an order and an identity of states, although a store that is restored from a copy gives revisions out again. The log showed the set read within a second as revision 30, and dropped for the one of revision 32.

A Version now has the store's epoch, which it sends in each response, in its high bits and the revision in its low ones. So versions ascend over a restoration, and a revision of another epoch is another version. With that, in one place:

- a set of evacuated zones read after a restoration is newer, at this relay and at the processes to which it reports;
- a configuration whose revision was given out again is read;
- a watch returns the object, and is not continued from a revision of an earlier epoch, for which a store that has caught up sends no 410;
- a conditional write or delete on a version of an earlier epoch is not sent, and is ambiguous if the store was restored unnoticed.

In epoch zero a version equals the revision, so reports of earlier builds keep their order and these builds take a set of a later epoch for newer.

--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -99,9 +99,11 @@
 
 // evacuationMetrics returns the metrics of the evacuated zones that are in force.
 func evacuationMetrics(set evacuation.Set, flows uint64) []metricValue {
+	version := platform.Version(set.Version())
 	return []metricValue{
 		{"evacuated_zones", int64(len(set.Zones()))},
-		{"evacuations_revision", int64(set.Revision())},
+		{"evacuations_epoch", int64(version.Epoch())},
+		{"evacuations_revision", int64(version.Revision())},
 		{"evacuation_moved_flows", int64(flows)},
 	}
 }
--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -328,7 +328,7 @@
 	s.put(t, platform.EvacuationsKind+"/oslo-b", `{}`, 0)
 	s.read()
 	assert.Equal(t, s.evacuated.String(), "oslo-b")
-	assert.Assert(t, s.evacuated.Newer(before), "revision %d was read before %d", before.Revision(), s.evacuated.Revision())
+	assert.Assert(t, s.evacuated.Newer(before), "version %d was read before %d", before.Version(), s.evacuated.Version())
 }
 
 // TestConfigurationWithReusedRevisionIsRead guards against taking a configuration for
--- a/dandelionhitch/store_reader.go
+++ b/dandelionhitch/store_reader.go
@@ -58,11 +58,8 @@
 	// lastVersion is the version in the store of the configuration that was read last, zero
 	// before the first read.
 	lastVersion platform.Version
-	// epoch is the epoch of the store that was logged last, valid if epochKnown is set.
-	epoch      platform.Epoch
-	epochKnown bool
-	// revision is the version in the store of the configuration that was read last.
-	revision atomic.Uint64
+	// version is lastVersion, for the metrics.
+	version atomic.Uint64
 }
 
 func newStoreReader(target configurationTarget, store *platform.Client, evacuations bool, log *zap.Logger) *storeReader {
@@ -137,29 +134,29 @@
 	return nil
 }
 
-// logEpoch logs the epoch of the store at the first read and whenever it has changed. The
-// store's revisions are comparable only within an epoch.
+// logEpoch logs the epoch of the store at the first read and whenever it has changed.
 func (r *storeReader) logEpoch(version platform.Version) {
-	r.revision.Store(uint64(version))
-	epoch := r.store.Epoch()
+	r.version.Store(uint64(version))
+	last := r.lastVersion
 	fields := []zap.Field{
-		zap.Uint16("epoch", uint16(epoch)), zap.Uint64("revision", uint64(version)), zap.Uint64("last_revision", uint64(r.lastVersion)),
+		zap.Uint16("epoch", uint16(version.Epoch())), zap.Uint64("revision", uint64(version.Revision())),
+		zap.Uint16("last_epoch", uint16(last.Epoch())), zap.Uint64("last_revision", uint64(last.Revision())),
 	}
 	switch {
-	case !r.epochKnown:
+	case last == 0:
 		r.log.Info("store read", fields...)
-	case epoch != r.epoch:
-		r.log.Warn("store restored from a copy", append(fields, zap.Uint16("last_epoch", uint16(r.epoch)))...)
+	case version.Epoch() != last.Epoch():
+		r.log.Warn("store restored from a copy", fields...)
 	}
-	r.epoch, r.epochKnown = epoch, true
 }
 
 // metrics returns the revision and epoch of the store at the last read of the
 // configuration.
 func (r *storeReader) metrics() []metricValue {
+	version := platform.Version(r.version.Load())
 	return []metricValue{
-		{"store_revision", int64(r.revision.Load())},
-		{"store_epoch", int64(r.store.Epoch())},
+		{"store_revision", int64(version.Revision())},
+		{"store_epoch", int64(version.Epoch())},
 	}
 }
 
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -5,8 +5,9 @@
 // upstreams of other zones.
 //
 // The operator's entries lie in the store. Relays read them together, and processes pass
-// them on in their reports. The store numbers its states in ascending order, so of two
-// sets the one with the higher revision is in force, whichever way it came.
+// them on in their reports. The store's versions number its states in ascending order, also
+// when it is restored from an older copy, so of two sets the one with the higher version is
+// in force, whichever way it came.
 package evacuation
 
 import (
@@ -24,20 +25,20 @@
 	MaxZoneSize = 63
 )
 
-// Set holds the evacuated zones at one revision of the store. It is immutable. The zero
+// Set holds the evacuated zones at one version of the store. It is immutable. The zero
 // Set means that the evacuated zones are not known, and contains none.
 type Set struct {
-	revision uint64
+	version uint64
 	// zones are sorted and distinct.
 	zones []string
 }
 
-// New returns the set of zones that were evacuated at a revision of the store. It returns
-// a BadParameter or LimitExceeded error if the revision is zero, if there are too many
+// New returns the set of zones that were evacuated at a version of the store. It returns
+// a BadParameter or LimitExceeded error if the version is zero, if there are too many
 // zones, or if a zone's name is empty or too long.
-func New(revision uint64, zones []string) (Set, error) {
-	if revision == 0 {
-		return Set{}, trace.BadParameter("evacuated zones: the revision is zero")
+func New(version uint64, zones []string) (Set, error) {
+	if version == 0 {
+		return Set{}, trace.BadParameter("evacuated zones: the version is zero")
 	}
 	sorted := slices.Clone(zones)
 	slices.Sort(sorted)
@@ -50,11 +51,11 @@
 			return Set{}, trace.BadParameter("evacuated zone %q: want 1 to %d bytes", zone, MaxZoneSize)
 		}
 	}
-	return Set{revision: revision, zones: sorted}, nil
+	return Set{version: version, zones: sorted}, nil
 }
 
-// Revision returns the store's revision, or zero if the evacuated zones are not known.
-func (s Set) Revision() uint64 { return s.revision }
+// Version returns the store's version, or zero if the evacuated zones are not known.
+func (s Set) Version() uint64 { return s.version }
 
 // Zones returns the evacuated zones in ascending order. The caller must not modify the
 // slice.
@@ -66,8 +67,8 @@
 	return found
 }
 
-// Newer reports whether the set is of a later revision than other.
-func (s Set) Newer(other Set) bool { return s.revision > other.revision }
+// Newer reports whether the set is of a later version than other.
+func (s Set) Newer(other Set) bool { return s.version > other.version }
 
 // SameZones reports whether both sets contain the same zones.
 func (s Set) SameZones(other Set) bool { return slices.Equal(s.zones, other.zones) }
--- a/evacuation/example_test.go
+++ b/evacuation/example_test.go
@@ -6,7 +6,7 @@
 	"dandelionhitch.example/evacuation"
 )
 
-// A process that gets sets out of order keeps the one of the highest revision.
+// A process that gets sets out of order keeps the one of the highest version.
 func ExampleSet_Newer() {
 	evacuated, _ := evacuation.New(7, []string{"oslo-b", "oslo-a"})
 	takenBack, _ := evacuation.New(9, []string{"oslo-a"})
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -357,23 +357,23 @@
 	AttemptAge uint32 `cbor:"10,keyasint,omitempty"`
 	// Zone is the zone of the relay. It is set in reports that name other processes.
 	Zone string `cbor:"11,keyasint,omitempty"`
-	// EvacuationRevision and EvacuatedZones are the set of evacuated zones that the sender
+	// EvacuationVersion and EvacuatedZones are the set of evacuated zones that the sender
 	// has in force. The revision is zero if it knows none.
-	EvacuationRevision uint64   `cbor:"12,keyasint,omitempty"`
-	EvacuatedZones     []string `cbor:"13,keyasint,omitempty"`
+	EvacuationVersion uint64   `cbor:"12,keyasint,omitempty"`
+	EvacuatedZones    []string `cbor:"13,keyasint,omitempty"`
 }
 
 // Evacuations returns the set of evacuated zones in the report.
 func (r RelayReport) Evacuations() (evacuation.Set, error) {
-	if r.EvacuationRevision == 0 {
+	if r.EvacuationVersion == 0 {
 		return evacuation.Set{}, nil
 	}
-	return evacuation.New(r.EvacuationRevision, r.EvacuatedZones)
+	return evacuation.New(r.EvacuationVersion, r.EvacuatedZones)
 }
 
 // WithEvacuations returns the report with the given set of evacuated zones.
 func (r RelayReport) WithEvacuations(set evacuation.Set) RelayReport {
-	r.EvacuationRevision, r.EvacuatedZones = set.Revision(), set.Zones()
+	r.EvacuationVersion, r.EvacuatedZones = set.Version(), set.Zones()
 	return r
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -191,7 +191,7 @@
 	case request.Meta.Revision == 0:
 		http.Error(w, "want the revision that is replaced", http.StatusBadRequest)
 	default:
-		object, written := p.objects.put(requestKey(r), request.Spec, request.Meta.Revision)
+		object, written := p.objects.put(requestKey(r), request.Spec, platform.NewVersion(0, request.Meta.Revision))
 		p.answerWrite(w, object, written)
 	}
 }
@@ -250,7 +250,7 @@
 // toStored converts an object to its form in the store's API.
 func toStored(object platform.Object) platform.StoredObject {
 	_, name := platform.SplitKey(object.Key)
-	return platform.StoredObject{Meta: platform.Meta{Name: name, Revision: object.Version}, Spec: object.Value}
+	return platform.StoredObject{Meta: platform.Meta{Name: name, Revision: object.Version.Revision()}, Spec: object.Value}
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
--- a/standin/platform_objects.go
+++ b/standin/platform_objects.go
@@ -79,7 +79,7 @@
 func (o *platformObjects) list(kind, after string) platform.Listing {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	page := platform.Listing{Items: []platform.StoredObject{}, StoreRevision: o.version}
+	page := platform.Listing{Items: []platform.StoredObject{}, StoreRevision: o.version.Revision()}
 	for key, entry := range o.entries {
 		objectKind, name := platform.SplitKey(key)
 		if entry.exists && objectKind == kind && name > after {
@@ -99,7 +99,7 @@
 func (o *platformObjects) eventsSince(kind string, version platform.Version) (platform.Events, bool, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	events := platform.Events{Events: []platform.Event{}, StoreRevision: o.version}
+	events := platform.Events{Events: []platform.Event{}, StoreRevision: o.version.Revision()}
 	for _, e := range o.events {
 		if e.kind == kind && e.version > version {
 			events.Events = append(events.Events, e.event)
