relay, peer: reports carry the store's epoch; reads of earlier builds are not shared

While builds of before and of now run side by side, a relay of an earlier build that reads a restored store drops what it reads as older, and reports the read, so that all others wait for a second and more. With one relay of the new build among many, an evacuation could wait for its turn for longer than the bound.

Reports now carry the highest known epoch of the store. A report without it is of an earlier build; its reads do not delay those of this relay. Earlier builds go on ignoring fields that they don't know, and wait for the reads of the new one.

TestReportedReadDelaysOwnRead sends the reports of a current build now, which have the field; its bounds are as they were.

--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-func (f *fakeConfigurationTarget) ReadSucceeded() { f.reads <- struct{}{} }
+func (f *fakeConfigurationTarget) ReadSucceeded(uint16) { f.reads <- struct{}{} }
 
 func (f *fakeConfigurationTarget) ReadStarted() {}
 func (f *fakeConfigurationTarget) ReadPending() {}
--- a/dandelionhitch/store_reader.go
+++ b/dandelionhitch/store_reader.go
@@ -37,10 +37,10 @@
 	// includes the backoff after failures.
 	UntilRead() time.Duration
 	// ReadStarted records that a read begins, ReadPending that it takes longer than
-	// _pendingDelay, and ReadSucceeded or ReadFailed how it ended.
+	// _pendingDelay, and ReadSucceeded, with the store's epoch, or ReadFailed how it ended.
 	ReadStarted()
 	ReadPending()
-	ReadSucceeded()
+	ReadSucceeded(epoch uint16)
 	ReadFailed()
 }
 
@@ -130,7 +130,7 @@
 		}
 		r.target.SetEvacuations(set, "store")
 	}
-	r.target.ReadSucceeded()
+	r.target.ReadSucceeded(uint16(object.Version.Epoch()))
 	return nil
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -361,6 +361,9 @@
 	// has in force. The revision is zero if it knows none.
 	EvacuationVersion uint64   `cbor:"12,keyasint,omitempty"`
 	EvacuatedZones    []string `cbor:"13,keyasint,omitempty"`
+	// StoreEpoch is one more than the highest epoch of the store that the sender knows. It is
+	// zero if the sender knows none, or is of a build that does not distinguish epochs.
+	StoreEpoch uint32 `cbor:"14,keyasint,omitempty"`
 }
 
 // Evacuations returns the set of evacuated zones in the report.
--- a/relay/core.go
+++ b/relay/core.go
@@ -159,6 +159,8 @@
 	lastTick time.Duration
 	// storeReads decides when this relay reads the configuration from the store.
 	storeReads readSchedule
+	// storeEpoch is one more than the highest known epoch of the store, or zero.
+	storeEpoch uint32
 	// configs exchanges configurations with other processes.
 	configs *distribution.Member
 	// lastNewSidecar is when a sidecar last reported for the first time.
@@ -381,14 +383,19 @@
 	c.ReadPending(now)
 }
 
-// ReadSucceeded records that this relay has read the configuration from the store, and
-// reports to the other relays.
-func (c *Core) ReadSucceeded(now time.Duration) {
+// ReadSucceeded records that this relay has read the configuration from the store in the
+// given epoch, and reports to the other relays.
+func (c *Core) ReadSucceeded(now time.Duration, epoch uint16) {
+	c.storeEpoch = max(c.storeEpoch, uint32(epoch)+1)
 	c.storeReads.failures = 0
 	c.storeReads.noteRead(now, c.view.RelayCount()+1, c.random)
 	c.reportToRelays(now)
 }
 
+// StoreEpoch returns the highest epoch of the store that this relay knows, from its own
+// reads or from reports. The epoch begins when the store is restored from a copy.
+func (c *Core) StoreEpoch() uint16 { return uint16(max(c.storeEpoch, 1) - 1) }
+
 // LastStoreRead returns when any relay last read the configuration from the store, as
 // far as this relay knows; zero if none has.
 func (c *Core) LastStoreRead() time.Duration { return c.storeReads.lastRead }
@@ -503,6 +510,7 @@
 		Relay: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Leaving: c.leaving, Version: c.table.Version(), SidecarCount: uint32(c.view.SidecarCount()),
 		ReadAge: c.storeReads.readAge(now), AttemptAge: c.storeReads.attemptAge(now),
+		StoreEpoch: c.storeEpoch,
 	}.WithEvacuations(c.evacuations.Set())
 	if nameLimit > 0 {
 		c.addNames(&r, service, nameLimit)
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -405,7 +405,7 @@
 	c := newTestCore(t)
 	assert.Equal(t, c.UntilRead(time.Second), time.Duration(0), "no read is known yet")
 	reportRead := func(now time.Duration, sequence uint64, age uint32) {
-		b, err := peer.AppendRelay(nil, peer.RelayReport{Relay: _otherRelay, Incarnation: 1, Sequence: sequence, ReadAge: age})
+		b, err := peer.AppendRelay(nil, peer.RelayReport{Relay: _otherRelay, Incarnation: 1, Sequence: sequence, ReadAge: age, StoreEpoch: 1})
 		assert.NilError(t, err)
 		c.PeerMessage(now, b)
 	}
@@ -417,6 +417,31 @@
 	assert.Equal(t, c.UntilRead(4*time.Second), time.Duration(0), "an old read changes nothing")
 }
 
+// TestReadOfEarlierBuildDoesNotDelayOwnRead guards against a fleet in which only relays of
+// an earlier build read the store, which ignore what is older by its revision alone.
+func TestReadOfEarlierBuildDoesNotDelayOwnRead(t *testing.T) {
+	c := newTestCore(t)
+	b, err := peer.AppendRelay(nil, peer.RelayReport{Relay: _otherRelay, Incarnation: 1, Sequence: 1, ReadAge: 100})
+	assert.NilError(t, err)
+	c.PeerMessage(2*time.Second, b)
+	assert.Equal(t, c.UntilRead(2*time.Second), time.Duration(0))
+}
+
+// TestReportsCarryStoreEpoch sends a relay a report of a higher epoch. Its own reports must
+// carry the epoch on.
+func TestReportsCarryStoreEpoch(t *testing.T) {
+	c := newTestCore(t)
+	c.ReadSucceeded(time.Second, 0)
+	b, err := peer.AppendRelay(nil, peer.RelayReport{Relay: _otherRelay, Incarnation: 1, Sequence: 1, StoreEpoch: 4})
+	assert.NilError(t, err)
+	c.PeerMessage(2*time.Second, b)
+	assert.Equal(t, c.StoreEpoch(), uint16(3))
+	c.Tick(10 * time.Second)
+	report, err := peer.DecodeRelay(c.messages[len(c.messages)-1].body)
+	assert.NilError(t, err)
+	assert.Equal(t, report.StoreEpoch, uint32(4))
+}
+
 func TestMalformedInputIsCounted(t *testing.T) {
 	c := newServingCore(t)
 	for _, b := range [][]byte{nil, {0}, {byte(peer.KindVerdict), 99}, {byte(peer.KindUpstream), 0xff}, {byte(peer.KindRelay), 0xa1}} {
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -79,7 +80,7 @@
 		return
 	}
 	c.noteVersion(now, r.Version, r.Relay)
-	c.storeReads.noteReport(now, r.ReadAge, r.AttemptAge, c.view.RelayCount()+1, c.random)
+	c.noteStore(now, r)
 	if set, err := r.Evacuations(); err == nil { // checked when the report was decoded
 		c.handleEvacuations(now, set, "relay "+r.Relay.String())
 	}
@@ -95,6 +96,18 @@
 	}
 }
 
+// noteStore records what a report tells of the store. A sender that does not distinguish
+// epochs may ignore what it reads after the store was restored, so its reads do not
+// replace those of this relay.
+func (c *Core) noteStore(now time.Duration, r peer.RelayReport) {
+	readAge := r.ReadAge
+	if r.StoreEpoch == 0 {
+		readAge = _unknownAge
+	}
+	c.storeEpoch = max(c.storeEpoch, min(r.StoreEpoch, math.MaxUint16+1))
+	c.storeReads.noteReport(now, readAge, r.AttemptAge, c.view.RelayCount()+1, c.random)
+}
+
 // handleVerdict handles a sidecar's answer to an offer, a carried packet or a question.
 func (c *Core) handleVerdict(now time.Duration, v peer.Verdict) {
 	c.view.Answered(now, v.Sidecar, int(v.Busy), int(v.Slots))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -142,11 +142,20 @@
 	return r.Now() - lastRead, lastRead > 0
 }
 
-// ReadSucceeded must be called when the configuration has been read from the store.
-func (r *Relay) ReadSucceeded() {
+// StoreEpoch returns the highest epoch of the store that this relay knows, from its own
+// reads or from reports. The epoch begins when the store is restored from a copy.
+func (r *Relay) StoreEpoch() uint16 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.ReadSucceeded(r.Now())
+	return r.core.StoreEpoch()
+}
+
+// ReadSucceeded must be called when the configuration has been read from the store in the
+// given epoch.
+func (r *Relay) ReadSucceeded(epoch uint16) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.ReadSucceeded(r.Now(), epoch)
 }
 
 // AddRelays adds relays that this relay should report to.
