dandelionhitch: a relay writes its entry again that a restored store lacks

Cause: the registry wrote the relay's entry once and took it for lasting. After a restoration from a copy older than the entry nobody finds the relay by the store; if all power is lost then, its zone's processes may not find it at all.

A relay that learns of a new epoch, by a call of its own or from a report, reads its entry, spread over 2 s, and writes it if it is missing.

--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -182,6 +182,9 @@
 	// configTarget receives the configuration in the store. It is nil for a sidecar,
 	// which does not read it.
 	configTarget configurationTarget
+	// storeEpoch returns the highest epoch of the store of which the process has heard. It
+	// is nil for a sidecar.
+	storeEpoch func() uint16
 	// self, hasReported, isolated and lastStoreReadAge are the registry's fields of the
 	// same names.
 	self             *relayEntry
@@ -216,6 +219,7 @@
 		r := &registry{
 			store: n.store, log: n.log, target: s.dataPath,
 			self: s.self, hasReported: s.hasReported, isolated: s.isolated, lastStoreReadAge: s.lastStoreReadAge,
+			storeEpoch: func() platform.Epoch { return max(n.store.Epoch(), platform.Epoch(s.storeEpoch())) },
 		}
 		r.start()
 		n.add(r)
--- a/dandelionhitch/opaque_registry.go
+++ b/dandelionhitch/opaque_registry.go
@@ -30,6 +30,8 @@
 	// the retries of all relays are then spread.
 	_storeContactInterval = 200 * time.Millisecond
 	_storeReturnJitter    = 2 * time.Second
+	// _epochCheckInterval is how often a relay checks whether the store was restored.
+	_epochCheckInterval = time.Second
 	// _sweepInterval is the minimum time between two sweeps for entries of relays that
 	// have ended. Jitter of up to the same time is added, so that usually one relay
 	// sweeps for all.
@@ -67,7 +69,9 @@
 	// lastStoreReadAge returns how long ago any relay last read the configuration from
 	// the store, and false if none is known to have. It is nil for a sidecar.
 	lastStoreReadAge func() (time.Duration, bool)
-	// registered is set once the entry of this process was among the listed entries.
+	// storeEpoch returns the highest known epoch of the store. It is nil for a sidecar.
+	storeEpoch func() platform.Epoch
+	// registered is set if the entry of this process was among the entries listed last.
 	registered bool
 }
 
@@ -89,13 +93,25 @@
 	}
 	r.retry("list", r.list)
 	r.retry("enter", r.register)
+	epoch := r.storeEpoch()
+	sweepAt := nextSweep()
 	for r.tomb.Alive() {
-		sleepContext(r.ctx, _sweepInterval+rand.N(_sweepInterval))
-		r.retry("sweep", r.sweep)
+		sleepContext(r.ctx, _epochCheckInterval)
+		if current := r.storeEpoch(); current != epoch {
+			epoch = current
+			sleepContext(r.ctx, rand.N(_storeReturnJitter))
+			r.retry("enter", r.reenter)
+		}
+		if time.Now().After(sweepAt) {
+			r.retry("sweep", r.sweep)
+			sweepAt = nextSweep()
+		}
 	}
 	return nil
 }
 
+func nextSweep() time.Time { return time.Now().Add(_sweepInterval + rand.N(_sweepInterval)) }
+
 // loopSidecar lists the relays once at the start, since after a power failure its
 // seeds may be the last relays to return. After that it lists them while the sidecar
 // has heard from no relay.
@@ -163,6 +179,16 @@
 	return err
 }
 
+// reenter writes the entry of this process if a restored store lacks it.
+func (r *registry) reenter() error {
+	_, err := r.store.Get(r.ctx, r.key())
+	if trace.IsNotFound(err) {
+		r.registered = false
+		return r.register()
+	}
+	return err
+}
+
 func (r *registry) key() string { return _relaysPrefix + r.self.Addr.String() }
 
 // list reads all entries and passes their addresses to the target.
@@ -171,6 +197,7 @@
 	if err != nil {
 		return err
 	}
+	r.registered = false
 	var found []netip.Addr
 	for _, object := range objects {
 		if addr, ok := r.entryAddr(object); ok {
@@ -198,20 +225,24 @@
 	return entry.Addr, true
 }
 
-// sweep removes the entries of relays from which this process has never heard.
-// Concurrent sweeps of several relays do no harm.
+// sweep removes the entries of relays from which this process has never heard, and writes
+// its own entry if it is missing. Concurrent sweeps of several relays do no harm.
 func (r *registry) sweep() error {
 	objects, err := r.store.List(r.ctx, _relaysPrefix)
 	if err != nil {
 		return err
 	}
+	r.registered = false
 	for _, object := range objects {
 		addr, ok := r.entryAddr(object)
+		if addr == r.self.Addr {
+			r.registered = true
+		}
 		if !ok || addr == r.self.Addr || r.hasReported(addr) {
 			continue
 		}
 		err := r.store.Delete(r.ctx, object.Key, object.Version)
 		r.log.Info("relay entry removed", zap.Stringer("relay", addr), zap.Error(err))
 	}
-	return nil
+	return r.register()
 }
--- a/dandelionhitch/opaque_registry_test.go
+++ b/dandelionhitch/opaque_registry_test.go
@@ -47,6 +47,8 @@
 	// ns; zero if none has.
 	storeContactAt atomic.Int64
 	isIsolated     atomic.Bool
+	// reportedEpoch is the store's epoch in the reports of other relays.
+	reportedEpoch atomic.Uint32
 }
 
 func newRegistryHarness(t *testing.T, self string) *registryHarness {
@@ -64,6 +66,7 @@
 			at := r.storeContactAt.Load()
 			return time.Since(time.Unix(0, at)), at > 0
 		},
+		storeEpoch: func() platform.Epoch { return platform.Epoch(r.reportedEpoch.Load()) },
 	}
 	t.Cleanup(func() {
 		assert.NilError(t, r.Close())
@@ -103,6 +106,7 @@
 	restarted := &registry{
 		store: r.registry.store, log: zap.NewNop(), target: &r.found,
 		self: r.self, hasReported: r.hasReported, isolated: r.isolated, lastStoreReadAge: r.lastStoreReadAge,
+		storeEpoch: r.storeEpoch,
 	}
 	restarted.start()
 	defer restarted.Close()
@@ -145,3 +149,28 @@
 	r.store.SetFaults(standin.PlatformFaults{})
 	r.awaitEntry(t)
 }
+
+// TestRegistryRestoresLostEntry guards against a relay whose entry is missing after the
+// store was restored from a copy that is older than the entry.
+func TestRegistryRestoresLostEntry(t *testing.T) {
+	r := newRegistryHarness(t, "10.1.0.1")
+	before := r.store.Copy()
+	r.start()
+	r.awaitEntry(t)
+	r.store.Restore(before)
+	r.reportedEpoch.Store(1)
+	r.awaitEntry(t)
+}
+
+// TestSweepRestoresLostEntry guards against a relay whose entry is missing although it has
+// not heard of a restoration of the store.
+func TestSweepRestoresLostEntry(t *testing.T) {
+	r := newRegistryHarness(t, "10.1.0.1")
+	before := r.store.Copy()
+	r.start()
+	r.awaitEntry(t)
+	r.store.Restore(before)
+	sweeper := &registry{ctx: t.Context(), store: r.registry.store, log: zap.NewNop(), self: r.self, hasReported: r.hasReported, registered: true}
+	assert.NilError(t, sweeper.sweep())
+	r.awaitEntry(t)
+}
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -96,6 +96,7 @@
 		newRole:      func() opaqueRole { return newRelayFlags(io.Discard, io.Discard) },
 		configTarget: r,
 		self:         &relayEntry{Addr: f.addr, Zone: f.zone, Incarnation: self.Incarnation},
+		storeEpoch:   r.StoreEpoch,
 		hasReported:  r.HasReported, isolated: r.Isolated, lastStoreReadAge: r.LastStoreReadAge,
 	})
 }
