follower, audit: accepted settings survive a store restored from a copy

The limit in force is the one last accepted; after a restoration the store held an older one. Processes kept the accepted revision in force, but operators read and edited the older tree: a change based on the accepted revision was refused, and one based on the older tree got the revision of a lost change, which every process ignored, and perhaps the ID of a service that the lost one had created.

The head now names the store's epoch in which it was confirmed. While that is not the epoch of the object, no change is accepted on it (a ConnectionProblem, so a command tries again for 15 s). A process that watches the head waits until the highest revision has reached it, about 5 s, writes the lost changes again as they were accepted, from those that it keeps for its peers, and confirms the head.

Not covered: a change that no process had adopted, changes beyond the 256 KB that a process keeps, and a head that the copy lacks altogether.

--- a/audit/head.go
+++ b/audit/head.go
@@ -33,6 +33,10 @@
 	Recent []Change `json:"recent"`
 	// RetiredIDs holds the service IDs that no other service may use.
 	RetiredIDs RetiredIDs `json:"retired_ids,omitempty"`
+	// Epoch is the store's epoch in which the head was confirmed. A head from an older copy
+	// of the store has an earlier epoch than the object that holds it, and may lack accepted
+	// changes.
+	Epoch uint16 `json:"epoch,omitempty"`
 }
 
 // Snapshot describes where the tree of one revision is stored.
@@ -166,6 +170,12 @@
 	return h, change, nil
 }
 
+// WithEpoch returns the head as confirmed in an epoch of the store.
+func (h Head) WithEpoch(epoch uint16) Head {
+	h.Epoch = epoch
+	return h
+}
+
 // Batch holds BatchSize accepted changes with consecutive revisions. It is stored
 // in one object.
 type Batch struct {
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -131,6 +131,9 @@
 		if err == nil {
 			err = f.adoptHead(ctx, head)
 		}
+		if err == nil && !(State{Head: head, version: headVersion}).isConfirmed() {
+			err = f.confirmHead(ctx)
+		}
 		if err != nil && ctx.Err() == nil {
 			f.options.logger.Warn("failed to watch settings", zap.Error(err))
 			sleep(ctx, jitter(_retryDelay))
--- a/follower/store_test.go
+++ b/follower/store_test.go
@@ -60,6 +60,39 @@
 	s.faults = f
 }
 
+// storeCopy holds the objects of a store at one time.
+type storeCopy struct {
+	version platform.Version
+	objects map[string]platform.Object
+}
+
+func (s *store) copyOf() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{version: s.version, objects: make(map[string]platform.Object)}
+	for key := range s.versions {
+		c.objects[key] = s.current(key)
+	}
+	return c
+}
+
+// restore replaces all objects by those of a copy, with versions of the next epoch.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	epoch := s.version.Epoch() + 1
+	s.version = platform.NewVersion(epoch, c.version.Revision())
+	s.versions, s.delayed = make(map[string][]platform.Object), nil
+	for key, object := range c.objects {
+		if object.Value != nil {
+			object.Version = platform.NewVersion(epoch, object.Version.Revision())
+			s.versions[key] = []platform.Object{object}
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // chance returns true with the given probability.
 func (s *store) chance(probability float64) bool { return s.random.Float64() < probability }
 
--- a/follower/submission.go
+++ b/follower/submission.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return s.change, markPermanent(err)
 	}
+	if !state.isConfirmed() {
+		return s.change, trace.ConnectionProblem(nil, "the platform's store was restored from a copy, and no balancer has confirmed the settings in it yet")
+	}
 	if s.change.Base > state.Head.Revision {
 		return s.change, trace.ConnectionProblem(nil, "the platform returned revision %d, the change is based on %d", state.Head.Revision, s.change.Base)
 	}
@@ -83,8 +86,10 @@
 	if err != nil {
 		return s.change, backoff.Permanent(trace.Wrap(err, "encode settings head"))
 	}
-	_, err = s.editor.archive.store.Put(ctx, audit.HeadKey, data, state.version)
+	version, err := s.editor.archive.store.Put(ctx, audit.HeadKey, data, state.version)
 	switch {
+	case err == nil && state.version == 0:
+		return accepted, s.editor.confirmFirst(ctx, next, version)
 	case err == nil:
 		return accepted, nil
 	case platform.IsAmbiguous(err):
