follower: adopt a head whose history differs from the one adopted before

A process that had adopted a revision whose changes are not those of the head's history applied the later changes to its own tree, got another digest, and rejected every head from then on. Only a restored store can bring that about, if a process of an earlier build writes to it.

--- a/follower/archive.go
+++ b/follower/archive.go
@@ -39,23 +39,28 @@
 }
 
 // tree returns the tree of the head's revision. It replays changes on base, the
-// tree of baseRevision, if the head still holds all changes since then, and on
-// the head's snapshot otherwise. It returns a CompareFailed error if the result
-// does not have the head's digest.
+// tree of baseRevision, if the head still holds all changes since then and base is part of
+// its history, and on the head's snapshot otherwise. It returns a CompareFailed error if the
+// result does not have the head's digest.
 func (a archive) tree(ctx context.Context, head audit.Head, baseRevision settings.Revision, base settings.Tree) (settings.Tree, error) {
 	changes, complete := head.After(baseRevision)
-	if !complete || baseRevision > head.Revision {
-		var err error
-		base, err = a.snapshot(ctx, head.Snapshot)
+	if complete && baseRevision <= head.Revision {
+		changes, err := a.loadEdits(ctx, changes)
 		if err != nil {
 			return settings.Tree{}, err
 		}
-		changes, _ = head.After(head.Snapshot.Revision)
+		if tree, err := replay(base, changes, head.Digest); err == nil {
+			return tree, nil
+		}
 	}
-	changes, err := a.loadEdits(ctx, changes)
+	base, err := a.snapshot(ctx, head.Snapshot)
 	if err != nil {
 		return settings.Tree{}, err
 	}
+	changes, _ = head.After(head.Snapshot.Revision)
+	if changes, err = a.loadEdits(ctx, changes); err != nil {
+		return settings.Tree{}, err
+	}
 	return replay(base, changes, head.Digest)
 }
 
--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -97,3 +97,26 @@
 	_, err = editor.Submit(ctx, newChange(rand.New(rand.NewPCG(3, 3)), state.Document, "kari", nodePath(1)))
 	assert.NilError(t, err)
 }
+// TestDivergedHistoryIsAdopted guards against a follower that rejects every later head
+// because the head's history has other changes than those it has adopted.
+func TestDivergedHistoryIsAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, other := newStore(1), newStore(2)
+		for i, each := range []*store{s, other} {
+			editor := follower.NewEditor(each)
+			_, err := editor.Submit(t.Context(), initialChange())
+			assert.NilError(t, err)
+			random := rand.New(rand.NewPCG(uint64(i), 0))
+			for range 2 * (i + 1) {
+				commitChange(t, editor, random, nodePath(1))
+			}
+		}
+		f := follower.New(follower.WithStore(s))
+		defer f.Close()
+		time.Sleep(time.Second)
+		assert.Equal(t, f.Revision(), settings.Revision(3))
+		s.restore(other.copyOf())
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, f.Revision(), settings.Revision(5))
+	})
+}
