limit: the shares of a flow limit hold when the store is restored from a copy

The limit in force must never be exceeded. After a restoration, an entry of the share may be larger than what its run still uses, smaller, or missing; runs took the entries for the truth and claimed what looked free.

A run that reads a share of a later epoch begins a recount: it uses at most what it used before, and claims no more than that, besides units that runs have given up in the recount, so that shares still follow hosts that are replaced. The recount ends after a lease's term and the drain deadline, for all runs as soon as one gets there. A share that the copy lacks is created again with what each run uses; before, no run could write again. A lower limit that a run has learned from a share stays in force.

Not covered: floors claimed after the copy was made by a run that then cannot reach the platform, and runs of earlier builds.

--- a/limit/adopt.go
+++ b/limit/adopt.go
@@ -7,6 +7,10 @@
 // handleRead adopts the Share that was read, unless the Holder has read or written
 // a later version before.
 func (h *Holder) handleRead(now Instant, e ReadDone) {
+	if e.Version == 0 && h.version > 0 {
+		h.lost, h.phase = true, _planning
+		return
+	}
 	if e.Version < h.version {
 		h.handleFailure(now, Failed{})
 		return
@@ -19,6 +23,10 @@
 // expected an earlier version has either taken effect by now or never will,
 // because its conditional update would fail.
 func (h *Holder) adopt(now Instant, share Share, version platform.Version) {
+	h.beginRecount(now, share, version.Epoch())
+	if share.Revision < h.share.Revision {
+		share.Revision, share.Limit = h.share.Revision, h.share.Limit
+	}
 	h.version, h.share = version, share
 	h.observer.observe(now.Mono, share)
 	h.gate.shareRevision, h.gate.shareLimit = share.Revision, share.Limit
@@ -29,6 +37,9 @@
 		entry = Entry{Run: h.run}
 	}
 	h.entry = entry
+	if h.inRecount(now) {
+		entry = h.recount.cap(entry)
+	}
 	h.renewTerms(entry.Seq)
 	if len(h.attempts) > 0 && version <= h.lastExpected {
 		h.gate.restrict(entry.Floor, entry.Leased)
@@ -57,11 +68,17 @@
 		h.handleFailure(now, Failed{})
 		return
 	}
+	if h.version == 0 {
+		h.skipRecount(now, e.Version.Epoch())
+	}
 	h.adopt(now, h.pendingShare, e.Version)
 	if h.leaving {
 		h.phase = _left
 		return
 	}
 	h.renewBy = now.Mono + h.jittered(h.pace.Renewal)
+	if platform.Epoch(h.share.Epoch) != e.Version.Epoch() && !h.inRecount(now) {
+		h.renewBy = now.Mono
+	}
 	h.endCycle(now)
 }
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -37,6 +37,9 @@
 	share   Share
 	// entry is the run's entry in share; its units are zero if there is none.
 	entry Entry
+	// lost is set if the last read found no Share although there was one.
+	lost    bool
+	recount recount
 	// seq is the number of the last attempt, and pendingShare the Share that the
 	// attempt writes.
 	seq          uint64
--- a/limit/holder_test.go
+++ b/limit/holder_test.go
@@ -186,6 +186,7 @@
 		"join":    alive(func(_ *rapid.T, h *host) { h.partitioned = false }),
 		"outage":  func(*rapid.T) { sim.outage = true },
 		"recover": func(*rapid.T) { sim.endOutage() },
+		"restore": func(t *rapid.T) { sim.restore(t) },
 		"kill": alive(func(t *rapid.T, h *host) {
 			sim.kill(h)
 			sim.gone[h.run] = rapid.Bool().Draw(t, "confirmed")
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -67,6 +67,15 @@
 //     limit or more. A run with more open flows than its units are worth cannot
 //     have more flows open than it last reported, because it admits none.
 //
+// # Restored stores
+//
+// A platform whose store is restored from an older copy loses what runs have written
+// since. The units in use still never add up to more than the Whole: a run that reads such
+// a Share uses at most what it used before, and claims no units beyond that except those
+// that runs have given up since, until all others have written their entries or stopped
+// using their units; see recount. The exception is a floor that a run claimed after the
+// copy was made and goes on using because it cannot reach the platform.
+//
 // # Floors
 //
 // An entry's floor is at most half of Whole ÷ MaxHosts. Floors are claimed in
--- a/limit/plan.go
+++ b/limit/plan.go
@@ -5,6 +5,8 @@
 	share Share
 	// current is the run's entry in the share; its units are zero if it has none.
 	current Entry
+	// free are the units that may be claimed.
+	free Units
 	// hosts is the number of runs whose lease has not lapsed, including this one.
 	hosts int
 	// othersLacking is the sum of the units that the other runs counted in hosts lack.
@@ -44,10 +46,9 @@
 // entry returns the entry that the run should have. Its units cover the open
 // flows, unless the current units do not cover them and too few units are free.
 func (p plan) entry() Entry {
-	free := p.share.Free()
 	held := p.current.Units()
-	target := p.target(held, free)
-	units := p.roundToFlows(min(target, held+p.claimable(free)))
+	target := p.target(held, p.free)
+	units := p.roundToFlows(min(target, held+p.claimable(p.free)))
 
 	next := p.current
 	next.Floor = min(p.floorPart(), units)
@@ -101,7 +102,7 @@
 	held := p.current.Units()
 	gainsUnits := p.wantsMore && next.Units() > held
 	lackingChanged := (next.Lacking > 0) != (p.current.Lacking > 0)
-	shouldReturn := p.draining || p.othersLacking > p.share.Free()
+	shouldReturn := p.draining || p.othersLacking > p.free
 	returnsUnits := shouldReturn && held.less(next.Units()) > held/_minReturnDivisor
 	return gainsUnits || lackingChanged || returnsUnits
 }
--- a/limit/script_test.go
+++ b/limit/script_test.go
@@ -14,6 +14,9 @@
 	"dandelionhitch.example/settings"
 )
 
+// _restored is the first version of a store that was restored from a copy.
+const _restored = 1<<48 | 1
+
 // _limits are the limits in the scripts. The floor of each of the four hosts is
 // 40 flows, and each host claims 60 flows regardless of its demand.
 var _limits = limit.Limits{Revision: 5, Flows: 320, FlowsPerUpstream: 100, MaxHosts: 4, DrainDeadline: settings.Duration(time.Hour)}
@@ -213,6 +216,27 @@
 				assert.Equal(s, s.Allowance(s.now), 60)
 			}
 		},
+		"an entry that is larger in a copy of the store gives no more units than before": func(s *script) {
+			s.join(0)
+			s.answerNextRead(limit.Share{Entries: []limit.Entry{s.entry(80)}}, _restored)
+			assert.Equal(s, s.Allowance(s.now), 60)
+		},
+		"units of a share from a copy are claimed only if they are spare": func(s *script) {
+			s.join(60)
+			s.assertRefused(limit.Flows)
+			w := s.nextWrite(limit.Share{Entries: []limit.Entry{s.entry(60)}}, _restored)
+			assert.Equal(s, w.Share.Entries[0].Units(), limit.UnitsFor(60, 320))
+			s.Handle(s.now, limit.Failed{Conflict: true})
+			w = s.nextWrite(limit.Share{Entries: []limit.Entry{s.entry(60)}, Spare: limit.UnitsFor(40, 320)}, _restored+1)
+			assert.Equal(s, w.Share.Entries[0].Units()+w.Share.Spare, limit.UnitsFor(100, 320))
+			assert.Assert(s, w.Share.Entries[0].Units() > limit.UnitsFor(60, 320))
+		},
+		"a share that the store has lost is created again with the units in use": func(s *script) {
+			s.join(60)
+			w := s.nextWrite(limit.Share{}, 0)
+			assert.Equal(s, w.Expected, platform.Version(0))
+			assert.Equal(s, w.Share.Entries[0].Units(), limit.UnitsFor(60, 320))
+		},
 		"units that others lack are returned within two poll intervals": func(s *script) {
 			s.join(0)
 			before := s.now.Mono
--- a/limit/share.go
+++ b/limit/share.go
@@ -21,6 +21,12 @@
 	Limit int `json:"limit"`
 	// Entries has one entry for each run; their units add up to at most the Whole.
 	Entries []Entry `json:"entries"`
+	// Epoch is the store's epoch in which the entries are known to be complete. If it is not
+	// the epoch of the object, the store was restored from a copy; see recount.
+	Epoch uint16 `json:"epoch,omitempty"`
+	// Spare are units that no run uses, and that may be claimed although entries may be
+	// missing.
+	Spare Units `json:"spare,omitempty"`
 }
 
 // Entry is one run's part of a Share. Only its own run changes it, except that
@@ -82,6 +88,9 @@
 	if s.Limit < 0 {
 		return trace.BadParameter("limit %d is negative", s.Limit)
 	}
+	if s.Spare > Whole {
+		return trace.BadParameter("spare is %d units, more than %d", s.Spare, Whole)
+	}
 	var sum Units
 	runs := make(map[Run]struct{}, len(s.Entries))
 	for _, entry := range s.Entries {
@@ -157,6 +166,12 @@
 	return s
 }
 
+// withRecount returns a copy of the share with these spare units, complete in an epoch.
+func (s Share) withRecount(spare Units, epoch uint16) Share {
+	s.Spare, s.Epoch = spare, epoch
+	return s
+}
+
 // index returns the index of the run's entry, or -1 if it has none.
 func (s Share) index(run Run) int {
 	return slices.IndexFunc(s.Entries, func(e Entry) bool { return e.Run == run })
--- a/limit/world_test.go
+++ b/limit/world_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"dandelionhitch.example/limit"
+	"dandelionhitch.example/platform"
 	"dandelionhitch.example/settings"
 )
 
@@ -38,6 +39,7 @@
 	// delayedWrites have not reached the store yet.
 	delayedWrites []limit.Write
 	outage        bool
+	epoch         platform.Epoch
 	// allLimits has all limits that the operator set, the latest last.
 	allLimits []limit.Limits
 	hosts     []*host
@@ -196,7 +198,7 @@
 	}
 	value, err := json.Marshal(write.Share)
 	assert.NilError(sim.t, err)
-	after := limit.ReadDone{Version: before.Version + 1}
+	after := limit.ReadDone{Version: platform.NewVersion(sim.epoch, before.Version.Revision()+1)}
 	assert.NilError(sim.t, json.Unmarshal(value, &after.Share))
 	sim.store = append(sim.store, after)
 	for _, h := range sim.hosts {
@@ -209,6 +211,28 @@
 	return true
 }
 
+// restore replaces the Share by one of its latest versions, or by none, as a store that is
+// restored from a copy does. Floors that runs have claimed since are not covered by the
+// guarantees, so that versions without them are not chosen.
+func (sim *simulation) restore(t *rapid.T) {
+	last := len(sim.store) - 1
+	copied := max(0, last-rapid.IntRange(0, 3).Draw(t, "versions lost"))
+	for _, h := range sim.hosts {
+		now, _ := sim.store[last].Share.Entry(h.run)
+		then, _ := sim.store[copied].Share.Entry(h.run)
+		if then.Floor < now.Floor {
+			t.Skip("a floor would be lost")
+		}
+	}
+	sim.epoch++
+	restored := sim.store[copied]
+	if restored.Version > 0 {
+		restored.Version = platform.NewVersion(sim.epoch, restored.Version.Revision())
+	}
+	sim.store = append(sim.store[:copied:copied], restored)
+	sim.delayedWrites = nil
+}
+
 // outcome is the outcome of a call to the platform.
 type outcome int
 
--- a/limit/write.go
+++ b/limit/write.go
@@ -9,18 +9,31 @@
 // planWrite plans the run's entry and returns the Write that stores it, or a Wait
 // if no write is necessary.
 func (h *Holder) planWrite(now Instant, gone func(Run) bool) Action {
+	if h.lost {
+		return h.recreate(now)
+	}
 	share := h.reclaim(gone).WithLimits(h.gate.limits)
 	if h.leaving {
 		return h.planLeave(now, share)
 	}
-	plan := h.plan(share)
+	plan := h.plan(now, share)
 	next := plan.entry()
 	if now.Mono < h.renewBy && !plan.needsWrite(next) {
 		h.endCycle(now)
 		return Wait{Until: h.nextRead}
 	}
 	next = h.recordAttempt(now, next)
-	return h.issueWrite(share.WithEntry(next))
+	return h.issueWrite(h.account(now, share, next.Units()).WithEntry(next))
+}
+
+// account returns the share with the Spare after the run's units have become units. Without
+// a recount there is no Spare, and the share is complete.
+func (h *Holder) account(now Instant, share Share, units Units) Share {
+	if !h.inRecount(now) {
+		return share.withRecount(0, uint16(h.version.Epoch()))
+	}
+	before := h.recount.units(h.entry)
+	return share.withRecount((share.Spare + before).less(units), share.Epoch)
 }
 
 // planLeave returns the Write that removes the run's entry. If there is no entry,
@@ -31,7 +44,7 @@
 		return Done{}
 	}
 	h.recordAttempt(now, Entry{Run: h.run})
-	return h.issueWrite(share.WithoutRun(h.run))
+	return h.issueWrite(h.account(now, share, 0).WithoutRun(h.run))
 }
 
 // issueWrite returns the Write that stores share if the version in the store is
@@ -70,10 +83,11 @@
 }
 
 // plan returns the inputs for the run's next entry in share.
-func (h *Holder) plan(share Share) plan {
+func (h *Holder) plan(now Instant, share Share) plan {
 	p := plan{
 		share:      share,
 		current:    h.entry,
+		free:       share.Free(),
 		hosts:      1,
 		limit:      h.gate.flowLimit(),
 		maxHosts:   h.gate.limits.MaxHosts,
@@ -82,6 +96,10 @@
 		unmetFlows: h.gate.unmetFlows,
 		draining:   h.gate.draining,
 	}
+	if h.inRecount(now) {
+		p.current = h.recount.cap(h.entry)
+		p.free = min(p.free, share.Spare+h.recount.units(h.entry).less(p.current.Units()))
+	}
 	for _, entry := range share.Entries {
 		if entry.Run == h.run || h.observer.leaseLapsed(entry) {
 			continue
