soak: a drill that restores the store from a copy; every second process of another build

A run of 12 s of faults or more has a drill: the store is copied, the configuration changes, a zone is evacuated and taken back, the store is restored, and the zone is evacuated again. Its times come from a generator of their own, so the other faults of a seed stay as they were. soak -earlier PROGRAM runs another build on every second VM.

--- a/dandelionhitch/soak.go
+++ b/dandelionhitch/soak.go
@@ -23,7 +23,7 @@
 	faults, rest  time.Duration
 	relays, hosts int
 	rate          float64
-	dir           string
+	dir, earlier  string
 	stdout        io.Writer
 }
 
@@ -46,6 +46,7 @@
 	f.IntVar(&f.relays, "relays", _soakRelays, "number of relays")
 	f.IntVar(&f.hosts, "hosts", _soakHosts, "number of upstreams with their sidecars")
 	f.Float64Var(&f.rate, "rate", _soakRate, "calls a second")
+	f.StringVar(&f.earlier, "earlier", "", "program of another build, which runs on every second VM; not set: none")
 	f.StringVar(&f.dir, "dir", "", "where settings and logs go; not set: a temporary directory")
 	return &ffcli.Command{
 		Name:       "soak",
@@ -86,7 +87,7 @@
 			return trace.Wrap(ctx.Err(), "soak")
 		}
 		report, err := soak.Run(soak.Config{
-			Program: program, Dir: filepath.Join(dir, fmt.Sprint(f.seed+i)), Seed: f.seed + i, FaultDuration: f.faults, RestDuration: f.rest,
+			Program: program, EarlierProgram: f.earlier, Dir: filepath.Join(dir, fmt.Sprint(f.seed+i)), Seed: f.seed + i, FaultDuration: f.faults, RestDuration: f.rest,
 			Relays: f.relays, Hosts: f.hosts, CallsPerSecond: f.rate,
 		})
 		if err != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,6 +30,7 @@
 		events = append(events, r.drawFault(at, at+duration)...)
 		events = append(events, r.drawExtraFault(at, at+duration)...)
 	}
+	events = append(events, r.drawDrill(_startupTime, end)...)
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return events
 }
@@ -138,9 +139,7 @@
 	if r.switchedService == _orders {
 		service = _photos
 	}
-	if err := r.writeConfiguration(service); err != nil {
-		r.faults = append(r.faults, fmt.Sprintf("          not written: %v", err))
-	}
+	r.noteError("configuration", r.writeConfiguration(service))
 }
 
 // drawLinkFault returns the events of a fault on randomly drawn links. A link is one
@@ -169,8 +168,8 @@
 		{Outage: true}, {Refuse: 1}, {Refuse: 0.5}, {Delay: 300 * time.Millisecond}, {Delay: time.Minute}, {LoseAnswers: 0.5},
 	}[r.random.IntN(6)]
 	return []event{
-		{from, fmt.Sprintf("the store fails: %+v", faults), func() { r.store.SetFaults(faults) }},
-		{until, "the store is well", func() { r.store.SetFaults(standin.PlatformFaults{}) }},
+		{from, fmt.Sprintf("the store fails: %+v", faults), func() { r.setStoreFaults(faults) }},
+		{until, "the store is well", func() { r.setStoreFaults(standin.PlatformFaults{}) }},
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,8 +13,8 @@
 //	   └─────────────────────────────────────┘
 //
 // Faults overlap: processes are stopped, killed, paused and restarted, links are
-// disturbed, the store refuses requests, answers late or loses answers, upstreams
-// crash, drain and restart, and the configuration changes. Then all faults end, and
+// disturbed, the store refuses requests, answers late, loses answers or is restored from an
+// older copy, upstreams crash, drain and restart, and the configuration changes. Then all faults end, and
 // the run checks that every call is answered again.
 package soak
 
@@ -39,8 +39,9 @@
 
 // Config configures a run.
 type Config struct {
-	// Program is the path of the dandelionhitch executable.
-	Program string
+	// Program is the path of the dandelionhitch executable. If EarlierProgram is not empty,
+	// it is the path of an executable of another build, which runs on every second VM.
+	Program, EarlierProgram string
 	// Dir is the directory for the settings and logs of the processes. It is created
 	// if it does not exist.
 	Dir  string
@@ -118,6 +119,7 @@
 	_rightService     = "flows reach their own service"
 	_unaltered        = "packets arrive as they were sent"
 	_noFlowAfterDrain = "no new flow after a drain"
+	_noFlowEvacuated  = "no new flow in an evacuated zone"
 	_atMostOnce       = "requests run at most once"
 	_lastConfig       = "the last configuration is in force"
 	_recovery         = "all is served after the faults"
@@ -179,6 +181,7 @@
 	unresolvedService string
 	switchedAt        time.Duration
 	objectVersion     platform.Version
+	drill             drill
 }
 
 func newRun(config Config) (*run, error) {
@@ -190,11 +193,11 @@
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
 		extraRandom: rand.New(rand.NewPCG(config.Seed, 2)), startTime: time.Now(), store: store,
 		client:   platform.NewClient(store.URL()),
-		starter:  newStarter(config.Program),
+		starter:  newStarter(),
 		promises: make(map[string]*Promise), active: make(map[flow.Key]*call), executions: make(map[string]int),
 	}
 	r.objects = r.client
-	for _, name := range []string{_noReset, _rightService, _unaltered, _noFlowAfterDrain, _atMostOnce, _lastConfig, _recovery} {
+	for _, name := range []string{_noReset, _rightService, _unaltered, _noFlowAfterDrain, _noFlowEvacuated, _atMostOnce, _lastConfig, _recovery} {
 		r.promises[name] = &Promise{Name: name}
 	}
 	if r.reserved, err = reservePorts(); err != nil {
@@ -324,7 +327,7 @@
 	for request, n := range r.executions {
 		r.check(_atMostOnce, n == 1, "request %s ran %d times", request, n)
 	}
-	for _, name := range []string{_noReset, _rightService, _unaltered, _noFlowAfterDrain, _atMostOnce, _lastConfig, _recovery} {
+	for _, name := range []string{_noReset, _rightService, _unaltered, _noFlowAfterDrain, _noFlowEvacuated, _atMostOnce, _lastConfig, _recovery} {
 		out.Promises = append(out.Promises, r.promises[name])
 	}
 	return out
--- a/soak/starter.go
+++ b/soak/starter.go
@@ -15,14 +15,14 @@
 // (Pdeathsig), so one locked thread starts all children.
 type starter struct {
 	tomb     tomb.Tomb
-	program  string
 	requests chan startRequest
 }
 
 type startRequest struct {
-	args  []string
-	log   *os.File
-	reply chan startReply
+	program string
+	args    []string
+	log     *os.File
+	reply   chan startReply
 }
 
 type startReply struct {
@@ -30,20 +30,20 @@
 	err     error
 }
 
-func newStarter(program string) *starter {
-	s := &starter{program: program, requests: make(chan startRequest)}
+func newStarter() *starter {
+	s := &starter{requests: make(chan startRequest)}
 	s.tomb.Go(s.loop)
 	return s
 }
 
-// start starts the program with args and its output redirected to log. It returns an
+// start starts a program with args and its output redirected to log. It returns an
 // error if the program cannot be started or the starter is closed.
-func (s *starter) start(log *os.File, args ...string) (*exec.Cmd, error) {
-	request := startRequest{args: args, log: log, reply: make(chan startReply, 1)}
+func (s *starter) start(program string, log *os.File, args ...string) (*exec.Cmd, error) {
+	request := startRequest{program: program, args: args, log: log, reply: make(chan startReply, 1)}
 	select {
 	case s.requests <- request:
 	case <-s.tomb.Dying():
-		return nil, trace.ConnectionProblem(nil, "start %s: soak run is closing", s.program)
+		return nil, trace.ConnectionProblem(nil, "start %s: soak run is closing", program)
 	}
 	reply := <-request.reply
 	return reply.command, reply.err
@@ -55,11 +55,11 @@
 	for {
 		select {
 		case request := <-s.requests:
-			command := exec.Command(s.program, request.args...)
+			command := exec.Command(request.program, request.args...)
 			command.Stdout, command.Stderr = request.log, request.log
 			command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 			err := command.Start()
-			request.reply <- startReply{command: command, err: trace.Wrap(err, "start %s", s.program)}
+			request.reply <- startReply{command: command, err: trace.Wrap(err, "start %s", request.program)}
 		case <-s.tomb.Dying():
 			return nil
 		}
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -46,6 +46,8 @@
 	zone    string
 	service string // empty for a relay
 
+	// program is the path of the executable that process runs.
+	program string
 	process *exec.Cmd
 	// stopping reports whether the relay has been told to stop.
 	stopping, paused bool
@@ -67,7 +69,10 @@
 
 // newVM creates the VM with index i; relays have the lower indices, hosts the higher ones.
 func (r *run) newVM(i int) (*vm, error) {
-	v := &vm{run: r, zone: _zones[i%len(_zones)], failedProbes: _maxFailedProbes}
+	v := &vm{run: r, zone: _zones[i%len(_zones)], failedProbes: _maxFailedProbes, program: r.config.Program}
+	if i%2 == 1 && r.config.EarlierProgram != "" {
+		v.program = r.config.EarlierProgram
+	}
 	if i < r.config.Relays {
 		v.addr = netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i + 1)})
 		return v, r.proxy.add(v.addr)
@@ -108,6 +113,7 @@
 		"ready": v.addrPort(r.ports.ready), "control": v.addrPort(r.ports.control),
 		"peer_port": r.ports.peer, "peer_listen": v.addrPort(r.ports.peerListen),
 		"seeds": r.seeds(), "platform": r.store.URL().String(), "memory_mb": 128, "grace": _gracePeriod.String(),
+		"evacuation_bound": _evacuationBound.String(),
 	}
 	role := "relay"
 	if v.isHost() {
@@ -133,7 +139,7 @@
 		return trace.Wrap(err, "open log of %v", v)
 	}
 	defer log.Close()
-	v.process, err = r.starter.start(log, role, "-config", path)
+	v.process, err = r.starter.start(v.program, log, role, "-config", path)
 	v.stopping, v.paused = false, false
 	return err
 }
@@ -192,6 +198,7 @@
 		afterDrain := c != nil && v.drainAcked > 0 && r.now() > v.drainAcked+_drainTolerance
 		r.check(_noFlowAfterDrain, !afterDrain,
 			"flow %v was opened at %s, which drains since %v", key, u.Name, v.drainAcked)
+		v.checkEvacuation(key)
 	}
 	v.upstream = u
 }
