platform: one odd entry does not hide the others of a listing

Operators of similar systems saw machines stop following a list in which another writer had left one odd entry (LOST). So would ours: a listing was decoded as one document, so that a value nested more deeply than encoding/json accepts, a number too large, a field of another type or a missing value failed the listing of all relays, of all evacuated zones or of all leases, again and again, and a watch of another object of the kind. A relay could then neither find others nor enter itself. One evacuated zone with a name of over 63 bytes had the same effect.

--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"dandelionhitch.example/platform"
@@ -151,7 +152,7 @@
 }
 
 // storeClient returns a client of the store, or nil if -platform is not set.
-func (f *opaqueFlags) storeClient() (*platform.Client, error) {
+func (f *opaqueFlags) storeClient(log *zap.Logger) (*platform.Client, error) {
 	if f.platform.url == "" {
 		return nil, nil
 	}
@@ -160,7 +161,8 @@
 		return nil, trace.Wrap(err, "platform URL")
 	}
 	// The client does not retry: retries are coordinated across all relays.
-	return platform.NewClient(base, platform.WithReadTries(1), platform.WithCallTimeout(_storeCallTimeout)), nil
+	return platform.NewClient(base, platform.WithReadTries(1), platform.WithCallTimeout(_storeCallTimeout),
+		platform.WithInvalidEntryHandler(func(finding error) { log.Warn("store entry ignored", zap.Error(finding)) })), nil
 }
 
 const (
--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -50,7 +50,7 @@
 		return nil, trace.Wrap(err)
 	}
 	n.closers = append(n.closers, n.metrics)
-	client, err := f.storeClient()
+	client, err := f.storeClient(n.log)
 	if err != nil {
 		return nil, trace.NewAggregate(err, n.Close())
 	}
