--- a/dandelionhitch/opaque_registry.go
+++ b/dandelionhitch/opaque_registry.go
@@ -38,6 +38,9 @@
 	_sweepInterval = 60 * time.Second
 )
 
+// _broadcast is the address of all hosts of a network.
+var _broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // relayEntry is the object in the store through which other processes find a relay.
 type relayEntry struct {
 	Addr        netip.Addr `json:"addr"`
@@ -218,6 +221,9 @@
 	if err == nil && strings.TrimPrefix(object.Key, _relaysPrefix) != entry.Addr.String() {
 		err = trace.BadParameter("relay entry %q names %v", object.Key, entry.Addr)
 	}
+	if err == nil && (!entry.Addr.Is4() || entry.Addr.IsUnspecified() || entry.Addr.IsMulticast() || entry.Addr == _broadcast) {
+		err = trace.BadParameter("relay entry %q: want a unicast IPv4 address", object.Key)
+	}
 	if err != nil {
 		r.log.Warn("relay entry ignored", zap.String("key", object.Key), zap.Error(err))
 		return netip.Addr{}, false
--- a/dandelionhitch/opaque_registry_test.go
+++ b/dandelionhitch/opaque_registry_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -174,3 +176,24 @@
 	assert.NilError(t, sweeper.sweep())
 	r.awaitEntry(t)
 }
+
+// TestRegistryIgnoresOddEntries guards against a relay that finds no other one because of
+// entries of another writer.
+func TestRegistryIgnoresOddEntries(t *testing.T) {
+	r := newRegistryHarness(t, "10.1.0.1")
+	client := platform.NewClient(r.store.URL())
+	defer client.Close()
+	for name, value := range map[string]string{
+		"10.1.0.2": `{"addr":"10.1.0.2","zone":"a","incarnation":3}`, "10.1.0.3": `{"addr":7}`, "10.1.0.4": `{"addr":"10.1.0.4:70000"}`,
+		"10.1.0.5": `[` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `]`, "10.1.0.6": `{"addr":"10.1.0.6","incarnation":1e40}`,
+		"0.0.0.0": `{"addr":"0.0.0.0"}`, "255.255.255.255": `{"addr":"255.255.255.255"}`, "224.0.0.1": `{"addr":"224.0.0.1"}`, "odd": `null`,
+	} {
+		_, err := client.Put(t.Context(), _relaysPrefix+name, []byte(value), 0)
+		assert.NilError(t, err)
+	}
+	r.start()
+	r.awaitEntry(t)
+	r.found.mu.Lock()
+	defer r.found.mu.Unlock()
+	assert.Equal(t, fmt.Sprint(r.found.relays), "[10.1.0.2]")
+}
