--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -97,6 +97,7 @@
 	_, err = editor.Submit(ctx, newChange(rand.New(rand.NewPCG(3, 3)), state.Document, "kari", nodePath(1)))
 	assert.NilError(t, err)
 }
+
 // TestDivergedHistoryIsAdopted guards against a follower that rejects every later head
 // because the head's history has other changes than those it has adopted.
 func TestDivergedHistoryIsAdopted(t *testing.T) {
