audit, follower, limit: settings and shares of earlier builds are complete

Found on reading: in a store that was restored at any time before an upgrade, a head or share that an earlier build wrote has no epoch, and would have counted as one from a copy. New agents would have waited a term and the drain deadline for units, and operators for an upgraded balancer. The epoch is now stored as one more, so that none is told from the first; what has none is taken as complete, unless a process has seen the same object in an earlier epoch itself.

TestHeadOfEarlierBuildTakesChanges and the script 'a share that an earlier build wrote in a later epoch is joined at once' failed before.

--- a/audit/head.go
+++ b/audit/head.go
@@ -33,10 +33,10 @@
 	Recent []Change `json:"recent"`
 	// RetiredIDs holds the service IDs that no other service may use.
 	RetiredIDs RetiredIDs `json:"retired_ids,omitempty"`
-	// Epoch is the store's epoch in which the head was confirmed. A head from an older copy
-	// of the store has an earlier epoch than the object that holds it, and may lack accepted
-	// changes.
-	Epoch uint16 `json:"epoch,omitempty"`
+	// Epoch is one more than the store's epoch in which the head was confirmed, or zero if a
+	// build wrote it that does not distinguish epochs. A head from an older copy of the store
+	// has an earlier epoch than the object that holds it, and may lack accepted changes.
+	Epoch uint32 `json:"epoch,omitempty"`
 }
 
 // Snapshot describes where the tree of one revision is stored.
@@ -172,10 +172,17 @@
 
 // WithEpoch returns the head as confirmed in an epoch of the store.
 func (h Head) WithEpoch(epoch uint16) Head {
-	h.Epoch = epoch
+	h.Epoch = uint32(epoch) + 1
 	return h
 }
 
+// IsConfirmed reports whether the head was confirmed in an epoch of the store.
+func (h Head) IsConfirmed(epoch uint16) bool { return h.Epoch == uint32(epoch)+1 }
+
+// IsRestored reports whether the head was confirmed in another epoch of the store, so that
+// it comes from a copy.
+func (h Head) IsRestored(epoch uint16) bool { return h.Epoch > 0 && !h.IsConfirmed(epoch) }
+
 // Batch holds BatchSize accepted changes with consecutive revisions. It is stored
 // in one object.
 type Batch struct {
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -131,7 +131,7 @@
 		if err == nil {
 			err = f.adoptHead(ctx, head)
 		}
-		if err == nil && !(State{Head: head, version: headVersion}).isConfirmed() {
+		if err == nil && (State{Head: head, version: headVersion}).needsConfirmation() {
 			err = f.confirmHead(ctx)
 		}
 		if err != nil && ctx.Err() == nil {
--- a/follower/restore.go
+++ b/follower/restore.go
@@ -24,10 +24,13 @@
 // its confirmation. Offers from peers take a second or two.
 const _confirmDelay = 5 * time.Second
 
-// isConfirmed reports whether the head includes all accepted changes: no change has been
-// made yet, or the head was confirmed in the present epoch of the store.
-func (s State) isConfirmed() bool {
-	return s.version == 0 || platform.Epoch(s.Head.Epoch) == s.version.Epoch()
+// epoch returns the epoch of the store in which the state was read.
+func (s State) epoch() uint16 { return uint16(s.version.Epoch()) }
+
+// needsConfirmation reports whether a watcher should confirm the head. In the first epoch
+// there is nothing to confirm.
+func (s State) needsConfirmation() bool {
+	return s.epoch() > 0 && !s.Head.IsConfirmed(s.epoch())
 }
 
 // confirmHead writes the changes that the head in the store lacks, if it is not confirmed,
@@ -52,10 +55,10 @@
 		switch {
 		case err != nil:
 			return written, err
-		case state.isConfirmed():
+		case !state.needsConfirmation():
 			return written, nil
 		case state.Head.Revision >= revision:
-			return written, e.putHead(ctx, state.Head.WithEpoch(uint16(state.version.Epoch())), state.version)
+			return written, e.putHead(ctx, state.Head.WithEpoch(state.epoch()), state.version)
 		}
 		change, err := recent.at(state.Head.Revision + 1)
 		if err != nil {
--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/audit"
 	"dandelionhitch.example/follower"
 	"dandelionhitch.example/platform"
 	"dandelionhitch.example/settings"
@@ -121,3 +123,23 @@
 		assert.Equal(t, f.Revision(), settings.Revision(5))
 	})
 }
+
+// TestHeadOfEarlierBuildTakesChanges guards against an upgrade after which no change is
+// accepted until a balancer was upgraded, since the store was restored at some time before.
+func TestHeadOfEarlierBuildTakesChanges(t *testing.T) {
+	s := newStore(1)
+	s.noDelay = true
+	editor := follower.NewEditor(s)
+	_, err := editor.Submit(t.Context(), initialChange())
+	assert.NilError(t, err)
+	copied := s.copyOf()
+	head := copied.objects[audit.HeadKey]
+	var fields map[string]json.RawMessage
+	assert.NilError(t, json.Unmarshal(head.Value, &fields))
+	delete(fields, "epoch")
+	head.Value, err = json.Marshal(fields)
+	assert.NilError(t, err)
+	copied.objects[audit.HeadKey] = head
+	s.restore(copied)
+	commitChange(t, editor, rand.New(rand.NewPCG(3, 3)), nodePath(1))
+}
--- a/follower/submission.go
+++ b/follower/submission.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return s.change, markPermanent(err)
 	}
-	if !state.isConfirmed() {
+	if state.Head.IsRestored(state.epoch()) {
 		return s.change, trace.ConnectionProblem(nil, "the platform's store was restored from a copy, and no balancer has confirmed the settings in it yet")
 	}
 	if s.change.Base > state.Head.Revision {
@@ -82,6 +82,9 @@
 	if err != nil {
 		return s.change, backoff.Permanent(err)
 	}
+	if !state.needsConfirmation() {
+		next = next.WithEpoch(state.epoch())
+	}
 	data, err := json.Marshal(next)
 	if err != nil {
 		return s.change, backoff.Permanent(trace.Wrap(err, "encode settings head"))
--- a/limit/adopt.go
+++ b/limit/adopt.go
@@ -38,7 +38,7 @@
 	}
 	h.entry = entry
 	if h.inRecount(now) {
-		entry = h.recount.cap(entry)
+		entry = h.recount.bounded(entry)
 	}
 	h.renewTerms(entry.Seq)
 	if len(h.attempts) > 0 && version <= h.lastExpected {
@@ -77,7 +77,7 @@
 		return
 	}
 	h.renewBy = now.Mono + h.jittered(h.pace.Renewal)
-	if platform.Epoch(h.share.Epoch) != e.Version.Epoch() && !h.inRecount(now) {
+	if !h.share.isComplete(e.Version.Epoch()) && !h.inRecount(now) {
 		h.renewBy = now.Mono
 	}
 	h.endCycle(now)
--- a/limit/restore.go
+++ b/limit/restore.go
@@ -34,9 +34,10 @@
 }
 
 // beginRecount begins a recount if the Share was restored in an epoch for which it has not
-// begun one yet.
+// begun one yet: the Share says so, or the run knows it from an earlier epoch.
 func (h *Holder) beginRecount(now Instant, share Share, epoch platform.Epoch) {
-	if epoch <= h.recount.epoch || platform.Epoch(share.Epoch) == epoch {
+	isRestored := share.Epoch > 0 || h.version > 0 && h.version.Epoch() < epoch
+	if epoch <= h.recount.epoch || share.isComplete(epoch) || !isRestored {
 		return
 	}
 	term := settings.Duration(h.pace.Term)
@@ -58,12 +59,12 @@
 // inRecount reports whether a recount is in progress.
 func (h *Holder) inRecount(now Instant) bool {
 	epoch := h.version.Epoch()
-	return platform.Epoch(h.share.Epoch) != epoch && h.recount.epoch == epoch && now.Mono < h.recount.until
+	return !h.share.isComplete(epoch) && h.recount.epoch == epoch && now.Mono < h.recount.until
 }
 
-// cap returns an entry of the run that was written before the recount, reduced to the parts
+// bounded returns an entry of the run that was written before the recount, reduced to the parts
 // that the run used when the recount began.
-func (r recount) cap(entry Entry) Entry {
+func (r recount) bounded(entry Entry) Entry {
 	if entry.Seq < r.firstSeq {
 		entry.Floor, entry.Leased = min(entry.Floor, r.floor), min(entry.Leased, r.leased)
 	}
--- a/limit/script_test.go
+++ b/limit/script_test.go
@@ -231,6 +231,16 @@
 			assert.Equal(s, w.Share.Entries[0].Units()+w.Share.Spare, limit.UnitsFor(100, 320))
 			assert.Assert(s, w.Share.Entries[0].Units() > limit.UnitsFor(60, 320))
 		},
+		"a share that an earlier build wrote in a later epoch is joined at once": func(s *script) {
+			w := s.nextWrite(limit.Share{}, _restored)
+			s.Handle(s.now, limit.WriteDone{Version: _restored + 1})
+			assert.Equal(s, s.Allowance(s.now), 60)
+			assert.Equal(s, w.Share.Epoch, uint32(2))
+		},
+		"a share from a copy is not joined while entries may be missing": func(s *script) {
+			w := s.nextWrite(limit.Share{Epoch: 1}, _restored)
+			assert.Equal(s, w.Share.Entries[0].Units(), limit.Units(0))
+		},
 		"a share that the store has lost is created again with the units in use": func(s *script) {
 			s.join(60)
 			w := s.nextWrite(limit.Share{}, 0)
--- a/limit/share.go
+++ b/limit/share.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"dandelionhitch.example/platform"
 	"dandelionhitch.example/settings"
 )
 
@@ -21,9 +22,10 @@
 	Limit int `json:"limit"`
 	// Entries has one entry for each run; their units add up to at most the Whole.
 	Entries []Entry `json:"entries"`
-	// Epoch is the store's epoch in which the entries are known to be complete. If it is not
-	// the epoch of the object, the store was restored from a copy; see recount.
-	Epoch uint16 `json:"epoch,omitempty"`
+	// Epoch is one more than the store's epoch in which the entries are known to be complete,
+	// or zero if a build wrote the Share that does not distinguish epochs. If it is of an
+	// earlier epoch than the object, the store was restored from a copy; see recount.
+	Epoch uint32 `json:"epoch,omitempty"`
 	// Spare are units that no run uses, and that may be claimed although entries may be
 	// missing.
 	Spare Units `json:"spare,omitempty"`
@@ -166,12 +168,21 @@
 	return s
 }
 
-// withRecount returns a copy of the share with these spare units, complete in an epoch.
-func (s Share) withRecount(spare Units, epoch uint16) Share {
-	s.Spare, s.Epoch = spare, epoch
+// withSpare returns a copy of the share with these spare units.
+func (s Share) withSpare(spare Units) Share {
+	s.Spare = spare
 	return s
 }
 
+// withEpoch returns a copy of the share whose entries are complete in an epoch.
+func (s Share) withEpoch(epoch platform.Epoch) Share {
+	s.Epoch = uint32(epoch) + 1
+	return s
+}
+
+// isComplete reports whether the entries are known to be complete in an epoch.
+func (s Share) isComplete(epoch platform.Epoch) bool { return s.Epoch == uint32(epoch)+1 }
+
 // index returns the index of the run's entry, or -1 if it has none.
 func (s Share) index(run Run) int {
 	return slices.IndexFunc(s.Entries, func(e Entry) bool { return e.Run == run })
--- a/limit/write.go
+++ b/limit/write.go
@@ -30,10 +30,10 @@
 // a recount there is no Spare, and the share is complete.
 func (h *Holder) account(now Instant, share Share, units Units) Share {
 	if !h.inRecount(now) {
-		return share.withRecount(0, uint16(h.version.Epoch()))
+		return share.withSpare(0).withEpoch(h.version.Epoch())
 	}
 	before := h.recount.units(h.entry)
-	return share.withRecount((share.Spare + before).less(units), share.Epoch)
+	return share.withSpare((share.Spare + before).less(units))
 }
 
 // planLeave returns the Write that removes the run's entry. If there is no entry,
@@ -97,7 +97,7 @@
 		draining:   h.gate.draining,
 	}
 	if h.inRecount(now) {
-		p.current = h.recount.cap(h.entry)
+		p.current = h.recount.bounded(h.entry)
 		p.free = min(p.free, share.Spare+h.recount.units(h.entry).less(p.current.Units()))
 	}
 	for _, entry := range share.Entries {
