--- a/dandelionhitch/store_reader.go
+++ b/dandelionhitch/store_reader.go
@@ -134,7 +134,7 @@
 	return nil
 }
 
-// logEpoch logs the epoch of the store at the first read and whenever it has changed.
+// logEpoch logs the epoch of the store at the first read and whenever it has grown.
 func (r *storeReader) logEpoch(version platform.Version) {
 	r.version.Store(uint64(version))
 	last := r.lastVersion
@@ -145,7 +145,7 @@
 	switch {
 	case last == 0:
 		r.log.Info("store read", fields...)
-	case version.Epoch() != last.Epoch():
+	case version.Epoch() > last.Epoch(): // a late response may be of an earlier epoch
 		r.log.Warn("store restored from a copy", fields...)
 	}
 }
