limit: a leaving run does not create a lost share

It created the share with its entry and was done, so that its units stayed out of use until the lease lapsed. The script of that name failed before.

--- a/limit/script_test.go
+++ b/limit/script_test.go
@@ -247,6 +247,13 @@
 			assert.Equal(s, w.Expected, platform.Version(0))
 			assert.Equal(s, w.Share.Entries[0].Units(), limit.UnitsFor(60, 320))
 		},
+		"a leaving run does not create a lost share": func(s *script) {
+			s.join(0)
+			s.Leave(s.now)
+			s.nextCall()
+			s.Handle(s.now, readDone(limit.Share{}, 0))
+			assert.Equal(s, s.nextCall(), limit.Action(limit.Done{}))
+		},
 		"units that others lack are returned within two poll intervals": func(s *script) {
 			s.join(0)
 			before := s.now.Mono
--- a/limit/write.go
+++ b/limit/write.go
@@ -9,7 +9,11 @@
 // planWrite plans the run's entry and returns the Write that stores it, or a Wait
 // if no write is necessary.
 func (h *Holder) planWrite(now Instant, gone func(Run) bool) Action {
-	if h.lost {
+	switch {
+	case h.lost && h.leaving:
+		h.phase = _left
+		return Done{}
+	case h.lost:
 		return h.recreate(now)
 	}
 	share := h.reclaim(gone).WithLimits(h.gate.limits)
