--- a/dandelionhitch/mixed_builds_test.go
+++ b/dandelionhitch/mixed_builds_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -46,15 +44,5 @@
 // build keep an evacuation or a configuration from being in force after the store was
 // restored.
 func TestMixedBuildsAfterRestoredStore(t *testing.T) {
-	earlier := buildEarlier(t)
-	t.Setenv(_asProgram, "1")
-	report, err := soak.Run(soak.Config{
-		Program: os.Args[0], EarlierProgram: earlier, Dir: t.TempDir(), Seed: 7, FaultDuration: 14 * time.Second, RestDuration: time.Second,
-		Relays: 4, Hosts: 6, CallsPerSecond: 60,
-	})
-	assert.NilError(t, err)
-	var b bytes.Buffer
-	report.Print(&b)
-	t.Log(b.String())
-	assert.Assert(t, !report.Broken(), "%s\n%s", b.String(), strings.Join(report.Faults, "\n"))
+	runSoak(t, soak.Config{EarlierProgram: buildEarlier(t), Seed: 7, FaultDuration: 14 * time.Second})
 }
--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -27,11 +27,16 @@
 // TestSoak runs relays and sidecars as processes under the faults of a fixed seed. No
 // promise of the soak may be broken.
 func TestSoak(t *testing.T) {
+	runSoak(t, soak.Config{Seed: 100, FaultDuration: 6 * time.Second})
+}
+
+// runSoak runs a small fleet of this program, and checks that no promise is broken.
+func runSoak(t *testing.T, config soak.Config) {
+	t.Helper()
 	t.Setenv(_asProgram, "1")
-	report, err := soak.Run(soak.Config{
-		Program: os.Args[0], Dir: t.TempDir(), Seed: 100, FaultDuration: 6 * time.Second, RestDuration: time.Second,
-		Relays: 4, Hosts: 6, CallsPerSecond: 60,
-	})
+	config.Program, config.Dir, config.RestDuration = os.Args[0], t.TempDir(), time.Second
+	config.Relays, config.Hosts, config.CallsPerSecond = 4, 6, 60
+	report, err := soak.Run(config)
 	assert.NilError(t, err)
 	var b bytes.Buffer
 	report.Print(&b)
