--- a/standin/opaque_errors_test.go
+++ b/standin/opaque_errors_test.go
@@ -45,6 +45,7 @@
 // upstreams would give them.
 func TestFailingUpstreamsGetFewFlows(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	const failing, errorRate = 3, 0.4
 	l := _errorLoad
 	l.adjust = func(s *scenario) {
@@ -63,6 +64,7 @@
 // of the flows again six seconds after they stopped answering with errors.
 func TestRecoveredUpstreamsGetFlows(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	const failing = 3
 	l := _errorLoad
 	var before []int
@@ -96,6 +98,7 @@
 // in the other, some upstreams are slow for a while and recover.
 func TestQuickAnswersAreNotTakenForErrors(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	for _, tt := range []struct {
 		name   string
 		adjust func(*scenario)
@@ -132,6 +135,7 @@
 // one is the outlier.
 func TestThreeUpstreamsAreTooFewToCompare(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	l := _errorLoad
 	l.hosts, l.relays, l.duration = 3, 3, 4*_seconds
 	l.adjust = func(s *scenario) { setErrorRate(s.orders[:1], s, 0.4) }
--- a/standin/opaque_evacuation_test.go
+++ b/standin/opaque_evacuation_test.go
@@ -52,6 +52,7 @@
 // must be served elsewhere meanwhile, and in the zone afterwards.
 func TestEvacuatedZoneGetsNoFlows(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	for _, tt := range []struct {
 		name          string
 		relays, hosts int
@@ -126,6 +127,7 @@
 // lost messages and restarted upstreams. Each must get flows all the same.
 func TestZoneIsTakenBackCold(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	for _, tt := range []struct {
 		name          string
 		relays, hosts int
@@ -187,6 +189,7 @@
 // TestColdRateIsChecked plays the same without the stated rate in the processes' tables.
 // The simulation must report that cold upstreams get too much.
 func TestColdRateIsChecked(t *testing.T) {
+	t.Parallel()
 	load := evacuationLoad(4, 6, 0.9)
 	load.duration = 2 * _seconds
 	load.adjust = func(s *scenario) {
@@ -201,6 +204,7 @@
 
 // TestAllZonesAreEvacuated evacuates all zones. Calls must be refused at once.
 func TestAllZonesAreEvacuated(t *testing.T) {
+	t.Parallel()
 	load := evacuationLoad(4, 6, 0.3)
 	load.duration = 7 * _seconds
 	load.adjust = func(s *scenario) {
@@ -221,6 +225,7 @@
 // TestEvacuationIsChecked evacuates a zone of a fleet that cannot read the store. The
 // simulation must report the flows that are opened there.
 func TestEvacuationIsChecked(t *testing.T) {
+	t.Parallel()
 	load := evacuationLoad(4, 6, 0.3)
 	load.duration = 7 * _seconds
 	load.adjust = func(s *scenario) {
--- a/standin/opaque_load_test.go
+++ b/standin/opaque_load_test.go
@@ -181,6 +181,7 @@
 // added, since every day loses that much for the price of machines and connections. For
 // loads that cannot reach this, the minimum is a fraction of what a central queue achieves.
 func TestPlacementUnderLoad(t *testing.T) {
+	t.Parallel()
 	large := loadProfile{
 		zones: 3, relays: 24, hosts: 45, slots: 2, runTime: 26 * time.Millisecond,
 		target: 250 * time.Millisecond, timeout: 2500 * time.Millisecond, duration: 3 * _seconds,
@@ -231,6 +232,7 @@
 // calls that began during the stop must not delay calls that begin two seconds after the
 // restart or later.
 func TestCallsAfterOutageAreInTime(t *testing.T) {
+	t.Parallel()
 	l := loadProfile{
 		zones: 3, relays: 4, hosts: 7, slots: 2, runTime: 13 * time.Millisecond,
 		target: 100 * time.Millisecond, timeout: time.Second, utilization: 0.6, duration: 6 * _seconds,
--- a/standin/opaque_return_test.go
+++ b/standin/opaque_return_test.go
@@ -259,6 +259,7 @@
 // many must be answered as an oracle could answer.
 func TestCallersWaitingForConfiguration(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	checkRecovery(t, _storeDownLoad, 0.88)
 }
 
@@ -266,6 +267,7 @@
 // a target that is short compared to the run time of a request.
 func TestCallersThatWaitForANarrowTarget(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	checkRecovery(t, _narrowTargetLoad, 0.82)
 }
 
--- a/standin/opaque_silence_test.go
+++ b/standin/opaque_silence_test.go
@@ -40,6 +40,7 @@
 // ticks of 20 ms, so it must not accept a flow later than 200 ms after the crash.
 func TestSilentUpstreamGetsNoFlows(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	for seed := range uint64(5) {
 		lastAccepted, lastOffer, _ := runWithSilentUpstream(seed, (*standin.SimulatedVM).KillUpstream)
 		t.Logf("seed %d: last flow accepted after %v, last offer after %v", seed, lastAccepted, lastOffer)
@@ -52,6 +53,7 @@
 // must double the delay with each retry, so that the frozen host gets few offers.
 func TestFrozenHostGetsFewOffers(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	const relays, retriesIn3s = 6, 3 // Retries come 0.5, 1.5 and 3.5 s after the detection.
 	for seed := range uint64(5) {
 		_, lastOffer, offers := runWithSilentUpstream(seed, (*standin.SimulatedVM).Freeze)
--- a/standin/opaque_size_test.go
+++ b/standin/opaque_size_test.go
@@ -22,6 +22,7 @@
 // average over 30 s, which includes the discovery.
 func TestLargeFleetDiscovery(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	const relays, hosts = 100, 200
 	s := standin.NewSimulation(1)
 	var vms []*standin.SimulatedVM
--- a/standin/opaque_slow_test.go
+++ b/standin/opaque_slow_test.go
@@ -73,6 +73,7 @@
 // is the lowest score that users accept.
 func TestSlowUpstreamsGetFewFlows(t *testing.T) {
 	skipUnderRaceDetector(t)
+	t.Parallel()
 	large := loadProfile{
 		zones: 5, relays: 20, hosts: 40, slots: 2, runTime: 26 * time.Millisecond, timeout: 4 * time.Second, duration: 9 * _seconds,
 	}
--- a/standin/opaque_start_test.go
+++ b/standin/opaque_start_test.go
@@ -15,6 +15,7 @@
 // fleet's sidecars, and enough of a large fleet's to choose from, within a few ticks of
 // its start rather than when their next reports are due.
 func TestRestartedRelaysFindSidecars(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ relays, hosts int }{{4, 10}, {16, 46}, {90, 200}} {
 		t.Run(fmt.Sprintf("%d relays, %d hosts", size.relays, size.hosts), func(t *testing.T) {
 			if size.hosts > 100 {
