standin: run the simulations of single faults beside each other

Under the race detector they took 520 of the 600 seconds that go test allows on the arm64 machine, one after the other. Each has a world of its own.

--- a/standin/opaque_world_test.go
+++ b/standin/opaque_world_test.go
@@ -138,6 +138,7 @@
 // TestOpaqueSteadyLoad simulates calls without faults. All calls must be answered, and no
 // packet may reach an upstream while a different upstream holds the packet's flow.
 func TestOpaqueSteadyLoad(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		s := newScenario(seed)
 		s.startCalls(300, 10*_seconds)
@@ -150,6 +151,7 @@
 // TestOpaqueRelaysAreReplaced drains, kills and adds relays, so that routers send nearly
 // all flows to other relays several times. At least 98 % of the calls must be answered.
 func TestOpaqueRelaysAreReplaced(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		s := newScenario(seed)
 		s.startCalls(300, 12*_seconds)
@@ -166,6 +168,7 @@
 // TestOpaqueRelaysRestart restarts all relays at once, so that they lose their state while
 // flows are open. At least 90 % of the calls must be answered.
 func TestOpaqueRelaysRestart(t *testing.T) {
+	t.Parallel()
 	s := newScenario(1)
 	s.startCalls(300, 9*_seconds)
 	s.At(7*_seconds, func() {
@@ -181,6 +184,7 @@
 // TestOpaqueSidecarsRestart kills sidecars while their upstreams keep running. Flows must
 // continue after the sidecars' restart and must not be reset.
 func TestOpaqueSidecarsRestart(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		s := newScenario(seed)
 		s.startCalls(300, 10*_seconds)
@@ -198,6 +202,7 @@
 // later must go to other upstreams. Calls that began more than one second before the crash
 // must not be affected.
 func TestOpaqueUpstreamCrash(t *testing.T) {
+	t.Parallel()
 	s := newScenario(1)
 	s.startCalls(300, 10*_seconds)
 	crash := 7 * _seconds
@@ -219,6 +224,7 @@
 // TestOpaqueFlowsOfCrashedUpstreamsAreReset kills and restarts upstreams. The callers whose
 // flows the upstreams held must get resets instead of waiting until they time out.
 func TestOpaqueFlowsOfCrashedUpstreamsAreReset(t *testing.T) {
+	t.Parallel()
 	s := newScenario(1)
 	s.startCalls(300, 9*_seconds)
 	for _, vm := range s.orders[:4] {
@@ -240,6 +246,7 @@
 // TestOpaqueDrain drains upstreams one after the other while others start. All calls must
 // be answered, and the simulation checks that no flow is opened at a draining upstream.
 func TestOpaqueDrain(t *testing.T) {
+	t.Parallel()
 	s := newScenario(2)
 	s.startCalls(250, 14*_seconds)
 	for i, vm := range s.orders[:5] {
@@ -254,6 +261,7 @@
 // TestOpaqueFrozenVMs freezes a relay and a host for 3 s. At least 93 % of the calls must
 // be answered.
 func TestOpaqueFrozenVMs(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		s := newScenario(seed)
 		s.startCalls(250, 12*_seconds)
@@ -269,6 +277,7 @@
 // TestOpaqueOneWayMessageLoss loses the messages of one relay to three sidecars, while the
 // sidecars' reports still reach the relay. At least 97 % of the calls must be answered.
 func TestOpaqueOneWayMessageLoss(t *testing.T) {
+	t.Parallel()
 	s := newScenario(3)
 	s.startCalls(250, 12*_seconds)
 	drop := func(from, to netip.Addr) bool {
@@ -284,6 +293,7 @@
 // callers to relays, and of the packets from upstreams to sidecars. At least 99.5 % of the
 // calls must be answered.
 func TestOpaquePacketLoss(t *testing.T) {
+	t.Parallel()
 	s := newScenario(4)
 	s.startCalls(250, 10*_seconds)
 	s.DropMessage = func(_, _ netip.Addr) bool { return s.Random().IntN(33) == 0 }
@@ -294,6 +304,7 @@
 // TestOpaqueUnroutableCallsAreReset checks that a call to an address without a route, and
 // one to a service without upstreams, is reset within 10 ms.
 func TestOpaqueUnroutableCallsAreReset(t *testing.T) {
+	t.Parallel()
 	s := newScenario(1)
 	for _, vm := range s.photos {
 		s.At(5*_seconds, func() { vm.Drain(3 * _seconds) })
@@ -313,6 +324,7 @@
 // TestOpaqueAllProcessesRestart stops all relays and sidecars for one second. Calls that
 // begin two seconds after the restart or later must be answered.
 func TestOpaqueAllProcessesRestart(t *testing.T) {
+	t.Parallel()
 	s := newScenario(1)
 	s.startCalls(200, 14*_seconds)
 	s.At(7*_seconds, func() {
@@ -341,6 +353,7 @@
 // every 1.8 s, while their heartbeats report that they are ready. Relays must avoid these
 // upstreams, so that at least 97 % of the calls are answered.
 func TestOpaqueFlappingUpstreams(t *testing.T) {
+	t.Parallel()
 	s := newScenario(1)
 	for _, vm := range s.orders[:2] {
 		vm.Upstream.ResetsNext = func() bool {
@@ -356,6 +369,7 @@
 // Relays must still use them, as there are no better ones: all calls that begin 3.5 s after
 // the end of the failure or later must be answered.
 func TestOpaqueAllUpstreamsFail(t *testing.T) {
+	t.Parallel()
 	s := newScenario(1)
 	for _, vm := range s.orders {
 		vm.Upstream.ResetsNext = func() bool { return s.Now() > 6*_seconds && s.Now() < 8*_seconds }
@@ -370,6 +384,7 @@
 
 // TestSimulationIsDeterministic compares the decisions in two runs with the same seed.
 func TestSimulationIsDeterministic(t *testing.T) {
+	t.Parallel()
 	var runs [2]string
 	for i := range runs {
 		s := newScenario(7)
