--- a/follower/archive.go
+++ b/follower/archive.go
@@ -30,6 +30,15 @@
 	return head, object.Version, err
 }
 
+// putHead replaces the head if its object has the expected version, and returns the new one.
+func (a archive) putHead(ctx context.Context, head audit.Head, expected platform.Version) (platform.Version, error) {
+	data, err := json.Marshal(head)
+	if err != nil {
+		return 0, trace.Wrap(err, "encode settings head")
+	}
+	return a.store.Put(ctx, audit.HeadKey, data, expected)
+}
+
 func decodeHead(object platform.Object) (audit.Head, error) {
 	var head audit.Head
 	if err := json.Unmarshal(object.Value, &head); err != nil {
--- a/follower/restore.go
+++ b/follower/restore.go
@@ -58,7 +58,8 @@
 		case !state.needsConfirmation():
 			return written, nil
 		case state.Head.Revision >= revision:
-			return written, e.putHead(ctx, state.Head.WithEpoch(state.epoch()), state.version)
+			_, err := e.archive.putHead(ctx, state.Head.WithEpoch(state.epoch()), state.version)
+			return written, err
 		}
 		change, err := recent.at(state.Head.Revision + 1)
 		if err != nil {
@@ -82,22 +83,13 @@
 	if version.Epoch() == 0 {
 		return nil
 	}
-	err := e.putHead(ctx, head.WithEpoch(uint16(version.Epoch())), version)
+	_, err := e.archive.putHead(ctx, head.WithEpoch(uint16(version.Epoch())), version)
 	if trace.IsCompareFailed(err) || platform.IsAmbiguous(err) {
 		return nil // confirmed by another process, or by a balancer later
 	}
 	return err
 }
 
-func (e *Editor) putHead(ctx context.Context, head audit.Head, expected platform.Version) error {
-	data, err := json.Marshal(head)
-	if err != nil {
-		return trace.Wrap(err, "encode settings head")
-	}
-	_, err = e.archive.store.Put(ctx, audit.HeadKey, data, expected)
-	return err
-}
-
 // at returns the change that created a revision, or a NotFound error.
 func (r recentChanges) at(revision settings.Revision) (audit.Change, error) {
 	var change audit.Change
--- a/follower/submission.go
+++ b/follower/submission.go
@@ -85,11 +85,7 @@
 	if !state.needsConfirmation() {
 		next = next.WithEpoch(state.epoch())
 	}
-	data, err := json.Marshal(next)
-	if err != nil {
-		return s.change, backoff.Permanent(trace.Wrap(err, "encode settings head"))
-	}
-	version, err := s.editor.archive.store.Put(ctx, audit.HeadKey, data, state.version)
+	version, err := s.editor.archive.putHead(ctx, next, state.version)
 	switch {
 	case err == nil && state.version == 0:
 		return accepted, s.editor.confirmFirst(ctx, next, version)
