--- a/review/world/caller.go
+++ b/review/world/caller.go
@@ -97,7 +97,7 @@
 
 func (c *caller) sendRequest(now time.Duration) {
 	c.count++
-	c.id = fmt.Sprintf("%v.%d-%d", c.key.Caller.Addr().As4()[3], c.key.Caller.Port(), c.count)
+	c.id = fmt.Sprintf("%v-%d", c.key.Caller, c.count)
 	c.request = []byte("GET /route-view HTTP/1.1\r\nHost: x\r\nRequest-Id: " + c.id + "\r\n\r\n")
 	c.asked, c.delay, c.nextSend = now, firstRetry, now+firstRetry
 	c.w.note("caller %v sends %s", c.key, c.id)
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -5,15 +5,20 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
+// maxLength bounds a run.
+const maxLength = 115 * time.Second
+
 func main() {
 	program := flag.String("program", "target/dandelionhitch", "the project's program")
 	record := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	scenario := flag.String("scenario", "", "the case to play")
 	flag.Parse()
-	play, known := map[string]func(*world, bool) error{"stale-consent": playStaleConsent}[*scenario]
+	play, known := map[string]func(*world, bool) error{"stale-consent": playStaleConsent, "clock-back": playClockBack, "explore": playExplore}[*scenario]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown scenario", *scenario)
 		os.Exit(2)
@@ -30,6 +35,16 @@
 		return 2
 	}
 	defer w.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxLength):
+		}
+		w.close() // ends all processes that were started
+		os.Exit(2)
+	}()
 	if err := play(w, trouble); err != nil {
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		return 2
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -36,6 +36,47 @@
 	sequence uint64
 	state    string
 	acked    bool
+	// down is set while the server's process is not running.
+	down bool
+	life int
+	// clock is by how much the machine's time of day is off.
+	clock time.Duration
+	// drainAcked is when the sidecar has acknowledged that the server drains, or zero.
+	drainAcked time.Duration
+}
+
+// crash ends the server's process: its flows are gone, and nothing listens at its address.
+func (s *server) crash() {
+	s.m.w.note("%s: the server crashes", s.m.name)
+	s.down = true
+	s.flows, s.waiting, s.running = make(map[flow.Key]*serverFlow), nil, 0
+	_ = s.socket.Close()
+}
+
+// startAgain starts another life of the server, whose start it reads from the machine's clock.
+func (s *server) startAgain() error {
+	s.life++
+	s.id = fmt.Sprintf("i-%s-%d", s.m.name, s.life)
+	s.born, s.sequence, s.state, s.acked, s.drainAcked = time.Now().Add(s.clock).UnixMilli(), 0, "ready", false, 0
+	if err := s.listen(); err != nil {
+		return err
+	}
+	s.down = false
+	s.m.w.note("%s: the server starts again as %s, born %d", s.m.name, s.id, s.born)
+	return nil
+}
+
+// listen opens the socket at which the server takes packets.
+func (s *server) listen() error {
+	socket, err := datagram.Listen(s.m.at(s.m.w.ports.upstream), func(b []byte) {
+		s.m.w.mu.Lock()
+		defer s.m.w.mu.Unlock()
+		if !s.down {
+			s.handle(append([]byte(nil), b...))
+		}
+	})
+	s.socket = socket
+	return err
 }
 
 // serverFlow is a flow at a server, opening or open.
@@ -104,6 +145,7 @@
 		f.next = f.consentSeq + 1
 		s.flows[key] = f
 		s.m.w.note("%s takes the opening packet of %v", s.m.name, key)
+		s.m.w.checkDrain(s, key)
 	}
 	if !f.open {
 		s.sendReliably(f, s.packet(f, flow.SYN|flow.ACK, f.consentSeq, nil), f.consentSeq+1)
@@ -159,6 +201,9 @@
 
 // tick ends requests and repeats packets that are not acknowledged.
 func (s *server) tick(now time.Duration) {
+	if s.down {
+		return
+	}
 	for _, f := range s.flows {
 		if f.running && now >= f.doneAt {
 			f.running = false
@@ -194,9 +239,15 @@
 	for w.ctx.Err() == nil {
 		began := time.Now()
 		w.mu.Lock()
+		if s.down {
+			w.mu.Unlock()
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
 		s.sequence++
-		body := heartbeatBody(s, s.state)
-		target := fmt.Sprintf("http://%v/-/instances/%s", netip.AddrPortFrom(s.m.addr, w.ports.control), s.id)
+		id, state := s.id, s.state
+		body := heartbeatBody(s, state)
+		target := fmt.Sprintf("http://%v/-/instances/%s", netip.AddrPortFrom(s.m.addr, w.ports.control), id)
 		w.mu.Unlock()
 		request, err := http.NewRequest(http.MethodPut, target, body)
 		if err == nil {
@@ -204,10 +255,36 @@
 			if err == nil {
 				response.Body.Close()
 				w.mu.Lock()
-				s.acked = s.acked || response.StatusCode == http.StatusOK
+				s.noteAnswer(id, state, response.StatusCode)
 				w.mu.Unlock()
 			}
 		}
-		time.Sleep(time.Until(began.Add(heartbeatInterval)))
+		s.awaitNext(id, state, began.Add(heartbeatInterval))
+	}
+}
+
+// noteAnswer records the answer to a status report.
+func (s *server) noteAnswer(id, state string, status int) {
+	if id != s.id || status != http.StatusOK {
+		return
+	}
+	s.acked = true
+	if state == "draining" && s.drainAcked == 0 {
+		s.drainAcked = s.m.w.now()
+		s.m.w.note("%s: %s has the ack that it drains", s.m.name, id)
+	}
+}
+
+// awaitNext waits until the next status report is due, which is at once after a start or a
+// change of the state.
+func (s *server) awaitNext(id, state string, next time.Time) {
+	for time.Now().Before(next) && s.m.w.ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+		s.m.w.mu.Lock()
+		changed := s.id != id || s.state != state || s.down
+		s.m.w.mu.Unlock()
+		if changed {
+			return
+		}
 	}
 }
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -74,6 +74,7 @@
 	store   *standin.Platform
 	record  *bufio.Writer
 	cancel  context.CancelFunc
+	closing sync.Once
 	ctx     context.Context
 
 	machines []*machine
@@ -89,6 +90,8 @@
 	counted bool
 	// violations are the breaches that count.
 	violations []string
+	// drainBound is the site's drainMs.
+	drainBound time.Duration
 	// runs counts how often each request has run.
 	runs map[string]int
 }
@@ -168,16 +171,9 @@
 	w.sockets = append(w.sockets, link)
 	if side {
 		m.server = newServer(m)
-		socket, err := datagram.Listen(m.at(w.ports.upstream), func(b []byte) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			m.server.handle(append([]byte(nil), b...))
-		})
-		if err != nil {
+		if err := m.server.listen(); err != nil {
 			return nil, err
 		}
-		m.server.socket = socket
-		w.sockets = append(w.sockets, socket)
 		go m.server.runHeartbeats()
 	} else {
 		go m.runProbes()
@@ -410,8 +406,20 @@
 	return nil
 }
 
+// checkDrain judges an opening packet that a server has taken by the rule DRAIN.
+func (w *world) checkDrain(s *server, key flow.Key) {
+	if s.drainAcked == 0 || w.now() <= s.drainAcked+w.drainBound {
+		return
+	}
+	c := w.callers[key]
+	w.violation("DRAIN: %s takes the opening packet of %v %.1f s after the ack that it drains; the caller sent it %.3f s before",
+		s.m.name, key, (w.now() - s.drainAcked).Seconds(), (w.now() - c.lastSent).Seconds())
+}
+
 // close ends all processes that the world has started.
-func (w *world) close() {
+func (w *world) close() { w.closing.Do(w.closeOnce) }
+
+func (w *world) closeOnce() {
 	w.cancel()
 	for _, m := range w.machines {
 		if m.process != nil {
@@ -419,6 +427,11 @@
 			<-m.done
 		}
 	}
+	for _, m := range w.machines {
+		if m.server != nil {
+			_ = m.server.socket.Close()
+		}
+	}
 	for _, s := range w.sockets {
 		_ = s.Close()
 	}
