--- a/review/world/main.go
+++ b/review/world/main.go
@@ -28,7 +28,7 @@
 
 // run plays a scenario. It returns 1 if a rule was broken, 0 if all held and 2 if the scenario
 // could not run.
-func run(program, record string, play func(*world, bool) error, trouble bool) int {
+func run(program, record string, play func(*world, bool) error, trouble bool) (code int) {
 	w, err := newWorld(program, record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -49,8 +49,12 @@
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		return 2
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.locked(func() { code = w.judge(trouble) })
+	return code
+}
+
+// judge prints the outcome and returns the exit status.
+func (w *world) judge(trouble bool) int {
 	opened, answered, states := 0, 0, make(map[callerState]int)
 	for _, c := range w.callers {
 		if c.answered > 0 {
@@ -108,11 +112,16 @@
 
 // openFlows opens flows of callers of a zone at a steady rate for some time.
 func (w *world) openFlows(zone int, perSecond float64, length time.Duration, pause func() time.Duration) {
+	w.openFlowsTo(zone, perSecond, []netip.AddrPort{routeAddress}, length, pause)
+}
+
+// openFlowsTo opens flows to several addresses in turn.
+func (w *world) openFlowsTo(zone int, perSecond float64, to []netip.AddrPort, length time.Duration, pause func() time.Duration) {
 	count := int(perSecond * length.Seconds())
 	for i := range count {
 		w.mu.Lock()
 		from := netip.AddrPortFrom(callerAddr(byte(zone+1), byte(i%8)+1), uint16(20_000+i/8))
-		w.newCaller(zoneNames[zone], from, routeAddress, pause)
+		w.newCaller(zoneNames[zone], from, to[w.random.IntN(len(to))], pause)
 		w.mu.Unlock()
 		select {
 		case <-w.ctx.Done():
@@ -135,12 +144,20 @@
 		if m.side {
 			continue
 		}
-		w.locked(func() { w.note("planned: SIGTERM to %s", m.name) })
-		if err := m.termAndRestart(); err != nil {
+		if err := w.roll(m, gap); err != nil {
 			return err
 		}
-		w.locked(func() { w.note("planned: %s is started again", m.name) })
-		time.Sleep(gap)
 	}
 	return nil
 }
+
+// roll stops the process of a machine and starts it again, as planned.
+func (w *world) roll(m *machine, gap time.Duration) error {
+	w.locked(func() { w.note("planned: SIGTERM to %s", m.name) })
+	if err := m.termAndRestart(); err != nil {
+		return err
+	}
+	w.locked(func() { w.note("planned: %s is started again", m.name) })
+	time.Sleep(gap)
+	return nil
+}
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -50,7 +50,8 @@
 	s.m.w.note("%s: the server crashes", s.m.name)
 	s.down = true
 	s.flows, s.waiting, s.running = make(map[flow.Key]*serverFlow), nil, 0
-	_ = s.socket.Close()
+	// Closing the socket waits for its handler, which may wait for the world's lock.
+	go func(socket *datagram.Socket) { _ = socket.Close() }(s.socket)
 }
 
 // startAgain starts another life of the server, whose start it reads from the machine's clock.
--- a/review/world/stale_consent.go
+++ b/review/world/stale_consent.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"os"
+	"time"
+)
 
 // playStaleConsent opens flows while the links of a zone lose packets, kills a process beside
 // a server, and rolls the relays once all machines are in touch again.
@@ -9,6 +12,7 @@
 		lossy    = 5300 * time.Millisecond
 		inTouch  = 5500 * time.Millisecond // stableMs is 5 s
 		perSec   = 120
+		sideGap  = 500 * time.Millisecond
 		rollGap  = 1500 * time.Millisecond
 		watchFor = 3 * time.Second
 	)
@@ -31,16 +35,8 @@
 	}
 	w.openFlows(0, perSec, lossy, pause)
 	w.locked(func() { w.lossRate = 0; w.note("the links are well") })
-	if trouble {
-		for _, m := range w.machines {
-			if m.name == "side-oslo-b-1" {
-				w.locked(func() { w.note("trouble: %s is killed", m.name) })
-				if err := m.killAndRestart(); err != nil {
-					return err
-				}
-				w.locked(func() { w.note("%s is started again", m.name) })
-			}
-		}
+	if err := w.restartSides(trouble, sideGap); err != nil {
+		return err
 	}
 	time.Sleep(inTouch)
 	w.locked(func() { w.counted = true; w.note("all machines are in touch") })
@@ -50,3 +46,25 @@
 	time.Sleep(watchFor)
 	return nil
 }
+
+// restartSides kills one of the seven processes beside servers. With SIDE=roll in the
+// environment, three of them are instead stopped and started in turn, as planned.
+func (w *world) restartSides(trouble bool, gap time.Duration) error {
+	roll := os.Getenv("SIDE") == "roll"
+	for _, m := range w.machines {
+		var err error
+		switch {
+		case !m.side:
+		case roll && m.name <= "side-oslo-b-3":
+			err = w.roll(m, gap)
+		case !roll && trouble && m.name == "side-oslo-b-1":
+			w.locked(func() { w.note("trouble: %s is killed", m.name) })
+			err = m.killAndRestart()
+			w.locked(func() { w.note("%s is started again", m.name) })
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -34,6 +34,7 @@
 	grace             = 6 * time.Second
 	restartDelay      = 300 * time.Millisecond
 	serviceName       = "rutetjeneste"
+	secondService     = "fotoarkiv"
 	idleTimeoutMs     = 15_000
 	flowTTL           = 60 * time.Second
 )
@@ -50,6 +51,8 @@
 	addr netip.Addr
 	zone string
 	side bool
+	// service is the service of the server on a side machine.
+	service string
 
 	process      *exec.Cmd
 	done         chan struct{}
@@ -90,6 +93,10 @@
 	counted bool
 	// violations are the breaches that count.
 	violations []string
+	// configuration is the store's version of the configuration.
+	configuration platform.Version
+	// onOpening judges the opening packets that servers take, if set.
+	onOpening func(m *machine, key flow.Key)
 	// drainBound is the site's drainMs.
 	drainBound time.Duration
 	// runs counts how often each request has run.
@@ -154,7 +161,7 @@
 
 // addMachine adds a machine and the link in front of its peer port.
 func (w *world) addMachine(name, zone string, addr netip.Addr, side bool) (*machine, error) {
-	m := &machine{w: w, name: name, addr: addr, zone: zone, side: side, failedProbes: maxFailedProbes}
+	m := &machine{w: w, name: name, addr: addr, zone: zone, side: side, service: serviceName, failedProbes: maxFailedProbes}
 	w.zones[addr] = zone
 	w.machines = append(w.machines, m)
 	link, err := datagram.Listen(m.at(w.ports.peer), nil, datagram.WithSourceHandler(func(from netip.AddrPort, b []byte) {
@@ -228,7 +235,7 @@
 	role := "relay"
 	if m.side {
 		role = "sidecar"
-		settings["service"] = serviceName
+		settings["service"] = m.service
 		settings["upstream"] = m.at(p.upstream).String()
 		settings["outbound"] = m.at(p.outbound).String()
 		settings["callers"] = m.at(p.ingress).String()
@@ -321,18 +328,33 @@
 	}
 }
 
-// writeConfiguration writes the operator's configuration.
+// writeConfiguration writes the operator's configuration with routes to the first service.
 func (w *world) writeConfiguration(version int, routes ...netip.AddrPort) error {
+	table := make(map[netip.AddrPort]string)
+	for _, address := range routes {
+		table[address] = serviceName
+	}
+	return w.writeTable(version, table)
+}
+
+// writeTable writes the operator's configuration.
+func (w *world) writeTable(version int, table map[netip.AddrPort]string) error {
 	var list []any
-	for i, address := range routes {
+	i := 0
+	for address, service := range table {
+		i++
 		list = append(list, map[string]any{
 			"name": fmt.Sprint("r", i), "vhost": address.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", address.Port()),
-			"routeKind": "safe", "timeoutMs": 2500, "targetLatencyMs": 150, "priority": 2, "service": serviceName, "maxAttempts": 2,
+			"routeKind": "safe", "timeoutMs": 2500, "targetLatencyMs": 150, "priority": 2, "service": service, "maxAttempts": 2,
 		})
 	}
+	var services []any
+	for _, name := range []string{serviceName, secondService} {
+		services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxFlows": 2000, "protocol": "h1", "tls": false})
+	}
 	value, err := json.Marshal(map[string]any{
 		"version": version, "routes": list,
-		"services": []any{map[string]any{"name": serviceName, "healthPath": "/health", "maxFlows": 2000, "protocol": "h1", "tls": false}},
+		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeoutMs},
 	})
 	if err != nil {
@@ -342,7 +364,7 @@
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	_, err = client.Put(ctx, platform.ConfigurationKey, value, 0)
+	w.configuration, err = client.Put(ctx, platform.ConfigurationKey, value, w.configuration)
 	return err
 }
 
@@ -408,6 +430,9 @@
 
 // checkDrain judges an opening packet that a server has taken by the rule DRAIN.
 func (w *world) checkDrain(s *server, key flow.Key) {
+	if w.onOpening != nil {
+		w.onOpening(s.m, key)
+	}
 	if s.drainAcked == 0 || w.now() <= s.drainAcked+w.drainBound {
 		return
 	}
@@ -423,6 +448,7 @@
 	w.cancel()
 	for _, m := range w.machines {
 		if m.process != nil {
+			_ = m.process.Process.Signal(syscall.SIGCONT)
 			_ = m.process.Process.Kill()
 			<-m.done
 		}
@@ -437,9 +463,10 @@
 	}
 	_ = w.sender.Close()
 	_ = w.store.Close()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	_ = w.record.Flush()
+	if w.mu.TryLock() { // after a signal, the play may still hold the lock
+		_ = w.record.Flush()
+		w.mu.Unlock()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.dir)
 	} else {
@@ -450,7 +477,7 @@
 // heartbeatBody returns the body of a server's status report.
 func heartbeatBody(s *server, state string) *bytes.Reader {
 	body, err := json.Marshal(map[string]any{
-		"service": serviceName, "addr": s.m.at(s.m.w.ports.upstream).String(), "zone": s.m.zone, "version": "v1",
+		"service": s.m.service, "addr": s.m.at(s.m.w.ports.upstream).String(), "zone": s.m.zone, "version": "v1",
 		"slots": s.slots, "state": state, "coldLeftMs": 0, "sequence": s.sequence, "born": s.born,
 	})
 	if err != nil {
