--- a/review/world/stale_consent.go
+++ b/review/world/stale_consent.go
@@ -11,7 +11,7 @@
 	const (
 		lossy    = 5300 * time.Millisecond
 		inTouch  = 5500 * time.Millisecond // stableMs is 5 s
-		perSec   = 120
+		perSec   = 220
 		sideGap  = 500 * time.Millisecond
 		rollGap  = 1500 * time.Millisecond
 		watchFor = 3 * time.Second
