review: the crashed host of another service cuts off open flows

While a host of the service to which a route now leads is down, front nodes never find flows that were opened under the route's earlier service.

--- a/review/world/caller.go
+++ b/review/world/caller.go
@@ -49,6 +49,9 @@
 	delay    time.Duration
 	answered int
 	lastSent time.Duration
+	// strays are when packets of the open flow reached other servers since the last one reached
+	// its own.
+	strays []time.Duration
 }
 
 // newCaller opens a flow.
@@ -77,6 +80,7 @@
 }
 
 func (c *caller) tick(now time.Duration) {
+	c.w.checkStrays(now, c)
 	switch {
 	case c.state == opening && now >= c.nextSend:
 		if c.copies == 3 {
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -18,7 +18,7 @@
 	record := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	scenario := flag.String("scenario", "", "the case to play")
 	flag.Parse()
-	play, known := map[string]func(*world, bool) error{"stale-consent": playStaleConsent, "clock-back": playClockBack, "explore": playExplore}[*scenario]
+	play, known := map[string]func(*world, bool) error{"stale-consent": playStaleConsent, "clock-back": playClockBack, "moved-route": playMovedRoute, "rolled-fleet": playRolledFleet, "explore": playExplore}[*scenario]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown scenario", *scenario)
 		os.Exit(2)
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -155,12 +155,15 @@
 
 // bounce returns a packet of a flow that the server does not hold.
 func (s *server) bounce(p standin.OpaquePacket) {
-	s.m.w.note("%s bounces a packet of %v", s.m.name, p.FromCaller())
+	s.m.w.noteStray(s.m, p.FromCaller())
 	p.Flags |= flow.Bounced
 	s.send(p.Encode())
 }
 
 func (s *server) handleOpen(f *serverFlow, p standin.OpaquePacket) {
+	if c := s.m.w.callers[f.key]; c != nil {
+		c.strays = nil
+	}
 	if !f.open {
 		f.open = true
 		s.m.w.note("%s has %v open", s.m.name, f.key)
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -428,6 +428,41 @@
 	return nil
 }
 
+// strayBound is the site's strayMs, and maxStrays how many stray packets may arrive meanwhile.
+const (
+	strayBound = 2 * time.Second
+	maxStrays  = 2
+)
+
+// noteStray records a packet that has reached a server that does not hold its flow.
+func (w *world) noteStray(m *machine, key flow.Key) {
+	w.note("%s bounces a packet of %v", m.name, key)
+	if c := w.callers[key]; c != nil && w.counted && w.holder(key) != nil {
+		c.strays = append(c.strays, w.now())
+	}
+}
+
+// checkStrays judges the stray packets of a flow by the rule FLOW.
+func (w *world) checkStrays(now time.Duration, c *caller) {
+	if len(c.strays) == 0 || now-c.strays[0] < strayBound {
+		return
+	}
+	count := 0
+	for _, at := range c.strays {
+		if at-c.strays[0] <= strayBound {
+			count++
+		}
+	}
+	holder := w.holder(c.key)
+	if count > maxStrays && holder != nil && now-c.began < flowTTL {
+		w.violation("FLOW: for 2 s, %d packets of caller %v reach other servers and none reaches %s, which holds the flow; it waits for %q",
+			count, c.key, holder.name, c.id)
+		c.strays = nil
+		return
+	}
+	c.strays = c.strays[1:]
+}
+
 // checkDrain judges an opening packet that a server has taken by the rule DRAIN.
 func (w *world) checkDrain(s *server, key flow.Key) {
 	if w.onOpening != nil {
