sidecar: log flows that a restarted sidecar learns from its upstream

Hypotheses: the upstream repeats its consent (H1); a probe is answered by another packet (H2); the caller's acknowledgement falls by chance into the range of the consent (H3).

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -39,6 +39,9 @@
 	Asked Action = "asked"
 	// Found means that a relay learned which sidecar holds a flow.
 	Found Action = "found"
+	// Recovered means that a sidecar learned from its upstream of a flow that was opened before
+	// the sidecar started.
+	Recovered Action = "recovered"
 	// NotHeld means that a sidecar answered that its upstream does not hold the flow.
 	NotHeld Action = "not_held"
 	// Reset means that the flow was ended with a reset to the caller.
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -462,6 +462,7 @@
 	if f == nil {
 		f = &flowState{key: key, established: true, carriedAt: now, callerAck: p.Seq}
 		c.flows.Put(key, f)
+		c.logRecovered(p)
 	}
 	if f.probing {
 		f.probing, f.established = false, true
@@ -491,6 +492,19 @@
 	}
 }
 
+// logRecovered logs that a packet of the upstream has shown a flow that this process did
+// not open.
+func (c *Core) logRecovered(p flow.Packet) {
+	reason := "upstream_packet"
+	if p.Flags.Has(flow.SYN) {
+		reason = "upstream_consent"
+	}
+	c.out.LogDecision(decision.Record{
+		Flow: p.ToCaller(), Action: decision.Recovered, Reason: reason, Service: c.self.Service, Version: c.table.Version(),
+		Routine: !p.Flags.Has(flow.SYN),
+	})
+}
+
 // handleBounced handles a caller's packet that the upstream has bounced. An opening
 // packet is redirected. A packet of a probed flow goes back to the relay. A bounced
 // packet of any other flow means that the upstream no longer has that flow, so the caller
