standin: upstreams repeat their consent

An upstream repeats its consent until the caller acknowledges it, like any other packet. The stand-in did not, so neither the simulation nor the soak could show a sidecar that takes a repeated consent for an open flow. An upstream that gives up now bounces the flow's packets.

--- a/standin/opaque_upstream.go
+++ b/standin/opaque_upstream.go
@@ -16,7 +16,7 @@
 	// sent again. The delay doubles with each retry, up to _maxRetryDelay.
 	_firstRetryDelay = 200 * time.Millisecond
 	_maxRetryDelay   = 1600 * time.Millisecond
-	// _maxRetries is the maximum number of retransmissions of an answer.
+	// _maxRetries is the maximum number of retransmissions of a consent or an answer.
 	_maxRetries = 8
 	// _errorDelay is how long a request that is answered with an error takes.
 	_errorDelay = time.Millisecond
@@ -127,8 +127,8 @@
 	}
 }
 
-// Tick finishes the requests and retransmits the answers that are due, and drops flows that
-// have been idle for too long.
+// Tick finishes the requests and retransmits the consents and answers that are due, and
+// drops flows that have been idle for too long.
 func (u *OpaqueUpstream) Tick(now time.Duration) {
 	u.order = slices.DeleteFunc(u.order, func(f *upstreamFlow) bool {
 		switch {
@@ -136,7 +136,7 @@
 			return true // replaced by a later flow with the same key
 		case f.running && now >= f.doneAt:
 			u.finish(now, f)
-		case len(f.unacked) > 0 && now >= f.nextSend:
+		case (len(f.unacked) > 0 || !f.open && u.flows[f.key] == f) && now >= f.nextSend:
 			u.retry(now, f)
 		case u.flows[f.key] == f && now-f.lastReceived > 20*time.Second:
 			delete(u.flows, f.key)
@@ -154,12 +154,13 @@
 			return
 		}
 		f = &upstreamFlow{key: key, openingSeq: p.Seq, consentSeq: u.random.Uint32(), lastReceived: now}
+		f.retryDelay, f.nextSend = _firstRetryDelay, now+_firstRetryDelay
 		u.flows[key] = f
 		u.order = append(u.order, f)
 		u.OnOpening(key)
 	}
 	if !f.open {
-		u.send(f, flow.SYN|flow.ACK, f.consentSeq, p.Seq+1, nil)
+		u.consent(f)
 	}
 }
 
@@ -171,7 +172,7 @@
 			u.bounce(packet)
 			return
 		}
-		f.open = true
+		f.open, f.retries = true, 0
 	}
 	if len(p.Data) > 0 && f.request == "" && u.ResetsNext() {
 		f.ended = true
@@ -242,15 +243,25 @@
 func (u *OpaqueUpstream) retry(now time.Duration, f *upstreamFlow) {
 	if f.retries++; f.retries > _maxRetries {
 		f.unacked, f.ended = nil, true
+		if !f.open {
+			delete(u.flows, f.key)
+		}
 		return
 	}
 	f.retryDelay = min(2*f.retryDelay, _maxRetryDelay)
 	f.nextSend = now + f.retryDelay
+	if !f.open {
+		u.consent(f)
+	}
 	for _, packet := range f.unacked {
 		u.Send(packet)
 	}
 }
 
+func (u *OpaqueUpstream) consent(f *upstreamFlow) {
+	u.send(f, flow.SYN|flow.ACK, f.consentSeq, f.openingSeq+1, nil)
+}
+
 // bounce returns a packet to the sidecar, marked as refused.
 func (u *OpaqueUpstream) bounce(packet []byte) {
 	p, _ := DecodeOpaque(packet)
