--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -202,7 +202,8 @@
 	// the upstream's consent, and latestSeq the highest that the upstream has sent.
 	openingSeq, consentSeq, latestSeq uint32
 	consented                         bool
-	// established is set once the caller has acknowledged the consent.
+	// established is set once the flow is known to be open at the upstream: the caller has
+	// acknowledged the consent, or the upstream has sent more than its consent.
 	established bool
 	// inProgress is set while the flow counts in Core.busy.
 	inProgress bool
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -256,39 +256,67 @@
 
 // handleQuestion answers a relay's question whether the upstream holds a flow.
 func (c *Core) handleQuestion(now time.Duration, q peer.Question) {
-	f := c.flows.Get(q.Flow)
-	outcome := peer.Held
-	switch {
-	case f == nil && !c.knowsAllFlows(now), f != nil && f.probing:
-		outcome = peer.Unsure
-	case f == nil, f.queued, !f.established && !f.matchesConsent(q.Ack):
-		outcome = peer.NotHeld
+	outcome := c.holds(now, c.flows.Get(q.Flow), q.Ack)
+	if outcome == peer.NotHeld {
 		c.counts.NotHeld++
 	}
 	c.sendVerdict(now, outcome, q.Flow, q.Origin, nil)
 }
 
+// holds returns whether the upstream holds the flow to which a caller's packet belongs: Held,
+// NotHeld, or Unsure if only the upstream can tell. f is what is known of a flow between the
+// packet's endpoints, or nil, and ack is the packet's acknowledgement number.
+func (c *Core) holds(now time.Duration, f *flowState, ack uint32) peer.Outcome {
+	known := f != nil && (f.established || f.consented)
+	switch {
+	case f == nil && !c.knowsAllFlows(now), f != nil && f.probing && !known:
+		return peer.Unsure
+	case !known, f.queued, !f.matches(ack):
+		return peer.NotHeld
+	default:
+		return peer.Held
+	}
+}
+
+// matches reports whether a packet that acknowledges ack can belong to this flow of the local
+// upstream. Another upstream may have consented to a copy of the same opening packet, and the
+// caller's flow is then open at the upstream whose sequence numbers it acknowledges.
+func (f *flowState) matches(ack uint32) bool {
+	if f.established {
+		return near(ack, f.latestSeq)
+	}
+	const window = 1 << 17 // more than an upstream sends before the caller acknowledges its consent
+	return f.consented && ack-f.consentSeq < window
+}
+
+// near reports whether two sequence numbers of an upstream can belong to the same flow.
+func near(a, b uint32) bool {
+	const window = 1 << 20 // far more than an upstream has in flight
+	return a-b < window || b-a < window
+}
+
 // handleCarry sends a packet to the upstream if the upstream holds the flow or may hold
 // it.
 func (c *Core) handleCarry(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
 	f := c.flows.Get(key)
-	switch {
-	case f == nil && c.knowsAllFlows(now):
+	outcome := c.holds(now, f, p.Ack)
+	if f != nil && f.established && !p.Flags.Has(flow.ACK) {
+		outcome = peer.Held // there is no acknowledgement to compare
+	}
+	switch outcome {
+	case peer.NotHeld:
 		c.sendNotHeld(now, key, m)
 		return
-	case f == nil:
-		f = &flowState{key: key, probing: true, origin: m.Origin, carriedAt: now, callerAck: p.Ack}
-		c.flows.Put(key, f)
-		c.out.ToUpstream(m.Packet)
-		return
-	case f.probing:
+	case peer.Unsure:
+		if f == nil {
+			f = &flowState{key: key, probing: true}
+			c.flows.Put(key, f)
+		}
 		f.origin, f.carriedAt, f.callerAck = m.Origin, now, p.Ack
 		c.out.ToUpstream(m.Packet)
 		return
-	case f.queued, !f.established && !f.matchesConsent(p.Ack):
-		c.sendNotHeld(now, key, m)
-		return
 	}
+	f.probing = false
 	f.origin, f.carriedAt, f.callerAck = m.Origin, now, p.Ack
 	if m.Kind == peer.KindTry {
 		c.sendVerdict(now, peer.Held, key, m.Origin, nil)
@@ -327,13 +355,6 @@
 	return now-f.livenessCheckAt >= _consentTimeout
 }
 
-// matchesConsent reports whether ack acknowledges the consent of the local upstream.
-// Another upstream may have consented to a copy of the same opening packet.
-func (f *flowState) matchesConsent(ack uint32) bool {
-	const window = 1 << 17 // more than an upstream sends before the caller acknowledges its consent
-	return f.consented && ack-f.consentSeq < window
-}
-
 // knowsAllFlows reports whether this sidecar knows all flows that the upstream may hold.
 func (c *Core) knowsAllFlows(now time.Duration) bool {
 	switch c.upstream.state {
@@ -423,14 +444,22 @@
 // hold the flow, but another upstream may hold it, so the caller must not get the reset.
 func (c *Core) handleProbeReset(now time.Duration, p flow.Packet, f *flowState) {
 	key := p.ToCaller()
-	c.flows.Delete(key)
-	c.counts.NotHeld++
+	c.endProbe(f)
 	c.out.LogDecision(decision.Record{
 		Flow: key, Action: decision.NotHeld, Reason: "upstream_reset", Target: f.origin, Version: c.table.Version(),
 	})
 	c.sendVerdict(now, peer.NotHeld, key, f.origin, nil)
 }
 
+// endProbe ends the probe for a flow that the upstream does not hold.
+func (c *Core) endProbe(f *flowState) {
+	c.counts.NotHeld++
+	f.probing = false
+	if !f.consented {
+		c.flows.Delete(f.key)
+	}
+}
+
 // noteAlive records that the upstream has sent a packet, which ends a suspicion unless
 // the upstream is failing requests.
 func (c *Core) noteAlive(now time.Duration) {
@@ -444,15 +473,15 @@
 // flow, and updates f.latestSeq. A delayed packet of an earlier flow between the same
 // caller address and service address has a distant number.
 func (f *flowState) acceptsSeq(p flow.Packet) bool {
-	const window = 1 << 20 // far more than an upstream has in flight
-	if !f.consented || p.Flags&(flow.SYN|flow.RST) != 0 {
+	switch {
+	case !f.consented && !f.established, p.Flags&(flow.SYN|flow.RST) != 0:
 		return true
-	}
-	if p.Seq-f.latestSeq < window {
+	case !near(p.Seq, f.latestSeq):
+		return false
+	case int32(p.Seq-f.latestSeq) > 0:
 		f.latestSeq = p.Seq
-		return true
 	}
-	return f.latestSeq-p.Seq < window
+	return true
 }
 
 // handleReply updates the state of a flow from the upstream's packet to its caller. f
@@ -460,19 +489,28 @@
 func (c *Core) handleReply(now time.Duration, p flow.Packet, f *flowState) {
 	key := p.ToCaller()
 	if f == nil {
-		f = &flowState{key: key, established: true, carriedAt: now, callerAck: p.Seq}
+		if p.Flags.Has(flow.RST) {
+			return // the upstream no longer has the flow
+		}
+		f = &flowState{key: key, carriedAt: now, callerAck: p.Seq}
 		c.flows.Put(key, f)
 		c.logRecovered(p)
 	}
-	if f.probing {
-		f.probing, f.established = false, true
-		c.sendVerdict(now, peer.Held, key, f.origin, nil)
-	}
-	if p.Flags.Has(flow.SYN) {
+	switch {
+	case p.Flags.Has(flow.SYN):
+		// The upstream repeats its consent until the caller acknowledges it, which the caller
+		// does not do if it has opened the flow at another upstream.
 		if !f.consented && f.deliveredAt > 0 {
 			c.out.ObserveSpan(decision.ConsentGiven, now-f.deliveredAt)
 		}
 		f.consentSeq, f.latestSeq, f.consented = p.Seq, p.Seq, true
+	case !f.consented && !f.established && !p.Flags.Has(flow.RST):
+		// Only an upstream at which the flow was opened sends more than its consent.
+		f.established, f.latestSeq = true, p.Seq
+	}
+	if f.probing && f.matches(f.callerAck) {
+		f.probing, f.established = false, true
+		c.sendVerdict(now, peer.Held, key, f.origin, nil)
 	}
 	if p.Size > 0 && !f.answered {
 		f.answered = true
@@ -506,9 +544,9 @@
 }
 
 // handleBounced handles a caller's packet that the upstream has bounced. An opening
-// packet is redirected. A packet of a probed flow goes back to the relay. A bounced
-// packet of any other flow means that the upstream no longer has that flow, so the caller
-// gets a reset.
+// packet is redirected. A packet of a probed flow, or of a flow of another upstream, goes
+// back to the relay. A bounced packet of any other flow means that the upstream no longer
+// has that flow, so the caller gets a reset.
 func (c *Core) handleBounced(now time.Duration, p flow.Packet, packet []byte) {
 	key := p.FromCaller()
 	c.wire.Restore(packet)
@@ -525,7 +563,9 @@
 	case f == nil:
 		c.counts.Dropped++
 	case f.probing:
-		c.flows.Delete(key)
+		c.endProbe(f)
+		c.sendVerdict(now, peer.NotHeld, key, f.origin, packet)
+	case !f.matches(p.Ack):
 		c.counts.NotHeld++
 		c.sendVerdict(now, peer.NotHeld, key, f.origin, packet)
 	case !f.dead && !f.ended:
