--- a/soak/vm.go
+++ b/soak/vm.go
@@ -30,6 +30,7 @@
 
 const (
 	_heartbeatInterval = 500 * time.Millisecond
+	_maxClockStep      = 3 * time.Second
 	// _probeInterval and _maxFailedProbes are the readiness probe settings of the users'
 	// routers: after that many failures in a row, a relay is out of rotation.
 	_probeInterval   = 500 * time.Millisecond
@@ -59,7 +60,10 @@
 	socket   *datagram.Socket
 	// instance is the number of the current or last instance of the upstream, sequence
 	// the number of that instance's last heartbeat.
-	instance      uint64
+	instance uint64
+	// born is the start of that instance on the VM's clock, in Unix ms. The clock may have been
+	// set back or forward by _maxClockStep between two instances.
+	born          int64
 	sequence      uint64
 	lastHeartbeat time.Duration
 	draining      bool
@@ -185,6 +189,11 @@
 	v.instance++
 	v.sequence, v.lastHeartbeat, v.draining, v.drainAcked = 0, 0, false, 0
 	random := rand.New(rand.NewPCG(r.config.Seed, uint64(v.addr.As4()[3])<<8+v.instance))
+	v.born = time.Now().UnixMilli()
+	if v.instance > 1 {
+		steps := rand.New(rand.NewPCG(r.config.Seed+1, uint64(v.addr.As4()[3])<<8+v.instance)) // leaves the run times as they are
+		v.born += steps.Int64N(2*_maxClockStep.Milliseconds()+1) - _maxClockStep.Milliseconds()
+	}
 	u := standin.NewOpaqueUpstream(random)
 	u.Name, u.Slots, u.Queue, u.Size = fmt.Sprintf("%v#%d", v.addr, v.instance), 4, 16, 2000
 	u.RunTime = func() time.Duration { return time.Duration(2+random.IntN(30)) * time.Millisecond }
@@ -255,7 +264,7 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"service": v.service, "addr": v.addrPort(v.run.ports.upstream), "zone": v.zone, "version": "v1", "slots": v.upstream.Slots,
-		"state": state, "coldLeftMs": 0, "sequence": v.sequence, "born": v.instance,
+		"state": state, "coldLeftMs": 0, "sequence": v.sequence, "born": v.born,
 	})
 	if err != nil {
 		panic(err) // a map of plain values always encodes
