relay: searches for a holder in steps that are bounded in time (review/1, review/2)

Seen by callers: open flows at healthy upstreams were cut off after planned restarts, when their route had moved to another service (review/1), also while an upstream of that service was down (review/2): the caller's packets went to other upstreams only, until its time was over.

Cause: two faults of the search. Unsure sidecars were tried in one wave only, so those of the service that the route had left never were. And a search went on only when all sidecars had answered; one beside an upstream that is down never answers when it is tried. Each search ended after 400 ms, and the next one took the same way.

Change: a search goes through scopes, and asks, tries and widens in each. Each step ends when all have answered or its time is over. The next search spares the sidecars that have denied the flow. Searches are counted by their end, and one that times out logs a sidecar that has not answered.

--- a/relay/core.go
+++ b/relay/core.go
@@ -42,10 +42,14 @@
 	// _questionTimeout is how long a question for the holder of a flow stays open. After
 	// that, the next packet of the flow opens a new question.
 	_questionTimeout = 400 * time.Millisecond
-	// _widenSearchAfter is how long the sidecars in this relay's zone may take to answer
-	// a question before the sidecars in other zones are asked: several times the network
-	// latency within a zone.
-	_widenSearchAfter = 15 * time.Millisecond
+	// _ownZonePatience is how long a step of a search waits for sidecars in this relay's
+	// zone: several times the network latency within a zone. _allZonesPatience is the same
+	// for all zones, with time for an upstream to return a packet.
+	_ownZonePatience  = 15 * time.Millisecond
+	_allZonesPatience = 60 * time.Millisecond
+	// _denialLifetime is how long the next search for a flow relies on denials of the last
+	// one: longer than callers wait before they repeat a packet.
+	_denialLifetime = 2 * time.Second
 	// _maxQuestions bounds the open questions. Each question buffers the packets that the
 	// caller has in flight, usually a single one.
 	_maxQuestions = 2048
@@ -184,8 +188,10 @@
 	deliveredAt time.Duration
 	// question is the open search for the holder; nil if there is none.
 	question *question
-	// searchFailed is set if the last question timed out.
-	searchFailed bool
+	// searchFailedAt is when the last search timed out, and deniedBy are the sidecars that
+	// denied the flow in it. They are zero if that search has found the holder.
+	searchFailedAt time.Duration
+	deniedBy       []netip.Addr
 }
 
 // offer is an opening packet that no sidecar has answered yet.
@@ -219,15 +225,21 @@
 // the flow. Sidecars are asked with messages of peer.KindQuestion.
 type question struct {
 	started time.Duration
+	// scope is the present scope, and stepAt is when the present step began.
+	scope  searchScope
+	stepAt time.Duration
+	// ack is the acknowledgement number of the first packet.
+	ack uint32
 	// asked are the sidecars that were asked, in order. answers has an entry for each of
-	// them, which is zero until the sidecar has answered.
-	asked   []netip.Addr
-	answers map[netip.Addr]peer.Outcome
-	// askedAllZones is set when the sidecars of the route's services were asked in all
-	// zones, and askedAllServices when the sidecars of all services were asked.
-	askedAllZones, askedAllServices bool
-	// tried are the unsure sidecars to which the first buffered packet was sent.
-	tried []netip.Addr
+	// them, which is zero until the sidecar has answered, and again while the sidecar is
+	// tried. unanswered counts these zeros. answers also has the sidecars whose denial is
+	// known from before.
+	asked      []netip.Addr
+	answers    map[netip.Addr]peer.Outcome
+	unanswered int
+	// unsure are the sidecars that are unsure and were not tried yet, and tried are those
+	// to which the first buffered packet was sent.
+	unsure, tried []netip.Addr
 	// packets are the caller's packets that are buffered until the holder is found. A
 	// reset of the flow uses the acknowledgment number of the last one.
 	packets [][]byte
@@ -242,6 +254,9 @@
 	// Carried counts packets sent to the known holder of their flow, Asked rounds of
 	// questions for a holder, and Tried packets sent to unsure sidecars.
 	Carried, Asked, Tried uint64
+	// SearchesFound, SearchesDenied and SearchesUnfinished count searches by their end: a
+	// sidecar held the flow, all denied it, or some did not answer in time.
+	SearchesFound, SearchesDenied, SearchesUnfinished uint64
 	// Resets counts resets sent to callers, and Dropped packets that were discarded.
 	Resets, Dropped uint64
 	// Evacuated counts new flows for which upstreams of evacuated zones were left out.
--- a/relay/search.go
+++ b/relay/search.go
@@ -12,19 +12,39 @@
 )
 
 // When a relay receives a packet of a flow that is not in its cache, it buffers the
-// packet and searches for the flow's holder:
+// packet and searches for the flow's holder. A search goes through scopes: the sidecars of
+// the route's services in the relay's own zone, where most flows are placed; those in all
+// zones; and the sidecars of all services, since the route may have led to another service
+// when the flow was opened. In each scope it takes the same steps:
 //
-//   - It asks the sidecars of the route's services in its own zone, where most flows are
-//     placed.
-//   - If all of them deny the flow, or some take too long to answer, it asks the
-//     sidecars in other zones.
-//   - If some sidecars are unsure, since they were started after their upstreams and
-//     may not know all flows, it sends them the first packet. Their upstreams accept
-//     the packet or return it.
-//   - If all deny the flow, it asks the sidecars of all services, since the route may
-//     have led to another service when the flow was opened.
+//	ask    asks the sidecars that have not been asked yet whether they hold the flow
+//	try    sends the first packet to those that are unsure: they run for less time than
+//	       their upstreams, which accept the packet or return it
+//	widen  goes on to the next scope
 //
-// It resets the flow only when every sidecar has denied it.
+// The next step begins when all sidecars have answered, or when the step's time is over: a
+// sidecar whose upstream is down may never answer. Late answers count, and who turns out to
+// be unsure late is tried at once. A search ends when a sidecar holds the flow, when all
+// have denied it, which resets the flow, or after _questionTimeout. The next search then
+// spares the sidecars that have denied the flow.
+
+// searchScope is the set of sidecars that a search asks.
+type searchScope uint8
+
+// Scopes of a search, from the smallest to the largest.
+const (
+	ownZone searchScope = iota
+	allZones
+	allServices
+)
+
+// patience returns how long a step of a search in this scope waits for answers.
+func (s searchScope) patience() time.Duration {
+	if s == ownZone {
+		return _ownZonePatience
+	}
+	return _allZonesPatience
+}
 
 // openQuestion is an entry in the list of open questions. It is stale once state refers
 // to another question or to none.
@@ -52,37 +72,62 @@
 		})
 		return nil
 	}
-	f.question = &question{answers: make(map[netip.Addr]peer.Outcome), started: now}
-	c.questions = append(c.questions, openQuestion{key, f, f.question})
-	return f.question
+	q := &question{answers: make(map[netip.Addr]peer.Outcome), started: now, stepAt: now}
+	if f.searchFailedAt > 0 {
+		q.scope = allZones
+		if now-f.searchFailedAt < _denialLifetime {
+			for _, addr := range f.deniedBy {
+				q.answers[addr] = peer.NotHeld
+			}
+		}
+	}
+	f.question = q
+	c.questions = append(c.questions, openQuestion{key, f, q})
+	return q
 }
 
-// checkQuestions widens searches in which some sidecars have not answered in time, and
-// ends those that time out. The next packet of such a flow starts a new search.
+// checkQuestions takes the next steps of searches in which some sidecars have not answered
+// in time, and ends those that time out. The next packet of such a flow starts a new search.
 func (c *Core) checkQuestions(now time.Duration) {
 	c.questions = slices.DeleteFunc(c.questions, func(q openQuestion) bool {
-		switch age := now - q.started; {
-		case q.state.question != q.question:
-			return true
-		case age > _questionTimeout:
-			q.state.question, q.state.searchFailed = nil, true
-			c.counts.Dropped += uint64(len(q.packets))
-			c.out.LogDecision(decision.Record{
-				Flow: q.key, Action: decision.Dropped, Reason: "holder_not_found", Version: c.table.Version(), Age: age, Attempt: len(q.asked),
-			})
-			return true
-		case age >= _widenSearchAfter && !q.askedAllZones:
-			c.askAllZones(now, q.key, q.question)
+		if q.state.question == q.question && now-q.started > _questionTimeout {
+			c.endUnfinished(now, q.key, q.state)
 		}
-		return false
+		if q.state.question == q.question {
+			c.advanceSearch(now, q.key, q.state, q.question)
+		}
+		return q.state.question != q.question
 	})
 }
 
+// endUnfinished ends a search that has timed out, and notes who has denied the flow.
+func (c *Core) endUnfinished(now time.Duration, key flow.Key, f *flowState) {
+	q := f.question
+	f.question, f.searchFailedAt, f.deniedBy = nil, now, nil
+	record := decision.Record{
+		Flow: key, Action: decision.Dropped, Reason: "holder_not_found", Version: c.table.Version(), Age: now - q.started, Attempt: len(q.asked),
+	}
+	for addr, answer := range q.answers {
+		if answer == peer.NotHeld {
+			f.deniedBy = append(f.deniedBy, addr)
+		}
+	}
+	for _, addr := range q.asked {
+		if q.answers[addr] == 0 {
+			record.Target = addr // one of those that have not answered
+			break
+		}
+	}
+	c.counts.Dropped += uint64(len(q.packets))
+	c.counts.SearchesUnfinished++
+	c.out.LogDecision(record)
+}
+
 // search buffers a packet and starts a search for the holder of its flow if none is
 // open.
 func (c *Core) search(now time.Duration, key flow.Key, f *flowState, p flow.Packet, packet []byte) {
 	if f.question != nil && now-f.question.started > _questionTimeout {
-		f.question, f.searchFailed = nil, true
+		c.endUnfinished(now, key, f)
 	}
 	q := f.question
 	if q == nil {
@@ -98,22 +143,27 @@
 	if len(q.packets) > 1 {
 		return
 	}
-	ownZone := c.sidecarsOfRoute(key, func(u *fleet.Upstream) bool { return u.Zone == c.self.Zone })
-	if f.searchFailed || !c.askSidecars(now, key, q, p.Ack, ownZone) {
-		c.askAllZones(now, key, q)
+	q.ack = p.Ack
+	if !c.askScope(now, key, q) {
+		c.advanceSearch(now, key, f, q)
 	}
 }
 
-// askAllZones asks the sidecars of the route's services in all zones. It reports whether
-// any of them had not been asked before.
-func (c *Core) askAllZones(now time.Duration, key flow.Key, q *question) bool {
-	q.askedAllZones = true
-	p, err := c.wire.Decode(q.packets[0])
-	if err != nil {
-		c.counts.Malformed++
-		return false
+// askScope asks the sidecars in the scope of a search. It reports whether there was one
+// that had not been asked before.
+func (c *Core) askScope(now time.Duration, key flow.Key, q *question) bool {
+	var sidecars []netip.Addr
+	switch q.scope {
+	case ownZone:
+		sidecars = c.sidecarsOfRoute(key, func(u *fleet.Upstream) bool { return u.Zone == c.self.Zone })
+	case allZones:
+		sidecars = c.sidecarsOfRoute(key, func(*fleet.Upstream) bool { return true })
+	case allServices:
+		for _, u := range c.view.Sidecars() {
+			sidecars = append(sidecars, u.Sidecar)
+		}
 	}
-	return c.askSidecars(now, key, q, p.Ack, c.sidecarsOfRoute(key, func(*fleet.Upstream) bool { return true }))
+	return c.askSidecars(now, key, q, sidecars)
 }
 
 // sidecarsOfRoute returns the sidecars of the services that a flow's route leads to,
@@ -132,7 +182,7 @@
 
 // askSidecars sends the question to each of the given sidecars that has not been asked
 // yet, and reports whether there was such a sidecar.
-func (c *Core) askSidecars(now time.Duration, key flow.Key, q *question, ack uint32, sidecars []netip.Addr) bool {
+func (c *Core) askSidecars(now time.Duration, key flow.Key, q *question, sidecars []netip.Addr) bool {
 	added := slices.DeleteFunc(sidecars, func(addr netip.Addr) bool {
 		_, known := q.answers[addr]
 		return known
@@ -145,13 +195,15 @@
 	for _, addr := range added {
 		q.answers[addr] = 0
 	}
+	q.unanswered += len(added)
+	q.stepAt = now
 	c.counts.Asked++
 	c.out.LogDecision(decision.Record{
 		Flow: key, Action: decision.Asked, Reason: "holder_not_known", Version: c.table.Version(),
 		Age: now - q.started, Attempt: len(q.asked), Routine: true,
 	})
 	for _, addr := range added {
-		c.buffer = peer.Question{Origin: c.self.Addr, Flow: key, Ack: ack}.Append(c.buffer[:0])
+		c.buffer = peer.Question{Origin: c.self.Addr, Flow: key, Ack: q.ack}.Append(c.buffer[:0])
 		c.out.ToPeer(addr, c.buffer)
 	}
 	return true
@@ -182,17 +234,18 @@
 		return
 	}
 	q := f.question
-	f.holder, f.question, f.searchFailed = v.Sidecar, nil, false
+	f.holder, f.question, f.searchFailedAt, f.deniedBy = v.Sidecar, nil, 0, nil
 	if q == nil {
 		return
 	}
+	c.counts.SearchesFound++
 	c.out.ObserveSpan(decision.HolderFound, now-q.started)
 	c.out.LogDecision(decision.Record{
 		Flow: v.Flow, Action: decision.Found, Reason: v.Outcome.String(), Target: v.Sidecar,
 		Version: c.table.Version(), Age: now - q.started, Attempt: len(q.asked), Routine: true,
 	})
 	if slices.Contains(q.tried, v.Sidecar) {
-		q.packets = q.packets[1:] // the holder got the first one from tryUnsure
+		q.packets = q.packets[1:] // the holder got the first one when it was tried
 	}
 	for _, packet := range q.packets {
 		c.sendCarried(peer.Carried{Kind: peer.KindCarry, Packet: packet}, v.Sidecar)
@@ -209,10 +262,15 @@
 		c.holderDenied(now, v, f)
 		return
 	}
-	if _, asked := q.answers[v.Sidecar]; !asked {
+	answer, asked := q.answers[v.Sidecar]
+	if !asked || answer != 0 || v.Outcome == peer.Unsure && slices.Contains(q.tried, v.Sidecar) {
 		return
 	}
 	q.answers[v.Sidecar] = v.Outcome
+	q.unanswered--
+	if v.Outcome == peer.Unsure {
+		q.unsure = append(q.unsure, v.Sidecar)
+	}
 	c.advanceSearch(now, v.Flow, f, q)
 }
 
@@ -230,60 +288,39 @@
 	}
 }
 
-// advanceSearch takes the next step of a search once all sidecars that were asked have
-// answered.
+// advanceSearch takes the next steps of a search, as far as answers and time allow.
 func (c *Core) advanceSearch(now time.Duration, key flow.Key, f *flowState, q *question) {
-	var unsure []netip.Addr
-	for _, addr := range q.asked {
-		switch q.answers[addr] {
-		case 0:
-			return
-		case peer.Unsure:
-			unsure = append(unsure, addr)
-		}
-	}
 	if len(q.packets) == 0 {
 		return
 	}
-	last := q.packets[len(q.packets)-1]
-	p, err := c.wire.Decode(last)
-	if err != nil {
-		c.counts.Malformed++
-		return
-	}
-	if len(unsure) > 0 {
-		c.tryUnsure(q, unsure)
-		return
-	}
-	if !q.askedAllZones && c.askAllZones(now, key, q) {
-		return
-	}
-	if !q.askedAllServices {
-		q.askedAllServices = true
-		var all []netip.Addr
-		for _, u := range c.view.Sidecars() {
-			all = append(all, u.Sidecar)
-		}
-		if c.askSidecars(now, key, q, p.Ack, all) {
+	for q.unanswered == 0 || now-q.stepAt >= q.scope.patience() {
+		switch {
+		case len(q.unsure) > 0:
+			c.tryUnsure(now, q)
+		case q.scope < allServices:
+			q.scope++
+			c.askScope(now, key, q)
+		case q.unanswered == 0 && len(q.answers) > 0:
+			c.endWithoutHolder(now, key, f, q)
 			return
+		default:
+			return // late answers may arrive until the search times out
 		}
 	}
-	c.endWithoutHolder(now, key, f, p)
 }
 
 // tryUnsure sends the first buffered packet to the sidecars that are unsure. They answer
 // with Held or NotHeld once their upstream has accepted the packet or returned it.
-func (c *Core) tryUnsure(q *question, unsure []netip.Addr) {
-	if len(q.tried) > 0 {
-		return
-	}
-	c.searchBudget.spend(len(unsure) * (len(q.packets[0]) + _packetOverheadBytes))
-	q.tried = unsure
-	for _, addr := range unsure {
+func (c *Core) tryUnsure(now time.Duration, q *question) {
+	c.searchBudget.spend(len(q.unsure) * (len(q.packets[0]) + _packetOverheadBytes))
+	for _, addr := range q.unsure {
 		q.answers[addr] = 0
 		c.counts.Tried++
 		c.sendCarried(peer.Carried{Kind: peer.KindTry, Packet: q.packets[0]}, addr)
 	}
+	q.tried = append(q.tried, q.unsure...)
+	q.unanswered += len(q.unsure)
+	q.unsure, q.stepAt = nil, now
 }
 
 // knowsSidecars reports whether this relay knows all sidecars that may hold flows, so that
@@ -300,8 +337,14 @@
 // endWithoutHolder ends the search for a flow that every sidecar has denied. It resets
 // the flow, unless the relay has just started, the flow may still be opening, or the
 // packet only closes the flow.
-func (c *Core) endWithoutHolder(now time.Duration, key flow.Key, f *flowState, p flow.Packet) {
+func (c *Core) endWithoutHolder(now time.Duration, key flow.Key, f *flowState, q *question) {
 	f.question = nil
+	c.counts.SearchesDenied++
+	p, err := c.wire.Decode(q.packets[len(q.packets)-1])
+	if err != nil {
+		c.counts.Malformed++
+		return
+	}
 	record := decision.Record{Flow: key, Action: decision.Dropped, Version: c.table.Version()}
 	switch {
 	case !c.knowsSidecars(now):
