sidecar: flows opened while a new life is a claim are its own

Found by reading the change of lives: when the heartbeats of a new life were rejected at first, the flows that it had opened meanwhile were marked as dead with those of the life before, and their callers were reset. Flows whose opening packets were delivered since the new life was first heard are kept now.

TestFlowsOpenedBeforeNewLifeIsAcceptedSurvive failed before and passes.

--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -75,11 +75,10 @@
 	}
 }
 
-// startLife handles the first heartbeat of another life of the upstream. The new process
-// does not have the flows of the old one, so these are marked as dead, except flows whose
-// opening packets are still queued.
+// startLife handles the first accepted heartbeat of another life of the upstream.
 func (c *Core) startLife(now time.Duration, h Heartbeat) {
 	u := &c.upstream
+	present := life{h.ID, h.Born}
 	first := u.life == (life{})
 	c.out.LogBelief(decision.Belief{
 		Subject: "upstream_life", Name: h.ID, From: u.id, To: h.ID, Reason: "heartbeat", Version: h.Sequence, Age: h.Age,
@@ -88,19 +87,25 @@
 	// process has not seen, and those that it has seen may be the upstream's.
 	seen := c.isFirstHeartbeat(h) || !first && h.Age < now
 	if !first {
-		c.endFlows(seen)
+		heardSince := now
+		if c.claim.life == present {
+			heardSince = c.claim.since
+		}
+		c.endFlows(heardSince, seen)
 		c.pastLives = append(slices.DeleteFunc(c.pastLives, func(l life) bool { return l == u.life }), u.life)
 		c.pastLives = c.pastLives[max(len(c.pastLives)-_maxPastLives, 0):]
 	}
-	*u = upstream{life: life{h.ID, h.Born}, lastSeen: now, state: peer.Absent, allFlowsSeen: seen}
+	*u = upstream{life: present, lastSeen: now, state: peer.Absent, allFlowsSeen: seen}
 	c.noteNewLife()
 }
 
-// endFlows ends the flows of a life that is over, except those whose opening packets are
-// queued: they are marked as dead or, if it is not sure whose they are, forgotten.
-func (c *Core) endFlows(sure bool) {
+// endFlows ends the flows of a life whose successor was first heard at the given time. The
+// new process does not have them, so they are marked as dead or, if they may be its own
+// all the same, forgotten. Flows whose opening packets are queued or were delivered since
+// then are the successor's.
+func (c *Core) endFlows(successorHeard time.Duration, sure bool) {
 	c.flows.All(func(key flow.Key, f *flowState) bool {
-		if f.queued {
+		if f.queued || f.deliveredAt >= successorHeard {
 			return true
 		}
 		f.awaitsRequest = false
@@ -111,7 +116,7 @@
 		}
 		return true
 	})
-	c.awaitingRequest = nil
+	c.awaitingRequest = slices.DeleteFunc(c.awaitingRequest, func(f *flowState) bool { return !f.awaitsRequest })
 }
 
 // isFirstHeartbeat reports whether no sidecar can have acknowledged an earlier heartbeat of
--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -126,6 +126,23 @@
 	assert.Equal(t, len(r.toUpstream), 1)
 }
 
+// TestFlowsOpenedBeforeNewLifeIsAcceptedSurvive guards against resets of flows that were
+// opened at a new life of the upstream while its heartbeats were still rejected.
+func TestFlowsOpenedBeforeNewLifeIsAcceptedSurvive(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.beat(0, "i-1", 5000, 1, false))
+	assert.ErrorContains(t, r.beat(500*time.Millisecond, "i-2", 4000, 1, false), "may be late")
+	at := 600 * time.Millisecond
+	r.openFlow(at)
+	assert.Equal(t, r.Busy(), 1)
+	assert.NilError(t, r.beat(at+_heartbeat, "i-2", 4000, 2, false))
+	assert.Equal(t, r.Busy(), 1, "the caller's request is still expected")
+	r.clearSent()
+	r.fromRelay(at+_heartbeat, peer.KindCarry, encode(flow.ACK, 11, 501, 5, false))
+	assert.Equal(t, len(r.toCaller), 0, "the flow must not be reset")
+	assert.Equal(t, len(r.toUpstream), 1)
+}
+
 // TestUpstreamThatKeepsReportingIsNotGone guards against a late notice of an earlier life
 // with the same ID, after which all heartbeats of the present one were acknowledged and
 // ignored.
