sidecar: unsure of flows for the idle timeout only

A sidecar that was started after its upstream was unsure of flows that it did not know for as long as the upstream lived, and a search sends a packet to each unsure sidecar. All packets of an upstream pass its sidecar, and a flow that is idle for longer than the idle timeout may be discarded. So after that time, counted from the start or the last stall, and 5 s for packets that callers repeat, the sidecar knows all flows that count.

--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -64,6 +64,9 @@
 	// upstream gets no new flow: what this process knows is as old as the gap is long.
 	_staleOfferGap = 1400 * time.Millisecond
 	_resumePeriod  = 40 * time.Millisecond
+	// _repeatPeriod is how long callers repeat a packet that is lost, at intervals that grow
+	// to 1.6 s.
+	_repeatPeriod = 5 * time.Second
 	// _maxSlots bounds the slots that an upstream may report. Messages have 16 bits for
 	// them.
 	_maxSlots = 1 << 15
@@ -162,6 +165,8 @@
 	// that each came within _maxTickGap of the previous tick.
 	lastTick    time.Duration
 	timelyTicks int
+	// longestIdle is the longest idle timeout of the configurations that were in force.
+	longestIdle time.Duration
 	// resumedAt is the time of the last tick that came more than _staleOfferGap after the
 	// previous tick.
 	resumedAt   time.Duration
@@ -338,6 +343,7 @@
 	table := c.configs.Table()
 	c.out.LogBelief(decision.NewSettings(c.table.Version(), table.Version(), c.configs.Source()))
 	c.table = table
+	c.longestIdle = max(c.longestIdle, table.IdleTimeout())
 }
 
 // noteVersion notes that the process at addr has a configuration of the given version. If
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -363,7 +363,14 @@
 	case peer.Gone:
 		return true
 	}
-	return c.upstream.allFlowsSeen
+	return c.upstream.allFlowsSeen || c.hasSeenActiveFlows(now)
+}
+
+// hasSeenActiveFlows reports whether this process has run without a stall for so long that
+// each flow of the upstream either had a packet meanwhile, or was idle for longer than flows
+// may be. Callers repeat packets that were lost for up to _repeatPeriod.
+func (c *Core) hasSeenActiveFlows(now time.Duration) bool {
+	return c.longestIdle > 0 && now-c.resumedAt >= c.longestIdle+_repeatPeriod && !c.stalled(now)
 }
 
 // sendNotHeld tells the relay that the upstream does not hold the flow of a packet.
--- a/sidecar/recovered_test.go
+++ b/sidecar/recovered_test.go
@@ -1,11 +1,13 @@
 package sidecar_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/directory"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
 	"dandelionhitch.example/sidecar"
@@ -119,3 +121,53 @@
 	assert.DeepEqual(t, r.verdicts[0].Packet, packet)
 	assert.Equal(t, r.ask(3*time.Millisecond, 501), peer.Held, "the flow of this upstream is open")
 }
+
+// TestSidecarIsSureAfterIdleTimeout guards against sidecars that are unsure for as long as
+// their upstreams live, so that each search sends a packet to each of them. Flows that had
+// no packet for the idle timeout have ended. A stall may have lost packets.
+func TestSidecarIsSureAfterIdleTimeout(t *testing.T) {
+	const (
+		idle   = 15 * time.Second
+		sureAt = idle + 5*time.Second
+	)
+	table := func(version uint64, timeout time.Duration) directory.Table {
+		return directory.New(version, timeout, []directory.Route{
+			{Address: _address, Shares: []directory.Share{{Service: "orders", Weight: 1}}},
+		})
+	}
+	for _, tt := range []struct {
+		name  string
+		stall time.Duration // since when the process does not run for 3 s
+		later time.Duration // the idle timeout of a later version
+		want  time.Duration
+	}{
+		{"runs", 0, 0, sureAt},
+		{"stalls", 10 * time.Second, 0, 13*time.Second + sureAt},
+		{"shorter timeout", 0, idle / 2, sureAt},
+		{"longer timeout", 0, 2 * idle, sureAt + idle},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRestartedRig(t)
+			r.SetTable(0, table(2, idle), "test")
+			r.SetTable(0, table(3, tt.later), "test")
+			r.UpstreamPacket(_consented, encode(flow.ACK, 501, 16, 5, true))
+			for now := time.Duration(0); now < tt.want+time.Second; now += 20 * time.Millisecond {
+				if tt.stall > 0 && now > tt.stall && now < tt.stall+3*time.Second {
+					continue
+				}
+				r.Tick(now)
+				r.UpstreamPacket(now, encode(flow.ACK, 501, 16, 5, true)) // an active flow
+				r.clearSent()
+				r.PeerMessage(now, peer.Question{
+					Origin: _relay, Flow: flow.Key{Caller: netip.AddrPortFrom(_caller.Addr(), 9), Address: _address}, Ack: 501,
+				}.Append(nil))
+				want := peer.Unsure
+				if now >= tt.want {
+					want = peer.NotHeld
+				}
+				r.assertOnlyVerdict(want)
+			}
+			assert.Equal(t, r.ask(tt.want, 501), peer.Held)
+		})
+	}
+}
