--- a/relay/core.go
+++ b/relay/core.go
@@ -42,11 +42,11 @@
 	// _questionTimeout is how long a question for the holder of a flow stays open. After
 	// that, the next packet of the flow opens a new question.
 	_questionTimeout = 400 * time.Millisecond
-	// _ownZonePatience is how long a step of a search waits for sidecars in this relay's
-	// zone: several times the network latency within a zone. _allZonesPatience is the same
+	// _ownZoneStepTimeout is how long a step of a search waits for sidecars in this relay's
+	// zone: several times the network latency within a zone. _allZonesStepTimeout is the same
 	// for all zones, with time for an upstream to return a packet.
-	_ownZonePatience  = 15 * time.Millisecond
-	_allZonesPatience = 60 * time.Millisecond
+	_ownZoneStepTimeout  = 15 * time.Millisecond
+	_allZonesStepTimeout = 60 * time.Millisecond
 	// _denialLifetime is how long the next search for a flow relies on denials of the last
 	// one: longer than callers wait before they repeat a packet.
 	_denialLifetime = 2 * time.Second
--- a/relay/holder_test.go
+++ b/relay/holder_test.go
@@ -182,9 +182,9 @@
 	}
 }
 
-// TestNextSearchSparesUpstreamsThatDenied guards against repeated searches that send a
+// TestNextSearchSkipsUpstreamsThatDenied guards against repeated searches that send a
 // caller's packets to the same wrong upstreams again and again.
-func TestNextSearchSparesUpstreamsThatDenied(t *testing.T) {
+func TestNextSearchSkipsUpstreamsThatDenied(t *testing.T) {
 	unsure := &searchedSidecar{zone: "a", service: "orders", unsure: true}
 	sure := &searchedSidecar{zone: "b", service: "orders"}
 	down := &searchedSidecar{zone: "a", service: "photos", unsure: true, upstreamDown: true}
--- a/relay/search.go
+++ b/relay/search.go
@@ -23,10 +23,10 @@
 //	widen  goes on to the next scope
 //
 // The next step begins when all sidecars have answered, or when the step's time is over: a
-// sidecar whose upstream is down may never answer. Late answers count, and who turns out to
-// be unsure late is tried at once. A search ends when a sidecar holds the flow, when all
-// have denied it, which resets the flow, or after _questionTimeout. The next search then
-// spares the sidecars that have denied the flow.
+// sidecar whose upstream is down may never answer. Late answers count, and a sidecar that
+// is late to answer that it is unsure is tried in the step that follows. A search ends when
+// a sidecar holds the flow, when all have denied it, which resets the flow, or after
+// _questionTimeout. The next search then skips the sidecars that have denied the flow.
 
 // searchScope is the set of sidecars that a search asks.
 type searchScope uint8
@@ -38,12 +38,12 @@
 	allServices
 )
 
-// patience returns how long a step of a search in this scope waits for answers.
-func (s searchScope) patience() time.Duration {
+// stepTimeout returns how long a step of a search in this scope waits for answers.
+func (s searchScope) stepTimeout() time.Duration {
 	if s == ownZone {
-		return _ownZonePatience
+		return _ownZoneStepTimeout
 	}
-	return _allZonesPatience
+	return _allZonesStepTimeout
 }
 
 // openQuestion is an entry in the list of open questions. It is stale once state refers
@@ -293,7 +293,7 @@
 	if len(q.packets) == 0 {
 		return
 	}
-	for q.unanswered == 0 || now-q.stepAt >= q.scope.patience() {
+	for q.unanswered == 0 || now-q.stepAt >= q.scope.stepTimeout() {
 		switch {
 		case len(q.unsure) > 0:
 			c.tryUnsure(now, q)
--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -17,9 +17,10 @@
 //   - The heartbeats of the present life are in order by their sequence numbers.
 //   - A life that was not heard before follows at once, if the present one has left, or has
 //     missed a heartbeat and has sent no packet, and the other one has started meanwhile.
-//   - All other heartbeats are a claim. They are rejected, so that their sender is not told
-//     that they took effect, until the sender has shown that it is running: it has sent
-//     another one a heartbeat interval later, and the present life has sent none meanwhile.
+//   - All other heartbeats may be late. They are a claim to be the present life, and are
+//     rejected, so that their sender is not told that they took effect, until the sender has
+//     shown that it is running: it has sent another one after _heartbeatSpacing, and the
+//     present life has sent none meanwhile.
 const (
 	// _heartbeatSpacing is the least time between two heartbeats of a running upstream, as a
 	// fraction of the heartbeat interval.
@@ -34,16 +35,17 @@
 	born uint64
 }
 
-// claim is a claim by heartbeats that do not follow those of the present life.
+// claim is the claim of a life to be the present one, made by heartbeats that may be late.
 type claim struct {
 	life
-	// sequence is the sequence number of the last one, and since is when the first arrived.
+	// sequence is the number of the last of these heartbeats, and since is when the first
+	// one arrived.
 	sequence uint64
 	since    time.Duration
 }
 
 // startsLife reports whether a heartbeat is evidence enough that its sender is the upstream
-// that is running now, although it does not follow the heartbeats of the present life. If
+// that is running now, although the heartbeat does not follow those of the present life. If
 // it is not, startsLife notes the sender's claim.
 func (c *Core) startsLife(now time.Duration, h Heartbeat) bool {
 	if c.followsAtOnce(now, h) {
