--- a/sidecar/recovered_test.go
+++ b/sidecar/recovered_test.go
@@ -105,6 +105,18 @@
 	assert.Equal(t, r.ask(2*time.Millisecond, _otherAck), peer.Unsure)
 }
 
+// TestEndedFlowDoesNotClaimItsPort guards against a sidecar that claims the flow of another
+// upstream, since an earlier flow of the same caller port has ended here.
+func TestEndedFlowDoesNotClaimItsPort(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.sendHeartbeat(0, nil))
+	r.openFlow(0)
+	r.fromRelay(time.Millisecond, peer.KindCarry, encode(flow.ACK, 11, 501, 5, false))
+	r.UpstreamPacket(2*time.Millisecond, encode(flow.ACK|flow.FIN, 501, 16, 100, true))
+	assert.Equal(t, r.ask(3*time.Millisecond, 602), peer.Held, "the caller may still acknowledge the answer")
+	assert.Equal(t, r.ask(3*time.Millisecond, _otherAck), peer.NotHeld)
+}
+
 // TestBounceOfAnotherFlowsPacketResetsNothing guards against resets on the evidence of a
 // packet that belongs to a flow of another upstream: it goes back to the relay.
 func TestBounceOfAnotherFlowsPacketResetsNothing(t *testing.T) {
