sidecar: note ignored heartbeats apart from their errors

ignoreHeartbeat took an error only to return it, and one caller dropped the result. Logging and counting is now noteIgnored, and each caller returns its own error. The life that has sent a heartbeat is derived in one place.

--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -35,6 +35,9 @@
 	born uint64
 }
 
+// sender returns the life that has sent the heartbeat.
+func (h Heartbeat) sender() life { return life{h.ID, h.Born} }
+
 // claim is the claim of a life to be the present one, made by heartbeats that may be late.
 type claim struct {
 	life
@@ -51,7 +54,7 @@
 	if c.followsAtOnce(now, h) {
 		return true
 	}
-	sender := life{h.ID, h.Born}
+	sender := h.sender()
 	if k := &c.claim; k.life != sender || h.Sequence <= k.sequence {
 		*k = claim{life: sender, since: now}
 	}
@@ -63,7 +66,7 @@
 // a new one that has started since the present life was last heard.
 func (c *Core) followsAtOnce(now time.Duration, h Heartbeat) bool {
 	u := &c.upstream
-	sender := life{h.ID, h.Born}
+	sender := h.sender()
 	silence := now - max(u.lastHeartbeat, u.lastSeen)
 	switch {
 	case u.life == (life{}):
@@ -80,7 +83,7 @@
 // startLife handles the first accepted heartbeat of another life of the upstream.
 func (c *Core) startLife(now time.Duration, h Heartbeat) {
 	u := &c.upstream
-	present := life{h.ID, h.Born}
+	present := h.sender()
 	first := u.life == (life{})
 	c.out.LogBelief(decision.Belief{
 		Subject: "upstream_life", Name: h.ID, From: u.id, To: h.ID, Reason: "heartbeat", Version: h.Sequence, Age: h.Age,
@@ -130,12 +133,11 @@
 	return h.Sequence <= 1 || h.Age > 0 && h.Age < time.Duration(_heartbeatSpacing*float64(c.self.Heartbeat))
 }
 
-// ignoreHeartbeat logs and counts a heartbeat that changes nothing, and returns err, which
-// rejects it.
-func (c *Core) ignoreHeartbeat(h Heartbeat, reason string, err error) error {
+// noteIgnored logs and counts a heartbeat or leave notice that is rejected and changes
+// nothing.
+func (c *Core) noteIgnored(h Heartbeat, reason string) {
 	c.counts.IgnoredHeartbeats++
 	c.out.LogBelief(decision.Belief{
 		Subject: "heartbeat", Name: h.ID, From: c.upstream.id, To: "ignored", Reason: reason, Version: h.Sequence, Age: h.Age,
 	})
-	return err
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -145,8 +145,7 @@
 func (s *Sidecar) LogMalformed(id string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// The heartbeat is rejected with its own error.
-	_ = s.core.ignoreHeartbeat(Heartbeat{ID: id}, err.Error(), err)
+	s.core.noteIgnored(Heartbeat{ID: id}, err.Error())
 }
 
 // Isolated reports whether the sidecar has received no report from any relay.
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -61,21 +61,20 @@
 func (c *Core) Heartbeat(now time.Duration, h Heartbeat) error {
 	c.now = now
 	if h.Addr != c.self.Upstream || h.Service != c.self.Service {
-		return c.ignoreHeartbeat(h, "other_upstream", trace.BadParameter(
-			"heartbeat of %q: service %q at %v, this host has %q at %v", h.ID, h.Service, h.Addr, c.self.Service, c.self.Upstream,
-		))
+		c.noteIgnored(h, "other_upstream")
+		return trace.BadParameter("heartbeat of %q: service %q at %v, this host has %q at %v",
+			h.ID, h.Service, h.Addr, c.self.Service, c.self.Upstream)
 	}
 	u := &c.upstream
-	present := u.life == life{h.ID, h.Born}
+	present := u.life == h.sender()
 	switch {
 	case present && h.Sequence == u.sequence:
 		return nil
 	case present && h.Sequence > u.sequence && u.state != peer.Gone:
 	case !c.startsLife(now, h):
-		return c.ignoreHeartbeat(h, "may_be_late", trace.CompareFailed(
-			"heartbeat %d of %q, started at %d ms, ignored: it may be late, after heartbeat %d of %q, started at %d ms",
-			h.Sequence, h.ID, h.Born, u.sequence, u.id, u.born,
-		))
+		c.noteIgnored(h, "may_be_late")
+		return trace.CompareFailed("heartbeat %d of %q, started at %d ms, ignored: it may be late, after heartbeat %d of %q, started at %d ms",
+			h.Sequence, h.ID, h.Born, u.sequence, u.id, u.born)
 	case !present || h.Sequence < u.sequence:
 		c.startLife(now, h)
 	}
@@ -98,7 +97,8 @@
 func (c *Core) Leave(now time.Duration, id string) error {
 	c.now = now
 	if id != c.upstream.id {
-		return c.ignoreHeartbeat(Heartbeat{ID: id}, "leaves_but_is_not_here", trace.NotFound("upstream %q does not exist on this host", id))
+		c.noteIgnored(Heartbeat{ID: id}, "leaves_but_is_not_here")
+		return trace.NotFound("upstream %q does not exist on this host", id)
 	}
 	c.setState(now, peer.Gone, "left")
 	return nil
