sidecar, decision: tell which upstream is at the address of the sidecar's own

No decision changes.

H1 predicts not_confirmed lines and heartbeats of another service at the same sidecar, H2 the same until the sidecar is restarted, H3 neither.

--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -26,7 +26,9 @@
 	outbound  netip.AddrPort
 	callers   netip.AddrPort
 	heartbeat time.Duration
-	cold      sidecar.ColdBound
+	// addressReuse is as in sidecar.Identity.
+	addressReuse time.Duration
+	cold         sidecar.ColdBound
 }
 
 // _defaultHeartbeat is the longest interval between heartbeats of the users' upstreams.
@@ -39,6 +41,8 @@
 	f.text(&f.outbound, "outbound", "IP:PORT where the upstream sends its packets (UDP)")
 	f.text(&f.callers, "callers", "IP:PORT whose port is the one at which callers take packets")
 	f.DurationVar(&f.heartbeat, "heartbeat", _defaultHeartbeat, "how often the upstream reports")
+	f.DurationVar(&f.addressReuse, "address-reuse", 0,
+		"least time from the end of the upstream until another one may have its address; 0: not known, 2s are assumed")
 	f.Float64Var(&f.cold.Overage, "cold-overage", 0,
 		"bound of the requests that a cold upstream gets in a second, as a multiple of the rate that its service states; 0: the rate itself")
 	f.Float64Var(&f.cold.Slack, "cold-slack", 0, "requests a second that are added to this bound")
@@ -54,6 +58,9 @@
 	if f.heartbeat <= 0 {
 		f.add("-heartbeat", trace.BadParameter("%v is not above zero", f.heartbeat))
 	}
+	if f.addressReuse < 0 {
+		f.add("-address-reuse", trace.BadParameter("%v is below zero", f.addressReuse))
+	}
 	if f.cold.Overage < 0 || f.cold.Slack < 0 {
 		f.add("-cold-overage", trace.BadParameter("%v with a slack of %v is below zero", f.cold.Overage, f.cold.Slack))
 	}
@@ -74,7 +81,7 @@
 	s, err := sidecar.New(sidecar.Config{
 		Identity: sidecar.Identity{
 			Addr: f.addr, Zone: f.zone, Incarnation: newIncarnation(),
-			Service: f.service, Upstream: f.upstream, Heartbeat: f.heartbeat,
+			Service: f.service, Upstream: f.upstream, Heartbeat: f.heartbeat, AddressReuse: f.addressReuse,
 		},
 		Outbound:   f.outbound,
 		CallerPort: f.callers.Port(),
@@ -137,6 +144,8 @@
 			{"sidecar_resets", int64(st.Resets)},
 			{"sidecar_dropped", int64(st.Dropped)},
 			{"sidecar_ignored_heartbeats", int64(st.IgnoredHeartbeats)},
+			{"sidecar_other_upstream_heartbeats", int64(st.OtherUpstreamHeartbeats)},
+			{"sidecar_unconfirmed_openings", int64(st.UnconfirmedOpenings)},
 			{"sidecar_malformed", int64(st.Malformed)},
 			{"sidecar_unsent", int64(st.Unsent)},
 			{"sidecar_flows", int64(st.Flows)},
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -76,6 +76,11 @@
 // SettingsSubject is the subject of beliefs about the configuration in force.
 const SettingsSubject = "settings"
 
+// IdentitySubject is the subject of beliefs about which upstream is at the address of the
+// upstream beside a sidecar. They are logged as warnings, with a budget of their own: they
+// tell why a request ran at an upstream of another service, and are rare.
+const IdentitySubject = "upstream_identity"
+
 // Belief is a change of a process's view of another process or of its configuration.
 type Belief struct {
 	// Subject is the kind of the object that the belief is about, such as "upstream"
--- a/decision/log.go
+++ b/decision/log.go
@@ -12,12 +12,13 @@
 
 // Limits of the log.
 const (
-	_routinePerSecond = 5       // lines; a sample is enough, as metrics count every routine decision
-	_othersPerSecond  = 15      // lines; about 4 KB/s, which costs 1% of a CPU allowance of 0.06 cores
-	_endsPerSecond    = 25      // lines; users' complaints are about flows that were reset or dropped
-	_beliefsPerSecond = 50      // lines; enough for a state change of every process of one service
-	_bufferSize       = 1 << 18 // bytes; several seconds of lines at the full budget
-	_flushInterval    = 100 * time.Millisecond
+	_routinePerSecond  = 5       // lines; a sample is enough, as metrics count every routine decision
+	_othersPerSecond   = 15      // lines; about 4 KB/s, which costs 1% of a CPU allowance of 0.06 cores
+	_endsPerSecond     = 25      // lines; users' complaints are about flows that were reset or dropped
+	_beliefsPerSecond  = 50      // lines; enough for a state change of every process of one service
+	_warningsPerSecond = 5       // lines; an upstream of another service sends one or two heartbeats a second
+	_bufferSize        = 1 << 18 // bytes; several seconds of lines at the full budget
+	_flushInterval     = 100 * time.Millisecond
 )
 
 // Log writes records as JSON lines, with a budget for each class of lines. It is safe
@@ -44,12 +45,14 @@
 	// configuration.
 	_ends
 	_beliefs
+	// _warnings holds beliefs about the identity of an upstream.
+	_warnings
 	_classes
 )
 
 // perSecond returns the budget of a class, in lines per second.
 func (c class) perSecond() int {
-	return [_classes]int{_routinePerSecond, _othersPerSecond, _endsPerSecond, _beliefsPerSecond}[c]
+	return [_classes]int{_routinePerSecond, _othersPerSecond, _endsPerSecond, _beliefsPerSecond, _warningsPerSecond}[c]
 }
 
 // NewLog returns a log that writes to logger, whose output is usually a Writer.
@@ -88,14 +91,17 @@
 // Belief logs a change of belief if the budget of its class has a line left. The time
 // now is a reading of a monotonic clock.
 func (l *Log) Belief(now time.Duration, b Belief) {
-	class := _beliefs
-	if b.Subject == SettingsSubject {
+	class, level := _beliefs, zapcore.InfoLevel
+	switch b.Subject {
+	case SettingsSubject:
 		class = _ends
+	case IdentitySubject:
+		class, level = _warnings, zapcore.WarnLevel
 	}
 	if !l.admit(now, class) {
 		return
 	}
-	l.log.Info("belief",
+	l.log.Log(level, "belief",
 		zap.String("subject", b.Subject), zap.String("name", b.Name),
 		zap.String("from", b.From), zap.String("to", b.To), zap.String("reason", b.Reason),
 		zap.Uint64("version", b.Version), zap.Int64("age_ms", b.Age.Milliseconds()))
@@ -111,7 +117,7 @@
 		if l.omitted != [_classes]int{} {
 			l.log.Warn("lines left out", zap.Int("routine_decisions", l.omitted[_routine]),
 				zap.Int("other_decisions", l.omitted[_others]), zap.Int("ends", l.omitted[_ends]), zap.Int("beliefs", l.omitted[_beliefs]),
-				zap.Int64("of_second", l.second))
+				zap.Int("warnings", l.omitted[_warnings]), zap.Int64("of_second", l.second))
 		}
 		l.second, l.lines, l.omitted = second, [_classes]int{}, [_classes]int{}
 	}
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -16,7 +16,8 @@
 )
 
 func newLogger(w zapcore.WriteSyncer) *zap.Logger {
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "message"}), w, zapcore.InfoLevel))
+	config := zapcore.EncoderConfig{MessageKey: "message", LevelKey: "level", EncodeLevel: zapcore.LowercaseLevelEncoder}
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), w, zapcore.InfoLevel))
 }
 
 func lines(t *testing.T, text string) []map[string]any {
@@ -95,6 +96,22 @@
 	assert.Equal(t, all[len(all)-1]["subject"], "settings")
 }
 
+// TestIdentityOfUpstreamIsLoggedAsWarning guards against a record of warnings that does not
+// tell that another upstream was at an address, also while all other budgets are used up.
+func TestIdentityOfUpstreamIsLoggedAsWarning(t *testing.T) {
+	var b bytes.Buffer
+	l := decision.NewLog(newLogger(zapcore.AddSync(&b)))
+	for range 300 {
+		l.Belief(0, decision.Belief{Subject: "upstream", To: "ready"})
+		l.Decision(0, decision.Record{Action: decision.Reset})
+	}
+	l.Belief(0, decision.Belief{Subject: decision.IdentitySubject, From: "orders", To: "rounds"})
+	all := lines(t, b.String())
+	last := all[len(all)-1]
+	assert.Equal(t, last["subject"], decision.IdentitySubject)
+	assert.Equal(t, last["level"], "warn")
+}
+
 // blockedOutput is a writer that blocks until release is closed.
 type blockedOutput struct {
 	release chan struct{}
--- a/decision/trail.go
+++ b/decision/trail.go
@@ -52,10 +52,11 @@
 	Upstream string `json:"upstream"`
 
 	// The numbers of omitted lines by class are only set on "lines left out".
-	RoutineOmitted int `json:"routine_decisions"`
-	OthersOmitted  int `json:"other_decisions"`
-	EndsOmitted    int `json:"ends"`
-	BeliefsOmitted int `json:"beliefs"`
+	RoutineOmitted  int `json:"routine_decisions"`
+	OthersOmitted   int `json:"other_decisions"`
+	EndsOmitted     int `json:"ends"`
+	BeliefsOmitted  int `json:"beliefs"`
+	WarningsOmitted int `json:"warnings"`
 
 	Error string `json:"error"`
 }
@@ -139,7 +140,7 @@
 		switch {
 		case line.Message == "lines left out":
 			t.countOmitted(line)
-		case line.Subject == "", line.Subject == SettingsSubject, line.Subject == "upstream_life":
+		case line.Subject == "", line.Subject == SettingsSubject, line.Subject == IdentitySubject, line.Subject == "upstream_life":
 			t.Related = append(t.Related, line)
 		case line.Subject == "upstream" || line.Subject == "sidecar":
 			// A sidecar logs its own upstream by its ID. A relay logs all upstreams by
@@ -170,6 +171,7 @@
 	l.OthersOmitted += other.OthersOmitted
 	l.EndsOmitted += other.EndsOmitted
 	l.BeliefsOmitted += other.BeliefsOmitted
+	l.WarningsOmitted += other.WarningsOmitted
 }
 
 // recordName records the name of a process under its address if the line is the one that
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -172,6 +172,7 @@
 func (c *Core) deliver(f *flowState) {
 	f.deliveredAt = c.now
 	c.gate.noteDelivery(c.now)
+	c.noteDelivery()
 	if !f.awaitsRequest {
 		f.awaitsRequest = true
 		c.awaitingRequest = append(c.awaitingRequest, f)
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -114,6 +114,9 @@
 	Upstream netip.AddrPort
 	// Heartbeat is the interval at which the upstream sends heartbeats.
 	Heartbeat time.Duration
+	// AddressReuse is the least time from the end of an upstream until another one, possibly
+	// of another service, may have its address. Zero means 2 s.
+	AddressReuse time.Duration
 }
 
 // Core is the state machine of a sidecar. It has no sockets, clocks or goroutines, and
@@ -264,12 +267,20 @@
 	// IgnoredHeartbeats counts heartbeats and leave notices that were rejected: they may have
 	// arrived late, are not from the upstream on this host, or could not be decoded.
 	IgnoredHeartbeats uint64
+	// OtherUpstreamHeartbeats counts those of them that name another service or address.
+	OtherUpstreamHeartbeats uint64
+	// UnconfirmedOpenings counts opening packets that the upstream got although its last
+	// heartbeat was older than Identity.AddressReuse.
+	UnconfirmedOpenings uint64
 	// Malformed counts packets and messages that could not be decoded.
 	Malformed uint64
 }
 
 // NewCore returns a core without configuration, flows, or known relays and peers.
 func NewCore(self Identity, wire Wire, out Outbox, maxFlows int, random *rand.Rand, opts ...Option) *Core {
+	if self.AddressReuse <= 0 {
+		self.AddressReuse = _defaultAddressReuse
+	}
 	c := &Core{
 		self:      self,
 		serviceID: peer.NewServiceID(self.Service),
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -70,6 +70,7 @@
 	offers     []netip.Addr
 	reports    []peer.UpstreamReport
 	records    []decision.Record
+	beliefs    []decision.Belief
 	sequence   uint64
 }
 
@@ -92,7 +93,7 @@
 	r.toCaller = append(r.toCaller, append([]byte(nil), b...))
 }
 func (r *rig) LogDecision(d decision.Record) { r.records = append(r.records, d) }
-func (r *rig) LogBelief(decision.Belief)     {}
+func (r *rig) LogBelief(b decision.Belief)   { r.beliefs = append(r.beliefs, b) }
 func (r *rig) ObserveSpan(decision.Span, time.Duration) {
 }
 
@@ -113,7 +114,7 @@
 
 // clearSent discards what the core has sent and logged so far.
 func (r *rig) clearSent() {
-	r.toUpstream, r.toCaller, r.verdicts, r.offers, r.reports, r.records = nil, nil, nil, nil, nil, nil
+	r.toUpstream, r.toCaller, r.verdicts, r.offers, r.reports, r.records, r.beliefs = nil, nil, nil, nil, nil, nil, nil
 }
 
 func (r *rig) sendHeartbeat(now time.Duration, change func(*sidecar.Heartbeat)) error {
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -76,6 +76,7 @@
 		f.origin = m.Origin
 		if !f.ended && !f.queued && c.coldRoom() > 0 {
 			c.gate.noteDelivery(now)
+			c.noteDelivery()
 			c.out.ToUpstream(m.Packet)
 		}
 		c.sendVerdict(now, peer.Accepted, key, m.Origin, nil)
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -39,6 +39,9 @@
 	// lastHeartbeat is when the last heartbeat arrived. lastSeen is when the last packet
 	// arrived, or the last heartbeat that made or kept the upstream ready.
 	lastHeartbeat, lastSeen time.Duration
+	// unconfirmedSince is the value of lastHeartbeat when an opening packet was last delivered
+	// although that heartbeat was old.
+	unconfirmedSince time.Duration
 	// suspectedAt is when the upstream last became suspect.
 	suspectedAt time.Duration
 	// lastBounce is when the upstream last bounced an opening packet.
@@ -61,7 +64,7 @@
 func (c *Core) Heartbeat(now time.Duration, h Heartbeat) error {
 	c.now = now
 	if h.Addr != c.self.Upstream || h.Service != c.self.Service {
-		c.noteIgnored(h, "other_upstream")
+		c.noteOtherUpstream(h)
 		return trace.BadParameter("heartbeat of %q: service %q at %v, this host has %q at %v",
 			h.ID, h.Service, h.Addr, c.self.Service, c.self.Upstream)
 	}
