relay, fleet: label offers with the choice for the flow

Cause: a repeated opening went to the address of the flow's holder, labelled with the service that the sidecar there has now. If the address has passed on to a sidecar of another service, it found its own name in the label and accepted. Besides, every offer carried the version in force, also if the service was chosen under an older one; a sidecar asks its own configuration only if the label is older.

Change: flow and offer keep the choice, service and version, and each offer is labelled with it. A repeated opening whose holder's address has another service is placed anew, with its arrival.

The rig of the tests keeps what the core logs.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -145,6 +145,9 @@
 	New bool
 	// From is the upstream's state before the report. Relays do not use it.
 	From peer.State
+	// FromService is the service that the sidecar's upstream had before the report; empty if
+	// the sidecar was not known.
+	FromService string
 }
 
 // Report applies a sidecar's report. It returns the sidecar's upstream as it is
@@ -159,7 +162,7 @@
 	case r.Incarnation == u.previousIncarnation, r.Incarnation == u.incarnation && r.Sequence <= u.sequence:
 		return u, Change{Stale: true, From: u.State}
 	}
-	change := Change{New: !known || r.Incarnation != u.incarnation, From: u.State}
+	change := Change{New: !known || r.Incarnation != u.incarnation, From: u.State, FromService: u.Service}
 	if change.New && known {
 		u.previousIncarnation = u.incarnation
 		u.unansweredOffers, u.penaltyUntil = 0, 0
--- a/relay/core.go
+++ b/relay/core.go
@@ -178,8 +178,10 @@
 type flowState struct {
 	// holder is the sidecar that is presumed to hold the flow; invalid if unknown.
 	holder netip.Addr
-	// openingSeq is the sequence number of the opening packet that was offered.
+	// openingSeq is the sequence number of the opening packet that was offered, and choice is
+	// where it was offered.
 	openingSeq uint32
+	choice     choice
 	arrival    arrival
 	// firstOffered is when the opening packet was first offered; zero if it was not.
 	firstOffered time.Duration
@@ -197,8 +199,10 @@
 // offer is an opening packet that no sidecar has answered yet.
 type offer struct {
 	packet  []byte
-	service string
+	choice  choice
 	arrival arrival
+	// reason is why the packet was placed anew; empty if it was not.
+	reason string
 	// lastSent is when the packet was last offered.
 	lastSent time.Duration
 	// lastResort is sent as peer.Carried.LastResort: sidecars then accept the packet even if
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -74,6 +74,9 @@
 	t        *testing.T
 	messages []sentMessage
 	toCaller [][]byte
+	// decisions and beliefs are all that were logged.
+	decisions []decision.Record
+	beliefs   []decision.Belief
 }
 
 func newTestCore(t *testing.T) *testCore { return newTestCoreAt(t, _selfRelay) }
@@ -104,10 +107,11 @@
 }
 
 func (c *testCore) ToCaller(_ netip.Addr, b []byte) { c.toCaller = append(c.toCaller, slices.Clone(b)) }
-func (c *testCore) LogDecision(decision.Record)     {}
-func (c *testCore) LogBelief(decision.Belief)       {}
-func (c *testCore) ObserveSpan(decision.Span, time.Duration) {
-}
+
+func (c *testCore) LogDecision(r decision.Record) { c.decisions = append(c.decisions, r) }
+func (c *testCore) LogBelief(b decision.Belief)   { c.beliefs = append(c.beliefs, b) }
+
+func (c *testCore) ObserveSpan(decision.Span, time.Duration) {}
 
 func (c *testCore) ToPeer(addr netip.Addr, b []byte) {
 	c.messages = append(c.messages, sentMessage{to: addr, kind: peer.Kind(b[0]), body: slices.Clone(b)})
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -55,6 +55,12 @@
 		return
 	}
 	c.noteVersion(now, r.Version, r.Sidecar)
+	if change.FromService != "" && change.FromService != u.Service {
+		c.out.LogBelief(decision.Belief{
+			Subject: decision.IdentitySubject, Name: r.Sidecar.String(), From: change.FromService, To: u.Service,
+			Reason: "sidecar_changed_service", Version: r.Sequence,
+		})
+	}
 	if change.New {
 		c.lastNewSidecar = now
 		// The report names sidecars of the same service. The new sidecar then reports to
@@ -167,7 +173,9 @@
 			c.sendReset(now, v.Flow, 0, "no_route")
 			return
 		}
-		o = &offer{packet: slices.Clone(v.Packet), service: service, arrival: arrival{first: now}}
+		o = &offer{
+			packet: slices.Clone(v.Packet), choice: choice{service: service, version: c.table.Version()}, arrival: arrival{first: now},
+		}
 		if f := c.flows.Get(v.Flow); f != nil && f.firstOffered > 0 {
 			o.arrival = f.arrival
 		}
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -32,12 +32,15 @@
 // openFlow handles an opening packet. A repeated opening packet goes to the sidecar
 // that the first copy was offered to, as long as that sidecar answers offers.
 func (c *Core) openFlow(now time.Duration, key flow.Key, p flow.Packet, packet []byte) {
-	if f := c.flows.Get(key); f != nil && f.openingSeq == p.Seq && f.firstOffered > 0 && f.holder.IsValid() {
-		u := c.view.Upstream(f.holder)
-		if now-f.firstOffered < _callerOpenTimeout && u != nil && !u.Penalized(now) && u.State != peer.Suspect {
-			c.sendCarried(peer.Carried{
-				Kind: peer.KindOffer, Service: peer.NewServiceID(u.Service), Waited: now - f.arrival.first, Packet: packet,
-			}, f.holder)
+	f := c.flows.Get(key)
+	if f != nil && f.openingSeq == p.Seq && f.firstOffered > 0 && now-f.firstOffered < _callerOpenTimeout && f.holder.IsValid() {
+		switch u := c.view.Upstream(f.holder); {
+		case u == nil:
+		case u.Service != f.choice.service:
+			c.placeAnew(now, key, f, packet, _reasonOtherService)
+			return
+		case !u.Penalized(now) && u.State != peer.Suspect:
+			c.sendOffer(peer.Carried{Waited: now - f.arrival.first, Packet: packet}, f.choice, f.holder)
 			return
 		}
 	}
@@ -45,28 +48,49 @@
 	if p.Age == 0 {
 		arrived = c.returning.takeArrival(now, key.Caller.Addr())
 	}
-	c.offerOpening(now, key, p.Seq, arrived, packet)
+	c.offerOpening(now, key, p.Seq, &offer{packet: packet, arrival: arrived})
+}
+
+// placeAnew offers a repeated opening packet to another sidecar than the first copy. The
+// former holder may have accepted the flow, so the caller gets no reset if all others
+// refuse it.
+func (c *Core) placeAnew(now time.Duration, key flow.Key, f *flowState, packet []byte, reason string) {
+	o := &offer{
+		packet: packet, arrival: f.arrival, reason: reason, lastSent: f.firstOffered, unanswered: []netip.Addr{f.holder},
+	}
+	if earlier, ok := c.offers[key]; ok {
+		o.unanswered = append(o.unanswered, earlier.unanswered...)
+		delete(c.offers, key)
+	}
+	c.offerOpening(now, key, f.openingSeq, o)
 }
 
 // offerOpening offers an opening packet to an upstream of its route, or parks the
-// packet if no route or upstream is known.
-func (c *Core) offerOpening(now time.Duration, key flow.Key, seq uint32, arrived arrival, packet []byte) {
+// packet if no route or upstream is known. o holds what is known of the opening, without
+// a choice.
+func (c *Core) offerOpening(now time.Duration, key flow.Key, seq uint32, o *offer) {
 	service, ok := c.table.Service(key)
 	if !ok {
-		c.park(now, key, arrived, packet, "no_route")
+		c.park(now, key, o.arrival, o.packet, "no_route")
 		return
 	}
-	o := &offer{packet: slices.Clone(packet), service: service, arrival: arrived, lastResort: c.isLate(now, key, arrived.first)}
+	o.choice = choice{service: service, version: c.table.Version()}
+	o.lastResort = c.isLate(now, key, o.arrival.first)
 	if c.chooseUpstream(now, o) == nil {
+		if len(o.unanswered) > 0 {
+			c.endRefused(now, key, o)
+			return
+		}
 		reason := "no_upstream"
 		if o.evacuated {
 			c.counts.Evacuated++
 			reason = _reasonEvacuated
 		}
-		c.park(now, key, arrived, packet, reason)
+		c.park(now, key, o.arrival, o.packet, reason)
 		return
 	}
-	c.flows.Put(key, &flowState{openingSeq: seq, arrival: arrived, firstOffered: now})
+	o.packet = slices.Clone(o.packet)
+	c.flows.Put(key, &flowState{openingSeq: seq, choice: o.choice, arrival: o.arrival, firstOffered: now})
 	c.offers[key] = o
 	c.placeOffer(now, key, o)
 }
@@ -101,22 +125,20 @@
 	o.lastSent = now
 	o.tried = append(o.tried, u.Sidecar)
 	c.counts.Offers++
-	reason := ""
+	reason := o.reason
 	if o.evacuated && len(o.tried) == 1 {
 		c.counts.Evacuated++
 		reason = _reasonEvacuated
 	}
 	c.out.LogDecision(decision.Record{
-		Flow: key, Action: decision.Placed, Reason: reason, Target: u.Sidecar, Service: o.service, Version: c.table.Version(),
-		Busy: uint16(u.Busy), Slots: uint16(u.Slots), Age: now - u.LoadUpdatedAt, Attempt: len(o.tried), Routine: len(o.tried) == 1,
+		Flow: key, Action: decision.Placed, Reason: reason, Target: u.Sidecar, Service: o.choice.service, Version: c.table.Version(),
+		Busy: uint16(u.Busy), Slots: uint16(u.Slots), Age: now - u.LoadUpdatedAt, Attempt: len(o.tried), Routine: len(o.tried) == 1 && o.reason == "",
 	})
 	u.CountOffer()
 	if f := c.flows.Get(key); f != nil {
-		f.holder = u.Sidecar
+		f.holder, f.choice = u.Sidecar, o.choice
 	}
-	c.sendCarried(peer.Carried{
-		Kind: peer.KindOffer, Service: peer.NewServiceID(o.service), LastResort: o.lastResort, Waited: now - o.arrival.first, Packet: o.packet,
-	}, u.Sidecar)
+	c.sendOffer(peer.Carried{LastResort: o.lastResort, Waited: now - o.arrival.first, Packet: o.packet}, o.choice, u.Sidecar)
 }
 
 // park stores an opening packet until the relay knows where to send it. Once the
@@ -150,7 +172,7 @@
 		case route.Timeout > 0 && now-p.arrival.first >= route.Timeout:
 			c.dropParkedPacket(now, p, "caller_timeout")
 		default:
-			c.offerOpening(now, p.key, header.Seq, p.arrival, p.packet)
+			c.offerOpening(now, p.key, header.Seq, &offer{packet: p.packet, arrival: p.arrival})
 		}
 	}
 }
@@ -188,7 +210,7 @@
 		func(u *fleet.Upstream) bool { return u.State == peer.Suspect },
 	} {
 		c.eligible, c.candidates = c.eligible[:0], c.candidates[:0]
-		for _, u := range c.view.Service(o.service) {
+		for _, u := range c.view.Service(o.choice.service) {
 			if !usable(u) || slices.Contains(o.tried, u.Sidecar) {
 				continue
 			}
@@ -213,7 +235,7 @@
 	if len(o.unanswered) > 0 {
 		c.counts.Dropped++
 		c.out.LogDecision(decision.Record{
-			Flow: key, Action: decision.Dropped, Reason: "no_answer_to_offers", Service: o.service,
+			Flow: key, Action: decision.Dropped, Reason: "no_answer_to_offers", Service: o.choice.service,
 			Version: c.table.Version(), Age: now - o.lastSent, Attempt: len(o.tried),
 		})
 		return
@@ -261,9 +283,21 @@
 	c.search(now, key, f, p, packet)
 }
 
-// sendCarried sends a caller's packet to a sidecar.
+// sendCarried sends a packet of an open flow to a sidecar. Its label tells only the version
+// in force, from which the sidecar learns of newer ones.
 func (c *Core) sendCarried(m peer.Carried, to netip.Addr) {
-	m.Origin, m.Version = c.self.Addr, c.table.Version()
+	m.Version = c.table.Version()
+	c.send(m, to)
+}
+
+// sendOffer sends an opening packet to a sidecar, labelled with the choice for its flow.
+func (c *Core) sendOffer(m peer.Carried, chosen choice, to netip.Addr) {
+	m.Kind, m.Service, m.Version = peer.KindOffer, peer.NewServiceID(chosen.service), chosen.version
+	c.send(m, to)
+}
+
+func (c *Core) send(m peer.Carried, to netip.Addr) {
+	m.Origin = c.self.Addr
 	c.buffer = m.Append(c.buffer[:0])
 	c.out.ToPeer(to, c.buffer)
 }
--- a/relay/service_test.go
+++ b/relay/service_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/decision"
 	"dandelionhitch.example/directory"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
@@ -69,6 +70,25 @@
 	return c
 }
 
+// TestSidecarOfOtherServiceIsLogged passes an address on to a sidecar of another service.
+func TestSidecarOfOtherServiceIsLogged(t *testing.T) {
+	c := newTwoServiceCore(t)
+	c.CallerPacket(_afterStartup, encodePacket(flow.SYN, 10, 0, 0))
+	c.sendServiceReport(_afterStartup, _firstSidecar, 2, "orders")
+	c.sendServiceReport(_afterStartup, _farSidecar, 1, "orders")
+	c.beliefs, c.decisions = nil, nil
+	c.sendServiceReport(_afterStartup, _firstSidecar, 3, "photos")
+	c.CallerPacket(_afterStartup, encodePacket(flow.SYN, 10, 1, 0))
+	assert.DeepEqual(t, c.beliefs[0], decision.Belief{
+		Subject: decision.IdentitySubject, Name: _firstSidecar.String(), From: "orders", To: "photos", Reason: "sidecar_changed_service", Version: 1,
+	})
+	placed := c.decisions[0]
+	assert.Equal(t, placed.Action, decision.Placed)
+	assert.Equal(t, placed.Reason, "sidecar_of_other_service")
+	assert.Equal(t, placed.Service, "orders")
+	assert.Assert(t, !placed.Routine)
+}
+
 // runUntil lets the time pass in ticks, from from to until.
 func (c *testCore) runUntil(from, until time.Duration) {
 	for now := from; now < until; now += 20 * time.Millisecond {
