relay: place an offer anew if its route has changed before it is tried again

Seen by callers, if it happens: a request runs at the service to which the route led before, later than the configuration allows (rule CONFIG), or after its route was dropped.

Cause: an offer that was unanswered, refused or returned overloaded was tried again with the service that was chosen first.

Change: placeOffer makes the choice again under the configuration in force. If that does not allow the service any more, the opening is placed as a new one, with its arrival and the sidecars that may have accepted it, or reset with no_route. If only the weights have changed, the choice stays, with its version.

--- a/relay/choice.go
+++ b/relay/choice.go
@@ -1,5 +1,7 @@
 package relay
 
+import "dandelionhitch.example/flow"
+
 // choice is the service that was chosen for a flow, and the version of the configuration
 // under which it was chosen.
 //
@@ -16,6 +18,25 @@
 	version uint64
 }
 
-// _reasonOtherService is the reason for placing a flow anew if the sidecar at its holder's
-// address has another service than the one that was chosen for the flow.
-const _reasonOtherService = "sidecar_of_other_service"
+// Reasons for placing a flow anew.
+const (
+	// _reasonOtherService means that the sidecar at the address of the flow's holder has
+	// another service than the one that was chosen for the flow.
+	_reasonOtherService = "sidecar_of_other_service"
+	// _reasonRouteChanged means that the route does not lead to the chosen service any more.
+	_reasonRouteChanged = "route_changed"
+)
+
+// renew returns the choice under which a flow may be offered now, and whether there is one:
+// the configuration in force allows the chosen service. The version is that in force if it
+// would choose the same service. Otherwise it stays, for instance if the weights of the
+// route have changed, so that all offers of a flow go to one service.
+func (c *Core) renew(key flow.Key, chosen choice) (choice, bool) {
+	if chosen.version == c.table.Version() {
+		return chosen, true
+	}
+	if service, ok := c.table.Service(key); ok && service == chosen.service {
+		return choice{service: service, version: c.table.Version()}, true
+	}
+	return chosen, c.table.Allows(key.Address, chosen.service)
+}
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -108,6 +108,12 @@
 // offers and leaves out the sidecars that did not answer. If these offers fail too, it
 // ends the flow.
 func (c *Core) placeOffer(now time.Duration, key flow.Key, o *offer) {
+	renewed, allowed := c.renew(key, o.choice)
+	if !allowed {
+		c.placeUnderNewRoute(now, key, o)
+		return
+	}
+	o.choice = renewed
 	var u *fleet.Upstream
 	if len(o.tried) < _maxOfferAttempts {
 		u = c.chooseUpstream(now, o)
@@ -141,6 +147,20 @@
 	c.sendOffer(peer.Carried{LastResort: o.lastResort, Waited: now - o.arrival.first, Packet: o.packet}, o.choice, u.Sidecar)
 }
 
+// placeUnderNewRoute ends an offer whose service the route has ceased to lead to, and
+// places its opening packet anew.
+func (c *Core) placeUnderNewRoute(now time.Duration, key flow.Key, o *offer) {
+	delete(c.offers, key)
+	header, err := c.wire.Decode(o.packet)
+	if err != nil {
+		c.counts.Malformed++
+		return
+	}
+	c.offerOpening(now, key, header.Seq, &offer{
+		packet: o.packet, arrival: o.arrival, reason: _reasonRouteChanged, lastSent: o.lastSent, unanswered: o.unanswered,
+	})
+}
+
 // park stores an opening packet until the relay knows where to send it. Once the
 // startup period is over and a configuration is known, it resets the flow instead.
 func (c *Core) park(now time.Duration, key flow.Key, arrived arrival, packet []byte, reason string) {
