relay: place a repeated opening anew if its route has changed

Cause: a repeated opening went to the flow's holder without a look at the configuration, labelled with the version in force, so that the sidecar did not look either.

Change: the choice is made again first, as for an offer that is tried again. The former holder may have accepted the flow, which then stays open there, so the caller gets no reset if the new service refuses it.

--- a/relay/packets.go
+++ b/relay/packets.go
@@ -30,16 +30,21 @@
 }
 
 // openFlow handles an opening packet. A repeated opening packet goes to the sidecar
-// that the first copy was offered to, as long as that sidecar answers offers.
+// that the first copy was offered to, as long as that sidecar answers offers, has the chosen
+// service and the configuration allows it.
 func (c *Core) openFlow(now time.Duration, key flow.Key, p flow.Packet, packet []byte) {
 	f := c.flows.Get(key)
 	if f != nil && f.openingSeq == p.Seq && f.firstOffered > 0 && now-f.firstOffered < _callerOpenTimeout && f.holder.IsValid() {
-		switch u := c.view.Upstream(f.holder); {
-		case u == nil:
-		case u.Service != f.choice.service:
+		u := c.view.Upstream(f.holder)
+		switch renewed, allowed := c.renew(key, f.choice); {
+		case !allowed:
+			c.placeAnew(now, key, f, packet, _reasonRouteChanged)
+			return
+		case u != nil && u.Service != f.choice.service:
 			c.placeAnew(now, key, f, packet, _reasonOtherService)
 			return
-		case !u.Penalized(now) && u.State != peer.Suspect:
+		case u != nil && !u.Penalized(now) && u.State != peer.Suspect:
+			f.choice = renewed
 			c.sendOffer(peer.Carried{Waited: now - f.arrival.first, Packet: packet}, f.choice, f.holder)
 			return
 		}
