fleet: let a sidecar return that a delayed report has displaced

Seen by callers, if it happens: an upstream gets no new flows of its service although it is healthy, and openings of another service are offered to it, refused and offered elsewhere, until its sidecar is removed as silent (90 s) or for as long as it answers questions.

Cause: a report of an incarnation other than the last two is one of a new process, so a delayed report of an earlier process, with its service, makes the live one the previous incarnation, whose reports are ignored.

Change: the previous incarnation is heard again if it has a report that follows its last one and the present incarnation is overdue. Incarnations have no order, so nothing else tells which one runs. Reports of relays have the same fault and no consequence for routes; they stay as they are.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,9 +3,10 @@
 //
 // Only a process itself reports its state, so no agreement between processes is
 // needed: within one incarnation the report with the highest sequence number wins,
-// and reports of the previous incarnation are ignored. An upstream whose sidecar is
-// silent or does not answer offers is offered no new flows; its open flows are not
-// affected. Times are readings of the process's monotonic clock.
+// and reports of the previous incarnation of a sidecar are ignored as long as the
+// present one reports. An upstream whose sidecar is silent or does not answer offers is
+// offered no new flows; its open flows are not affected. Times are readings of the
+// process's monotonic clock.
 package fleet
 
 import (
@@ -75,7 +76,9 @@
 	// Busy and Slots were last reported.
 	LastMessageAt, LoadUpdatedAt time.Duration
 
-	incarnation, sequence, previousIncarnation uint64
+	incarnation, sequence, previousIncarnation, previousSequence uint64
+	// lastReportAt is when the last report of this incarnation arrived.
+	lastReportAt time.Duration
 
 	// unansweredOffers is the number of consecutive unanswered offers.
 	unansweredOffers int
@@ -159,12 +162,12 @@
 		u = &Upstream{Sidecar: r.Sidecar, ringPosition: hashRingPosition(r.Sidecar)}
 		v.upstreams[r.Sidecar] = u
 		v.sidecars = insert(v.sidecars, u)
-	case r.Incarnation == u.previousIncarnation, r.Incarnation == u.incarnation && r.Sequence <= u.sequence:
+	case r.Incarnation == u.previousIncarnation && !v.returns(now, u, r), r.Incarnation == u.incarnation && r.Sequence <= u.sequence:
 		return u, Change{Stale: true, From: u.State}
 	}
 	change := Change{New: !known || r.Incarnation != u.incarnation, From: u.State, FromService: u.Service}
 	if change.New && known {
-		u.previousIncarnation = u.incarnation
+		u.previousIncarnation, u.previousSequence = u.incarnation, u.sequence
 		u.unansweredOffers, u.penaltyUntil = 0, 0
 	}
 	if u.Service != r.Service {
@@ -174,12 +177,19 @@
 	}
 	u.incarnation, u.sequence = r.Incarnation, r.Sequence
 	u.Zone, u.State = r.Zone, r.State
-	u.LastMessageAt, u.Late = now, int(r.Late)
+	u.LastMessageAt, u.lastReportAt, u.Late = now, now, int(r.Late)
 	u.RunTime, u.EarlyShare = time.Duration(r.RunTime)*peer.RunTimeUnit, float64(r.EarlyPercent)/100
 	v.setLoad(u, now, int(r.Busy), int(r.Slots))
 	return u, change
 }
 
+// returns reports whether a report of the previous incarnation shows that this one still
+// runs: it is not an earlier report, and the present incarnation is overdue. Then the report
+// that made that one the present incarnation was a delayed report of a process that has ended.
+func (v *View) returns(now time.Duration, u *Upstream, r peer.UpstreamReport) bool {
+	return r.Sequence > u.previousSequence && now-u.lastReportAt > v.interval+_reportGrace
+}
+
 // Answered records that a sidecar answered a packet and reported its load. It ends
 // the upstream's penalty.
 func (v *View) Answered(now time.Duration, sidecar netip.Addr, busy, slots int) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -211,3 +211,29 @@
 	assert.Equal(t, len(v.Service("orders")), 0)
 	assert.Equal(t, len(v.Service("photos")), 1)
 }
+
+// TestDelayedReportsDoNotSilenceLiveSidecar guards against a sidecar that stays ignored,
+// because a delayed report of one two incarnations before it, or from before the start of
+// this process, made it the previous incarnation.
+func TestDelayedReportsDoNotSilenceLiveSidecar(t *testing.T) {
+	v := fleet.New(time.Second)
+	v.Report(0, serviceReport(_addr1, 9, 1, "photos"))
+	v.Report(0, serviceReport(_addr1, 4, 7, "orders")) // ended, and delayed
+	for i := range uint64(3) {
+		v.Report(time.Duration(i+1)*time.Second, serviceReport(_addr1, 9, 2+i, "photos"))
+	}
+	assert.Equal(t, v.Upstream(_addr1).Service, "photos")
+	assert.Equal(t, len(v.Service("orders")), 0)
+	// The last reports of the former incarnation, in any order, change nothing.
+	for _, sequence := range []uint64{8, 6, 9} {
+		_, change := v.Report(4*time.Second, serviceReport(_addr1, 4, sequence, "orders"))
+		assert.Assert(t, change.Stale)
+	}
+	assert.Equal(t, v.Upstream(_addr1).Service, "photos")
+}
+
+func serviceReport(addr netip.Addr, incarnation, sequence uint64, service string) peer.UpstreamReport {
+	r := report(addr, incarnation, sequence, peer.Ready)
+	r.Service = service
+	return r
+}
--- a/relay/service_test.go
+++ b/relay/service_test.go
@@ -220,3 +220,22 @@
 	c.CallerPacket(_afterStartup+time.Millisecond, encodePacket(flow.SYN, 10, 1, 0))
 	c.assertOffered(_farSidecar, "orders", 1, time.Millisecond)
 }
+
+// TestDelayedReportDoesNotChangeLabels delivers a report of an earlier incarnation, of
+// another service, after the address has passed on. What the relay offers there meanwhile
+// must be labelled so that the sidecar refuses it, and the relay must notice its error.
+func TestDelayedReportDoesNotChangeLabels(t *testing.T) {
+	c := newTwoServiceCore(t)
+	c.sendServiceReport(_afterStartup, _firstSidecar, 3, "photos")
+	c.sendServiceReport(_afterStartup, _firstSidecar, 2, "orders") // delayed
+	c.CallerPacket(_afterStartup, encodePacket(flow.SYN, 10, 0, 0))
+	c.assertOffered(_firstSidecar, "orders", 1, 0)
+	b, err := peer.AppendUpstream(nil, peer.UpstreamReport{
+		Sidecar: _firstSidecar, Incarnation: 3, Sequence: 2, Service: "photos", Zone: "a", State: peer.Ready, Slots: 2,
+	})
+	assert.NilError(t, err)
+	c.PeerMessage(_afterStartup+2*time.Second, b)
+	c.clearSent()
+	c.CallerPacket(_afterStartup+2*time.Second, encodePacket(flow.SYN, 11, 0, 0))
+	assert.Equal(t, len(c.offers()), 0)
+}
