relay: let the benchmarks measure packets of known flows

BenchmarkForward/relay timed out in each of 7 runs, on too: since the packets of the tests may name the caller's port, the zeros that fill up the packets of the benchmarks are port 0, another flow than the one that was accepted. BenchmarkCarry measured packets that are dropped since too many of the flow are buffered. It now checks that all packets were carried.

--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -461,11 +461,18 @@
 	out := &discardOutbox{}
 	c := relay.NewCore(relay.Identity{Addr: _selfRelay, Zone: "a", Incarnation: 1}, testWire{}, out, 1000, rand.New(rand.NewPCG(1, 1)))
 	c.PeerMessage(0, peer.Verdict{Outcome: peer.Accepted, Sidecar: _firstSidecar, Flow: _key, Slots: 2}.Append(nil))
-	packet := append(encodePacket(flow.ACK, 11, 501, 200), make([]byte, 1190)...)
+	packet := encodeLongPacket(1200)
 	b.ReportAllocs()
 	for b.Loop() {
 		c.CallerPacket(0, packet)
 	}
+	assert.Equal(b, c.Counts().Carried, c.Counts().Packets)
+}
+
+// encodeLongPacket returns a packet of the flow _key with size bytes.
+func encodeLongPacket(size int) []byte {
+	packet := binary.BigEndian.AppendUint16(encodePacket(flow.ACK, 11, 501, 200), _caller.Port())
+	return append(packet, make([]byte, size-len(packet))...)
 }
 
 // discardOutbox discards everything that a core sends.
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -12,7 +12,6 @@
 
 	"dandelionhitch.example/datagram"
 	"dandelionhitch.example/decision"
-	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
 	"dandelionhitch.example/relay"
 )
@@ -21,7 +20,7 @@
 // flow and, as the baseline, through a plain UDP forwarder. The ratio of the two times
 // is the cost of a relay.
 func BenchmarkForward(b *testing.B) {
-	packet := append(encodePacket(flow.ACK, 11, 501, 200), make([]byte, 1226)...)
+	packet := encodeLongPacket(1236)
 	b.Run("bare", func(b *testing.B) {
 		sink := newReceiver(b, netip.MustParseAddrPort("127.0.9.2:0"))
 		out, err := datagram.Listen(netip.MustParseAddrPort("127.0.9.1:0"), func([]byte) {})
@@ -44,6 +43,9 @@
 		defer r.Close()
 		accepted := peer.Verdict{Outcome: peer.Accepted, Sidecar: sink.addr.Addr(), Flow: _key, Slots: 2}.Append(nil)
 		sink.send(b, netip.MustParseAddrPort("127.0.9.4:19022"), accepted)
+		for r.Stats().Flows == 0 {
+			time.Sleep(time.Millisecond)
+		}
 		sink.measure(b, netip.MustParseAddrPort("127.0.9.4:19021"), packet)
 	})
 }
