--- a/relay/service_test.go
+++ b/relay/service_test.go
@@ -1,6 +1,8 @@
 package relay_test
 
 import (
+	"encoding/binary"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"dandelionhitch.example/directory"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
+	"dandelionhitch.example/relay"
 )
 
 // sentOffer is an offer as its receiver sees it.
@@ -239,3 +242,23 @@
 	c.CallerPacket(_afterStartup+2*time.Second, encodePacket(flow.SYN, 11, 0, 0))
 	assert.Equal(t, len(c.offers()), 0)
 }
+
+// BenchmarkOpening measures the first and a repeated copy of the opening packet of a flow.
+func BenchmarkOpening(b *testing.B) {
+	c := relay.NewCore(relay.Identity{Addr: _selfRelay, Zone: "a", Incarnation: 1}, testWire{}, &discardOutbox{}, 1000, rand.New(rand.NewPCG(1, 1)))
+	c.SetTable(0, directory.New(1, 0, []directory.Route{{Address: _address, Shares: []directory.Share{{Service: "orders", Weight: 1}}}}), "test")
+	report, err := peer.AppendUpstream(nil, peer.UpstreamReport{
+		Sidecar: _firstSidecar, Incarnation: 1, Sequence: 1, Service: "orders", Zone: "a", State: peer.Ready, Slots: 2,
+	})
+	assert.NilError(b, err)
+	c.PeerMessage(0, report)
+	opening := binary.BigEndian.AppendUint16(encodePacket(flow.SYN, 10, 0, 0), 0)
+	b.ReportAllocs()
+	for port := uint16(1); b.Loop(); port++ {
+		binary.BigEndian.PutUint16(opening[10:], port)
+		c.CallerPacket(0, opening)
+		c.CallerPacket(0, opening)
+		key := flow.Key{Caller: netip.AddrPortFrom(_caller.Addr(), port), Address: _address}
+		c.PeerMessage(0, peer.Verdict{Outcome: peer.Accepted, Sidecar: _firstSidecar, Flow: key, Slots: 2}.Append(nil))
+	}
+}
