--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -74,6 +74,9 @@
 	t        *testing.T
 	messages []sentMessage
 	toCaller [][]byte
+	// decisions and beliefs are all that were logged.
+	decisions []decision.Record
+	beliefs   []decision.Belief
 }
 
 func newTestCore(t *testing.T) *testCore { return newTestCoreAt(t, _selfRelay) }
@@ -104,10 +107,11 @@
 }
 
 func (c *testCore) ToCaller(_ netip.Addr, b []byte) { c.toCaller = append(c.toCaller, slices.Clone(b)) }
-func (c *testCore) LogDecision(decision.Record)     {}
-func (c *testCore) LogBelief(decision.Belief)       {}
-func (c *testCore) ObserveSpan(decision.Span, time.Duration) {
-}
+
+func (c *testCore) LogDecision(r decision.Record) { c.decisions = append(c.decisions, r) }
+func (c *testCore) LogBelief(b decision.Belief)   { c.beliefs = append(c.beliefs, b) }
+
+func (c *testCore) ObserveSpan(decision.Span, time.Duration) {}
 
 func (c *testCore) ToPeer(addr netip.Addr, b []byte) {
 	c.messages = append(c.messages, sentMessage{to: addr, kind: peer.Kind(b[0]), body: slices.Clone(b)})
@@ -457,11 +461,18 @@
 	out := &discardOutbox{}
 	c := relay.NewCore(relay.Identity{Addr: _selfRelay, Zone: "a", Incarnation: 1}, testWire{}, out, 1000, rand.New(rand.NewPCG(1, 1)))
 	c.PeerMessage(0, peer.Verdict{Outcome: peer.Accepted, Sidecar: _firstSidecar, Flow: _key, Slots: 2}.Append(nil))
-	packet := append(encodePacket(flow.ACK, 11, 501, 200), make([]byte, 1190)...)
+	packet := encodeLongPacket(1200)
 	b.ReportAllocs()
 	for b.Loop() {
 		c.CallerPacket(0, packet)
 	}
+	assert.Equal(b, c.Counts().Carried, c.Counts().Packets)
+}
+
+// encodeLongPacket returns a packet of the flow _key with size bytes.
+func encodeLongPacket(size int) []byte {
+	packet := binary.BigEndian.AppendUint16(encodePacket(flow.ACK, 11, 501, 200), _caller.Port())
+	return append(packet, make([]byte, size-len(packet))...)
 }
 
 // discardOutbox discards everything that a core sends.
