--- a/dandelionhitch/opaque_reload.go
+++ b/dandelionhitch/opaque_reload.go
@@ -75,7 +75,7 @@
 		seeds, err = r.read(r.path)
 	}
 	if err != nil {
-		r.log.Error("settings refused, the old ones stay", zap.String("file", r.path), zap.Error(err))
+		r.log.Error("settings refused, the old ones stay", zap.String("file", r.path), zap.String("cause", cause), zap.Error(err))
 		return
 	}
 	changed := !bytes.Equal(content, r.content)
--- /dev/null
+++ b/dandelionhitch/opaque_reload_test.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"dandelionhitch.example/datagram"
+	"dandelionhitch.example/flow"
+	"dandelionhitch.example/peer"
+	"dandelionhitch.example/platform"
+)
+
+// Ports of a process under test. _newIngressPort is one that its settings name later.
+const (
+	_testIngressPort = 17041 + iota
+	_testReadyPort
+	_testControlPort
+	_testMetricsPort
+	_testPeerPort
+	_testUpstreamPort
+	_testOutboundPort
+	_newIngressPort
+)
+
+// _followTimeout bounds the time in which a process follows its settings. It is generous, so
+// that no verdict rests on the speed of the machine.
+const _followTimeout = 20 * time.Second
+
+// configuredProcess is a relay or sidecar that runs as a process with a settings file.
+type configuredProcess struct {
+	t        *testing.T
+	addr     netip.Addr
+	file     string
+	settings map[string]any
+	command  *exec.Cmd
+	stopped  bool
+
+	mu     sync.Mutex
+	output bytes.Buffer
+}
+
+// startConfigured starts a process of the role at addr.
+func startConfigured(t *testing.T, role string, addr netip.Addr) *configuredProcess {
+	t.Helper()
+	p := &configuredProcess{t: t, addr: addr, file: filepath.Join(t.TempDir(), role+".json")}
+	p.settings = map[string]any{
+		"node": "n1", "zone": "a", "addr": addr.String(), "ready": p.at(_testReadyPort), "control": p.at(_testControlPort),
+		"metrics": p.at(_testMetricsPort), "peer_port": _testPeerPort, "seeds": []string{}, "grace": "4s",
+	}
+	if role == "relay" {
+		p.settings["ingress"] = p.at(_testIngressPort)
+	} else {
+		maps.Copy(p.settings, map[string]any{
+			"service": "orders", "upstream": p.at(_testUpstreamPort), "outbound": p.at(_testOutboundPort),
+			"callers": p.at(_testIngressPort), "heartbeat": "500ms",
+		})
+	}
+	p.change(nil)
+	p.command = exec.Command(os.Args[0], role, "-config", p.file)
+	p.command.Env = append(os.Environ(), _asProgram+"=1")
+	p.command.Stdout, p.command.Stderr = p, p
+	assert.NilError(t, p.command.Start())
+	t.Cleanup(p.stop)
+	p.awaitLines(`"`+role+` started"`, 1)
+	return p
+}
+
+// at returns an address of the process.
+func (p *configuredProcess) at(port uint16) string { return netip.AddrPortFrom(p.addr, port).String() }
+
+// Write takes the output of the process.
+func (p *configuredProcess) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.Write(b)
+}
+
+// lines returns how often text is in the output of the process.
+func (p *configuredProcess) lines(text string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Count(p.output.String(), text)
+}
+
+// await waits until reached returns true.
+func (p *configuredProcess) await(what string, reached func() bool) {
+	p.t.Helper()
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		if !reached() {
+			return poll.Continue("%s", what)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(_followTimeout))
+}
+
+// awaitLines waits until text is in the output of the process n times.
+func (p *configuredProcess) awaitLines(text string, n int) {
+	p.t.Helper()
+	p.await(fmt.Sprintf("%d lines with %s", n, text), func() bool { return p.lines(text) >= n })
+}
+
+// write replaces the content of the settings file.
+func (p *configuredProcess) write(content []byte) {
+	p.t.Helper()
+	assert.NilError(p.t, os.WriteFile(p.file, content, 0o600))
+}
+
+// change writes the settings with changes.
+func (p *configuredProcess) change(changes map[string]any) {
+	p.t.Helper()
+	maps.Copy(p.settings, changes)
+	p.write(p.encoded())
+}
+
+func (p *configuredProcess) encoded() []byte {
+	content, err := json.Marshal(p.settings)
+	assert.NilError(p.t, err)
+	return content
+}
+
+// reload makes the process read its settings again.
+func (p *configuredProcess) reload() { assert.NilError(p.t, p.command.Process.Signal(syscall.SIGHUP)) }
+
+// stop ends the process, which must have run until now and must end without an error.
+func (p *configuredProcess) stop() {
+	if p.stopped {
+		return
+	}
+	p.stopped = true
+	assert.Check(p.t, p.command.Process.Signal(syscall.SIGTERM))
+	assert.Check(p.t, p.command.Wait())
+	if p.t.Failed() {
+		p.t.Log(p.output.String())
+	}
+}
+
+// heartbeat sends a heartbeat of an upstream of the service, and reports whether it was taken.
+func (p *configuredProcess) heartbeat(service string, sequence int) bool {
+	body := fmt.Sprintf(`{"service":%q,"addr":%q,"slots":4,"state":"ready","sequence":%d}`, service, p.at(_testUpstreamPort), sequence)
+	request, err := http.NewRequestWithContext(p.t.Context(), http.MethodPut,
+		"http://"+p.at(_testControlPort)+"/-/instances/"+service+"-1", strings.NewReader(body))
+	assert.NilError(p.t, err)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false // the process restarts
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// offeringRelay stands for a relay that offers flows to a sidecar.
+type offeringRelay struct {
+	addr     netip.Addr
+	socket   *datagram.Socket
+	verdicts chan peer.Verdict
+	offers   uint16
+}
+
+func newOfferingRelay(t *testing.T, addr netip.Addr) *offeringRelay {
+	t.Helper()
+	r := &offeringRelay{addr: addr, verdicts: make(chan peer.Verdict, 100)}
+	var err error
+	r.socket, err = datagram.Listen(netip.AddrPortFrom(addr, _testPeerPort), r.take)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, r.socket.Close()) })
+	return r
+}
+
+func (r *offeringRelay) take(message []byte) {
+	v, err := peer.DecodeVerdict(message)
+	if err == nil {
+		v.Packet = nil // it aliases the datagram
+		r.verdicts <- v
+	}
+}
+
+// accepts reports whether the sidecar accepts a new flow of the service.
+func (r *offeringRelay) accepts(sidecar netip.Addr, service string) bool {
+	r.offers++
+	key := flow.Key{
+		Caller:  netip.AddrPortFrom(netip.MustParseAddr("127.0.7.40"), 20000+r.offers),
+		Address: netip.MustParseAddrPort("198.18.0.1:443"),
+	}
+	packet := platform.AppendPacket(nil, flow.Packet{Source: key.Caller, Destination: key.Address, Flags: flow.SYN, Seq: 7}, 0, nil)
+	offer := peer.Carried{Kind: peer.KindOffer, Origin: r.addr, Service: peer.NewServiceID(service), Packet: packet}
+	r.socket.Send(netip.AddrPortFrom(sidecar, _testPeerPort), offer.Append(nil))
+	timeout := time.After(500 * time.Millisecond)
+	for {
+		select {
+		case v := <-r.verdicts:
+			if v.Flow == key {
+				return v.Outcome == peer.Accepted
+			}
+		case <-timeout:
+			return false
+		}
+	}
+}
+
+// TestSidecarLeavesServiceThatSettingsNoLongerName guards against flows of an old service at
+// an upstream that the settings file has given to another one.
+func TestSidecarLeavesServiceThatSettingsNoLongerName(t *testing.T) {
+	p := startConfigured(t, "sidecar", netip.MustParseAddr("127.0.7.21"))
+	relay := newOfferingRelay(t, netip.MustParseAddr("127.0.7.22"))
+	upstream, err := datagram.Listen(netip.AddrPortFrom(p.addr, _testUpstreamPort), func([]byte) {})
+	assert.NilError(t, err)
+	defer upstream.Close()
+	sequence := 0
+	serves := func(service string) func() bool {
+		return func() bool {
+			sequence++
+			return p.heartbeat(service, sequence) && relay.accepts(p.addr, service)
+		}
+	}
+	p.await("the first service is served", serves("orders"))
+	assert.Assert(t, !serves("photos")())
+	p.change(map[string]any{"service": "photos"})
+	p.await("the service that the settings name is served", serves("photos"))
+	assert.Assert(t, !serves("orders")())
+	assert.Assert(t, !relay.accepts(p.addr, "orders"))
+	p.stop()
+	assert.Equal(t, p.lines(`"settings name another identity"`), 1)
+	assert.Equal(t, p.lines(`"sidecar started"`), 2)
+}
+
+// TestUnreadableSettingsChangeNothing guards against a restart caused by a settings file
+// that is seen half written, is incomplete or is refused.
+func TestUnreadableSettingsChangeNothing(t *testing.T) {
+	p := startConfigured(t, "sidecar", netip.MustParseAddr("127.0.7.23"))
+	whole := p.encoded()
+	other := bytes.ReplaceAll(whole, []byte(`"orders"`), []byte(`"photos"`))
+	for i, content := range [][]byte{
+		other[:len(other)-1], other[:len(other)/2], {}, []byte("{}"),
+		bytes.ReplaceAll(other, []byte(`"zone"`), []byte(`"zones"`)),
+	} {
+		p.write(content)
+		p.reload()
+		p.awaitLines(`"cause":"signal"`, i+1)
+		assert.Assert(t, p.heartbeat("orders", i+1))
+	}
+	p.write(whole)
+	p.stop()
+	assert.Equal(t, p.lines(`"settings read again"`), 0)
+	assert.Equal(t, p.lines(`"sidecar started"`), 1)
+	assert.Equal(t, p.lines(`"settings name another identity"`), 0)
+}
+
+// TestSettingsThatRestart guards against a restart for settings that do not change the
+// identity of a process, and against none for those that do.
+func TestSettingsThatRestart(t *testing.T) {
+	for role, addr := range map[string]netip.Addr{"relay": netip.MustParseAddr("127.0.7.24"), "sidecar": netip.MustParseAddr("127.0.7.25")} {
+		t.Run(role, func(t *testing.T) {
+			p := startConfigured(t, role, addr)
+			p.change(map[string]any{"seeds": []string{"127.0.7.26:17043"}})
+			p.reload()
+			p.awaitLines(`"settings read again"`, 1)
+			assert.Equal(t, p.lines(`"settings need a restart"`), 0)
+			p.change(map[string]any{"memory_mb": 96})
+			p.awaitLines(`"settings need a restart"`, 1)
+			assert.Equal(t, p.lines(`"settings name another identity"`), 0)
+			name := map[string]string{"relay": "ingress", "sidecar": "callers"}[role]
+			p.change(map[string]any{name: p.at(_newIngressPort)})
+			p.awaitLines(`"`+role+` started"`, 2)
+			p.stop()
+			assert.Equal(t, p.lines(`"settings name another identity"`), 1)
+			assert.Equal(t, p.lines(`"`+role+` started"`), 2)
+		})
+	}
+}
