dandelionhitch: start anew in place when the settings name another identity

A running sidecar or relay took in only the seeds of its settings file. If the file named another service, upstream or address, a sidecar went on serving flows of its old service to an upstream that may be of another one. Now such a change makes the process drain as on SIGTERM and run anew with the new settings, in the same process: an exit has a price, and is followed by a delay that nobody states. _deferredSettings lists the settings that are not worth a restart (limits, names); for these a line says that one is needed.

Settings on the command line or in the environment now also count when the file is read again; a repeated -seeds or -peers flag replaces the earlier one, as other flags do.

--- a/dandelionhitch/flags.go
+++ b/dandelionhitch/flags.go
@@ -48,6 +48,23 @@
 	file     string
 	findings []finding
 	required []string
+	// overrides are the flags that the command line and the environment set, as arguments.
+	overrides []string
+}
+
+// decodedValue is the value of a flag that a function decodes. It keeps the text.
+type decodedValue struct {
+	text   string
+	decode func(string) error
+}
+
+// String returns the text. It implements flag.Value.
+func (v *decodedValue) String() string { return v.text }
+
+// Set decodes the text. It implements flag.Value.
+func (v *decodedValue) Set(text string) error {
+	v.text = text
+	return v.decode(text)
 }
 
 // newFlagSet returns a flag set with the -config flag. Usage texts go to output.
@@ -67,6 +84,19 @@
 	}
 }
 
+// Func adds a flag whose value is decoded by decode. Unlike flag.FlagSet.Func, it keeps the
+// text, which values returns.
+func (s *flagSet) Func(name, usage string, decode func(string) error) {
+	s.Var(&decodedValue{decode: decode}, name, usage)
+}
+
+// values returns the values of all flags, by their names.
+func (s *flagSet) values() map[string]string {
+	values := make(map[string]string)
+	s.VisitAll(func(f *flag.Flag) { values[f.Name] = f.Value.String() })
+	return values
+}
+
 // text adds a flag whose value is decoded by target. A decoding error becomes a finding.
 func (s *flagSet) text(target encoding.TextUnmarshaler, name, usage string) {
 	s.Func(name, usage, func(value string) error {
@@ -79,6 +109,7 @@
 // value.
 func (s *flagSet) addresses(target *[]netip.AddrPort, name, usage string) {
 	s.Func(name, usage, func(value string) error {
+		*target = nil
 		if value == "" {
 			return nil
 		}
@@ -123,8 +154,10 @@
 }
 
 // parseFile reads a JSON object from r and calls set for each key that is a flag.
-// Errors become findings, so it always returns nil.
+// Errors become findings, so it always returns nil. The flags that are set by then are
+// those that take precedence over the file.
 func (s *flagSet) parseFile(r io.Reader, set func(name, value string) error) error {
+	s.Visit(func(f *flag.Flag) { s.overrides = append(s.overrides, "-"+f.Name+"="+f.Value.String()) })
 	decoder := json.NewDecoder(r)
 	decoder.UseNumber()
 	var values map[string]any
--- a/dandelionhitch/mutant_test.go
+++ b/dandelionhitch/mutant_test.go
@@ -244,7 +244,7 @@
 	if err := ff.Parse(f.FlagSet, args[1:], f.options()...); err != nil {
 		return _exitUsage
 	}
-	if err := f.run(ctx); err != nil {
+	if err := runOpaque(ctx, f); err != nil {
 		return _exitFailed
 	}
 	return _exitOK
--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -39,6 +39,8 @@
 	platform        platformFlags
 	logLevel        zapcore.Level
 	logOutput       io.Writer
+	// identityChanges counts how often the process has restarted in place.
+	identityChanges int
 }
 
 // _agentUpstreamMode is the only supported value of -upstream-mode: upstreams are
@@ -103,8 +105,12 @@
 type opaqueRole interface {
 	common() *opaqueFlags
 	check(args []string) error
-	// run runs the process until ctx is done and the process has drained.
-	run(ctx context.Context) error
+	// renew returns new, unparsed settings of the same role.
+	renew() opaqueRole
+	// run runs the role until ctx is done, or until the settings file names another
+	// identity, and the role has drained and closed everything. In the latter case, it
+	// returns the new settings.
+	run(ctx context.Context) (opaqueRole, error)
 }
 
 // opaqueCommand returns the command that checks the settings of f and runs f.
@@ -119,19 +125,36 @@
 			if err := f.check(args); err != nil {
 				return err
 			}
-			return f.run(ctx)
+			return runOpaque(ctx, f)
 		},
 	}
 }
 
-// readSeeds returns the seeds in a settings file, or an error if any setting in the
-// file is invalid. It parses the file into role, which must be new.
-func readSeeds(path string, role opaqueRole) ([]netip.Addr, error) {
-	f := role.common()
-	if err := ff.Parse(f.FlagSet, []string{"-config", path}, f.options()...); err != nil {
+// runOpaque runs the role until ctx is done. Whenever the settings file names another
+// identity, the role starts anew with those settings in the same process: the end of a
+// process has a price for the users, and takes a delay until the restart that nobody states.
+func runOpaque(ctx context.Context, role opaqueRole) error {
+	ignoreHangupAndPipe()
+	for {
+		next, err := role.run(ctx)
+		if err != nil || next == nil || ctx.Err() != nil {
+			return err
+		}
+		role = next
+	}
+}
+
+// readAgain returns the settings that a start of the process would have now, or an error
+// if any of them is invalid. It parses them into role, which must be new.
+func (f *opaqueFlags) readAgain(role opaqueRole) (opaqueRole, error) {
+	c := role.common()
+	if err := ff.Parse(c.FlagSet, f.overrides, c.options()...); err != nil {
+		return nil, trace.Wrap(err, "read settings")
+	}
+	if err := role.check(nil); err != nil {
 		return nil, err
 	}
-	return f.seedAddrs(), role.check(nil)
+	return role, nil
 }
 
 // maxFlows returns the number of flows whose state the process may hold, given the
--- a/dandelionhitch/opaque_node.go
+++ b/dandelionhitch/opaque_node.go
@@ -32,6 +32,8 @@
 	metrics   *metricsServer
 	// store is nil if the settings name no store.
 	store *platform.Client
+	// reloader is nil if the process has no settings file.
+	reloader *settingsReloader
 	// closers are closed in reverse order.
 	closers []io.Closer
 }
@@ -39,7 +41,6 @@
 // openOpaqueNode opens the log, the metrics endpoint and the store client that the
 // settings name. The metrics endpoint also reports readiness, as returned by ready.
 func openOpaqueNode(f *opaqueFlags, ready func() bool) (*opaqueNode, error) {
-	ignoreHangupAndPipe()
 	debug.SetMemoryLimit(int64(float64(f.memoryMB) * _memoryShare * (1 << 20)))
 	n := &opaqueNode{flags: f, writer: decision.NewWriter(f.logOutput)}
 	n.log = newLogger(n.writer, f.logLevel).With(zap.String("node", f.node))
@@ -73,6 +74,21 @@
 	return trace.NewAggregate(errs...)
 }
 
+// awaitEnd waits until ctx is done, or until the settings file names another identity. In
+// the latter case, it returns the new settings.
+func (n *opaqueNode) awaitEnd(ctx context.Context) opaqueRole {
+	var restarts chan opaqueRole
+	if n.reloader != nil {
+		restarts = n.reloader.restarts
+	}
+	select {
+	case next := <-restarts:
+		return next
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // peerAddr returns the address at which this process receives messages of its peers.
 func (n *opaqueNode) peerAddr() netip.AddrPort {
 	if n.flags.peerListen.IsValid() {
@@ -177,7 +193,7 @@
 	// upstreams.
 	ready   func() bool
 	control http.Handler
-	// newRole returns new, unparsed settings of this role.
+	// newRole is opaqueRole.renew of this role.
 	newRole func() opaqueRole
 	// configTarget receives the configuration in the store. It is nil for a sidecar,
 	// which does not read it.
@@ -224,7 +240,14 @@
 		r.start()
 		n.add(r)
 	}
-	read := func(path string) ([]netip.Addr, error) { return readSeeds(path, s.newRole()) }
-	n.add(newSettingsReloader(f.file, n.log, read, s.dataPath.AddRelays))
+	if err := n.registerMetrics(func() []metricValue {
+		return []metricValue{{"settings_identity_changes", int64(f.identityChanges)}}
+	}); err != nil {
+		return err
+	}
+	if f.file != "" {
+		n.reloader = newSettingsReloader(f, n.log, s.newRole, s.dataPath.AddRelays)
+		n.add(n.reloader)
+	}
 	return nil
 }
--- a/dandelionhitch/opaque_reload_test.go
+++ b/dandelionhitch/opaque_reload_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,6 +19,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 	"gotest.tools/v3/poll"
 
 	"dandelionhitch.example/datagram"
@@ -163,6 +166,16 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// metrics returns the metrics of the process.
+func (p *configuredProcess) metrics() string {
+	response, err := http.Get("http://" + p.at(_testMetricsPort) + "/metrics")
+	assert.NilError(p.t, err)
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	assert.NilError(p.t, err)
+	return string(content)
+}
+
 // offeringRelay stands for a relay that offers flows to a sidecar.
 type offeringRelay struct {
 	addr     netip.Addr
@@ -212,6 +225,30 @@
 	}
 }
 
+// TestIdentitySettings checks that exactly the settings listed make a process restart in
+// place, so that a new setting is assigned to one kind or the other deliberately.
+func TestIdentitySettings(t *testing.T) {
+	common := "addr,config,control,peer-listen,peer-port,platform,ready,upstream-mode,zone"
+	for _, test := range []struct {
+		role opaqueRole
+		want string
+	}{
+		{newRelayFlags(nil, nil), common + ",ingress"},
+		{newSidecarFlags(nil, nil), common + ",address-reuse,callers,heartbeat,outbound,service,upstream"},
+	} {
+		var identity []string
+		for name := range test.role.common().values() {
+			if name != _seedsSetting && !slices.Contains(_deferredSettings, name) {
+				identity = append(identity, name)
+			}
+		}
+		want := strings.Split(test.want, ",")
+		slices.Sort(identity)
+		slices.Sort(want)
+		assert.DeepEqual(t, identity, want)
+	}
+}
+
 // TestSidecarLeavesServiceThatSettingsNoLongerName guards against flows of an old service at
 // an upstream that the settings file has given to another one.
 func TestSidecarLeavesServiceThatSettingsNoLongerName(t *testing.T) {
@@ -233,6 +270,7 @@
 	p.await("the service that the settings name is served", serves("photos"))
 	assert.Assert(t, !serves("orders")())
 	assert.Assert(t, !relay.accepts(p.addr, "orders"))
+	assert.Assert(t, cmp.Regexp(`dandelionhitch_settings_identity_changes(\{[^}]*\})? 1\n`, p.metrics()))
 	p.stop()
 	assert.Equal(t, p.lines(`"settings name another identity"`), 1)
 	assert.Equal(t, p.lines(`"sidecar started"`), 2)
@@ -245,7 +283,9 @@
 	whole := p.encoded()
 	other := bytes.ReplaceAll(whole, []byte(`"orders"`), []byte(`"photos"`))
 	for i, content := range [][]byte{
-		other[:len(other)-1], other[:len(other)/2], {}, []byte("{}"),
+		other[:len(other)-1], other[:len(other)/2],
+		{},
+		[]byte("{}"),
 		bytes.ReplaceAll(other, []byte(`"zone"`), []byte(`"zones"`)),
 	} {
 		p.write(content)
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -47,17 +47,22 @@
 	return opaqueCommand("relay", "Forward opaque packets of callers to the sidecars beside upstreams.", newRelayFlags(stdout, stderr))
 }
 
-// run runs the relay until ctx is done, and then drains it.
-func (f *relayFlags) run(ctx context.Context) (err error) {
+func (f *relayFlags) renew() opaqueRole {
+	next := newRelayFlags(f.logOutput, io.Discard)
+	next.wire = f.wire
+	return next
+}
+
+func (f *relayFlags) run(ctx context.Context) (_ opaqueRole, err error) {
 	var r *relay.Relay
 	node, err := openOpaqueNode(f.opaqueFlags, func() bool { return r.Ready() })
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	defer func() { err = trace.NewAggregate(err, node.Close()) }()
 	spans, err := node.newHistograms()
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	self := relay.Identity{Addr: f.addr, Zone: f.zone, Incarnation: newIncarnation()}
 	r, err = relay.New(relay.Config{
@@ -68,20 +73,20 @@
 		MaxFlows:   f.maxFlows(_relayFlowBytes),
 	}, f.wire, decision.NewRecorder(node.decisions, spans.observe))
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	node.add(r)
 	if err := node.registerMetrics(relayMetrics(r)); err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	if err := f.startServices(node, r, self); err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	node.log.Info("relay started", zap.String("zone", f.zone), zap.Stringer("addr", f.addr),
 		zap.Uint64("incarnation", self.Incarnation), zap.Int("seeds", len(f.seeds)))
-	<-ctx.Done()
+	next := node.awaitEnd(ctx)
 	f.drain(r, node.log)
-	return nil
+	return next, nil
 }
 
 // startServices starts the services that run beside the relay's data path.
@@ -93,7 +98,7 @@
 	})
 	return node.startServices(opaqueServices{
 		dataPath: r, ready: r.Ready, control: refuse,
-		newRole:      func() opaqueRole { return newRelayFlags(io.Discard, io.Discard) },
+		newRole:      f.renew,
 		configTarget: r,
 		self:         &relayEntry{Addr: f.addr, Zone: f.zone, Incarnation: self.Incarnation},
 		storeEpoch:   r.StoreEpoch,
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -67,16 +67,17 @@
 	return f.opaqueFlags.check(args)
 }
 
-// run runs the sidecar until ctx is done, and then drains it.
-func (f *sidecarFlags) run(ctx context.Context) (err error) {
+func (f *sidecarFlags) renew() opaqueRole { return newSidecarFlags(f.logOutput, io.Discard) }
+
+func (f *sidecarFlags) run(ctx context.Context) (_ opaqueRole, err error) {
 	node, err := openOpaqueNode(f.opaqueFlags, func() bool { return true })
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	defer func() { err = trace.NewAggregate(err, node.Close()) }()
 	spans, err := node.newHistograms()
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	s, err := sidecar.New(sidecar.Config{
 		Identity: sidecar.Identity{
@@ -91,20 +92,20 @@
 		Cold:       f.cold,
 	}, platform.PacketWire{}, decision.NewRecorder(node.decisions, spans.observe))
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	node.add(s)
 	if err := node.registerMetrics(sidecarMetrics(s)); err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	if err := f.startServices(node, s); err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	node.log.Info("sidecar started", zap.String("zone", f.zone), zap.String("service", f.service),
 		zap.Stringer("upstream", f.upstream), zap.Int("seeds", len(f.seeds)))
-	<-ctx.Done()
+	next := node.awaitEnd(ctx)
 	f.drain(s, node.log)
-	return nil
+	return next, nil
 }
 
 // drain keeps carrying packets until the upstream has answered its open requests, or
@@ -123,7 +124,7 @@
 func (f *sidecarFlags) startServices(node *opaqueNode, s *sidecar.Sidecar) error {
 	return node.startServices(opaqueServices{
 		dataPath: s, ready: func() bool { return true }, control: platform.HeartbeatHandler(s),
-		newRole:  func() opaqueRole { return newSidecarFlags(io.Discard, io.Discard) },
+		newRole:  f.renew,
 		isolated: s.Isolated,
 	})
 }
