--- a/agent/flow_test.go
+++ b/agent/flow_test.go
@@ -363,3 +363,20 @@
 func junkInitial() []byte {
 	return append([]byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8, 0xff}, make([]byte, 1200)...)
 }
+
+// TestNoFlowAtAgentOfAnotherServiceAtSameAddress guards against new flows at an agent of
+// another service that has the address of a candidate, as long as the balancers' routing
+// table lists the earlier run.
+func TestNoFlowAtAgentOfAnotherServiceAtSameAddress(t *testing.T) {
+	r := newRig(t, 2, 2, 1)
+	old := r.agents[0][0]
+	r.kill(old)
+	next := r.startAgent(1, old.Addr(), 2, &gate{})
+	client := r.client(0)
+	client.Timeout = time.Second
+	assert.Assert(t, r.call(client, 0, 10) != nil)
+	counts := next.Counts()
+	assert.Assert(t, counts.Dropped > 0)
+	assert.Equal(t, counts.Admitted, uint64(0))
+	assert.Equal(t, next.Flows(), 0)
+}
