dandelionhitch: failing test for the end of a run whose address another service has

Agents ask keepers for the records of their own service only, so the later record at the address is not among them, and the share of the flow limit that the run held stays withheld until its terms lapse.

--- a/dandelionhitch/fleet_test.go
+++ b/dandelionhitch/fleet_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionhitch.example/keeper"
+	"dandelionhitch.example/limit"
 	"dandelionhitch.example/service"
 	"dandelionhitch.example/standin"
 )
@@ -171,3 +172,29 @@
 		mustRequest(t, f.mustDial(t), number)
 	}
 }
+
+// TestEndIsConfirmedAfterAddressPassedToAnotherService guards against a share of the flow
+// limit that stays withheld, for up to a week, after an agent of another service has got the
+// address of a run that ended.
+func TestEndIsConfirmedAfterAddressPassedToAnotherService(t *testing.T) {
+	f := startFleet(t)
+	old := f.agents[0].announcer.Self()
+	assert.NilError(t, f.agents[0].Close())
+	f.agents = f.agents[1:]
+	later := old
+	later.Service, later.Name, later.State = old.Service+1, "photos", service.Serving
+	later.Incarnation, later.Seq = old.Incarnation.After(old.Incarnation), 1
+	ctx, cancel := context.WithTimeout(t.Context(), _testTimeout)
+	defer cancel()
+	for _, balancer := range f.plan.balancers {
+		var reply keeper.HeartbeatReply
+		assert.NilError(t, f.agents[0].control.client.Call(ctx, balancer.control, keeper.MethodHeartbeat, &keeper.HeartbeatRequest{
+			Data: later.Data, Incarnation: later.Incarnation, Seq: later.Seq, Record: &later,
+		}, &reply))
+	}
+	for incarnation, ended := range map[service.Incarnation]bool{old.Incarnation: true, later.Incarnation: false} {
+		gone, err := f.agents[0].confirmGone(ctx, limit.Run{Address: old.Data, Incarnation: incarnation})
+		assert.NilError(t, err)
+		assert.Equal(t, gone, ended, "incarnation %d", incarnation)
+	}
+}
