keeper, dandelionhitch: confirm the end of a run whose address another service has

An agent asks keepers for the record at the run's address instead of searching the records of its own service: the later run there may be of another service. Until now the ended run was not confirmed gone then, so that its floor stayed withheld for up to a week and its leased part until the drain deadline. Keepers of earlier builds ignore the new field and reply as before.

--- a/dandelionhitch/agent.go
+++ b/dandelionhitch/agent.go
@@ -236,12 +236,13 @@
 }
 
 // confirmGone asks the keepers, one after another until one answers, whether a
-// run of another agent of the service has ended.
+// run of another agent of the service has ended. The address of a run that has ended may be
+// that of an agent of another service by now.
 func (n *agentNode) confirmGone(ctx context.Context, run limit.Run) (bool, error) {
 	var failures []error
 	for _, addr := range n.announcer.Keepers() {
 		var reply keeper.RecordsReply
-		err := n.control.client.Call(ctx, addr, keeper.MethodRecords, &keeper.RecordsRequest{Service: n.policy().ID}, &reply)
+		err := n.control.client.Call(ctx, addr, keeper.MethodRecords, &keeper.RecordsRequest{Service: n.policy().ID, Data: run.Address}, &reply)
 		if err == nil {
 			return hasEnded(reply.Upstreams, run), nil
 		}
--- a/keeper/endpoint.go
+++ b/keeper/endpoint.go
@@ -88,12 +88,19 @@
 	return nil
 }
 
-// Records lists the upstreams of a service, or of all services, ended ones included.
+// Records lists the upstream at an address, or the upstreams of a service or of all
+// services, ended ones included.
 func (e *Endpoint) Records(request *RecordsRequest, reply *RecordsReply) error {
 	k := e.keeper
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	reply.Upstreams = k.roster.Upstreams(request.Service)
+	if !request.Data.IsValid() {
+		reply.Upstreams = k.roster.Upstreams(request.Service)
+		return nil
+	}
+	if u, known := k.roster.UpstreamStatus(roster.UpstreamKey(request.Data)); known {
+		reply.Upstreams = []roster.UpstreamStatus{u}
+	}
 	return nil
 }
 
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -117,10 +117,12 @@
 	Members []roster.MemberStatus `cbor:"1,keyasint,omitempty"`
 }
 
-// RecordsRequest requests the upstreams of a service, or those of all services if
-// Service is zero.
+// RecordsRequest requests the upstream at the data address Data, whatever its service. If
+// Data is not set, it requests the upstreams of a service, or those of all services if Service
+// is zero. Keepers of earlier builds ignore Data.
 type RecordsRequest struct {
-	Service service.ID `cbor:"1,keyasint,omitempty"`
+	Service service.ID     `cbor:"1,keyasint,omitempty"`
+	Data    netip.AddrPort `cbor:"2,keyasint,omitzero"`
 }
 
 // RecordsReply lists upstreams, ended ones included.
--- a/roster/view.go
+++ b/roster/view.go
@@ -214,6 +214,16 @@
 	return out
 }
 
+// UpstreamStatus returns the upstream with the given key with its status, also if it has
+// ended. It returns false if there is none.
+func (r *Roster) UpstreamStatus(key Key) (UpstreamStatus, bool) {
+	e := r.entries[key]
+	if e == nil || e.upstream == nil {
+		return UpstreamStatus{}, false
+	}
+	return UpstreamStatus{*e.upstream, e.suspected(), e.ended()}, true
+}
+
 // Upstreams returns the upstreams of a service, or of all services if id is zero, with
 // their status, ended ones included, ordered by service and data address.
 func (r *Roster) Upstreams(id service.ID) []UpstreamStatus {
