dandelionhitch: test that open flows end before the identity changes

A request in progress goes on to its end after the settings have named another service, while new flows are refused; only then does the sidecar start anew.

--- a/dandelionhitch/opaque_reload_test.go
+++ b/dandelionhitch/opaque_reload_test.go
@@ -40,6 +40,12 @@
 	_newIngressPort
 )
 
+// Sequence numbers of the flows of a test: of the opening packet, and of the consent.
+const (
+	_openingSeq = 7
+	_consentSeq = 100
+)
+
 // _followTimeout bounds the time in which a process follows its settings. It is generous, so
 // that no verdict rests on the speed of the machine.
 const _followTimeout = 20 * time.Second
@@ -63,14 +69,14 @@
 	p := &configuredProcess{t: t, addr: addr, file: filepath.Join(t.TempDir(), role+".json")}
 	p.settings = map[string]any{
 		"node": "n1", "zone": "a", "addr": addr.String(), "ready": p.at(_testReadyPort), "control": p.at(_testControlPort),
-		"metrics": p.at(_testMetricsPort), "peer_port": _testPeerPort, "seeds": []string{}, "grace": "4s",
+		"metrics": p.at(_testMetricsPort), "peer_port": _testPeerPort, "seeds": []string{}, "grace": "30s",
 	}
 	if role == "relay" {
 		p.settings["ingress"] = p.at(_testIngressPort)
 	} else {
 		maps.Copy(p.settings, map[string]any{
 			"service": "orders", "upstream": p.at(_testUpstreamPort), "outbound": p.at(_testOutboundPort),
-			"callers": p.at(_testIngressPort), "heartbeat": "500ms",
+			"callers": p.at(_testIngressPort), "heartbeat": "5s",
 		})
 	}
 	p.change(nil)
@@ -202,25 +208,33 @@
 	}
 }
 
-// accepts reports whether the sidecar accepts a new flow of the service.
-func (r *offeringRelay) accepts(sidecar netip.Addr, service string) bool {
+// send sends the sidecar a packet of a flow to the service.
+func (r *offeringRelay) send(sidecar netip.Addr, kind peer.Kind, service string, key flow.Key, header flow.Packet, data string) {
+	header.Source, header.Destination = key.Caller, key.Address
+	carried := peer.Carried{
+		Kind: kind, Origin: r.addr, Service: peer.NewServiceID(service),
+		Packet: platform.AppendPacket(nil, header, 0, []byte(data)),
+	}
+	r.socket.Send(netip.AddrPortFrom(sidecar, _testPeerPort), carried.Append(nil))
+}
+
+// accepts reports whether the sidecar accepts a new flow of the service, and returns the flow.
+func (r *offeringRelay) accepts(sidecar netip.Addr, service string) (flow.Key, bool) {
 	r.offers++
 	key := flow.Key{
 		Caller:  netip.AddrPortFrom(netip.MustParseAddr("127.0.7.40"), 20000+r.offers),
 		Address: netip.MustParseAddrPort("198.18.0.1:443"),
 	}
-	packet := platform.AppendPacket(nil, flow.Packet{Source: key.Caller, Destination: key.Address, Flags: flow.SYN, Seq: 7}, 0, nil)
-	offer := peer.Carried{Kind: peer.KindOffer, Origin: r.addr, Service: peer.NewServiceID(service), Packet: packet}
-	r.socket.Send(netip.AddrPortFrom(sidecar, _testPeerPort), offer.Append(nil))
+	r.send(sidecar, peer.KindOffer, service, key, flow.Packet{Flags: flow.SYN, Seq: _openingSeq}, "")
 	timeout := time.After(500 * time.Millisecond)
 	for {
 		select {
 		case v := <-r.verdicts:
 			if v.Flow == key {
-				return v.Outcome == peer.Accepted
+				return key, v.Outcome == peer.Accepted
 			}
 		case <-timeout:
-			return false
+			return key, false
 		}
 	}
 }
@@ -261,7 +275,11 @@
 	serves := func(service string) func() bool {
 		return func() bool {
 			sequence++
-			return p.heartbeat(service, sequence) && relay.accepts(p.addr, service)
+			if !p.heartbeat(service, sequence) {
+				return false
+			}
+			_, accepted := relay.accepts(p.addr, service)
+			return accepted
 		}
 	}
 	p.await("the first service is served", serves("orders"))
@@ -269,7 +287,8 @@
 	p.change(map[string]any{"service": "photos"})
 	p.await("the service that the settings name is served", serves("photos"))
 	assert.Assert(t, !serves("orders")())
-	assert.Assert(t, !relay.accepts(p.addr, "orders"))
+	_, accepted := relay.accepts(p.addr, "orders")
+	assert.Assert(t, !accepted)
 	assert.Assert(t, cmp.Regexp(`dandelionhitch_settings_identity_changes(\{[^}]*\})? 1\n`, p.metrics()))
 	p.stop()
 	assert.Equal(t, p.lines(`"settings name another identity"`), 1)
@@ -322,3 +341,54 @@
 		})
 	}
 }
+
+// TestOpenFlowEndsBeforeIdentityChanges guards against breaking a flow with a request in
+// progress off when the settings name another service.
+func TestOpenFlowEndsBeforeIdentityChanges(t *testing.T) {
+	p := startConfigured(t, "sidecar", netip.MustParseAddr("127.0.7.27"))
+	relay := newOfferingRelay(t, netip.MustParseAddr("127.0.7.28"))
+	packets := make(chan flow.Packet, 100)
+	upstream, err := datagram.Listen(netip.AddrPortFrom(p.addr, _testUpstreamPort), func(b []byte) {
+		if packet, err := (platform.PacketWire{}).Decode(b); err == nil {
+			packets <- packet
+		}
+	})
+	assert.NilError(t, err)
+	defer upstream.Close()
+	assert.Assert(t, p.heartbeat("orders", 1))
+	key, accepted := relay.accepts(p.addr, "orders")
+	assert.Assert(t, accepted)
+	receives := func(size int) bool {
+		select {
+		case packet := <-packets:
+			return packet.Size == size
+		case <-time.After(100 * time.Millisecond):
+			return false
+		}
+	}
+	p.await("the upstream receives the opening packet", func() bool { return receives(0) })
+	reply := func(header flow.Packet, data string) {
+		header.Source, header.Destination = key.Address, key.Caller
+		upstream.Send(netip.AddrPortFrom(p.addr, _testOutboundPort), platform.AppendPacket(nil, header, 0, []byte(data)))
+	}
+	reply(flow.Packet{Flags: flow.SYN | flow.ACK, Seq: _consentSeq, Ack: _openingSeq + 1}, "")
+	request := func() {
+		// The sidecar may receive it before the consent.
+		p.await("the upstream receives the request", func() bool {
+			relay.send(p.addr, peer.KindCarry, "orders", key, flow.Packet{Flags: flow.ACK, Seq: _openingSeq + 1, Ack: _consentSeq + 1}, "request")
+			return receives(len("request"))
+		})
+	}
+	request()
+
+	p.change(map[string]any{"service": "photos"})
+	p.awaitLines(`"sidecar stops"`, 1)
+	assert.Assert(t, p.heartbeat("orders", 2), "the upstream still lives")
+	request() // repeated
+	_, accepted = relay.accepts(p.addr, "orders")
+	assert.Assert(t, !accepted)
+	assert.Equal(t, p.lines(`"sidecar stopped"`), 0)
+	reply(flow.Packet{Flags: flow.ACK | flow.FIN, Seq: _consentSeq + 1, Ack: _openingSeq + 8}, "answer")
+	p.awaitLines(`"sidecar started"`, 2)
+	assert.Assert(t, p.heartbeat("photos", 1))
+}
