dandelionhitch: wait for an address that another process still uses

A VM may get the address of one whose sidecar still runs or drains. It now logs 'address in use, waiting' and tries for up to the grace period.

--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/netip"
 	"net/url"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -53,6 +55,10 @@
 	_defaultMemoryMB = 64
 )
 
+// _addressPollInterval is how often a starting process checks whether an address that another
+// process uses is free.
+const _addressPollInterval = 200 * time.Millisecond
+
 // _minEvacuationBound is the shortest bound that the shared reads of the store can keep:
 // twice their longest interval.
 const _minEvacuationBound = 4 * time.Second
@@ -136,7 +142,7 @@
 func runOpaque(ctx context.Context, role opaqueRole) error {
 	ignoreHangupAndPipe()
 	for {
-		next, err := role.run(ctx)
+		next, err := runWhenFree(ctx, role)
 		if err != nil || next == nil || ctx.Err() != nil {
 			return err
 		}
@@ -144,6 +150,29 @@
 	}
 }
 
+// runWhenFree runs the role. While another process uses one of its addresses, it waits for
+// up to the grace period, since a process that was told to stop may still drain there.
+func runWhenFree(ctx context.Context, role opaqueRole) (opaqueRole, error) {
+	f := role.common()
+	log := newLogger(f.logOutput, f.logLevel).With(zap.String("node", f.node))
+	last := ""
+	for start := time.Now(); ; {
+		next, err := role.run(ctx)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(start) > f.grace {
+			return next, err
+		}
+		if err.Error() != last {
+			last = err.Error()
+			log.Warn("address in use, waiting", zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-time.After(_addressPollInterval):
+		}
+	}
+}
+
 // readAgain returns the settings that a start of the process would have now, or an error
 // if any of them is invalid. It parses them into role, which must be new.
 func (f *opaqueFlags) readAgain(role opaqueRole) (opaqueRole, error) {
--- a/dandelionhitch/opaque_reload_test.go
+++ b/dandelionhitch/opaque_reload_test.go
@@ -63,8 +63,16 @@
 	output bytes.Buffer
 }
 
-// startConfigured starts a process of the role at addr.
+// startConfigured starts a process of the role at addr, and waits until it is up.
 func startConfigured(t *testing.T, role string, addr netip.Addr) *configuredProcess {
+	t.Helper()
+	p := launchConfigured(t, role, addr)
+	p.awaitLines(`"`+role+` started"`, 1)
+	return p
+}
+
+// launchConfigured starts a process of the role at addr.
+func launchConfigured(t *testing.T, role string, addr netip.Addr) *configuredProcess {
 	t.Helper()
 	p := &configuredProcess{t: t, addr: addr, file: filepath.Join(t.TempDir(), role+".json")}
 	p.settings = map[string]any{
@@ -85,7 +93,6 @@
 	p.command.Stdout, p.command.Stderr = p, p
 	assert.NilError(t, p.command.Start())
 	t.Cleanup(p.stop)
-	p.awaitLines(`"`+role+` started"`, 1)
 	return p
 }
 
