standin: an upstream of another service takes over a host's address

TestReusedMachineAddressGetsNoFlowsOfFormerService, where a new sidecar comes with the upstream, passes.

--- a/standin/opaque_caller.go
+++ b/standin/opaque_caller.go
@@ -40,6 +40,8 @@
 	Request string
 	// Timeout is how long the caller waits for the answer, from the start of the call.
 	Timeout time.Duration
+	// Pause is how long the caller waits after the flow has opened until it sends the request.
+	Pause time.Duration
 	// Send sends a packet to a router.
 	Send func(packet []byte)
 
@@ -126,6 +128,10 @@
 	c.ack = p.Seq + 1
 	c.retryDelay, c.nextSend = _firstRetryDelay, now+_firstRetryDelay
 	c.send(flow.ACK, c.ack, nil)
+	if c.Pause > 0 {
+		c.nextSend = now + c.Pause
+		return
+	}
 	c.sendRequest()
 }
 
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -92,7 +92,8 @@
 	Relay    *relay.Core
 	Sidecar  *sidecar.Core
 	Upstream *OpaqueUpstream
-	// Service is the service of the host's upstream.
+	// Service is the service of the host's upstream. The sidecar goes on with the service that
+	// the host had when the sidecar was started.
 	Service string
 	// ColdUntil is the time until which the host's upstream is cold, besides the time that
 	// Simulation.WarmupLeft returns.
@@ -109,6 +110,7 @@
 	// deferred are the deliveries of messages that arrived while the VM was frozen.
 	deferred                   []func()
 	processStart               time.Duration
+	sidecarService             string
 	upstreamStarts, heartbeats uint64
 	// acknowledged is set once a heartbeat of the upstream's incarnation was acknowledged, and
 	// rejectedSince is when the first was rejected.
@@ -408,7 +410,7 @@
 // configuration unless the store is down.
 func (vm *SimulatedVM) StartSidecar() {
 	s := vm.sim
-	vm.processUp, vm.processStart = true, s.now
+	vm.processUp, vm.processStart, vm.sidecarService = true, s.now, vm.Service
 	vm.Sidecar = sidecar.NewCore(sidecar.Identity{
 		Addr: vm.Addr, Zone: vm.Zone, Incarnation: vm.incarnation(), Service: vm.Service,
 		Upstream: netip.AddrPortFrom(vm.Addr, _upstreamPort), Heartbeat: _heartbeatInterval,
@@ -480,6 +482,13 @@
 	s.schedule(s.now, func() { vm.sendHeartbeat(start) })
 }
 
+// ReplaceUpstream starts an upstream of another service at the host's address, as a platform
+// does that has given the address out again. The sidecar keeps its service until StartSidecar.
+func (vm *SimulatedVM) ReplaceUpstream(service string, configure func(*OpaqueUpstream)) {
+	vm.Service, vm.configureUpstream = service, configure
+	vm.StartUpstream()
+}
+
 // sendFromUpstream delivers a packet of the upstream to the host's sidecar.
 func (vm *SimulatedVM) sendFromUpstream(packet []byte) {
 	if vm.upstreamUp {
@@ -490,7 +499,7 @@
 // sendHeartbeat sends a heartbeat of the upstream and schedules the next one, unless
 // the upstream has ended or was started again since. A rejected heartbeat is repeated soon.
 // It is a violation if one is rejected, except while a new incarnation takes the place of an
-// earlier one, for up to a heartbeat interval.
+// earlier one, for up to a heartbeat interval, and at a sidecar of another service.
 func (vm *SimulatedVM) sendHeartbeat(start uint64) {
 	if vm.upstreamStarts != start || !vm.upstreamUp {
 		return
@@ -513,6 +522,10 @@
 		vm.rejectedSince = vm.sim.now
 	}
 	next = _rejectedHeartbeatRetry
+	if vm.sidecarService != vm.Service {
+		vm.rejectedSince = 0
+		return
+	}
 	if start == 1 || vm.acknowledged || vm.sim.now-vm.rejectedSince > _heartbeatInterval {
 		vm.sim.addViolation("heartbeat refused: %v", err)
 	}
