soak: upstreams of the other service take over addresses of hosts

The upstream of a host ends (crash, silence or drain), its address is free for 2 s, and an upstream of the other service comes up there. Later the sidecar is restarted, told to stop, or its settings are rewritten without a signal. One caller in four pauses up to 5 s on its open flow.

--- a/soak/calls.go
+++ b/soak/calls.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/netip"
 	"reflect"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -159,6 +158,7 @@
 		Request: fmt.Sprintf("r%d", n), Timeout: _callTimeout,
 	}, zone: _zones[n%len(_zones)]}
 	c.Send = func(packet []byte) { r.routePacket(c, packet) }
+	r.drawPause(c)
 	r.calls = append(r.calls, c)
 	r.active[c.Key] = c
 	c.Start(r.now(), r.random.Uint32())
@@ -197,7 +197,7 @@
 		r.promises[_noReset].Checks++
 	}
 	if previousState != standin.CallAnswered && c.State == standin.CallAnswered {
-		c.service = r.serviceOf(c.Upstream)
+		c.service = r.serviceByUpstream[c.Upstream]
 	}
 }
 
@@ -210,16 +210,3 @@
 	}
 	return nil
 }
-
-// serviceOf returns the service of the upstream with the given name, or "" if no VM has the
-// address in the name. A name consists of the VM's address and the number of the upstream's
-// instance.
-func (r *run) serviceOf(name string) string {
-	addr, _, _ := strings.Cut(name, "#")
-	for _, v := range r.vms {
-		if v.addr.String() == addr {
-			return v.service
-		}
-	}
-	return ""
-}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,6 +24,9 @@
 // schedule draws the faults of a run and returns their events in the order of time. All
 // faults begin before end.
 func (r *run) schedule(end time.Duration) []event {
+	if r.config.OnlyReuse != nil {
+		return r.reuseEvents(r.vms[r.config.Relays], _startupTime+_onlyReuseAt, *r.config.OnlyReuse)
+	}
 	var events []event
 	for at := _startupTime + 500*time.Millisecond; at < end; at += time.Duration(300+r.random.IntN(900)) * time.Millisecond {
 		duration := min(time.Duration(200+r.random.IntN(3500))*time.Millisecond, end-at)
@@ -31,6 +34,7 @@
 		events = append(events, r.drawExtraFault(at, at+duration)...)
 	}
 	events = append(events, r.drawDrill(_startupTime, end)...)
+	events = append(events, r.drawReuses(_startupTime, end)...)
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return events
 }
@@ -135,11 +139,7 @@
 
 // switchRoute writes a configuration that routes _switchedAddress to the other service.
 func (r *run) switchRoute() {
-	service := _orders
-	if r.switchedService == _orders {
-		service = _photos
-	}
-	r.noteError("configuration", r.writeConfiguration(service))
+	r.noteError("configuration", r.writeConfiguration(otherService(r.switchedService)))
 }
 
 // drawLinkFault returns the events of a fault on randomly drawn links. A link is one
@@ -182,9 +182,10 @@
 	}
 }
 
-// startUpstreamIfNone starts a new instance of the upstream unless one is running.
+// startUpstreamIfNone starts a new instance of the upstream unless one is running
+// or the address is free for another service.
 func (v *vm) startUpstreamIfNone() {
-	if v.upstream == nil {
+	if v.upstream == nil && !v.addressFree {
 		v.startUpstream()
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,7 +14,8 @@
 //
 // Faults overlap: processes are stopped, killed, paused and restarted, links are
 // disturbed, the store refuses requests, answers late, loses answers or is restored from an
-// older copy, upstreams crash, drain and restart, and the configuration changes. Then all faults end, and
+// older copy, upstreams crash, drain and restart, upstreams of the other service take over
+// their addresses, and the configuration changes. Then all faults end, and
 // the run checks that every call is answered again.
 package soak
 
@@ -52,6 +53,8 @@
 	// Relays and Hosts are the numbers of VMs that run a relay, and of VMs that run a
 	// sidecar with an upstream. The hosts are divided between two services.
 	Relays, Hosts int
+	// OnlyReuse, if not nil, is the only fault of the run. It befalls the first host.
+	OnlyReuse *Reuse
 	// CallsPerSecond is the mean rate of calls.
 	CallsPerSecond float64
 	// Progress, if not nil, receives a line for each start and end of a fault.
@@ -90,6 +93,9 @@
 	// Calls is the number of calls made, Answered the number that got an answer.
 	Calls    int
 	Answered int
+	// FlowsAtReused is the number of flows that upstreams of their own service have taken at
+	// addresses that another service had before.
+	FlowsAtReused int
 	// Faults are lines that describe the starts and ends of faults in the order of time,
 	// and the failures to apply them.
 	Faults   []string
@@ -149,6 +155,7 @@
 	// random draws the calls and the faults, except for the faults of drawExtraFault.
 	random      *rand.Rand
 	extraRandom *rand.Rand
+	pauseRandom *rand.Rand
 	startTime   time.Time
 	store       *standin.Platform
 	client      *platform.Client
@@ -171,6 +178,9 @@
 	active map[flow.Key]*call
 	// executions counts how often upstreams ran each request, by the request's text.
 	executions map[string]int
+	// serviceByUpstream is the service of each upstream that was started, by its name.
+	serviceByUpstream map[string]string
+	flowsAtReused     int
 	// configVersion is the version of the last configuration that was written, and
 	// objectVersion the version of its object in the store. The configuration was written
 	// at switchedAt and routes _switchedAddress to switchedService.
@@ -191,10 +201,11 @@
 	}
 	r := &run{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
-		extraRandom: rand.New(rand.NewPCG(config.Seed, 2)), startTime: time.Now(), store: store,
+		extraRandom: rand.New(rand.NewPCG(config.Seed, 2)), pauseRandom: rand.New(rand.NewPCG(config.Seed, 4)), startTime: time.Now(), store: store,
 		client:   platform.NewClient(store.URL()),
 		starter:  newStarter(),
 		promises: make(map[string]*Promise), active: make(map[flow.Key]*call), executions: make(map[string]int),
+		serviceByUpstream: make(map[string]string),
 	}
 	r.objects = r.client
 	for _, name := range []string{_noReset, _rightService, _unaltered, _noFlowAfterDrain, _noFlowEvacuated, _atMostOnce, _lastConfig, _recovery} {
@@ -310,7 +321,7 @@
 func (r *run) report() *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &Report{Seed: r.config.Seed, Calls: len(r.calls), Faults: r.faults}
+	out := &Report{Seed: r.config.Seed, Calls: len(r.calls), FlowsAtReused: r.flowsAtReused, Faults: r.faults}
 	settled := _startupTime + r.config.FaultDuration + _settleTime
 	for _, c := range r.calls {
 		if c.State == standin.CallAnswered {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -46,6 +46,9 @@
 	addr    netip.Addr
 	zone    string
 	service string // empty for a relay
+	// addressFree is set while the upstream's address is free for another service, and reused
+	// once an upstream of another service has taken it.
+	addressFree, reused bool
 
 	// program is the path of the executable that process runs.
 	program string
@@ -87,11 +90,9 @@
 	if i%3 == 2 {
 		v.service = _photos
 	}
-	socket, err := datagram.Listen(netip.AddrPortFrom(v.addr, r.ports.upstream), v.receivePacket)
-	if err != nil {
+	if err := v.listen(); err != nil {
 		return nil, err
 	}
-	v.socket = socket
 	return v, r.proxy.add(v.addr)
 }
 
@@ -109,8 +110,17 @@
 // addrPort returns the VM's IP address with the port.
 func (v *vm) addrPort(port uint16) string { return netip.AddrPortFrom(v.addr, port).String() }
 
-// startProcess writes the settings of the VM's relay or sidecar and starts it.
-func (v *vm) startProcess() error {
+// role returns the role of the VM's process.
+func (v *vm) role() string {
+	if v.isHost() {
+		return "sidecar"
+	}
+	return "relay"
+}
+
+// writeSettings writes the settings of the VM's process, and returns the path of the file. A
+// process that reads them meanwhile gets the previous ones or these.
+func (v *vm) writeSettings() (string, error) {
 	r := v.run
 	settings := map[string]any{
 		"node": v.addr.String(), "zone": v.zone, "addr": v.addr.String(),
@@ -119,31 +129,42 @@
 		"seeds": r.seeds(), "platform": r.store.URL().String(), "memory_mb": 128, "grace": _gracePeriod.String(),
 		"evacuation_bound": _evacuationBound.String(),
 	}
-	role := "relay"
 	if v.isHost() {
-		role = "sidecar"
 		settings["service"] = v.service
 		settings["upstream"] = v.addrPort(r.ports.upstream)
 		settings["outbound"] = v.addrPort(r.ports.outbound)
 		settings["callers"] = v.addrPort(r.ports.ingress)
 		settings["heartbeat"] = _heartbeatInterval.String()
+		if v.program == r.config.Program { // an earlier build refuses settings that it does not know
+			settings["address_reuse"] = _addressReuse.String()
+		}
 	} else {
 		settings["ingress"] = v.addrPort(r.ports.ingress)
 	}
 	content, err := json.Marshal(settings)
 	if err != nil {
-		return trace.Wrap(err, "encode settings of %v", v)
+		return "", trace.Wrap(err, "encode settings of %v", v)
 	}
 	path := filepath.Join(r.config.Dir, v.addr.String()+".json")
-	if err := os.WriteFile(path, content, 0o600); err != nil {
-		return trace.Wrap(err, "write settings of %v", v)
+	if err := os.WriteFile(path+".new", content, 0o600); err != nil {
+		return "", trace.Wrap(err, "write settings of %v", v)
+	}
+	return path, trace.Wrap(os.Rename(path+".new", path), "replace settings of %v", v)
+}
+
+// startProcess writes the settings of the VM's relay or sidecar and starts it.
+func (v *vm) startProcess() error {
+	r := v.run
+	path, err := v.writeSettings()
+	if err != nil {
+		return err
 	}
 	log, err := os.OpenFile(r.logPath(v.addr), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return trace.Wrap(err, "open log of %v", v)
 	}
 	defer log.Close()
-	v.process, err = r.starter.start(v.program, log, role, "-config", path)
+	v.process, err = r.starter.start(v.program, log, v.role(), "-config", path)
 	v.stopping, v.paused = false, false
 	return err
 }
@@ -203,12 +224,16 @@
 	u.OnOpening = func(key flow.Key) {
 		r.check(_rightService, r.routesTo(key.Address, v.service),
 			"flow %v was opened at %s of %s", key, u.Name, v.service)
+		if v.reused && r.routesTo(key.Address, v.service) {
+			r.flowsAtReused++
+		}
 		c := r.active[key]
 		afterDrain := c != nil && v.drainAcked > 0 && r.now() > v.drainAcked+_drainTolerance
 		r.check(_noFlowAfterDrain, !afterDrain,
 			"flow %v was opened at %s, which drains since %v", key, u.Name, v.drainAcked)
 		v.checkEvacuation(key)
 	}
+	r.serviceByUpstream[u.Name] = v.service
 	v.upstream = u
 }
 
