--- a/dandelionhitch/mutant_test.go
+++ b/dandelionhitch/mutant_test.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -41,6 +42,10 @@
 
 // mutant is a deliberate fault of the processes in a soak. Its fields may be empty.
 type mutant struct {
+	// promise is the name of the promise that the mutant breaks; empty if it is the mutant's.
+	promise string
+	// reuse is the only fault of the soak; nil if the soak draws its faults.
+	reuse *soak.Reuse
 	// wire replaces the packet format of relays.
 	wire relay.Wire
 	// changes, by role, modify the settings of a process before it starts. They may
@@ -54,7 +59,8 @@
 // change of the configuration.
 const _mutantSeed = 100
 
-// _mutants maps the name of each promise in soak reports to a mutant that breaks it.
+// _mutants maps the name of each promise in soak reports to a mutant that breaks it. Further
+// mutants have names of their own.
 var _mutants = map[string]mutant{
 	"packets arrive as they were sent":   {wire: &faultyWire{corrupt: flipBit}},
 	"flows reach their own service":      {wire: misaddressingWire{}},
@@ -62,6 +68,10 @@
 	"all is served after the faults":     {wire: &stoppingWire{}},
 	"no new flow after a drain":          {changes: map[string]settingsChange{"sidecar": hideDrains}},
 	"the last configuration is in force": {changes: map[string]settingsChange{"relay": serveFirstConfiguration}, seed: 101},
+	"any upstream is the own one": {
+		promise: "flows reach their own service", changes: map[string]settingsChange{"sidecar": trustAddress},
+		reuse: &soak.Reuse{End: soak.Crashes, Free: _reusedAddressFree},
+	},
 }
 
 // _mutantInterval is the number of packets or flows of which a mutant corrupts one.
@@ -145,6 +155,22 @@
 // hideDrains starts a proxy at a sidecar's control address that replaces the state
 // draining in heartbeats by ready.
 func hideDrains(settings map[string]any, _ string) error {
+	return changeHeartbeats(settings, func(body []byte) []byte {
+		return bytes.ReplaceAll(body, []byte("draining"), []byte("ready"))
+	})
+}
+
+// trustAddress makes a sidecar take any upstream at the address for its own: each heartbeat
+// names the sidecar's service.
+func trustAddress(settings map[string]any, _ string) error {
+	named := regexp.MustCompile(`"service":"[^"]*"`)
+	own := fmt.Appendf(nil, "\"service\":%q", settings["service"])
+	return changeHeartbeats(settings, func(body []byte) []byte { return named.ReplaceAllLiteral(body, own) })
+}
+
+// changeHeartbeats starts a proxy at a sidecar's control address that passes the body of each
+// heartbeat through change.
+func changeHeartbeats(settings map[string]any, change func(body []byte) []byte) error {
 	publicAddr, ok := settings["control"].(string)
 	if !ok {
 		return errors.New("no control address")
@@ -163,7 +189,7 @@
 		if err != nil {
 			return // the sidecar refuses a truncated body
 		}
-		body = bytes.ReplaceAll(body, []byte("draining"), []byte("ready"))
+		body = change(body)
 		r.Out.Body, r.Out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	}}
 	return serveMutant(publicAddr, proxy)
@@ -224,7 +250,7 @@
 	return nil
 }
 
-// runMutant runs a relay or sidecar with the mutant for the given promise, and returns
+// runMutant runs a relay or sidecar with the mutant of the given name, and returns
 // the exit status. args are the role, -config and the settings file.
 func runMutant(name string, args []string) int {
 	m := _mutants[name]
@@ -275,21 +301,22 @@
 	if testing.Short() {
 		t.Skip("runs dozens of processes, each with the race detector")
 	}
-	for promise, m := range _mutants {
-		t.Run(promise, func(t *testing.T) {
+	for name, m := range _mutants {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
-			program := filepath.Join(dir, _mutantPrefix+strings.ReplaceAll(promise, " ", "-"))
+			program := filepath.Join(dir, _mutantPrefix+strings.ReplaceAll(name, " ", "-"))
 			binary, err := os.Executable()
 			assert.NilError(t, err)
 			assert.NilError(t, os.Symlink(binary, program))
 			report, err := soak.Run(soak.Config{
 				Program: program, Dir: dir, Seed: cmp.Or(m.seed, _mutantSeed), FaultDuration: 4 * time.Second, RestDuration: time.Second,
-				Relays: 3, Hosts: 5, CallsPerSecond: 60,
+				Relays: 3, Hosts: 5, CallsPerSecond: 60, OnlyReuse: m.reuse,
 			})
 			assert.NilError(t, err)
 			var b bytes.Buffer
 			report.Print(&b)
+			promise := cmp.Or(m.promise, name)
 			for _, p := range report.Promises {
 				if p.Name == promise {
 					assert.Assert(t, len(p.Breaches) > 0, "%s", b.String())
