--- a/dandelionhitch/mutant_test.go
+++ b/dandelionhitch/mutant_test.go
@@ -16,7 +16,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -63,7 +62,7 @@
 // mutants have names of their own.
 var _mutants = map[string]mutant{
 	"packets arrive as they were sent":   {wire: &faultyWire{corrupt: flipBit}},
-	"flows reach their own service":      {wire: misaddressingWire{}},
+	"flows reach their own service":      {changes: map[string]settingsChange{"sidecar": swapServices}},
 	"open flows are not reset":           {wire: &misreadingWire{faultyWire{corrupt: misreadAddress}}},
 	"all is served after the faults":     {wire: &stoppingWire{}},
 	"no new flow after a drain":          {changes: map[string]settingsChange{"sidecar": hideDrains}},
@@ -121,18 +120,6 @@
 	return w.faultyWire.AppendReset(b, key, ack)
 }
 
-// misaddressingWire decrements the destination address of some flows. The lower address
-// belongs to another service.
-type misaddressingWire struct{ platform.PacketWire }
-
-func (w misaddressingWire) Decode(b []byte) (flow.Packet, error) {
-	p, err := w.PacketWire.Decode(b)
-	if err == nil && p.Source.Port()%_mutantInterval == 0 {
-		p.Destination = netip.AddrPortFrom(p.Destination.Addr().Prev(), p.Destination.Port())
-	}
-	return p, err
-}
-
 // stoppingWire decodes no packet that arrives later than _stoppingWireLifetime after the
 // first one.
 type stoppingWire struct {
@@ -152,25 +139,27 @@
 	return w.PacketWire.Decode(b)
 }
 
-// hideDrains starts a proxy at a sidecar's control address that replaces the state
-// draining in heartbeats by ready.
+// hideDrains replaces the state draining in heartbeats by ready.
 func hideDrains(settings map[string]any, _ string) error {
-	return changeHeartbeats(settings, func(body []byte) []byte {
-		return bytes.ReplaceAll(body, []byte("draining"), []byte("ready"))
-	})
+	return replaceInHeartbeats(settings, "draining", "ready")
 }
 
-// trustAddress makes a sidecar take any upstream at the address for its own: each heartbeat
-// names the sidecar's service.
-func trustAddress(settings map[string]any, _ string) error {
-	named := regexp.MustCompile(`"service":"[^"]*"`)
-	own := fmt.Appendf(nil, "\"service\":%q", settings["service"])
-	return changeHeartbeats(settings, func(body []byte) []byte { return named.ReplaceAllLiteral(body, own) })
+// swapServices makes a sidecar take its upstream for one of the other service. A relay that
+// names the wrong service is no mutant that breaks a promise: sidecars ask their own
+// configuration, too.
+func swapServices(settings map[string]any, _ string) error {
+	service, _ := settings["service"].(string)
+	other, ok := map[string]string{"orders": "photos", "photos": "orders"}[service]
+	if !ok {
+		return fmt.Errorf("service %q is none of the soak", service)
+	}
+	settings["service"] = other
+	return replaceInHeartbeats(settings, service, other)
 }
 
-// changeHeartbeats starts a proxy at a sidecar's control address that passes the body of each
-// heartbeat through change.
-func changeHeartbeats(settings map[string]any, change func(body []byte) []byte) error {
+// replaceInHeartbeats starts a proxy at a sidecar's control address that replaces a string in
+// heartbeats.
+func replaceInHeartbeats(settings map[string]any, from, to string) error {
 	publicAddr, ok := settings["control"].(string)
 	if !ok {
 		return errors.New("no control address")
@@ -189,12 +178,22 @@
 		if err != nil {
 			return // the sidecar refuses a truncated body
 		}
-		body = change(body)
+		body = bytes.ReplaceAll(body, []byte(strconv.Quote(from)), []byte(strconv.Quote(to)))
 		r.Out.Body, r.Out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	}}
 	return serveMutant(publicAddr, proxy)
 }
 
+// trustAddress makes a sidecar take any upstream at its address for one of its own service.
+func trustAddress(settings map[string]any, _ string) error {
+	service, _ := settings["service"].(string)
+	other, ok := map[string]string{"orders": "photos", "photos": "orders"}[service]
+	if !ok {
+		return fmt.Errorf("service %q is none of the soak", service)
+	}
+	return replaceInHeartbeats(settings, other, service)
+}
+
 // serveFirstConfiguration starts a proxy between a relay and the store that always
 // returns the first configuration that any relay has read.
 func serveFirstConfiguration(settings map[string]any, dir string) error {
