--- a/dandelionhitch/mutant_test.go
+++ b/dandelionhitch/mutant_test.go
@@ -41,6 +41,10 @@
 
 // mutant is a deliberate fault of the processes in a soak. Its fields may be empty.
 type mutant struct {
+	// promise is the name of the promise that the mutant breaks; empty if it is the mutant's.
+	promise string
+	// reuse is the only fault of the soak; nil if the soak draws its faults.
+	reuse *soak.Reuse
 	// wire replaces the packet format of relays.
 	wire relay.Wire
 	// changes, by role, modify the settings of a process before it starts. They may
@@ -54,14 +58,19 @@
 // change of the configuration.
 const _mutantSeed = 100
 
-// _mutants maps the name of each promise in soak reports to a mutant that breaks it.
+// _mutants maps the name of each promise in soak reports to a mutant that breaks it. Further
+// mutants have names of their own.
 var _mutants = map[string]mutant{
 	"packets arrive as they were sent":   {wire: &faultyWire{corrupt: flipBit}},
-	"flows reach their own service":      {wire: misaddressingWire{}},
+	"flows reach their own service":      {changes: map[string]settingsChange{"sidecar": swapServices}},
 	"open flows are not reset":           {wire: &misreadingWire{faultyWire{corrupt: misreadAddress}}},
 	"all is served after the faults":     {wire: &stoppingWire{}},
 	"no new flow after a drain":          {changes: map[string]settingsChange{"sidecar": hideDrains}},
 	"the last configuration is in force": {changes: map[string]settingsChange{"relay": serveFirstConfiguration}, seed: 101},
+	"any upstream is the own one": {
+		promise: "flows reach their own service", changes: map[string]settingsChange{"sidecar": trustAddress},
+		reuse: &soak.Reuse{End: soak.Crashes, Free: _reusedAddressFree},
+	},
 }
 
 // _mutantInterval is the number of packets or flows of which a mutant corrupts one.
@@ -111,18 +120,6 @@
 	return w.faultyWire.AppendReset(b, key, ack)
 }
 
-// misaddressingWire decrements the destination address of some flows. The lower address
-// belongs to another service.
-type misaddressingWire struct{ platform.PacketWire }
-
-func (w misaddressingWire) Decode(b []byte) (flow.Packet, error) {
-	p, err := w.PacketWire.Decode(b)
-	if err == nil && p.Source.Port()%_mutantInterval == 0 {
-		p.Destination = netip.AddrPortFrom(p.Destination.Addr().Prev(), p.Destination.Port())
-	}
-	return p, err
-}
-
 // stoppingWire decodes no packet that arrives later than _stoppingWireLifetime after the
 // first one.
 type stoppingWire struct {
@@ -142,9 +139,27 @@
 	return w.PacketWire.Decode(b)
 }
 
-// hideDrains starts a proxy at a sidecar's control address that replaces the state
-// draining in heartbeats by ready.
+// hideDrains replaces the state draining in heartbeats by ready.
 func hideDrains(settings map[string]any, _ string) error {
+	return replaceInHeartbeats(settings, "draining", "ready")
+}
+
+// swapServices makes a sidecar take its upstream for one of the other service. A relay that
+// names the wrong service is no mutant that breaks a promise: sidecars ask their own
+// configuration, too.
+func swapServices(settings map[string]any, _ string) error {
+	service, _ := settings["service"].(string)
+	other, ok := map[string]string{"orders": "photos", "photos": "orders"}[service]
+	if !ok {
+		return fmt.Errorf("service %q is none of the soak", service)
+	}
+	settings["service"] = other
+	return replaceInHeartbeats(settings, service, other)
+}
+
+// replaceInHeartbeats starts a proxy at a sidecar's control address that replaces a string in
+// heartbeats.
+func replaceInHeartbeats(settings map[string]any, from, to string) error {
 	publicAddr, ok := settings["control"].(string)
 	if !ok {
 		return errors.New("no control address")
@@ -163,12 +178,22 @@
 		if err != nil {
 			return // the sidecar refuses a truncated body
 		}
-		body = bytes.ReplaceAll(body, []byte("draining"), []byte("ready"))
+		body = bytes.ReplaceAll(body, []byte(strconv.Quote(from)), []byte(strconv.Quote(to)))
 		r.Out.Body, r.Out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	}}
 	return serveMutant(publicAddr, proxy)
 }
 
+// trustAddress makes a sidecar take any upstream at its address for one of its own service.
+func trustAddress(settings map[string]any, _ string) error {
+	service, _ := settings["service"].(string)
+	other, ok := map[string]string{"orders": "photos", "photos": "orders"}[service]
+	if !ok {
+		return fmt.Errorf("service %q is none of the soak", service)
+	}
+	return replaceInHeartbeats(settings, other, service)
+}
+
 // serveFirstConfiguration starts a proxy between a relay and the store that always
 // returns the first configuration that any relay has read.
 func serveFirstConfiguration(settings map[string]any, dir string) error {
@@ -224,7 +249,7 @@
 	return nil
 }
 
-// runMutant runs a relay or sidecar with the mutant for the given promise, and returns
+// runMutant runs a relay or sidecar with the mutant of the given name, and returns
 // the exit status. args are the role, -config and the settings file.
 func runMutant(name string, args []string) int {
 	m := _mutants[name]
@@ -275,21 +300,22 @@
 	if testing.Short() {
 		t.Skip("runs dozens of processes, each with the race detector")
 	}
-	for promise, m := range _mutants {
-		t.Run(promise, func(t *testing.T) {
+	for name, m := range _mutants {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
-			program := filepath.Join(dir, _mutantPrefix+strings.ReplaceAll(promise, " ", "-"))
+			program := filepath.Join(dir, _mutantPrefix+strings.ReplaceAll(name, " ", "-"))
 			binary, err := os.Executable()
 			assert.NilError(t, err)
 			assert.NilError(t, os.Symlink(binary, program))
 			report, err := soak.Run(soak.Config{
 				Program: program, Dir: dir, Seed: cmp.Or(m.seed, _mutantSeed), FaultDuration: 4 * time.Second, RestDuration: time.Second,
-				Relays: 3, Hosts: 5, CallsPerSecond: 60,
+				Relays: 3, Hosts: 5, CallsPerSecond: 60, OnlyReuse: m.reuse,
 			})
 			assert.NilError(t, err)
 			var b bytes.Buffer
 			report.Print(&b)
+			promise := cmp.Or(m.promise, name)
 			for _, p := range report.Promises {
 				if p.Name == promise {
 					assert.Assert(t, len(p.Breaches) > 0, "%s", b.String())
