sidecar: drop an opening packet in a carry or try

An opening packet that came as a packet of an open flow passed the checks of new flows: an unsure sidecar delivered it as a probe, and one that held an earlier flow of the caller's port took it for a packet of that flow. TestCarriedOpeningReachesNoUpstream failed before.

--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -64,6 +64,10 @@
 	case peer.KindOffer:
 		c.handleOffer(now, key, m, p)
 	case peer.KindCarry, peer.KindTry:
+		if p.Opening() {
+			c.counts.Dropped++ // it must be offered
+			return
+		}
 		c.handleCarry(now, key, m, p)
 	}
 }
