--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -128,7 +128,7 @@
 	case c.evacuated():
 		c.counts.Evacuated++
 		return _reasonEvacuated
-	case m.Version < c.table.Version() && !c.table.Allows(key.Address, c.self.Service):
+	case m.Version <= c.table.Version() && !c.table.Allows(key.Address, c.self.Service):
 		return "route_changed"
 	case c.upstream.state == peer.Suspect && c.upstream.failures.retryAt > 0 && m.LastResort:
 		return "" // the relay has found no other sidecar that accepts the flow
