--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -155,7 +155,10 @@
 // admitWaiting delivers waiting flows to the upstream while it has capacity. If slots
 // remain free, it notifies overloaded peers.
 func (c *Core) admitWaiting() {
-	for len(c.waiting) > 0 && c.busy < c.capacity() && c.reportedState() == peer.Ready {
+	if c.reportedState() != peer.Ready || !c.confirmed(c.now) {
+		return
+	}
+	for len(c.waiting) > 0 && c.busy < c.capacity() {
 		f := c.nextWaiting()
 		if c.now >= f.targetStart && c.busy >= c.totalSlots() {
 			break // a flow that is not late may arrive, and must not wait behind this one
@@ -163,7 +166,7 @@
 		c.dequeue(f)
 		c.deliver(f)
 	}
-	if c.busy < c.effectiveSlots(c.now) && len(c.waiting) == 0 && c.reportedState() == peer.Ready {
+	if c.busy < c.effectiveSlots(c.now) && len(c.waiting) == 0 {
 		c.announceFreeSlots()
 	}
 }
@@ -171,14 +174,12 @@
 // deliver sends a flow's opening packet to the upstream.
 func (c *Core) deliver(f *flowState) {
 	f.deliveredAt = c.now
-	c.gate.noteDelivery(c.now)
-	c.noteDelivery()
 	if !f.awaitsRequest {
 		f.awaitsRequest = true
 		c.awaitingRequest = append(c.awaitingRequest, f)
 	}
 	c.setInProgress(f, true)
-	c.out.ToUpstream(f.packet)
+	f.opened = c.sendOpening(f.packet)
 }
 
 // dequeue removes a flow from the queue of waiting flows, if it is queued.
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -179,6 +179,7 @@
 	// evacuations are the zones whose upstreams get no new flows.
 	evacuations evacuation.State
 	gate        coldGate
+	identity    identity
 }
 
 // Option configures a Core.
@@ -232,6 +233,8 @@
 	// deliveredAt is when the opening packet was delivered to the upstream or, as long as
 	// the packet is queued, when the sidecar accepted it.
 	deliveredAt time.Duration
+	// opened is set once the opening packet was delivered to the upstream by this process.
+	opened bool
 	// answered is set once the upstream has sent data.
 	answered bool
 	// firstRequestAt and lastRequestAt are when the caller's first and latest packets with
@@ -269,8 +272,8 @@
 	IgnoredHeartbeats uint64
 	// OtherUpstreamHeartbeats counts those of them that name another service or address.
 	OtherUpstreamHeartbeats uint64
-	// UnconfirmedOpenings counts opening packets that the upstream got although its last
-	// heartbeat was older than Identity.AddressReuse.
+	// UnconfirmedOpenings counts opening packets that the upstream did not get since its
+	// address may have passed to another upstream.
 	UnconfirmedOpenings uint64
 	// Malformed counts packets and messages that could not be decoded.
 	Malformed uint64
@@ -407,6 +410,8 @@
 		c.timelyTicks++
 	}
 	c.lastTick = now
+	c.identity.noteTick(now)
+	c.checkConfirmation(now)
 	c.startTrialIfDue()
 	if c.gate.cold(now) {
 		c.admitWaiting()
--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -5,12 +5,133 @@
 	"time"
 
 	"dandelionhitch.example/decision"
+	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
 )
 
-// _defaultAddressReuse is used as Identity.AddressReuse if that is zero. It is the figure of
-// the users' deployments.
-const _defaultAddressReuse = 2 * time.Second
+// A sidecar finds its upstream by an address. Another upstream, possibly of another service,
+// may have that address once Identity.AddressReuse has passed since the end of the sidecar's
+// own one. So the upstream gets opening packets only for that long after the last proof that
+// the process at the address is of this sidecar's service:
+//
+//   - a heartbeat that was accepted;
+//   - a reply on a flow whose opening packet this process has delivered. That packet went to
+//     the right process, since it was delivered under this rule, and only the process that got
+//     it answers on the flow.
+//
+// Bounces, resets and packets of other flows are no proof: any process may send them. Packets
+// of open flows need none: a process that does not hold the flow bounces them.
+//
+// The confirmation is apart from upstream.state, by which flows of a dead upstream are reset.
+// An upstream without it is reported as suspect, and keeps its flows.
+const (
+	// _defaultAddressReuse is used as Identity.AddressReuse if that is zero. It is the figure
+	// of the users' deployments.
+	_defaultAddressReuse = 2 * time.Second
+	// _drainTicks is the number of ticks within which a running process has read what was
+	// waiting in its sockets. After a stall, the first two ticks may follow each other at once.
+	_drainTicks = 2
+	// _reasonUnconfirmed is the reason for rejecting flows while the address may have passed
+	// to another upstream.
+	_reasonUnconfirmed = "upstream_unconfirmed"
+)
+
+// identity is what the sidecar knows of which upstream is at the address of its own.
+type identity struct {
+	// confirmedUntil is the time until which the address has not passed on, as far as proved.
+	confirmedUntil time.Duration
+	// lapsed is set once it has been reported that the confirmation is over.
+	lapsed bool
+	// ticks are the times of the last ticks, the oldest first.
+	ticks [_drainTicks + 1]time.Duration
+}
+
+// noteTick records the time of a tick.
+func (id *identity) noteTick(now time.Duration) {
+	copy(id.ticks[:], id.ticks[1:])
+	id.ticks[_drainTicks] = now
+}
+
+// confirmed reports whether the process at the upstream's address is of this sidecar's service.
+func (c *Core) confirmed(now time.Duration) bool { return now < c.identity.confirmedUntil }
+
+// sentSince returns the earliest time at which a message that is read now may have been sent.
+// It may have waited in the socket while this process was stalled.
+func (c *Core) sentSince() time.Duration {
+	if c.lastTick == 0 {
+		return c.now
+	}
+	return c.identity.ticks[0]
+}
+
+// confirm notes a proof that the process at the upstream's address is of this sidecar's
+// service. A timely process may take up to _maxTickGap from a check of the confirmation until
+// the packet is sent.
+func (c *Core) confirm(proof string) {
+	id := &c.identity
+	was := c.confirmed(c.now)
+	id.confirmedUntil = max(id.confirmedUntil, c.sentSince()+c.self.AddressReuse-_maxTickGap)
+	if was || !c.confirmed(c.now) {
+		return
+	}
+	if id.lapsed {
+		id.lapsed = false
+		c.logIdentity("not_confirmed", "confirmed", proof)
+		if c.upstream.state == peer.Ready {
+			c.reportToAll(c.now)
+		}
+	}
+	c.admitWaiting()
+}
+
+// revokeConfirmation ends the confirmation. It reports the reason and redirects the waiting
+// flows.
+func (c *Core) revokeConfirmation(reason string) {
+	id := &c.identity
+	id.confirmedUntil = 0
+	if id.lapsed {
+		return
+	}
+	id.lapsed = true
+	c.logIdentity("confirmed", "not_confirmed", reason)
+	if c.upstream.state == peer.Ready {
+		c.reportToAll(c.now)
+	}
+	c.redirectWaiting(_reasonUnconfirmed)
+}
+
+// checkConfirmation reports that the confirmation has run out.
+func (c *Core) checkConfirmation(now time.Duration) {
+	u := &c.upstream
+	if u.state != peer.Absent && u.state != peer.Gone && !c.confirmed(now) && c.timelyTicks >= _minTimelyTicks {
+		c.revokeConfirmation("no_proof")
+	}
+}
+
+// sendOpening sends an opening packet to the upstream if its identity is confirmed, and reports
+// whether it did. No other way leads an opening packet to the upstream.
+func (c *Core) sendOpening(packet []byte) bool {
+	if !c.confirmed(c.now) {
+		c.counts.UnconfirmedOpenings++
+		return false
+	}
+	c.gate.noteDelivery(c.now)
+	c.out.ToUpstream(packet)
+	return true
+}
+
+// proves reports whether the sender of a packet took the flow's opening packet from this
+// process and holds the flow. The packet's sequence number fits the flow (see acceptsSeq).
+func (f *flowState) proves(p flow.Packet) bool {
+	switch {
+	case !f.opened, f.dead, p.Flags.Has(flow.RST):
+		return false
+	case p.Flags.Has(flow.SYN):
+		return !f.consented || p.Seq == f.consentSeq
+	default:
+		return f.consented || f.established
+	}
+}
 
 // noteOtherUpstream logs and counts a heartbeat that names a service or an address that are
 // not those of the upstream on this host.
@@ -24,22 +145,11 @@
 	})
 }
 
-// noteDelivery counts an opening packet that is delivered to an upstream whose last heartbeat
-// is so old that another upstream may have its address by now. It logs the first one since
-// that heartbeat.
-func (c *Core) noteDelivery() {
+// logIdentity logs a change of the confirmation, with the age of the last heartbeat.
+func (c *Core) logIdentity(from, to, reason string) {
 	u := &c.upstream
-	age := c.now - u.lastHeartbeat
-	if u.state == peer.Absent || age < c.self.AddressReuse {
-		return
-	}
-	c.counts.UnconfirmedOpenings++
-	if u.unconfirmedSince == u.lastHeartbeat && c.counts.UnconfirmedOpenings > 1 {
-		return
-	}
-	u.unconfirmedSince = u.lastHeartbeat
 	c.out.LogBelief(decision.Belief{
-		Subject: decision.IdentitySubject, Name: u.id, From: c.self.Service, To: "not_confirmed",
-		Reason: "opening_without_heartbeat", Version: u.sequence, Age: age,
+		Subject: decision.IdentitySubject, Name: u.id, From: from, To: to, Reason: reason,
+		Version: u.sequence, Age: c.now - u.lastHeartbeat,
 	})
 }
--- a/sidecar/identity_test.go
+++ b/sidecar/identity_test.go
@@ -338,3 +338,94 @@
 	assert.Equal(t, r.Counts().OtherUpstreamHeartbeats, uint64(2))
 	assert.Equal(t, r.Counts().IgnoredHeartbeats, uint64(2))
 }
+
+// TestRefusedPacketEndsConfirmation guards against flows for an address at which no process
+// listened: the next one there may be of any service.
+func TestRefusedPacketEndsConfirmation(t *testing.T) {
+	a := newAddress(t)
+	a.play(time.Second, nil)
+	a.own = false
+	a.Unreachable(a.now)
+	a.other, a.next, a.sequence, a.port = true, a.now, 0, 4096
+	a.play(a.now+10*time.Second, func() {
+		a.UpstreamPacket(a.now, encode(flow.ACK|flow.Bounced, 11, 501, 5, false))
+		a.UpstreamPacket(a.now, encode(flow.SYN|flow.ACK, 500, 11, 0, true))
+		a.open()
+	})
+	assert.Equal(t, a.misrouted, 0)
+}
+
+// TestTrialNeedsConfirmation guards against the trial of a failing upstream, and the offers
+// that no other sidecar accepts, at an address that has passed on.
+func TestTrialNeedsConfirmation(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.sendHeartbeat(0, nil))
+	for port := range uint16(3) {
+		r.request(time.Millisecond, 40_000+port, flow.RST, 0)
+	}
+	lastResort := func(now time.Duration, seq uint32) {
+		r.clearSent()
+		r.PeerMessage(now, peer.Carried{
+			Kind: peer.KindOffer, Origin: _relay, Service: peer.NewServiceID("orders"), Version: 1, LastResort: true,
+			Packet: encode(flow.SYN, seq, 0, 0, false),
+		}.Append(nil))
+	}
+	lastResort(100*time.Millisecond, 1)
+	assert.Equal(t, len(r.toUpstream), 1, "the upstream is failing, and no other accepts the flow")
+	r.Unreachable(110 * time.Millisecond)
+	lastResort(120*time.Millisecond, 2)
+	assert.Equal(t, len(r.toUpstream), 0)
+	r.Tick(410 * time.Millisecond)
+	for _, report := range r.reports {
+		assert.Equal(t, report.State, peer.Suspect)
+	}
+	lastResort(420*time.Millisecond, 3)
+	assert.Equal(t, len(r.toUpstream), 0)
+}
+
+// TestStoppingSidecarRepeatsNoOpening guards against copies of an opening packet that open a
+// flow after the process was told to stop.
+func TestStoppingSidecarRepeatsNoOpening(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.sendHeartbeat(0, nil))
+	syn := encode(flow.SYN, 10, 0, 0, false)
+	r.fromRelay(0, peer.KindOffer, syn)
+	r.Stop(time.Millisecond)
+	r.clearSent()
+	r.fromRelay(2*time.Millisecond, peer.KindOffer, syn)
+	assert.Equal(t, len(r.toUpstream), 0)
+	r.assertOnlyVerdict(peer.Refused)
+}
+
+// TestRepeatedOfferRepeatsConsent guards against callers whose copy of the consent was lost
+// and that get no other one, since the upstream drains.
+func TestRepeatedOfferRepeatsConsent(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.sendHeartbeat(0, nil))
+	syn := encode(flow.SYN, 10, 0, 0, false)
+	r.fromRelay(0, peer.KindOffer, syn)
+	r.UpstreamPacket(0, encode(flow.SYN|flow.ACK, 500, 11, 0, true))
+	assert.NilError(t, r.sendHeartbeat(time.Millisecond, func(h *sidecar.Heartbeat) { h.Draining = true }))
+	r.clearSent()
+	r.fromRelay(2*time.Millisecond, peer.KindOffer, syn)
+	assert.Equal(t, len(r.toUpstream), 1)
+	r.assertOnlyVerdict(peer.Accepted)
+}
+
+// TestConfirmationIsLoggedOnce guards against a record that doesn't tell for how long flows
+// were held back, and against a line for each of them.
+func TestConfirmationIsLoggedOnce(t *testing.T) {
+	a := newAddress(t)
+	a.play(time.Second, nil)
+	a.own = false
+	a.play(4*time.Second, func() { a.open() })
+	a.own, a.next = true, a.now
+	a.play(a.now+time.Second, func() { a.open() })
+	beliefs := a.identityBeliefs()
+	assert.Equal(t, len(beliefs), 2)
+	assert.Equal(t, beliefs[0].To, "not_confirmed")
+	assert.Equal(t, beliefs[0].Reason, "no_proof")
+	assert.Equal(t, beliefs[1].To, "confirmed")
+	assert.Equal(t, beliefs[1].Reason, "heartbeat")
+	assert.Assert(t, a.Counts().UnconfirmedOpenings > 100)
+}
--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -113,7 +113,7 @@
 		if f.queued || f.deliveredAt >= successorHeard {
 			return true
 		}
-		f.awaitsRequest = false
+		f.awaitsRequest, f.opened = false, false
 		c.setInProgress(f, false)
 		f.dead = f.dead || !f.ended
 		if !sure {
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -72,18 +72,12 @@
 	}
 }
 
-// handleOffer accepts an opening packet, passes it on to a peer, or refuses it. A
-// repeated offer of a flow that was accepted is accepted again.
+// handleOffer accepts an opening packet, passes it on to a peer, or refuses it.
 func (c *Core) handleOffer(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
 	f := c.flows.Get(key)
 	if f != nil && f.openingSeq == p.Seq && !f.probing && !f.dead {
 		f.origin = m.Origin
-		if !f.ended && !f.queued && c.coldRoom() > 0 {
-			c.gate.noteDelivery(now)
-			c.noteDelivery()
-			c.out.ToUpstream(m.Packet)
-		}
-		c.sendVerdict(now, peer.Accepted, key, m.Origin, nil)
+		c.handleRepeatedOffer(now, key, m, f)
 		return
 	}
 	if c.stalled(now) {
@@ -101,6 +95,28 @@
 	c.accept(now, key, m, p)
 }
 
+// handleRepeatedOffer handles a copy of the opening packet of a flow that was accepted. If the
+// upstream has consented, the copy opens nothing: the upstream repeats its consent. Otherwise
+// the copy may open the flow, so the upstream must be allowed to get it now.
+func (c *Core) handleRepeatedOffer(now time.Duration, key flow.Key, m peer.Carried, f *flowState) {
+	atUpstream := !f.queued && !f.ended
+	if atUpstream && !f.consented && !f.established {
+		switch reason := c.rejectReason(now, key, m); reason {
+		case "":
+		case _reasonOtherService:
+			c.refuse(now, key, m, reason)
+			return
+		default:
+			c.redirectOpening(now, key, f, reason)
+			return
+		}
+	}
+	if atUpstream && c.coldRoom() > 0 && !c.stalled(now) {
+		c.sendOpening(m.Packet)
+	}
+	c.sendVerdict(now, peer.Accepted, key, m.Origin, nil)
+}
+
 // stalled reports whether this process did not run for so long that an offer which it
 // handles now may have waited in the socket since before.
 func (c *Core) stalled(now time.Duration) bool {
@@ -122,7 +138,7 @@
 func (c *Core) rejectReason(now time.Duration, key flow.Key, m peer.Carried) string {
 	switch {
 	case m.Service != c.serviceID:
-		return "other_service"
+		return _reasonOtherService
 	case c.stopping:
 		return _reasonStopping
 	case c.evacuated():
@@ -130,6 +146,9 @@
 		return _reasonEvacuated
 	case m.Version <= c.table.Version() && !c.table.Allows(key.Address, c.self.Service):
 		return "route_changed"
+	case (c.upstream.state == peer.Ready || c.upstream.state == peer.Suspect) && !c.confirmed(now):
+		c.counts.UnconfirmedOpenings++
+		return _reasonUnconfirmed
 	case c.upstream.state == peer.Suspect && c.upstream.failures.retryAt > 0 && m.LastResort:
 		return "" // the relay has found no other sidecar that accepts the flow
 	case c.upstream.state != peer.Ready:
@@ -140,9 +159,12 @@
 	return ""
 }
 
-// _reasonStopping is the reason for rejecting flows after this process was told to
-// stop.
-const _reasonStopping = "sidecar_stops"
+// Reasons for rejecting flows: this process was told to stop, or the relay takes the upstream
+// for one of another service.
+const (
+	_reasonStopping     = "sidecar_stops"
+	_reasonOtherService = "other_service"
+)
 
 // accept delivers an opening packet to the local upstream, or queues it if the upstream
 // has no capacity. It refuses the packet if the wait would be too long.
@@ -421,7 +443,7 @@
 		c.counts.Malformed++
 		return
 	}
-	c.noteAlive(now)
+	c.upstream.lastSeen = now
 	if p.Flags.Has(flow.Bounced) {
 		c.handleBounced(now, p, packet)
 		return
@@ -447,6 +469,9 @@
 		})
 		return
 	}
+	if f != nil && f.proves(p) {
+		c.noteAlive(now)
+	}
 	c.handleReply(now, p, f)
 	c.counts.Replies++
 	c.out.ToCaller(p.Destination.Addr(), packet)
@@ -472,10 +497,10 @@
 	}
 }
 
-// noteAlive records that the upstream has sent a packet, which ends a suspicion unless
-// the upstream is failing requests.
+// noteAlive records that the upstream has replied on a flow that was opened there, which ends
+// a suspicion unless the upstream is failing requests.
 func (c *Core) noteAlive(now time.Duration) {
-	c.upstream.lastSeen = now
+	c.confirm("reply")
 	if c.upstream.state == peer.Suspect && c.upstream.failures.retryAt == 0 {
 		c.setState(now, peer.Ready, "packet")
 	}
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -88,11 +88,14 @@
 
 // reportedState returns the upstream's state as reported to others: a ready upstream
 // counts as draining once its sidecar has been told to stop, and while its zone is
-// evacuated.
+// evacuated, and as suspect once the confirmation of its identity has lapsed.
 func (c *Core) reportedState() peer.State {
 	if (c.stopping || c.evacuated()) && c.upstream.state == peer.Ready {
 		return peer.Draining
 	}
+	if c.identity.lapsed && c.upstream.state == peer.Ready {
+		return peer.Suspect
+	}
 	return c.upstream.state
 }
 
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -37,11 +37,8 @@
 	slots    int
 	state    peer.State
 	// lastHeartbeat is when the last heartbeat arrived. lastSeen is when the last packet
-	// arrived, or the last heartbeat that made or kept the upstream ready.
+	// arrived, of whatever kind, or the last heartbeat that made or kept the upstream ready.
 	lastHeartbeat, lastSeen time.Duration
-	// unconfirmedSince is the value of lastHeartbeat when an opening packet was last delivered
-	// although that heartbeat was old.
-	unconfirmedSince time.Duration
 	// suspectedAt is when the upstream last became suspect.
 	suspectedAt time.Duration
 	// lastBounce is when the upstream last bounced an opening packet.
@@ -84,6 +81,7 @@
 	c.claim = claim{}
 	u.sequence, u.lastHeartbeat, u.slots = h.Sequence, now, min(max(h.Slots, 1), _maxSlots)
 	c.noteHeartbeatColdness(h)
+	c.confirm("heartbeat")
 	switch {
 	case h.Draining:
 		c.setState(now, peer.Draining, "heartbeat")
@@ -219,6 +217,7 @@
 	c.now = now
 	if c.upstream.state == peer.Ready || c.upstream.state == peer.Suspect {
 		c.setState(now, peer.Suspect, "not_listening")
+		c.revokeConfirmation("not_listening")
 		c.upstream.lastHeartbeat, c.upstream.lastSeen = 0, 0
 	}
 }
