--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -145,6 +145,7 @@
 			{"sidecar_dropped", int64(st.Dropped)},
 			{"sidecar_ignored_heartbeats", int64(st.IgnoredHeartbeats)},
 			{"sidecar_other_upstream_heartbeats", int64(st.OtherUpstreamHeartbeats)},
+			{"sidecar_identity_revocations", int64(st.IdentityRevocations)},
 			{"sidecar_unconfirmed_openings", int64(st.UnconfirmedOpenings)},
 			{"sidecar_malformed", int64(st.Malformed)},
 			{"sidecar_unsent", int64(st.Unsent)},
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -275,6 +275,9 @@
 	// UnconfirmedOpenings counts opening packets that the upstream did not get since its
 	// address may have passed to another upstream.
 	UnconfirmedOpenings uint64
+	// IdentityRevocations counts how often an upstream of another service has shown that it
+	// has the address of the own one.
+	IdentityRevocations uint64
 	// Malformed counts packets and messages that could not be decoded.
 	Malformed uint64
 }
--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -22,12 +22,20 @@
 // Bounces, resets and packets of other flows are no proof: any process may send them. Packets
 // of open flows need none: a process that does not hold the flow bounces them.
 //
+// Heartbeats that name another service at the address may be late or another writer's, and one
+// of them shows nothing. The address has passed on if their sender has shown that it runs, as
+// for a claim in lives.go, and the own upstream has missed a heartbeat. From then on only
+// heartbeats are proof, and only once they show in turn that their sender runs.
+//
 // The confirmation is apart from upstream.state, by which flows of a dead upstream are reset.
 // An upstream without it is reported as suspect, and keeps its flows.
 const (
 	// _defaultAddressReuse is used as Identity.AddressReuse if that is zero. It is the figure
 	// of the users' deployments.
 	_defaultAddressReuse = 2 * time.Second
+	// _heartbeatOverdue is the silence, in heartbeat intervals, after which the upstream has
+	// missed a heartbeat.
+	_heartbeatOverdue = 1.5
 	// _drainTicks is the number of ticks within which a running process has read what was
 	// waiting in its sockets. After a stall, the first two ticks may follow each other at once.
 	_drainTicks = 2
@@ -42,6 +50,12 @@
 	confirmedUntil time.Duration
 	// lapsed is set once it has been reported that the confirmation is over.
 	lapsed bool
+	// other is the claim to the address by an upstream of another service. revoked is set once
+	// it is proved, until the own upstream has shown that it runs: ownHeard is set and
+	// ownSince is when its first heartbeat since then arrived.
+	other             claim
+	revoked, ownHeard bool
+	ownSince          time.Duration
 	// ticks are the times of the last ticks, the oldest first.
 	ticks [_drainTicks + 1]time.Duration
 }
@@ -69,6 +83,9 @@
 // the packet is sent.
 func (c *Core) confirm(proof string) {
 	id := &c.identity
+	if id.revoked {
+		return
+	}
 	was := c.confirmed(c.now)
 	id.confirmedUntil = max(id.confirmedUntil, c.sentSince()+c.self.AddressReuse-_maxTickGap)
 	if was || !c.confirmed(c.now) {
@@ -133,6 +150,48 @@
 	}
 }
 
+// confirmByHeartbeat notes that a heartbeat of the own upstream was accepted.
+func (c *Core) confirmByHeartbeat() {
+	id := &c.identity
+	switch {
+	case !id.revoked:
+	case !id.ownHeard:
+		id.ownHeard, id.ownSince = true, c.now
+	default:
+		id.revoked = c.now-id.ownSince < c.heartbeatSpacing()
+	}
+	c.confirm("heartbeat")
+}
+
+// missedHeartbeat reports whether the upstream has missed a heartbeat.
+func (c *Core) missedHeartbeat() bool {
+	return c.now-c.upstream.lastHeartbeat > time.Duration(_heartbeatOverdue*float64(c.self.Heartbeat))
+}
+
+// noteClaimToAddress notes that a heartbeat names another service at the address of the own
+// upstream, and revokes the confirmation if the address has passed on.
+func (c *Core) noteClaimToAddress(h Heartbeat) {
+	id := &c.identity
+	if k := &id.other; k.life != h.sender() || h.Sequence <= k.sequence || k.since <= c.upstream.lastHeartbeat {
+		*k = claim{life: h.sender(), since: c.now}
+	}
+	id.other.sequence = h.Sequence
+	if id.revoked || c.now-id.other.since < c.heartbeatSpacing() || !c.missedHeartbeat() {
+		return
+	}
+	id.revoked, id.ownHeard = true, false
+	c.counts.IdentityRevocations++
+	c.revokeConfirmation("address_passed_on")
+}
+
+// noteBouncedFlow notes that the process at the address does not hold a flow that was opened
+// there. If the upstream has also missed a heartbeat, another process may have its address.
+func (c *Core) noteBouncedFlow(f *flowState) {
+	if f.opened && c.missedHeartbeat() {
+		c.revokeConfirmation("flow_bounced")
+	}
+}
+
 // noteOtherUpstream logs and counts a heartbeat that names a service or an address that are
 // not those of the upstream on this host.
 func (c *Core) noteOtherUpstream(h Heartbeat) {
@@ -143,6 +202,9 @@
 		Reason:  fmt.Sprintf("heartbeat of %q at %v", h.ID, h.Addr),
 		Version: h.Sequence, Age: c.now - c.upstream.lastHeartbeat,
 	})
+	if h.Addr == c.self.Upstream && h.Service != c.self.Service {
+		c.noteClaimToAddress(h)
+	}
 }
 
 // logIdentity logs a change of the confirmation, with the age of the last heartbeat.
--- a/sidecar/identity_test.go
+++ b/sidecar/identity_test.go
@@ -429,3 +429,58 @@
 	assert.Equal(t, beliefs[1].Reason, "heartbeat")
 	assert.Assert(t, a.Counts().UnconfirmedOpenings > 100)
 }
+
+// TestOtherWriterAndLostHeartbeat guards against another writer that takes an upstream out for
+// longer than until its next two heartbeats, after one was lost.
+func TestOtherWriterAndLostHeartbeat(t *testing.T) {
+	a := newAddress(t)
+	sequence := uint64(0)
+	a.play(10*time.Second, func() {
+		a.silent = a.sequence == 5
+		if a.now%(200*time.Millisecond) == 0 {
+			sequence++
+			_ = a.Heartbeat(a.now, otherHeartbeat(sequence))
+		}
+		if a.now > 0 && a.now%(100*time.Millisecond) == 0 {
+			a.open()
+		}
+	})
+	assert.Assert(t, a.taken >= 88, "%d of 99 flows", a.taken)
+	assert.Equal(t, a.Counts().IdentityRevocations, uint64(1))
+}
+
+// TestLateHeartbeatsDoNotUndoRevocation guards against flows for another upstream since
+// heartbeats of the own one arrive after its end.
+func TestLateHeartbeatsDoNotUndoRevocation(t *testing.T) {
+	a := newAddress(t)
+	a.play(4*_heartbeat, nil)
+	late := a.sequence
+	a.endOwn(50 * time.Millisecond)
+	a.play(a.now+2*_heartbeat, nil)
+	assert.Equal(t, a.Counts().IdentityRevocations, uint64(1))
+	for range 3 {
+		late++
+		assert.NilError(t, a.beat(a.now, "i-1", 5000, late, false))
+		a.play(a.now+100*time.Millisecond, func() { a.open() })
+	}
+	assert.Equal(t, a.misrouted, 0)
+	a.own, a.other, a.next, a.sequence = true, false, a.now, late
+	a.play(a.now+2*_heartbeat, func() { a.open() })
+	assert.Assert(t, a.taken > 0, "the own upstream is back")
+}
+
+// TestBouncedFlowAndMissedHeartbeat guards against flows for a process that bounces a packet
+// of an open flow, before its own heartbeats tell what it is.
+func TestBouncedFlowAndMissedHeartbeat(t *testing.T) {
+	a := newAddress(t)
+	a.play(_heartbeat, nil)
+	a.open()
+	a.play(a.now+_step, nil)
+	a.endOwn(1200 * time.Millisecond)
+	a.next = time.Hour
+	a.request(1025)
+	a.play(a.now+_step, nil)
+	assert.Equal(t, a.Counts().Resets, uint64(1))
+	a.play(a.now+10*time.Second, func() { a.open() })
+	assert.Equal(t, a.misrouted, 0)
+}
--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -59,7 +59,12 @@
 		*k = claim{life: sender, since: now}
 	}
 	c.claim.sequence = h.Sequence
-	return now-c.claim.since >= time.Duration(_heartbeatSpacing*float64(c.self.Heartbeat))
+	return now-c.claim.since >= c.heartbeatSpacing()
+}
+
+// heartbeatSpacing returns the least time between two heartbeats of a running upstream.
+func (c *Core) heartbeatSpacing() time.Duration {
+	return time.Duration(_heartbeatSpacing * float64(c.self.Heartbeat))
 }
 
 // followsAtOnce reports whether a heartbeat is from the first life that was heard, or from
@@ -130,7 +135,7 @@
 // When all processes of a host start together, the upstream's first calls fail until the
 // sidecar listens.
 func (c *Core) isFirstHeartbeat(h Heartbeat) bool {
-	return h.Sequence <= 1 || h.Age > 0 && h.Age < time.Duration(_heartbeatSpacing*float64(c.self.Heartbeat))
+	return h.Sequence <= 1 || h.Age > 0 && h.Age < c.heartbeatSpacing()
 }
 
 // noteIgnored logs and counts a heartbeat or leave notice that is rejected and changes
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -607,6 +607,7 @@
 		c.sendVerdict(now, peer.NotHeld, key, f.origin, packet)
 	case !f.dead && !f.ended:
 		c.suspectRestart()
+		c.noteBouncedFlow(f)
 		f.dead = true
 		c.setInProgress(f, false)
 		c.sendReset(now, key, p.Ack, "upstream_bounced")
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -81,7 +81,7 @@
 	c.claim = claim{}
 	u.sequence, u.lastHeartbeat, u.slots = h.Sequence, now, min(max(h.Slots, 1), _maxSlots)
 	c.noteHeartbeatColdness(h)
-	c.confirm("heartbeat")
+	c.confirmByHeartbeat()
 	switch {
 	case h.Draining:
 		c.setState(now, peer.Draining, "heartbeat")
