--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -57,6 +57,7 @@
 
 	mu      sync.Mutex
 	core    *Core
+	clock   *clock
 	traffic peer.Traffic
 }
 
@@ -82,7 +83,9 @@
 // New opens the sidecar's sockets and starts its goroutines. It returns an error if a
 // socket cannot be opened.
 func New(config Config, wire Wire, recorder *decision.Recorder) (*Sidecar, error) {
-	s := &Sidecar{Recorder: recorder, callerPort: config.CallerPort, peerPort: config.PeerPort}
+	s := &Sidecar{
+		Recorder: recorder, callerPort: config.CallerPort, peerPort: config.PeerPort, clock: newClock(readClocks(), readBootTime),
+	}
 	self := config.Identity
 	s.core = NewCore(self, wire, s, config.MaxFlows, rand.New(rand.NewPCG(self.Incarnation, self.Incarnation)), WithColdBound(config.Cold))
 	s.mu.Lock()
@@ -101,6 +104,7 @@
 		s.outbound.Close()
 		return nil, trace.Wrap(err, "start sidecar")
 	}
+	s.core.Tick(s.clock.now())
 	s.tomb.Go(s.loop)
 	return s, nil
 }
@@ -109,21 +113,21 @@
 func (s *Sidecar) AddRelays(relays []netip.Addr) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.AddRelays(s.Now(), relays)
+	s.core.AddRelays(s.clock.now(), relays)
 }
 
 // Heartbeat handles a heartbeat of the upstream. See Core.Heartbeat for the errors.
 func (s *Sidecar) Heartbeat(h Heartbeat) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Heartbeat(s.Now(), h)
+	return s.core.Heartbeat(s.clock.now(), h)
 }
 
 // Leave handles the upstream's notice that it ends. See Core.Leave for the errors.
 func (s *Sidecar) Leave(id string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Leave(s.Now(), id)
+	return s.core.Leave(s.clock.now(), id)
 }
 
 // Stop makes the sidecar accept no new flows. It continues to forward packets of the flows
@@ -131,7 +135,7 @@
 func (s *Sidecar) Stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.Stop(s.Now())
+	s.core.Stop(s.clock.now())
 }
 
 // Drained reports whether a stopped sidecar can exit without losing requests.
@@ -176,7 +180,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	relays, peers := s.core.Known()
-	_, behind := s.core.Behind(s.Now())
+	_, behind := s.core.Behind(s.clock.now())
 	return Stats{
 		Evacuations: s.core.Evacuations(), Behind: behind, Configurations: s.core.ConfigurationCounts(), Traffic: s.traffic,
 		Counts: s.core.Counts(), Flows: s.core.Flows(), Busy: s.core.Busy(), Relays: relays, Peers: peers,
@@ -207,13 +211,13 @@
 func (s *Sidecar) handlePeerMessage(message []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.PeerMessage(s.Now(), message)
+	s.core.PeerMessage(s.clock.now(), message)
 }
 
 func (s *Sidecar) handleOutboundPacket(packet []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.UpstreamPacket(s.Now(), packet)
+	s.core.UpstreamPacket(s.clock.now(), packet)
 }
 
 // noteRefused notes that the host has refused a packet to the upstream. The upstream's
@@ -242,7 +246,8 @@
 func (s *Sidecar) tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Now()
+	s.clock.update()
+	now := s.clock.now()
 	if s.unreachable.Swap(false) {
 		s.core.Unreachable(now)
 	}
