sidecar: one heartbeat of another service is enough once the confirmation is over

And while the confirmation had run out, a late heartbeat could renew it until the other upstream's second one; now its first one revokes it. An upstream that is confirmed is not touched by this.

TestConfirmationEndsBeforeAddressMayBeUsedAgain checks the margin, which no test did.

--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -24,8 +24,9 @@
 //
 // Heartbeats that name another service at the address may be late or another writer's, and one
 // of them shows nothing. The address has passed on if their sender has shown that it runs, as
-// for a claim in lives.go, and the own upstream has missed a heartbeat. From then on only
-// heartbeats are proof, and only once they show in turn that their sender runs.
+// for a claim in lives.go, and the own upstream has missed a heartbeat. If the confirmation had
+// run out before, one is enough. From then on only heartbeats are proof, and only once they
+// show in turn that their sender runs.
 //
 // The confirmation is apart from upstream.state, by which flows of a dead upstream are reset.
 // An upstream without it is reported as suspect, and keeps its flows.
@@ -51,11 +52,9 @@
 	// lapsed is set once it has been reported that the confirmation is over.
 	lapsed bool
 	// other is the claim to the address by an upstream of another service. revoked is set once
-	// it is proved, until the own upstream has shown that it runs: ownHeard is set and
-	// ownSince is when its first heartbeat since then arrived.
-	other             claim
-	revoked, ownHeard bool
-	ownSince          time.Duration
+	// it is proved, until the own upstream has shown that it runs.
+	other   claim
+	revoked bool
 	// ticks are the times of the last ticks, the oldest first.
 	ticks [_drainTicks + 1]time.Duration
 }
@@ -150,24 +149,23 @@
 	}
 }
 
-// confirmByHeartbeat notes that a heartbeat of the own upstream was accepted.
-func (c *Core) confirmByHeartbeat() {
-	id := &c.identity
-	switch {
-	case !id.revoked:
-	case !id.ownHeard:
-		id.ownHeard, id.ownSince = true, c.now
-	default:
-		id.revoked = c.now-id.ownSince < c.heartbeatSpacing()
+// confirmByHeartbeat notes that a heartbeat of the own upstream was accepted, and how long
+// after the one before.
+func (c *Core) confirmByHeartbeat(since time.Duration) {
+	if since >= c.heartbeatSpacing() && !c.overdue(since) {
+		c.identity.revoked = false
 	}
 	c.confirm("heartbeat")
 }
 
-// missedHeartbeat reports whether the upstream has missed a heartbeat.
-func (c *Core) missedHeartbeat() bool {
-	return c.now-c.upstream.lastHeartbeat > time.Duration(_heartbeatOverdue*float64(c.self.Heartbeat))
+// overdue reports whether a heartbeat is missing after the given silence.
+func (c *Core) overdue(silence time.Duration) bool {
+	return silence > time.Duration(_heartbeatOverdue*float64(c.self.Heartbeat))
 }
 
+// missedHeartbeat reports whether the upstream has missed a heartbeat.
+func (c *Core) missedHeartbeat() bool { return c.overdue(c.now - c.upstream.lastHeartbeat) }
+
 // noteClaimToAddress notes that a heartbeat names another service at the address of the own
 // upstream, and revokes the confirmation if the address has passed on.
 func (c *Core) noteClaimToAddress(h Heartbeat) {
@@ -176,10 +174,11 @@
 		*k = claim{life: h.sender(), since: c.now}
 	}
 	id.other.sequence = h.Sequence
-	if id.revoked || c.now-id.other.since < c.heartbeatSpacing() || !c.missedHeartbeat() {
+	proved := !c.confirmed(c.now) || c.missedHeartbeat() && c.now-id.other.since >= c.heartbeatSpacing()
+	if id.revoked || !proved || c.upstream.state == peer.Absent {
 		return
 	}
-	id.revoked, id.ownHeard = true, false
+	id.revoked = true
 	c.counts.IdentityRevocations++
 	c.revokeConfirmation("address_passed_on")
 }
--- a/sidecar/identity_test.go
+++ b/sidecar/identity_test.go
@@ -484,3 +484,13 @@
 	a.play(a.now+10*time.Second, func() { a.open() })
 	assert.Equal(t, a.misrouted, 0)
 }
+
+// TestConfirmationEndsBeforeAddressMayBeUsedAgain guards against an opening packet that is
+// checked in time and reaches the address when another upstream may have it.
+func TestConfirmationEndsBeforeAddressMayBeUsedAgain(t *testing.T) {
+	const end = 2*time.Second - 60*time.Millisecond
+	r := newRig(t)
+	assert.NilError(t, r.sendHeartbeat(0, nil))
+	assert.Equal(t, r.offer(end-time.Millisecond, 10), peer.Accepted)
+	assert.Equal(t, r.offer(end, 20), peer.Refused)
+}
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -66,7 +66,7 @@
 			h.ID, h.Service, h.Addr, c.self.Service, c.self.Upstream)
 	}
 	u := &c.upstream
-	present := u.life == h.sender()
+	present, since := u.life == h.sender(), now-u.lastHeartbeat
 	switch {
 	case present && h.Sequence == u.sequence:
 		return nil
@@ -81,7 +81,7 @@
 	c.claim = claim{}
 	u.sequence, u.lastHeartbeat, u.slots = h.Sequence, now, min(max(h.Slots, 1), _maxSlots)
 	c.noteHeartbeatColdness(h)
-	c.confirmByHeartbeat()
+	c.confirmByHeartbeat(since)
 	switch {
 	case h.Draining:
 		c.setState(now, peer.Draining, "heartbeat")
