dandelionhitch: a mutant that breaks the promise of the own service again

TestSoakFindsMutants failed in flows_reach_their_own_service: the promise held in 642 checks. Its mutant is a relay that takes some addresses for those of the other service, and nothing checked what it says; since sidecars check the label of an offer of their own version, they refuse these flows. So the mutant asserted the fault. It is replaced by a sidecar that takes its upstream for one of the other service, in its settings and in the heartbeats, which the soak must find as before. The proxy of hideDrains does the latter.

--- a/dandelionhitch/mutant_test.go
+++ b/dandelionhitch/mutant_test.go
@@ -57,7 +57,7 @@
 // _mutants maps the name of each promise in soak reports to a mutant that breaks it.
 var _mutants = map[string]mutant{
 	"packets arrive as they were sent":   {wire: &faultyWire{corrupt: flipBit}},
-	"flows reach their own service":      {wire: misaddressingWire{}},
+	"flows reach their own service":      {changes: map[string]settingsChange{"sidecar": swapServices}},
 	"open flows are not reset":           {wire: &misreadingWire{faultyWire{corrupt: misreadAddress}}},
 	"all is served after the faults":     {wire: &stoppingWire{}},
 	"no new flow after a drain":          {changes: map[string]settingsChange{"sidecar": hideDrains}},
@@ -111,18 +111,6 @@
 	return w.faultyWire.AppendReset(b, key, ack)
 }
 
-// misaddressingWire decrements the destination address of some flows. The lower address
-// belongs to another service.
-type misaddressingWire struct{ platform.PacketWire }
-
-func (w misaddressingWire) Decode(b []byte) (flow.Packet, error) {
-	p, err := w.PacketWire.Decode(b)
-	if err == nil && p.Source.Port()%_mutantInterval == 0 {
-		p.Destination = netip.AddrPortFrom(p.Destination.Addr().Prev(), p.Destination.Port())
-	}
-	return p, err
-}
-
 // stoppingWire decodes no packet that arrives later than _stoppingWireLifetime after the
 // first one.
 type stoppingWire struct {
@@ -142,9 +130,27 @@
 	return w.PacketWire.Decode(b)
 }
 
-// hideDrains starts a proxy at a sidecar's control address that replaces the state
-// draining in heartbeats by ready.
+// hideDrains replaces the state draining in heartbeats by ready.
 func hideDrains(settings map[string]any, _ string) error {
+	return replaceInHeartbeats(settings, "draining", "ready")
+}
+
+// swapServices makes a sidecar take its upstream for one of the other service. A relay that
+// names the wrong service is no mutant that breaks a promise: sidecars ask their own
+// configuration, too.
+func swapServices(settings map[string]any, _ string) error {
+	service, _ := settings["service"].(string)
+	other, ok := map[string]string{"orders": "photos", "photos": "orders"}[service]
+	if !ok {
+		return fmt.Errorf("service %q is none of the soak", service)
+	}
+	settings["service"] = other
+	return replaceInHeartbeats(settings, service, other)
+}
+
+// replaceInHeartbeats starts a proxy at a sidecar's control address that replaces a string in
+// heartbeats.
+func replaceInHeartbeats(settings map[string]any, from, to string) error {
 	publicAddr, ok := settings["control"].(string)
 	if !ok {
 		return errors.New("no control address")
@@ -163,7 +169,7 @@
 		if err != nil {
 			return // the sidecar refuses a truncated body
 		}
-		body = bytes.ReplaceAll(body, []byte("draining"), []byte("ready"))
+		body = bytes.ReplaceAll(body, []byte(strconv.Quote(from)), []byte(strconv.Quote(to)))
 		r.Out.Body, r.Out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	}}
 	return serveMutant(publicAddr, proxy)
