sidecar: log suspensions of the VM

A suspension holds back new flows, as a stall does, and so would clocks that disagree. The belief tells for how long, so that a record shows which.

--- a/sidecar/clock.go
+++ b/sidecar/clock.go
@@ -23,7 +23,9 @@
 	// start is the monotonic time, and ahead how far the time since boot was ahead of it, at
 	// the start of the process. dayAhead is how far the time of day was ahead at the last look.
 	start, ahead, dayAhead time.Duration
-	suspended              time.Duration
+	// suspended is for how long the VM was suspended, and taken how much of it takeSuspension
+	// has returned.
+	suspended, taken time.Duration
 }
 
 // newClock returns a clock that starts now.
@@ -58,6 +60,17 @@
 	k.suspended = max(k.suspended, sinceBoot-monotonic-k.ahead)
 }
 
+// takeSuspension returns for how long the VM was suspended since the last call that did not
+// return zero, or zero if that is less than _clockStep.
+func (k *clock) takeSuspension() time.Duration {
+	took := k.suspended - k.taken
+	if took < _clockStep {
+		return 0
+	}
+	k.taken = k.suspended
+	return took
+}
+
 // readClocks returns a function that reads the clocks of package time.
 func readClocks() func() (monotonic, timeOfDay time.Duration) {
 	start := time.Now()
--- a/sidecar/clock_test.go
+++ b/sidecar/clock_test.go
@@ -52,6 +52,8 @@
 	c.timeOfDay -= 5 * time.Second
 	k.update()
 	assert.Equal(t, k.now(), 9*time.Second, "a tick sees what the time of day hides")
+	assert.Equal(t, k.takeSuspension(), 8*time.Second)
+	assert.Equal(t, k.takeSuspension(), time.Duration(0))
 }
 
 // TestClockReadsBootTimeRarely guards against a system call for each packet.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -247,9 +247,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.clock.update()
+	s.logSuspension()
 	now := s.clock.now()
 	if s.unreachable.Swap(false) {
 		s.core.Unreachable(now)
 	}
 	s.core.Tick(now)
 }
+
+// logSuspension logs for how long the VM was suspended.
+func (s *Sidecar) logSuspension() {
+	if took := s.clock.takeSuspension(); took > 0 {
+		s.LogBelief(decision.Belief{Subject: "vm", To: "suspended", Reason: "boot_time", Age: took})
+	}
+}
