--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -64,22 +64,20 @@
 	case peer.KindOffer:
 		c.handleOffer(now, key, m, p)
 	case peer.KindCarry, peer.KindTry:
+		if p.Opening() {
+			c.counts.Dropped++ // it must be offered
+			return
+		}
 		c.handleCarry(now, key, m, p)
 	}
 }
 
-// handleOffer accepts an opening packet, passes it on to a peer, or refuses it. A
-// repeated offer of a flow that was accepted is accepted again.
+// handleOffer accepts an opening packet, passes it on to a peer, or refuses it.
 func (c *Core) handleOffer(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
 	f := c.flows.Get(key)
 	if f != nil && f.openingSeq == p.Seq && !f.probing && !f.dead {
 		f.origin = m.Origin
-		if !f.ended && !f.queued && c.coldRoom() > 0 {
-			c.gate.noteDelivery(now)
-			c.noteDelivery()
-			c.out.ToUpstream(m.Packet)
-		}
-		c.sendVerdict(now, peer.Accepted, key, m.Origin, nil)
+		c.handleRepeatedOffer(now, key, m, f)
 		return
 	}
 	if c.stalled(now) {
@@ -97,6 +95,28 @@
 	c.accept(now, key, m, p)
 }
 
+// handleRepeatedOffer handles a copy of the opening packet of a flow that was accepted. If the
+// upstream has consented, the copy opens nothing: the upstream repeats its consent. Otherwise
+// the copy may open the flow, so the upstream must be allowed to get it now.
+func (c *Core) handleRepeatedOffer(now time.Duration, key flow.Key, m peer.Carried, f *flowState) {
+	atUpstream := !f.queued && !f.ended
+	if atUpstream && !f.consented && !f.established {
+		switch reason := c.rejectReason(now, key, m); reason {
+		case "":
+		case _reasonOtherService:
+			c.refuse(now, key, m, reason)
+			return
+		default:
+			c.redirectOpening(now, key, f, reason)
+			return
+		}
+	}
+	if atUpstream && c.coldRoom() > 0 && !c.stalled(now) {
+		c.sendOpening(m.Packet)
+	}
+	c.sendVerdict(now, peer.Accepted, key, m.Origin, nil)
+}
+
 // stalled reports whether this process did not run for so long that an offer which it
 // handles now may have waited in the socket since before.
 func (c *Core) stalled(now time.Duration) bool {
@@ -118,14 +138,17 @@
 func (c *Core) rejectReason(now time.Duration, key flow.Key, m peer.Carried) string {
 	switch {
 	case m.Service != c.serviceID:
-		return "other_service"
+		return _reasonOtherService
 	case c.stopping:
 		return _reasonStopping
 	case c.evacuated():
 		c.counts.Evacuated++
 		return _reasonEvacuated
-	case m.Version < c.table.Version() && !c.table.Allows(key.Address, c.self.Service):
+	case m.Version <= c.table.Version() && !c.table.Allows(key.Address, c.self.Service):
 		return "route_changed"
+	case (c.upstream.state == peer.Ready || c.upstream.state == peer.Suspect) && !c.confirmed(now):
+		c.counts.UnconfirmedOpenings++
+		return _reasonUnconfirmed
 	case c.upstream.state == peer.Suspect && c.upstream.failures.retryAt > 0 && m.LastResort:
 		return "" // the relay has found no other sidecar that accepts the flow
 	case c.upstream.state != peer.Ready:
@@ -136,9 +159,12 @@
 	return ""
 }
 
-// _reasonStopping is the reason for rejecting flows after this process was told to
-// stop.
-const _reasonStopping = "sidecar_stops"
+// Reasons for rejecting flows: this process was told to stop, or the relay takes the upstream
+// for one of another service.
+const (
+	_reasonStopping     = "sidecar_stops"
+	_reasonOtherService = "other_service"
+)
 
 // accept delivers an opening packet to the local upstream, or queues it if the upstream
 // has no capacity. It refuses the packet if the wait would be too long.
@@ -417,7 +443,7 @@
 		c.counts.Malformed++
 		return
 	}
-	c.noteAlive(now)
+	c.upstream.lastSeen = now
 	if p.Flags.Has(flow.Bounced) {
 		c.handleBounced(now, p, packet)
 		return
@@ -443,6 +469,9 @@
 		})
 		return
 	}
+	if f != nil && f.proves(p) {
+		c.noteAlive(now)
+	}
 	c.handleReply(now, p, f)
 	c.counts.Replies++
 	c.out.ToCaller(p.Destination.Addr(), packet)
@@ -468,10 +497,10 @@
 	}
 }
 
-// noteAlive records that the upstream has sent a packet, which ends a suspicion unless
-// the upstream is failing requests.
+// noteAlive records that the upstream has replied on a flow that was opened there, which ends
+// a suspicion unless the upstream is failing requests.
 func (c *Core) noteAlive(now time.Duration) {
-	c.upstream.lastSeen = now
+	c.confirm("reply")
 	if c.upstream.state == peer.Suspect && c.upstream.failures.retryAt == 0 {
 		c.setState(now, peer.Ready, "packet")
 	}
@@ -578,6 +607,7 @@
 		c.sendVerdict(now, peer.NotHeld, key, f.origin, packet)
 	case !f.dead && !f.ended:
 		c.suspectRestart()
+		c.noteBouncedFlow(f)
 		f.dead = true
 		c.setInProgress(f, false)
 		c.sendReset(now, key, p.Ack, "upstream_bounced")
