relay: don't reset flows whose opening packets waited in the socket

The only sidecar that it asked was draining and refused, so the relay reset flows (all_refused) that were open at another host since.

After a gap of 200 ms without a tick, when callers may have repeated the packet through another relay, a refused opening is dropped instead.

--- a/relay/core.go
+++ b/relay/core.go
@@ -29,6 +29,11 @@
 	// _stallThreshold is the time between two ticks above which the process counts as
 	// having been stalled.
 	_stallThreshold = 60 * time.Millisecond
+	// _staleOpeningGap is the time without a tick after which opening packets in the socket
+	// may belong to flows that were opened through other relays meanwhile: callers repeat
+	// them after that time. For _resumePeriod after such a gap, packets may be that old.
+	_staleOpeningGap = 200 * time.Millisecond
+	_resumePeriod    = 40 * time.Millisecond
 	// _maxOfferAttempts is the maximum number of upstreams to which an opening packet is
 	// offered before the relay starts over with last-resort offers (see
 	// offer.lastResort).
@@ -160,7 +165,9 @@
 	returning returningCallers
 	// offerRTT estimates how long sidecars take to answer offers.
 	offerRTT rttEstimator
-	lastTick time.Duration
+	// lastTick is the time of the last tick, and resumedAt that of the last tick that came
+	// more than _staleOpeningGap after the previous tick.
+	lastTick, resumedAt time.Duration
 	// storeReads decides when this relay reads the configuration from the store.
 	storeReads readSchedule
 	// storeEpoch is one more than the highest known epoch of the store, or zero.
@@ -201,6 +208,8 @@
 	packet  []byte
 	choice  choice
 	arrival arrival
+	// stale is set if the packet may have waited in the socket while the flow was opened.
+	stale bool
 	// reason is why the packet was placed anew; empty if it was not.
 	reason string
 	// lastSent is when the packet was last offered.
@@ -460,6 +469,9 @@
 		// Answers that arrived during the stall may not have been read yet.
 		c.offerRTT.noteStall(now)
 	}
+	if c.lastTick > 0 && now-c.lastTick > _staleOpeningGap {
+		c.resumedAt = now
+	}
 	c.lastTick = now
 	for _, key := range c.overdueOffers(now) {
 		c.offerTimedOut(now, key, c.offers[key])
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -525,3 +525,31 @@
 	}
 	return waited
 }
+
+// TestStaleOpeningsAreNotReset guards against resets of flows that were opened through
+// another relay while copies of their opening packets waited in this relay's socket.
+func TestStaleOpeningsAreNotReset(t *testing.T) {
+	for name, test := range map[string]struct {
+		stall  time.Duration
+		ticked bool // the relay ticks before it reads the packet
+		resets int
+	}{
+		"read before the first tick": {stall: 2 * time.Second},
+		"read after the first tick":  {stall: 2 * time.Second, ticked: true},
+		"timely":                     {stall: 20 * time.Millisecond, ticked: true, resets: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(t)
+			c.setTable(_afterStartup, 1)
+			c.sendReport(_afterStartup, _firstSidecar, 1, peer.Ready)
+			c.runUntil(_afterStartup, _afterStartup+100*time.Millisecond)
+			now := _afterStartup + 80*time.Millisecond + test.stall
+			if test.ticked {
+				c.Tick(now)
+			}
+			c.CallerPacket(now, encodePacket(flow.SYN, 10, 0, 0))
+			c.refuseTwice(now, _firstSidecar)
+			assert.Equal(t, len(c.toCaller), test.resets)
+		})
+	}
+}
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -53,7 +53,13 @@
 	if p.Age == 0 {
 		arrived = c.returning.takeArrival(now, key.Caller.Addr())
 	}
-	c.offerOpening(now, key, p.Seq, &offer{packet: packet, arrival: arrived})
+	c.offerOpening(now, key, p.Seq, &offer{packet: packet, arrival: arrived, stale: c.stalled(now)})
+}
+
+// stalled reports whether this process did not run for so long that an opening packet which
+// it reads now may have waited in the socket while the flow was opened through another relay.
+func (c *Core) stalled(now time.Duration) bool {
+	return c.lastTick > 0 && now-c.lastTick > _staleOpeningGap || c.resumedAt > 0 && now-c.resumedAt < _resumePeriod
 }
 
 // placeAnew offers a repeated opening packet to another sidecar than the first copy. The
@@ -162,7 +168,7 @@
 		return
 	}
 	c.offerOpening(now, key, header.Seq, &offer{
-		packet: o.packet, arrival: o.arrival, reason: _reasonRouteChanged, lastSent: o.lastSent, unanswered: o.unanswered,
+		packet: o.packet, arrival: o.arrival, reason: _reasonRouteChanged, lastSent: o.lastSent, unanswered: o.unanswered, stale: o.stale,
 	})
 }
 
@@ -253,14 +259,18 @@
 	return nil
 }
 
-// endRefused ends a flow that no upstream has accepted. The caller gets no reset if an
-// offer went unanswered, since the sidecar that did not answer may have accepted the
-// flow.
+// endRefused ends a flow that no upstream has accepted. The caller gets no reset if the flow
+// may be open: an offer went unanswered, so the sidecar that did not answer may have accepted
+// the flow, or the opening packet is stale.
 func (c *Core) endRefused(now time.Duration, key flow.Key, o *offer) {
-	if len(o.unanswered) > 0 {
+	if len(o.unanswered) > 0 || o.stale {
+		reason := "no_answer_to_offers"
+		if o.stale {
+			reason = "stale_opening"
+		}
 		c.counts.Dropped++
 		c.out.LogDecision(decision.Record{
-			Flow: key, Action: decision.Dropped, Reason: "no_answer_to_offers", Service: o.choice.service,
+			Flow: key, Action: decision.Dropped, Reason: reason, Service: o.choice.service,
 			Version: c.table.Version(), Age: now - o.lastSent, Attempt: len(o.tried),
 		})
 		return
