sidecar: a heartbeat proves who is at the address only if it comes in time

A heartbeat now proves something if it is the first of its life, or comes when its number lets expect it: a lost one skips a number, a delayed one does not.

A sidecar that has just started notes claims of other services too. Services that no route names are another writer's and claim nothing.

--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -24,6 +24,8 @@
 	_upstream = netip.AddrPortFrom(_self, 8080)
 	_address  = netip.MustParseAddrPort("198.18.0.1:443")
 	_caller   = netip.MustParseAddrPort("100.64.0.7:40001")
+
+	_roundsAddress = netip.MustParseAddrPort("198.18.0.2:443")
 )
 
 // testWire is the packet format of these tests: flags, seq, ack, size, direction (1 for
@@ -82,6 +84,7 @@
 	}, testWire{}, r, 1000, rand.New(rand.NewPCG(1, 1)))
 	r.SetTable(0, directory.New(1, 0, []directory.Route{
 		{Address: _address, Shares: []directory.Share{{Service: "orders", Weight: 1}}},
+		{Address: _roundsAddress, Shares: []directory.Share{{Service: "rounds", Weight: 1}}},
 	}), "test")
 	r.AddRelays(0, []netip.Addr{_relay})
 	return r
--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"dandelionhitch.example/decision"
@@ -14,7 +15,8 @@
 // own one. So the upstream gets opening packets only for that long after the last proof that
 // the process at the address is of this sidecar's service:
 //
-//   - a heartbeat that was accepted;
+//   - a heartbeat that was accepted, and is the first of its life or comes when its number lets
+//     expect it. One that was delayed may be read long after its sender has ended;
 //   - a reply on a flow whose opening packet this process has delivered. That packet went to
 //     the right process, since it was delivered under this rule, and only the process that got
 //     it answers on the flow.
@@ -24,9 +26,9 @@
 //
 // Heartbeats that name another service at the address may be late or another writer's, and one
 // of them shows nothing. The address has passed on if their sender has shown that it runs, as
-// for a claim in lives.go, and the own upstream has missed a heartbeat. If the confirmation had
-// run out before, one is enough. From then on only heartbeats are proof, and only once they
-// show in turn that their sender runs.
+// for a claim in lives.go, and the own upstream has missed a heartbeat or was never heard. If the
+// confirmation had run out before, one is enough. From then on only heartbeats that follow each
+// other in time are proof.
 //
 // The confirmation is apart from upstream.state, by which flows of a dead upstream are reset.
 // An upstream without it is reported as suspect, and keeps its flows.
@@ -37,6 +39,14 @@
 	// _heartbeatOverdue is the silence, in heartbeat intervals, after which the upstream has
 	// missed a heartbeat.
 	_heartbeatOverdue = 1.5
+	// _heartbeatJitter is how much later than expected the heartbeat of a running upstream may
+	// arrive, for each interval since the last one, and _maxHeartbeatJitter bounds that in all.
+	// Both are in heartbeat intervals.
+	_heartbeatJitter    = 0.15
+	_maxHeartbeatJitter = 0.5
+	// _minProofHeartbeats is the least time, in heartbeat intervals, for which a proof lasts.
+	// Otherwise an upstream that sends nothing but heartbeats would get no flows.
+	_minProofHeartbeats = 1.5
 	// _drainTicks is the number of ticks within which a running process has read what was
 	// waiting in its sockets. After a stall, the first two ticks may follow each other at once.
 	_drainTicks = 2
@@ -149,33 +159,48 @@
 	}
 }
 
-// confirmByHeartbeat notes that a heartbeat of the own upstream was accepted, and how long
-// after the one before.
-func (c *Core) confirmByHeartbeat(since time.Duration) {
-	if since >= c.heartbeatSpacing() && !c.overdue(since) {
+// confirmByHeartbeat notes that a heartbeat of the own upstream was accepted. since and steps
+// are the time and the difference of the numbers since the one before of the same life. steps
+// is zero for the first one.
+func (c *Core) confirmByHeartbeat(since time.Duration, steps uint64) {
+	inTime := steps > 0 && c.comesInTime(since, steps)
+	if inTime {
 		c.identity.revoked = false
 	}
-	c.confirm("heartbeat")
+	if inTime || steps == 0 {
+		c.confirm("heartbeat")
+	}
 }
 
-// overdue reports whether a heartbeat is missing after the given silence.
-func (c *Core) overdue(silence time.Duration) bool {
-	return silence > time.Duration(_heartbeatOverdue*float64(c.self.Heartbeat))
+// comesInTime reports whether a heartbeat comes when its number lets expect it.
+func (c *Core) comesInTime(since time.Duration, steps uint64) bool {
+	jitter := min(_heartbeatJitter*float64(steps), _maxHeartbeatJitter)
+	latest := time.Duration((float64(steps) + jitter) * float64(c.self.Heartbeat))
+	return since >= c.heartbeatSpacing() && since <= latest
 }
 
 // missedHeartbeat reports whether the upstream has missed a heartbeat.
-func (c *Core) missedHeartbeat() bool { return c.overdue(c.now - c.upstream.lastHeartbeat) }
+func (c *Core) missedHeartbeat() bool {
+	return c.now-c.upstream.lastHeartbeat > time.Duration(_heartbeatOverdue*float64(c.self.Heartbeat))
+}
 
 // noteClaimToAddress notes that a heartbeat names another service at the address of the own
-// upstream, and revokes the confirmation if the address has passed on.
+// upstream, and revokes the confirmation if the address has passed on. A service that no route
+// names is another writer's.
 func (c *Core) noteClaimToAddress(h Heartbeat) {
+	if !slices.Contains(c.table.ServiceNames(), h.Service) {
+		return
+	}
 	id := &c.identity
 	if k := &id.other; k.life != h.sender() || h.Sequence <= k.sequence || k.since <= c.upstream.lastHeartbeat {
 		*k = claim{life: h.sender(), since: c.now}
 	}
 	id.other.sequence = h.Sequence
-	proved := !c.confirmed(c.now) || c.missedHeartbeat() && c.now-id.other.since >= c.heartbeatSpacing()
-	if id.revoked || !proved || c.upstream.state == peer.Absent {
+	proved := c.now-id.other.since >= c.heartbeatSpacing() && c.missedHeartbeat()
+	if c.upstream.state != peer.Absent {
+		proved = proved || !c.confirmed(c.now)
+	}
+	if id.revoked || !proved {
 		return
 	}
 	id.revoked = true
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -66,7 +66,10 @@
 			h.ID, h.Service, h.Addr, c.self.Service, c.self.Upstream)
 	}
 	u := &c.upstream
-	present, since := u.life == h.sender(), now-u.lastHeartbeat
+	present, since, steps := u.life == h.sender(), now-u.lastHeartbeat, uint64(0)
+	if present && h.Sequence > u.sequence {
+		steps = h.Sequence - u.sequence
+	}
 	switch {
 	case present && h.Sequence == u.sequence:
 		return nil
@@ -81,7 +84,7 @@
 	c.claim = claim{}
 	u.sequence, u.lastHeartbeat, u.slots = h.Sequence, now, min(max(h.Slots, 1), _maxSlots)
 	c.noteHeartbeatColdness(h)
-	c.confirmByHeartbeat(since)
+	c.confirmByHeartbeat(since, steps)
 	switch {
 	case h.Draining:
 		c.setState(now, peer.Draining, "heartbeat")
