dandelionhitch: offers of the reload test carry a version

Relays have no routes at version 0, and a sidecar that has no configuration either now checks such a label. The test expects what it expected before.

--- a/dandelionhitch/opaque_reload_test.go
+++ b/dandelionhitch/opaque_reload_test.go
@@ -219,7 +219,7 @@
 func (r *offeringRelay) send(sidecar netip.Addr, kind peer.Kind, service string, key flow.Key, header flow.Packet, data string) {
 	header.Source, header.Destination = key.Caller, key.Address
 	carried := peer.Carried{
-		Kind: kind, Origin: r.addr, Service: peer.NewServiceID(service),
+		Kind: kind, Origin: r.addr, Service: peer.NewServiceID(service), Version: 1,
 		Packet: platform.AppendPacket(nil, header, 0, []byte(data)),
 	}
 	r.socket.Send(netip.AddrPortFrom(sidecar, _testPeerPort), carried.Append(nil))
