--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -15,8 +15,8 @@
 // own one. So the upstream gets opening packets only for that long after the last proof that
 // the process at the address is of this sidecar's service:
 //
-//   - a heartbeat that was accepted, and is the first of its life or comes when its number lets
-//     expect it. One that was delayed may be read long after its sender has ended;
+//   - a heartbeat that was accepted and comes when its number lets expect it. One that was
+//     delayed may be read long after its sender has ended;
 //   - a reply on a flow whose opening packet this process has delivered. That packet went to
 //     the right process, since it was delivered under this rule, and only the process that got
 //     it answers on the flow.
@@ -162,16 +162,24 @@
 // confirmByHeartbeat notes that a heartbeat of the own upstream was accepted. since and steps
 // are the time and the difference of the numbers since the one before of the same life. steps
 // is zero for the first one.
-func (c *Core) confirmByHeartbeat(since time.Duration, steps uint64) {
-	inTime := steps > 0 && c.comesInTime(since, steps)
-	if inTime {
+func (c *Core) confirmByHeartbeat(h Heartbeat, since time.Duration, steps uint64) {
+	switch {
+	case steps > 0 && c.comesInTime(since, steps):
 		c.identity.revoked = false
-	}
-	if inTime || steps == 0 {
+		c.confirm("heartbeat")
+	case steps == 0 && c.numberFitsAge(h):
 		c.confirm("heartbeat")
 	}
 }
 
+// numberFitsAge reports whether an upstream of the age that a heartbeat states sends about as
+// many as its number says. It does not if the clock was set, or if the upstream did not run
+// for a while; then the next heartbeat tells.
+func (c *Core) numberFitsAge(h Heartbeat) bool {
+	latest := time.Duration((float64(h.Sequence)*(1+_heartbeatJitter) + _maxHeartbeatJitter) * float64(c.self.Heartbeat))
+	return h.Age >= 0 && h.Age <= latest
+}
+
 // comesInTime reports whether a heartbeat comes when its number lets expect it.
 func (c *Core) comesInTime(since time.Duration, steps uint64) bool {
 	jitter := min(_heartbeatJitter*float64(steps), _maxHeartbeatJitter)
--- a/sidecar/reuse_test.go
+++ b/sidecar/reuse_test.go
@@ -267,9 +267,7 @@
 	m.play(t, 100*time.Millisecond)
 }
 
-// odd sends heartbeats of other writers, the last one again, and late ones. The first heartbeat
-// that is heard after a change can't be told from a timely one if it is late, so late ones
-// arrive only once the process at the address was heard.
+// odd sends heartbeats of other writers, the last one again, and late ones.
 func (m *reuseModel) odd(t *rapid.T) {
 	h := sidecar.Heartbeat{
 		ID: "i-7", Service: rapid.SampledFrom([]string{"orders", "rounds", ""}).Draw(t, "service"),
@@ -281,12 +279,10 @@
 	last := m.last
 	m.send(func() { _ = m.Heartbeat(m.now, h) })
 	m.send(func() { _ = m.read(last) })
-	if m.tenant != nil && m.tenant.heard {
-		for _, h := range m.late {
-			m.send(func() { _ = m.read(h) })
-		}
-		m.late = nil
+	for _, h := range m.late {
+		m.send(func() { _ = m.read(h) })
 	}
+	m.late = nil
 }
 
 // refused lets the host refuse a packet, since no process listens.
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -84,7 +84,7 @@
 	c.claim = claim{}
 	u.sequence, u.lastHeartbeat, u.slots = h.Sequence, now, min(max(h.Slots, 1), _maxSlots)
 	c.noteHeartbeatColdness(h)
-	c.confirmByHeartbeat(since, steps)
+	c.confirmByHeartbeat(h, since, steps)
 	switch {
 	case h.Draining:
 		c.setState(now, peer.Draining, "heartbeat")
