sidecar: compare heartbeat times without a conversion that may overflow

A number of 2^53 made the latest age overflow time.Duration, with another result on arm64 than on x86-64. TestLargeSequenceIsNoLateHeartbeat failed before, on x86-64.

--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -59,7 +59,8 @@
 type identity struct {
 	// confirmedUntil is the time until which the address has not passed on, as far as proved.
 	confirmedUntil time.Duration
-	// lapsed is set once it has been reported that the confirmation is over.
+	// lapsed is set from when it was reported that the confirmation is over until it is reported
+	// that there is one again.
 	lapsed bool
 	// other is the claim to the address by an upstream of another service. revoked is set once
 	// it is proved, until the own upstream has shown that it runs.
@@ -78,8 +79,8 @@
 // confirmed reports whether the process at the upstream's address is of this sidecar's service.
 func (c *Core) confirmed(now time.Duration) bool { return now < c.identity.confirmedUntil }
 
-// sentSince returns the earliest time at which a message that is read now may have been sent.
-// It may have waited in the socket while this process was stalled.
+// sentSince returns the time after which a packet that is read now has arrived. It may have
+// waited in the socket while this process was stalled.
 func (c *Core) sentSince() time.Duration {
 	if c.lastTick == 0 {
 		return c.now
@@ -176,15 +177,15 @@
 // many as its number says. It does not if the clock was set, or if the upstream did not run
 // for a while; then the next heartbeat tells.
 func (c *Core) numberFitsAge(h Heartbeat) bool {
-	latest := time.Duration((float64(h.Sequence)*(1+_heartbeatJitter) + _maxHeartbeatJitter) * float64(c.self.Heartbeat))
-	return h.Age >= 0 && h.Age <= latest
+	latest := (float64(h.Sequence)*(1+_heartbeatJitter) + _maxHeartbeatJitter) * float64(c.self.Heartbeat)
+	return h.Age >= 0 && float64(h.Age) <= latest
 }
 
 // comesInTime reports whether a heartbeat comes when its number lets expect it.
 func (c *Core) comesInTime(since time.Duration, steps uint64) bool {
 	jitter := min(_heartbeatJitter*float64(steps), _maxHeartbeatJitter)
-	latest := time.Duration((float64(steps) + jitter) * float64(c.self.Heartbeat))
-	return since >= c.heartbeatSpacing() && since <= latest
+	latest := (float64(steps) + jitter) * float64(c.self.Heartbeat)
+	return since >= c.heartbeatSpacing() && float64(since) <= latest
 }
 
 // missedHeartbeat reports whether the upstream has missed a heartbeat.
--- a/sidecar/late_heartbeats_test.go
+++ b/sidecar/late_heartbeats_test.go
@@ -431,3 +431,12 @@
 	r.SetTable(0, directory.New(3, 0, routes), "test")
 	assert.Equal(t, r.offer(2*time.Millisecond, 2), peer.Accepted)
 }
+
+// TestLargeSequenceIsNoLateHeartbeat guards against an overflow in the time that an upstream
+// needs for its heartbeats.
+func TestLargeSequenceIsNoLateHeartbeat(t *testing.T) {
+	r := newRig(t)
+	h := sidecar.Heartbeat{ID: "i-1", Service: "orders", Addr: _upstream, Slots: 2, Born: 5000, Sequence: 1 << 53, Age: time.Hour}
+	assert.NilError(t, r.Heartbeat(0, h))
+	assert.Equal(t, r.offer(0, 10), peer.Accepted)
+}
