--- a/sidecar/late_heartbeats_test.go
+++ b/sidecar/late_heartbeats_test.go
@@ -440,3 +440,27 @@
 	assert.NilError(t, r.Heartbeat(0, h))
 	assert.Equal(t, r.offer(0, 10), peer.Accepted)
 }
+
+// TestConsentOfAnotherUpstreamConfirmsNothing guards against a second consent on a flow, with
+// another sequence number, that counts as a proof.
+func TestConsentOfAnotherUpstreamConfirmsNothing(t *testing.T) {
+	for seq, accepted := range map[uint32]bool{500: true, 900: false} {
+		r := newRig(t)
+		now := time.Duration(0)
+		tick := func(until time.Duration) {
+			for ; now < until; now += 4 * _step {
+				r.Tick(now)
+			}
+		}
+		assert.NilError(t, r.beat(0, "i-1", 5000, 1, false))
+		tick(100 * time.Millisecond)
+		r.fromRelay(now, peer.KindOffer, encode(flow.SYN, 10, 0, 0, false))
+		r.UpstreamPacket(now, encode(flow.SYN|flow.ACK, 500, 11, 0, true))
+		tick(1500 * time.Millisecond)
+		r.UpstreamPacket(now, encode(flow.SYN|flow.ACK, seq, 11, 0, true))
+		tick(2300 * time.Millisecond)
+		r.clearSent()
+		r.fromRelay(now, peer.KindOffer, withPort(encode(flow.SYN, 10, 0, 0, false), 7))
+		assert.Equal(t, r.verdicts[0].Outcome == peer.Accepted, accepted, "sequence number %d", seq)
+	}
+}
