--- a/dandelionhitch/explain_flow.go
+++ b/dandelionhitch/explain_flow.go
@@ -161,8 +161,8 @@
 		fmt.Fprintln(out, "\nLINES LEFT OUT MEANWHILE")
 	}
 	for _, l := range t.Omitted {
-		fmt.Fprintf(out, "  %s: %d of routine decisions, %d of ends, %d of others, %d of beliefs\n",
-			l.Node, l.RoutineOmitted, l.EndsOmitted, l.OthersOmitted, l.BeliefsOmitted)
+		fmt.Fprintf(out, "  %s: %d of routine decisions, %d of ends, %d of others, %d of beliefs, %d of warnings\n",
+			l.Node, l.RoutineOmitted, l.EndsOmitted, l.OthersOmitted, l.BeliefsOmitted, l.WarningsOmitted)
 	}
 	return nil
 }
--- a/dandelionhitch/explain_flow_test.go
+++ b/dandelionhitch/explain_flow_test.go
@@ -17,7 +17,8 @@
 {"time":"2026-05-12T19:00:02.020Z","message":"decision","node":"side-2","flow":"100.64.0.7:40001>198.18.0.1:443","action":"reset","reason":"overloaded","settings_version":7,"age_ms":4}
 {"time":"2026-05-12T19:00:01.600Z","message":"belief","node":"side-2","subject":"upstream","name":"i-1","from":"absent","to":"ready","reason":"heartbeat"}
 {"time":"2026-05-12T19:00:02.100Z","message":"decision","node":"front-1","flow":"100.64.0.7:40002>198.18.0.1:443","action":"placed","target":"10.1.0.2","attempt":1}
-{"time":"2026-05-12T19:00:02.200Z","message":"lines left out","node":"side-2","routine_decisions":3,"other_decisions":1,"ends":2,"beliefs":0}
+{"time":"2026-05-12T19:00:02.200Z","message":"lines left out","node":"side-2","routine_decisions":3,"other_decisions":1,"ends":2,"beliefs":0,"warnings":1}
+{"level":"warn","time":"2026-05-12T19:00:01.700Z","message":"belief","node":"side-2","subject":"upstream_identity","name":"i-1","from":"orders","to":"rounds","reason":"heartbeat of \"i-2\" at 10.1.0.2:8080"}
 `
 
 const _wantFlowExplanation = `flow 100.64.0.7:40001>198.18.0.1:443
@@ -32,9 +33,10 @@
 MEANWHILE, AT THE SAME PROCESSES
   19:00:00.000  side-2  sidecar started
   19:00:01.600  side-2  upstream i-1: absent to ready (heartbeat)
+  19:00:01.700  side-2  upstream_identity i-1: orders to rounds (heartbeat of "i-2" at 10.1.0.2:8080)
 
 LINES LEFT OUT MEANWHILE
-  side-2: 3 of routine decisions, 2 of ends, 1 of others, 0 of beliefs
+  side-2: 3 of routine decisions, 2 of ends, 1 of others, 0 of beliefs, 1 of warnings
 `
 
 // TestExplainFlow explains a saved log for a flow ID, for a caller with one flow, and
