soak: addresses of hosts of an earlier build are not used again

Trace: 127.2.0.4, of the earlier build, had started anew for photos 8 ms before; an opening for orders came labelled with photos, and was passed on to 127.2.0.6, of the earlier build too, which accepted it (upstream_absent, attempt 1; accepted, attempt 2). The fault is drawn for hosts of this build only; the promise is checked for all.

--- a/soak/reuse.go
+++ b/soak/reuse.go
@@ -64,13 +64,20 @@
 )
 
 // drawReuses returns the events of the reuses between two times. A separate random
-// generator leaves the other faults as they are.
+// generator leaves the other faults as they are. Hosts of an earlier build are left out: such
+// sidecars send flows to an upstream of another service (docs/incidents/reused-address.md).
 func (r *run) drawReuses(begin, end time.Duration) []event {
 	random := rand.New(rand.NewPCG(r.config.Seed, 5))
 	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	var hosts []*vm
+	for _, v := range r.vms {
+		if v.isHost() && v.program == r.config.Program {
+			hosts = append(hosts, v)
+		}
+	}
 	var events []event
 	for at := begin + time.Second + upTo(2*time.Second); at < end; at += 2*time.Second + upTo(4*time.Second) {
-		host := r.vms[r.config.Relays+random.IntN(r.config.Hosts)]
+		host := hosts[random.IntN(len(hosts))]
 		reuse := Reuse{End: End(random.IntN(3)), Free: _addressReuse + upTo(50*time.Millisecond)}
 		reuse.Notice, reuse.NoticeAfter = Restarts+Notice(random.IntN(3)), upTo(1500*time.Millisecond)
 		if reuse.End == Drains && at+_drainTime > end {
