peer, fleet: optional fields for capacity by priority and slowdown; setting priority_admission

Cause: requests of different priority share upstreams, and nothing tells other processes for which priority an upstream has capacity. Change: two optional report fields, a setting with its options, and directory.Table.Prioritized. Nothing reads them yet.

--- a/dandelionhitch/opaque_flags.go
+++ b/dandelionhitch/opaque_flags.go
@@ -38,9 +38,11 @@
 	// evacuationBound is the time within which an evacuation must be in force. It is zero
 	// where operators evacuate no zones.
 	evacuationBound time.Duration
-	platform        platformFlags
-	logLevel        zapcore.Level
-	logOutput       io.Writer
+	// priorityAdmission is as in relay.WithPriorityAdmission and sidecar.WithPriorityAdmission.
+	priorityAdmission bool
+	platform          platformFlags
+	logLevel          zapcore.Level
+	logOutput         io.Writer
 	// identityChanges counts how often the process has restarted in place.
 	identityChanges int
 }
@@ -82,6 +84,8 @@
 	f.DurationVar(&f.grace, "grace", _defaultGrace, "time that a process gets to stop")
 	f.DurationVar(&f.evacuationBound, "evacuation-bound", 0,
 		"time within which the evacuation of a zone must be in force; 0: zones are not evacuated, and the store is not asked for it")
+	f.BoolVar(&f.priorityAdmission, "priority-admission", false,
+		"admit, refuse and place requests by priority where the routes of a service differ in priority")
 	f.StringVar(&f.upstreamMode, "upstream-mode", _agentUpstreamMode, "how upstreams are reached; only agent is served")
 	f.text(&f.logLevel, "log-level", "debug, info, warn or error")
 	f.platform.add(f.flagSet)
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -71,6 +71,8 @@
 		PeerPort:   uint16(f.peerPort),
 		PeerListen: node.peerAddr(),
 		MaxFlows:   f.maxFlows(_relayFlowBytes),
+
+		PriorityAdmission: f.priorityAdmission,
 	}, f.wire, decision.NewRecorder(node.decisions, spans.observe))
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -90,6 +90,8 @@
 		PeerListen: node.peerAddr(),
 		MaxFlows:   f.maxFlows(_sidecarFlowBytes),
 		Cold:       f.cold,
+
+		PriorityAdmission: f.priorityAdmission,
 	}, platform.PacketWire{}, decision.NewRecorder(node.decisions, spans.observe))
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -55,6 +55,8 @@
 	routes      map[netip.AddrPort]Route
 	services    []string
 	cold        map[string]Cold
+	// prioritized holds the services whose routes differ in priority.
+	prioritized map[string]bool
 }
 
 // New returns the table of a version. Routes without shares are ignored, and so are all
@@ -67,9 +69,25 @@
 			t.addServices(r)
 		}
 	}
+	t.prioritized = prioritizedServices(t.routes)
 	return t
 }
 
+// prioritizedServices returns the services whose routes differ in priority.
+func prioritizedServices(routes map[netip.AddrPort]Route) map[string]bool {
+	first, differ := make(map[string]int), make(map[string]bool)
+	for _, r := range routes {
+		for _, s := range r.Shares {
+			if priority, known := first[s.Service]; !known {
+				first[s.Service] = r.Priority
+			} else if priority != r.Priority {
+				differ[s.Service] = true
+			}
+		}
+	}
+	return differ
+}
+
 func (t *Table) addServices(r Route) {
 	for _, s := range r.Shares {
 		if !slices.Contains(t.services, s.Service) {
@@ -95,6 +113,9 @@
 // ColdServices returns the services with a stated rate for cold upstreams, sorted by name.
 func (t Table) ColdServices() []string { return slices.Sorted(maps.Keys(t.cold)) }
 
+// Prioritized reports whether the routes of a service differ in priority.
+func (t Table) Prioritized(service string) bool { return t.prioritized[service] }
+
 // ServiceNames returns the names of all services in the routes. The caller must not modify
 // the slice.
 func (t Table) ServiceNames() []string { return t.services }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,6 +72,9 @@
 	// service's other upstreams, which is a sign of failing requests.
 	RunTime    time.Duration
 	EarlyShare float64
+	// NoRoomFrom and Slowdown are as in peer.UpstreamReport.
+	NoRoomFrom uint8
+	Slowdown   uint16
 	// LastMessageAt is when the last message of the sidecar arrived, and LoadUpdatedAt when
 	// Busy and Slots were last reported.
 	LastMessageAt, LoadUpdatedAt time.Duration
@@ -179,6 +182,7 @@
 	u.Zone, u.State = r.Zone, r.State
 	u.LastMessageAt, u.lastReportAt, u.Late = now, now, int(r.Late)
 	u.RunTime, u.EarlyShare = time.Duration(r.RunTime)*peer.RunTimeUnit, float64(r.EarlyPercent)/100
+	u.NoRoomFrom, u.Slowdown = r.NoRoomFrom, r.Slowdown
 	v.setLoad(u, now, int(r.Busy), int(r.Slots))
 	return u, change
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -327,6 +327,12 @@
 	// EarlyPercent is the percentage of answers that arrive much earlier than is usual at the other
 	// upstreams of the service, which is a sign of failing requests.
 	EarlyPercent uint8 `cbor:"12,keyasint,omitempty"`
+	// NoRoomFrom is one more than the smallest priority number for whose new flows the upstream
+	// has no capacity, or zero if it has capacity for all or that is not known.
+	NoRoomFrom uint8 `cbor:"13,keyasint,omitempty"`
+	// Slowdown is the run time of the upstream in percent of the median of its peers, or zero if
+	// it is not known.
+	Slowdown uint16 `cbor:"14,keyasint,omitempty"`
 }
 
 // RunTimeUnit is the unit of UpstreamReport.RunTime.
--- a/relay/core.go
+++ b/relay/core.go
@@ -178,6 +178,17 @@
 	lastNewSidecar time.Duration
 	// evacuations are the zones whose upstreams get no new flows.
 	evacuations evacuation.State
+	// priorityAdmission is set by WithPriorityAdmission.
+	priorityAdmission bool
+}
+
+// Option configures a Core.
+type Option func(*Core)
+
+// WithPriorityAdmission makes the relay take priorities into account when it refuses and places
+// new flows of services whose routes differ in priority.
+func WithPriorityAdmission(enabled bool) Option {
+	return func(c *Core) { c.priorityAdmission = enabled }
 }
 
 // flowState is what a relay knows of a flow. It is a cache: a relay that loses it
@@ -280,7 +291,7 @@
 
 // NewCore returns a core without a configuration or known processes. It remembers at
 // most maxFlows flows.
-func NewCore(self Identity, wire Wire, out Outbox, maxFlows int, random *rand.Rand) *Core {
+func NewCore(self Identity, wire Wire, out Outbox, maxFlows int, random *rand.Rand, opts ...Option) *Core {
 	c := &Core{
 		self:   self,
 		wire:   wire,
@@ -294,6 +305,9 @@
 		searchBudget: searchBudget{bytes: _searchBurstBytes},
 	}
 	c.configs = distribution.New(self.Addr, true, out, random)
+	for _, opt := range opts {
+		opt(c)
+	}
 	return c
 }
 
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -182,6 +182,8 @@
 	evacuations evacuation.State
 	gate        coldGate
 	identity    identity
+	// priorityAdmission is set by WithPriorityAdmission.
+	priorityAdmission bool
 }
 
 // Option configures a Core.
@@ -190,6 +192,17 @@
 // WithColdBound bounds the requests that the upstream gets while it is cold.
 func WithColdBound(bound ColdBound) Option { return func(c *Core) { c.gate.bound = bound } }
 
+// WithPriorityAdmission makes the sidecar admit requests by priority if the routes of its service
+// differ in priority.
+func WithPriorityAdmission(enabled bool) Option {
+	return func(c *Core) { c.priorityAdmission = enabled }
+}
+
+// prioritized reports whether requests are admitted by priority.
+func (c *Core) prioritized() bool {
+	return c.priorityAdmission && c.table.Prioritized(c.self.Service)
+}
+
 // reportTimes holds the times of the last reports to peers and to relays, and the loads
 // that they contained.
 type reportTimes struct {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -78,6 +78,8 @@
 	MaxFlows int
 	// Cold bounds the requests that the upstream gets while it is cold.
 	Cold ColdBound
+	// PriorityAdmission is as in WithPriorityAdmission.
+	PriorityAdmission bool
 }
 
 // New opens the sidecar's sockets and starts its goroutines. It returns an error if a
@@ -87,7 +89,8 @@
 		Recorder: recorder, callerPort: config.CallerPort, peerPort: config.PeerPort, clock: newClock(readClocks(), readBootTime),
 	}
 	self := config.Identity
-	s.core = NewCore(self, wire, s, config.MaxFlows, rand.New(rand.NewPCG(self.Incarnation, self.Incarnation)), WithColdBound(config.Cold))
+	s.core = NewCore(self, wire, s, config.MaxFlows, rand.New(rand.NewPCG(self.Incarnation, self.Incarnation)), WithColdBound(config.Cold),
+		WithPriorityAdmission(config.PriorityAdmission))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var err error
