relay, fleet: refuse openings for whose priority no upstream has capacity

A relay leaves out upstreams that report no capacity for the priority of an opening, and resets the flow without an offer if no eligible upstream has capacity. An offer that a sidecar refuses as overloaded ends at once if no other upstream has capacity.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,10 @@
 	// _maxUnconfirmed is the maximum number of relays that one call of UnconfirmedRelays
 	// returns.
 	_maxUnconfirmed = 4
+	// _noRoomTTL is how long a report that an upstream has no capacity for a priority counts.
+	// A sidecar reports several times in that time, so an older report means that reports
+	// were lost.
+	_noRoomTTL = time.Second
 	// One in _farDivisor neighbours of a sidecar is in another zone, and no more, since
 	// traffic between zones costs money.
 	_farDivisor = 4
@@ -75,6 +79,8 @@
 	// NoRoomFrom and Slowdown are as in peer.UpstreamReport.
 	NoRoomFrom uint8
 	Slowdown   uint16
+	// NoRoomUpdatedAt is when NoRoomFrom was last reported.
+	NoRoomUpdatedAt time.Duration
 	// LastMessageAt is when the last message of the sidecar arrived, and LoadUpdatedAt when
 	// Busy and Slots were last reported.
 	LastMessageAt, LoadUpdatedAt time.Duration
@@ -94,6 +100,12 @@
 // left an offer unanswered.
 func (u *Upstream) Penalized(now time.Duration) bool { return now < u.penaltyUntil }
 
+// LacksRoom reports whether the upstream has no capacity for new flows of a priority, by a
+// report that is recent enough to count.
+func (u *Upstream) LacksRoom(now time.Duration, priority int) bool {
+	return u.NoRoomFrom > 0 && priority+1 >= int(u.NoRoomFrom) && now-u.NoRoomUpdatedAt <= _noRoomTTL
+}
+
 // CountOffer increments Busy for a new flow that this process has offered to the upstream.
 // The next report of the upstream's load replaces Busy.
 func (u *Upstream) CountOffer() { u.Busy++ }
@@ -182,7 +194,7 @@
 	u.Zone, u.State = r.Zone, r.State
 	u.LastMessageAt, u.lastReportAt, u.Late = now, now, int(r.Late)
 	u.RunTime, u.EarlyShare = time.Duration(r.RunTime)*peer.RunTimeUnit, float64(r.EarlyPercent)/100
-	u.NoRoomFrom, u.Slowdown = r.NoRoomFrom, r.Slowdown
+	u.NoRoomFrom, u.NoRoomUpdatedAt, u.Slowdown = r.NoRoomFrom, now, r.Slowdown
 	v.setLoad(u, now, int(r.Busy), int(r.Slots))
 	return u, change
 }
--- a/relay/core.go
+++ b/relay/core.go
@@ -221,6 +221,14 @@
 	arrival arrival
 	// stale is set if the packet may have waited in the socket while the flow was opened.
 	stale bool
+	// firstCopy is set if no copy of the packet can have reached an upstream when the relay
+	// got it.
+	firstCopy bool
+	// priority is that of the flow's route. prioritized is set if it decides who gets capacity.
+	priority    int
+	prioritized bool
+	// room is the capacity of the eligible upstreams at the last choice.
+	room room
 	// reason is why the packet was placed anew; empty if it was not.
 	reason string
 	// lastSent is when the packet was last offered.
@@ -283,6 +291,9 @@
 	SearchesFound, SearchesDenied, SearchesUnfinished uint64
 	// Resets counts resets sent to callers, and Dropped packets that were discarded.
 	Resets, Dropped uint64
+	// NoRoom counts resets because no upstream has capacity for the flow's priority, which
+	// Resets includes, and Probes offers made although no upstream has capacity.
+	NoRoom, Probes uint64
 	// Evacuated counts new flows for which upstreams of evacuated zones were left out.
 	Evacuated uint64
 	// Malformed counts packets and messages that could not be decoded.
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -49,11 +49,12 @@
 			return
 		}
 	}
+	firstCopy := c.isFirstCopy(now, key, f, p)
 	arrived := arrival{first: now - p.Age}
 	if p.Age == 0 {
 		arrived = c.returning.takeArrival(now, key.Caller.Addr())
 	}
-	c.offerOpening(now, key, p.Seq, &offer{packet: packet, arrival: arrived, stale: c.stalled(now)})
+	c.offerOpening(now, key, p.Seq, &offer{packet: packet, arrival: arrived, stale: c.stalled(now), firstCopy: firstCopy})
 }
 
 // stalled reports whether this process did not run for so long that an opening packet which
@@ -87,6 +88,7 @@
 	}
 	o.choice = choice{service: service, version: c.table.Version()}
 	o.lastResort = c.isLate(now, key, o.arrival.first)
+	c.setPriority(key, o)
 	if c.chooseUpstream(now, o) == nil {
 		if len(o.unanswered) > 0 {
 			c.endRefused(now, key, o)
@@ -100,6 +102,14 @@
 		c.park(now, key, o.arrival, o.packet, reason)
 		return
 	}
+	switch o.room.decide(c.mayResetUnoffered(now, o), c.random) {
+	case roomRefuse:
+		c.refuseNoRoom(now, key, o)
+		return
+	case roomProbe:
+		c.counts.Probes++
+		o.reason = _reasonProbe
+	}
 	o.packet = slices.Clone(o.packet)
 	c.flows.Put(key, &flowState{openingSeq: seq, choice: o.choice, arrival: o.arrival, firstOffered: now})
 	c.offers[key] = o
@@ -125,6 +135,7 @@
 		return
 	}
 	o.choice = renewed
+	c.setPriority(key, o)
 	var u *fleet.Upstream
 	if len(o.tried) < _maxOfferAttempts {
 		u = c.chooseUpstream(now, o)
@@ -235,7 +246,7 @@
 // last. Upstreams in evacuated zones get no flows in any case; o.evacuated is set if there
 // are any.
 func (c *Core) chooseUpstream(now time.Duration, o *offer) *fleet.Upstream {
-	for _, usable := range []func(*fleet.Upstream) bool{
+	for tier, usable := range []func(*fleet.Upstream) bool{
 		func(u *fleet.Upstream) bool { return c.view.Eligible(now, u) },
 		func(u *fleet.Upstream) bool { return u.State == peer.Ready },
 		func(u *fleet.Upstream) bool { return u.State == peer.Suspect },
@@ -252,6 +263,9 @@
 			c.eligible = append(c.eligible, u)
 			c.candidates = append(c.candidates, placement.Candidate{Busy: u.Busy, Slots: u.Slots, SameZone: u.Zone == c.self.Zone})
 		}
+		if tier == 0 {
+			c.keepWithRoom(now, o)
+		}
 		if best := placement.Choose(c.candidates, c.random); best >= 0 {
 			return c.eligible[best]
 		}
