relay: refuse flows whose data would not fit through the relay's link

Change: a token bucket for callers' bytes; a flow of a route with much data takes its expected bytes when it is opened, or is reset at once.

--- a/dandelionhitch/opaque_reload.go
+++ b/dandelionhitch/opaque_reload.go
@@ -30,7 +30,7 @@
 // A restart of a sidecar makes it unsure of its flows, and one of all relays at a time leaves
 // callers without any, so limits and names of a process are not worth one.
 var _deferredSettings = []string{
-	"node", "metrics", "memory-mb", "grace", "evacuation-bound", "cold-overage", "cold-slack", "priority-admission", "log-level", "platform-token",
+	"node", "metrics", "memory-mb", "grace", "evacuation-bound", "cold-overage", "cold-slack", "priority-admission", "link-mbps", "log-level", "platform-token",
 }
 
 // settingsReloader reads the settings again on SIGHUP and whenever the content of their file
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -33,12 +33,16 @@
 type relayFlags struct {
 	*opaqueFlags
 	ingress netip.AddrPort
-	wire    relay.Wire
+	// linkMbps is as in relay.WithLink.
+	linkMbps float64
+	wire     relay.Wire
 }
 
 func newRelayFlags(stdout, stderr io.Writer) *relayFlags {
 	f := &relayFlags{opaqueFlags: newOpaqueFlags("relay", stdout, stderr), wire: platform.PacketWire{}}
 	f.text(&f.ingress, "ingress", "IP:PORT where routers send callers' packets (UDP); callers take packets at its port")
+	f.Float64Var(&f.linkMbps, "link-mbps", 0,
+		"capacity of this VM's link in Mbit/s, which callers that send much data may not fill; 0: not known; only with -priority-admission")
 	f.require("ingress")
 	return f
 }
@@ -47,6 +51,13 @@
 	return opaqueCommand("relay", "Forward opaque packets of callers to the sidecars beside upstreams.", newRelayFlags(stdout, stderr))
 }
 
+func (f *relayFlags) check(args []string) error {
+	if f.linkMbps < 0 {
+		f.add("-link-mbps", trace.BadParameter("%v is below zero", f.linkMbps))
+	}
+	return f.opaqueFlags.check(args)
+}
+
 func (f *relayFlags) renew() opaqueRole {
 	next := newRelayFlags(f.logOutput, io.Discard)
 	next.wire = f.wire
@@ -73,6 +84,7 @@
 		MaxFlows:   f.maxFlows(_relayFlowBytes),
 
 		PriorityAdmission: f.priorityAdmission,
+		LinkMbps:          f.linkMbps,
 	}, f.wire, decision.NewRecorder(node.decisions, spans.observe))
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -139,6 +151,7 @@
 			{"relay_searches_denied", int64(s.SearchesDenied)},
 			{"relay_searches_unfinished", int64(s.SearchesUnfinished)},
 			{"relay_resets", int64(s.Resets)},
+			{"relay_link_full", int64(s.LinkFull)},
 			{"relay_dropped", int64(s.Dropped)},
 			{"relay_malformed", int64(s.Malformed)},
 			{"relay_unsent", int64(s.Unsent)},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -57,6 +57,8 @@
 	cold        map[string]Cold
 	// prioritized holds the services whose routes differ in priority.
 	prioritized map[string]bool
+	// highestPriority is the smallest priority number of the routes.
+	highestPriority int
 }
 
 // New returns the table of a version. Routes without shares are ignored, and so are all
@@ -65,6 +67,9 @@
 	t := Table{version: version, idleTimeout: idleTimeout, routes: make(map[netip.AddrPort]Route, len(routes))}
 	for _, r := range routes {
 		if _, duplicate := t.routes[r.Address]; !duplicate && len(r.Shares) > 0 {
+			if len(t.routes) == 0 || r.Priority < t.highestPriority {
+				t.highestPriority = r.Priority
+			}
 			t.routes[r.Address] = r
 			t.addServices(r)
 		}
@@ -116,6 +121,10 @@
 // Prioritized reports whether the routes of a service differ in priority.
 func (t Table) Prioritized(service string) bool { return t.prioritized[service] }
 
+// HighestPriority returns the smallest priority number of the routes, which stands for the
+// highest priority, or zero if there are no routes.
+func (t Table) HighestPriority() int { return t.highestPriority }
+
 // ServiceNames returns the names of all services in the routes. The caller must not modify
 // the slice.
 func (t Table) ServiceNames() []string { return t.services }
--- a/relay/core.go
+++ b/relay/core.go
@@ -180,6 +180,7 @@
 	evacuations evacuation.State
 	// priorityAdmission is set by WithPriorityAdmission.
 	priorityAdmission bool
+	link              linkBudget
 }
 
 // Option configures a Core.
@@ -206,6 +207,9 @@
 	// deliveredAt is when a sidecar answered that it has delivered the opening packet to its
 	// upstream without a wait; zero if it has not or the caller has sent a packet since.
 	deliveredAt time.Duration
+	// sentBytes is what the caller has sent on the flow, and reservedBytes what is left of the
+	// capacity of the link that was reserved for it. See link.go.
+	sentBytes, reservedBytes int
 	// question is the open search for the holder; nil if there is none.
 	question *question
 	// searchFailedAt is when the last search timed out, and deniedBy are the sidecars that
@@ -294,6 +298,9 @@
 	// NoRoom counts resets because no upstream has capacity for the flow's priority, which
 	// Resets includes, and Probes offers made although no upstream has capacity.
 	NoRoom, Probes uint64
+	// LinkFull counts resets because the flow's data would not fit through the relay's link,
+	// which Resets includes.
+	LinkFull uint64
 	// Evacuated counts new flows for which upstreams of evacuated zones were left out.
 	Evacuated uint64
 	// Malformed counts packets and messages that could not be decoded.
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -23,6 +23,7 @@
 	key := p.FromCaller()
 	if p.Opening() {
 		c.counts.Openings++
+		c.noteLinkBytes(now, key, nil, p, len(packet))
 		c.openFlow(now, key, p, packet)
 		return
 	}
@@ -110,8 +111,12 @@
 		c.counts.Probes++
 		o.reason = _reasonProbe
 	}
+	reserved, ok := c.admitToLink(now, key, o)
+	if !ok {
+		return
+	}
 	o.packet = slices.Clone(o.packet)
-	c.flows.Put(key, &flowState{openingSeq: seq, choice: o.choice, arrival: o.arrival, firstOffered: now})
+	c.flows.Put(key, &flowState{openingSeq: seq, choice: o.choice, arrival: o.arrival, firstOffered: now, reservedBytes: reserved})
 	c.offers[key] = o
 	c.placeOffer(now, key, o)
 }
@@ -312,6 +317,7 @@
 // if it is not known.
 func (c *Core) carry(now time.Duration, key flow.Key, p flow.Packet, packet []byte) {
 	f := c.flows.Get(key)
+	c.noteLinkBytes(now, key, f, p, len(packet))
 	if f != nil && f.holder.IsValid() && f.question == nil {
 		c.counts.Carried++
 		if f.deliveredAt > 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -69,13 +69,16 @@
 	MaxFlows int
 	// PriorityAdmission is as in WithPriorityAdmission.
 	PriorityAdmission bool
+	// LinkMbps is as in WithLink.
+	LinkMbps float64
 }
 
 // New opens the sockets of a relay and starts it. Close must be called to stop it.
 func New(config Config, wire Wire, recorder *decision.Recorder) (*Relay, error) {
 	r := &Relay{Recorder: recorder, callerPort: config.Ingress.Port(), peerPort: config.PeerPort}
 	random := rand.New(rand.NewPCG(config.Identity.Incarnation, config.Identity.Incarnation))
-	r.core = NewCore(config.Identity, wire, r, config.MaxFlows, random, WithPriorityAdmission(config.PriorityAdmission))
+	r.core = NewCore(config.Identity, wire, r, config.MaxFlows, random, WithPriorityAdmission(config.PriorityAdmission),
+		WithLink(config.LinkMbps))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var err error
--- a/relay/room.go
+++ b/relay/room.go
@@ -132,11 +132,17 @@
 // the zone are not told: the caller's next try gets the same answer at each of them.
 func (c *Core) refuseNoRoom(now time.Duration, key flow.Key, o *offer) {
 	c.counts.NoRoom++
-	c.counts.Resets++
 	c.out.LogDecision(decision.Record{
 		Flow: key, Action: decision.Reset, Reason: _reasonNoRoom, Service: o.choice.service, Version: c.table.Version(),
 		Busy: clampUint16(o.room.busy), Slots: clampUint16(o.room.slots), Age: o.room.oldest,
 	})
+	c.resetUnoffered(now, key, o)
+}
+
+// resetUnoffered sends the reset for a flow that was offered to no upstream, and remembers its
+// caller, who may return.
+func (c *Core) resetUnoffered(now time.Duration, key flow.Key, o *offer) {
+	c.counts.Resets++
 	c.buffer = c.wire.AppendReset(c.buffer[:0], key, 0)
 	c.out.ToCaller(key.Caller.Addr(), c.buffer)
 	c.flows.Delete(key)
