sidecar: predict late flows from their starts, suspect upstreams that bounce openings; package admission

For all deployments:

- A flow that was accepted as a last resort and cannot start in time counts as late at once.
Before, it was served by age, ahead of flows that could still be in time.
- The start of a late flow is predicted from the observed intervals between such starts and from the time since the last one, and the flow is refused as soon as it would miss its latest start.
Before, half of the slots were assumed to be free for late flows.
- An upstream that bounces two opening packets in a row while it has a free slot becomes suspect with reason bounces_openings.

The decisions move to the new package admission. With the setting priority_admission, and for a service whose routes differ in priority, it orders openings by priority, learns run times by route and the capacity of the upstream, lets important openings queue inside the upstream, refuses displaced ones, and holds requests on open flows back for a short time.

--- a/sidecar/pace_test.go
+++ b/admission/pace_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package admission
 
 import (
 	"testing"
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -31,6 +31,8 @@
 	// Waits means that a new flow was queued to wait for a route or for an upstream with
 	// free capacity.
 	Waits Action = "waits"
+	// Held means that a sidecar holds back a request on an open flow for a short time.
+	Held Action = "held"
 	// PassedOn means that a sidecar offered a new flow to a sidecar whose upstream has less load.
 	PassedOn Action = "passed_on"
 	// Refused means that a sidecar rejected a new flow.
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dandelionhitch.example/admission"
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/directory"
 	"dandelionhitch.example/distribution"
@@ -147,13 +148,14 @@
 
 	// now is the time of the current call.
 	now time.Duration
-	// busy is the number of flows whose request is in progress or expected. A request is
-	// expected for _handshakeTimeout after the delivery of the opening packet.
-	busy int
-	// waiting holds the flows whose opening packets wait for capacity at the upstream, in
-	// the order in which they were queued.
-	waiting []*flowState
-	timings timings
+	// admission decides about the requests that the upstream gets. It holds those in progress
+	// or expected, and the opening packets that wait. A request is expected for
+	// _handshakeTimeout after the delivery of the opening packet.
+	admission *admission.Controller[flowState]
+	// room is what was last found about capacity by priority.
+	room roomState
+	// heldBytes is the size of all packets in flowState.held.
+	heldBytes int
 	// runTimes and earlyShares are reused between calls for values from peers' reports.
 	runTimes    []time.Duration
 	earlyShares []float64
@@ -208,26 +210,22 @@
 type reportTimes struct {
 	peersAt, relaysAt     time.Duration
 	peersLoad, relaysLoad int
+	// peersNoRoom and relaysNoRoom are the values of NoRoomFrom in these reports.
+	peersNoRoom, relaysNoRoom uint8
 }
 
 // flowState is what the sidecar knows of a flow of the upstream.
 type flowState struct {
 	key flow.Key
-	// queued is set while the opening packet waits for capacity at the upstream. The flow
-	// is late from targetStart on: flows that are not late go first. The flow is refused
-	// if the upstream cannot get the packet by latestStart.
-	queued                   bool
-	priority                 int
-	targetStart, latestStart time.Duration
-	// arrived is when a relay first received the opening packet.
-	arrived time.Duration
+	// work is the opening of the flow or its present request. Its class was set from the
+	// configuration version classified.
+	work       admission.Work[flowState]
+	classified uint64
 	// packet is the opening packet, kept until the caller acknowledges the consent.
 	packet []byte
 	hops   uint8
 	// version is the version of the configuration under which the flow's service was chosen.
 	version uint64
-	// lastResort is set if the relay has already tried other sidecars.
-	lastResort bool
 	// openingSeq is the sequence number of the caller's opening packet, consentSeq that of
 	// the upstream's consent, and latestSeq the highest that the upstream has sent.
 	openingSeq, consentSeq, latestSeq uint32
@@ -235,8 +233,6 @@
 	// established is set once the flow is known to be open at the upstream: the caller has
 	// acknowledged the consent, or the upstream has sent more than its consent.
 	established bool
-	// inProgress is set while the flow counts in Core.busy.
-	inProgress bool
 	// ended is set once the upstream has closed or reset the flow. dead is set once the
 	// upstream no longer has the flow; the caller's packets are then answered with a reset.
 	ended, dead bool
@@ -257,6 +253,10 @@
 	// firstRequestAt and lastRequestAt are when the caller's first and latest packets with
 	// data arrived.
 	firstRequestAt, lastRequestAt time.Duration
+	// requestEnd is the sequence number that follows the caller's data of the latest request.
+	requestEnd uint32
+	// held are packets of a request that is held back, in the order of their arrival.
+	held []heldPacket
 	// carriedAt is when the caller's last packet was delivered to the upstream, and
 	// callerAck is the acknowledgement number of that packet.
 	carriedAt time.Duration
@@ -295,6 +295,15 @@
 	// IdentityRevocations counts how often an upstream of another service has shown that it
 	// has the address of the own one.
 	IdentityRevocations uint64
+	// Displaced counts waiting opening packets that were refused because more important ones
+	// arrived, and Held counts requests on open flows that were held back.
+	Displaced, Held uint64
+	// UpstreamRefusals counts requests whose answers show that the upstream has refused them.
+	UpstreamRefusals uint64
+	// RefusedByPriority counts refused opening packets, and ServedByPriority the requests
+	// that the upstream has answered otherwise than by a refusal, by priority. Priorities
+	// above the last index count there.
+	RefusedByPriority, ServedByPriority [admission.Priorities]uint64
 	// Malformed counts packets and messages that could not be decoded.
 	Malformed uint64
 }
@@ -312,8 +321,8 @@
 		out:       out,
 		random:    random,
 		view:      fleet.New(_maxPeerInterval),
-		timings:   newTimings(),
 	}
+	c.admission = admission.New[flowState](c.limits)
 	c.flows = flow.NewCache(maxFlows, c.onEvict)
 	c.configs = distribution.New(self.Addr, false, out, random, distribution.WithAskDelay(c.askDelay))
 	for _, opt := range opts {
@@ -332,10 +341,17 @@
 func (c *Core) Flows() int { return c.flows.Len() }
 
 // Busy returns the number of flows whose request is in progress or expected.
-func (c *Core) Busy() int { return c.busy }
+func (c *Core) Busy() int { return c.admission.Busy() }
 
 // Waiting returns the number of opening packets that wait for capacity at the upstream.
-func (c *Core) Waiting() int { return len(c.waiting) }
+func (c *Core) Waiting() int { return len(c.admission.Waiting()) }
+
+// HeldNow returns the number of requests on open flows that are held back.
+func (c *Core) HeldNow() int { return len(c.admission.Held()) }
+
+// Capacity returns the learned number of requests that the upstream works on and queues, or
+// zero if it is not known.
+func (c *Core) Capacity() int { return c.admission.Capacity() }
 
 // Known returns the numbers of relays and sidecars that this sidecar knows.
 func (c *Core) Known() (relays, sidecars int) { return c.view.RelayCount(), c.view.SidecarCount() }
@@ -379,8 +395,8 @@
 	c.out.LogBelief(decision.NewSettings(c.table.Version(), table.Version(), c.configs.Source()))
 	c.table = table
 	c.longestIdle = max(c.longestIdle, table.IdleTimeout())
-	for _, f := range slices.Clone(c.waiting) {
-		if f.version <= table.Version() && !table.Allows(f.key.Address, c.self.Service) {
+	for _, w := range slices.Clone(c.admission.Waiting()) {
+		if f := w.Flow; f.version <= table.Version() && !table.Allows(f.key.Address, c.self.Service) {
 			c.redirectOpening(c.now, f.key, f, _reasonRouteChanged)
 		}
 	}
@@ -410,6 +426,7 @@
 	c.stopping = true
 	c.reportToAll(now)
 	c.redirectWaiting(_reasonStopping)
+	c.releaseAllHeld()
 }
 
 // Drained reports whether a stopped sidecar can exit without losing requests: no
@@ -417,7 +434,7 @@
 func (c *Core) Drained() bool {
 	switch c.upstream.state {
 	case peer.Ready, peer.Draining:
-		return c.busy == 0 && len(c.waiting) == 0
+		return c.Busy() == 0 && c.Waiting() == 0 && c.HeldNow() == 0
 	default:
 		return true
 	}
@@ -427,6 +444,9 @@
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
 	c.refuseTooLate()
+	c.releaseHeld(now + _tickInterval)
+	c.endOverdue()
+	c.updateRoom()
 	if now-c.lastTick > _staleOfferGap {
 		c.resumedAt = now
 	}
@@ -454,25 +474,41 @@
 	c.view.Tick(now)
 }
 
-// setInProgress sets f.inProgress and updates c.busy. When a request ends, it delivers
-// waiting opening packets.
-func (c *Core) setInProgress(f *flowState, inProgress bool) {
-	if f.inProgress == inProgress {
-		return
+// endRequest ends the request of a flow, or the expectation of one. If there was one, it
+// delivers waiting opening packets and held packets.
+func (c *Core) endRequest(f *flowState) {
+	if c.admission.End(c.now, &f.work) {
+		c.admitWaiting()
+		c.releaseHeld(c.now)
 	}
-	f.inProgress = inProgress
-	if inProgress {
-		c.busy++
-		return
+}
+
+// closeFlow notes that a flow is no longer open at the upstream: its request has ended, and it
+// will send no more.
+func (c *Core) closeFlow(f *flowState) {
+	c.admission.CloseFlow(&f.work)
+	c.endRequest(f)
+}
+
+// endOverdue ends requests whose callers no longer wait. Their answers were lost.
+func (c *Core) endOverdue() {
+	for w := c.admission.Overdue(c.now); w != nil; w = c.admission.Overdue(c.now) {
+		c.endRequest(w.Flow)
 	}
-	c.busy--
-	c.admitWaiting()
+}
+
+// newFlowState returns the state of a flow of which nothing is known.
+func newFlowState(key flow.Key) *flowState {
+	f := &flowState{key: key}
+	f.work.Flow = f
+	return f
 }
 
 // onEvict is called when a flow is evicted from the flow table. It removes the flow from
-// the queue and from the count of requests in progress.
+// the queue and from the count of requests in progress, and delivers its held packets.
 func (c *Core) onEvict(_ flow.Key, f *flowState) {
 	c.dequeue(f)
 	f.awaitsRequest = false
-	c.setInProgress(f, false)
+	c.deliverHeld(f)
+	c.closeFlow(f)
 }
--- a/sidecar/evacuations.go
+++ b/sidecar/evacuations.go
@@ -32,6 +32,7 @@
 	c.reportToAll(now)
 	if c.evacuated() {
 		c.redirectWaiting(_reasonEvacuated)
+		c.releaseAllHeld()
 	} else {
 		c.suspectRestart()
 		c.admitWaiting()
--- a/sidecar/failing.go
+++ b/sidecar/failing.go
@@ -41,6 +41,9 @@
 	// fail. The time doubles with each failed trial, up to _maxTrialBackoff.
 	_minTrialBackoff = 400 * time.Millisecond
 	_maxTrialBackoff = 3200 * time.Millisecond
+	// _maxBouncedOpenings is the number of consecutive opening packets after whose bounces
+	// the upstream becomes suspect.
+	_maxBouncedOpenings = 2
 )
 
 // failureState tracks failed requests and the trials of a failing upstream.
@@ -134,3 +137,20 @@
 		c.setState(c.now, peer.Ready, "trial")
 	}
 }
+
+// noteBouncedOpening counts an opening packet that the upstream has bounced although it has a
+// free slot. An upstream that does so repeatedly becomes suspect: it may have gone, and its
+// VM then bounces all packets. With no load, it would be offered thousands of flows a second.
+// Its next heartbeat after _minSuspicion makes it ready again.
+func (c *Core) noteBouncedOpening() {
+	if c.Busy() > c.totalSlots() { // busy includes the bounced flow
+		return
+	}
+	c.upstream.bouncedOpenings++
+	if c.upstream.state == peer.Ready && c.bouncesOpenings() {
+		c.setState(c.now, peer.Suspect, "bounces_openings")
+	}
+}
+
+// bouncesOpenings reports whether the upstream has bounced all recent opening packets.
+func (c *Core) bouncesOpenings() bool { return c.upstream.bouncedOpenings >= _maxBouncedOpenings }
--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -125,6 +125,7 @@
 		c.reportToAll(c.now)
 	}
 	c.redirectWaiting(_reasonUnconfirmed)
+	c.releaseAllHeld()
 }
 
 // checkConfirmation reports that the confirmation has run out.
--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -90,6 +90,7 @@
 	u := &c.upstream
 	present := h.sender()
 	first := u.life == (life{})
+	c.releaseAllHeld()
 	c.out.LogBelief(decision.Belief{
 		Subject: "upstream_life", Name: h.ID, From: u.id, To: h.ID, Reason: "heartbeat", Version: h.Sequence, Age: h.Age,
 	})
@@ -115,11 +116,11 @@
 // then are the successor's.
 func (c *Core) endFlows(successorHeard time.Duration, sure bool) {
 	c.flows.All(func(key flow.Key, f *flowState) bool {
-		if f.queued || f.deliveredAt >= successorHeard {
+		if f.work.Waiting() || f.deliveredAt >= successorHeard {
 			return true
 		}
 		f.awaitsRequest, f.opened = false, false
-		c.setInProgress(f, false)
+		c.closeFlow(f)
 		f.dead = f.dead || !f.ended
 		if !sure {
 			c.flows.Delete(key)
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dandelionhitch.example/admission"
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
@@ -100,7 +101,7 @@
 // the copy may open the flow, so it must not reach another service. For any other reason the
 // flow stays where it was accepted, since the upstream may be consenting.
 func (c *Core) handleRepeatedOffer(now time.Duration, key flow.Key, m peer.Carried, f *flowState) {
-	atUpstream := !f.queued && !f.ended
+	atUpstream := !f.work.Waiting() && !f.ended
 	if atUpstream && !f.consented && !f.established {
 		switch reason := c.rejectReason(now, key, m); reason {
 		case _reasonOtherService:
@@ -170,32 +171,38 @@
 // accept delivers an opening packet to the local upstream, or queues it if the upstream
 // has no capacity. It refuses the packet if the wait would be too long.
 func (c *Core) accept(now time.Duration, key flow.Key, m peer.Carried, p flow.Packet) {
-	f := &flowState{
-		key: key, packet: slices.Clone(m.Packet), hops: m.Hops, lastResort: m.LastResort, arrived: now - m.Waited,
-		openingSeq: p.Seq, origin: m.Origin, version: m.Version, deliveredAt: now, carriedAt: now,
-	}
-	full := c.busy >= c.capacity()
-	c.setWaitLimits(f)
-	if full && !c.startsInTime(f, m.LastResort) {
+	f := newFlowState(key)
+	f.packet, f.hops, f.openingSeq, f.origin, f.version = slices.Clone(m.Packet), m.Hops, p.Seq, m.Origin, m.Version
+	f.deliveredAt, f.carriedAt = now, now
+	f.work.Arrived, f.work.LastResort = now-m.Waited, m.LastResort
+	c.setClass(f)
+	verdict := c.admission.Decide(now, &f.work)
+	switch verdict {
+	case admission.NoRoom:
+		c.refuse(now, key, m, _reasonNoRoom)
+		return
+	case admission.Overloaded:
 		c.refuse(now, key, m, _reasonOverloaded)
 		return
 	}
 	if old := c.flows.Get(key); old != nil {
 		c.dequeue(old)
-		c.setInProgress(old, false)
+		c.discardHeld(old)
+		c.closeFlow(old)
 	}
 	c.flows.Put(key, f)
 	c.counts.Accepted++
-	if full {
+	if verdict == admission.Wait {
 		c.enqueue(f)
 		c.logWaiting(f)
 	} else {
 		c.deliver(f)
 		c.out.LogDecision(decision.Record{
 			Flow: key, Action: decision.Accepted, Service: c.self.Service, Version: c.table.Version(),
-			Busy: uint16(c.busy), Slots: uint16(c.effectiveSlots(now)), Age: now - c.upstream.lastHeartbeat, Attempt: int(m.Hops) + 1, Routine: true,
+			Busy: uint16(c.Busy()), Slots: uint16(c.effectiveSlots(now)), Age: now - c.upstream.lastHeartbeat, Attempt: int(m.Hops) + 1, Routine: true,
 		})
 	}
+	c.refuseDisplaced(f)
 	c.sendVerdict(now, peer.Accepted, key, m.Origin, nil)
 }
 
@@ -238,21 +245,25 @@
 // refuse tells the relay that neither this sidecar nor a peer that it knows accepts an
 // opening packet.
 func (c *Core) refuse(now time.Duration, key flow.Key, m peer.Carried, reason string) {
-	c.counts.Refused++
+	route, _ := c.table.Route(key.Address)
+	c.countRefused(route.Priority)
 	c.out.LogDecision(decision.Record{
 		Flow: key, Action: decision.Refused, Reason: reason, Service: c.self.Service, Version: c.table.Version(),
-		Busy: uint16(c.busy), Slots: uint16(c.effectiveSlots(now)), Age: now - c.upstream.lastHeartbeat, Attempt: int(m.Hops) + 1,
+		Busy: uint16(c.Busy()), Slots: uint16(c.effectiveSlots(now)), Age: now - c.upstream.lastHeartbeat, Attempt: int(m.Hops) + 1,
 	})
 	outcome := peer.Refused
-	if reason == _reasonOverloaded {
+	if reason == _reasonOverloaded || reason == _reasonNoRoom {
 		outcome = peer.Overloaded
 	}
 	c.sendVerdict(now, outcome, key, m.Origin, m.Packet)
 }
 
-// _reasonOverloaded is the reason for refusing a flow that would wait too long because
-// all upstreams are busy.
-const _reasonOverloaded = "overloaded"
+// Reasons for refusing a flow because all upstreams are busy: it would wait too long, or the
+// upstream refuses requests that are as important.
+const (
+	_reasonOverloaded = "overloaded"
+	_reasonNoRoom     = "no_room"
+)
 
 // passOn offers an opening packet to another sidecar.
 func (c *Core) passOn(now time.Duration, key flow.Key, m peer.Carried, to netip.Addr, reason string) {
@@ -276,7 +287,7 @@
 // its opening packet on to a peer or returns it to the relay.
 func (c *Core) redirectOpening(now time.Duration, key flow.Key, f *flowState, reason string) {
 	c.dequeue(f)
-	c.setInProgress(f, false)
+	c.closeFlow(f)
 	f.awaitsRequest = false
 	c.flows.Delete(key)
 	c.passOnOrRefuse(now, key, c.offerMessage(f), reason)
@@ -299,7 +310,7 @@
 	switch {
 	case f == nil && !c.knowsAllFlows(now), f != nil && f.probing && !known:
 		return peer.Unsure
-	case !known, f.queued, !f.matches(ack):
+	case !known, f.work.Waiting(), !f.matches(ack):
 		return peer.NotHeld
 	default:
 		return peer.Held
@@ -337,7 +348,8 @@
 		return
 	case peer.Unsure:
 		if f == nil {
-			f = &flowState{key: key, probing: true}
+			f = newFlowState(key)
+			f.probing = true
 			c.flows.Put(key, f)
 		}
 		f.origin, f.carriedAt, f.callerAck = m.Origin, now, p.Ack
@@ -357,13 +369,11 @@
 		f.established = true
 		f.packet = nil
 	}
+	if c.holdPacket(f, m.Packet, p) {
+		return
+	}
 	if p.Size > 0 && !f.ended {
-		if f.firstRequestAt == 0 {
-			f.firstRequestAt = now
-			c.timings.addHandshake(f)
-		}
-		f.lastRequestAt = now
-		c.setInProgress(f, true)
+		c.beginRequest(f, p)
 	}
 	c.counts.Carried++
 	c.out.ToUpstream(m.Packet)
@@ -417,7 +427,8 @@
 // own packet is a reset.
 func (c *Core) endDeadFlow(now time.Duration, key flow.Key, f *flowState, p flow.Packet) {
 	f.dead = true
-	c.setInProgress(f, false)
+	c.discardHeld(f)
+	c.closeFlow(f)
 	if p.Flags.Has(flow.RST) {
 		return
 	}
@@ -499,12 +510,16 @@
 }
 
 // noteAnswered records that the upstream has replied on a flow that is known here. This ends a
-// suspicion unless the upstream is failing requests, so that its flows are not reset.
+// suspicion unless the upstream is failing requests or bouncing opening packets, so that its
+// flows are not reset.
 func (c *Core) noteAnswered(now time.Duration, f *flowState, p flow.Packet) {
 	if f.proves(p) {
 		c.confirm("reply")
 	}
-	if !p.Flags.Has(flow.RST) && c.upstream.state == peer.Suspect && c.upstream.failures.retryAt == 0 {
+	if p.Flags.Has(flow.SYN) {
+		c.upstream.bouncedOpenings = 0
+	}
+	if !p.Flags.Has(flow.RST) && c.upstream.state == peer.Suspect && c.upstream.failures.retryAt == 0 && !c.bouncesOpenings() {
 		c.setState(now, peer.Ready, "packet")
 	}
 }
@@ -532,7 +547,8 @@
 		if p.Flags.Has(flow.RST) {
 			return // the upstream no longer has the flow
 		}
-		f = &flowState{key: key, carriedAt: now, callerAck: p.Seq}
+		f = newFlowState(key)
+		f.carriedAt, f.callerAck = now, p.Seq
 		c.flows.Put(key, f)
 		c.logRecovered(p)
 	}
@@ -552,22 +568,36 @@
 		f.probing, f.established = false, true
 		c.sendVerdict(now, peer.Held, key, f.origin, nil)
 	}
+	c.noteReplyData(now, p, f)
+	if p.Flags&(flow.FIN|flow.RST) != 0 {
+		f.ended = true
+		c.deliverHeld(f)
+		c.closeFlow(f)
+	}
+}
+
+// noteReplyData notes that the upstream answers the request of a flow, if a packet has data or
+// ends the flow. An answer that shows that the upstream has refused the request is no sign of
+// its speed or of failures.
+func (c *Core) noteReplyData(now time.Duration, p flow.Packet, f *flowState) {
+	if p.Size == 0 && p.Flags&(flow.FIN|flow.RST) == 0 {
+		return
+	}
+	outcome := c.admission.Answer(now, &f.work, now-f.lastRequestAt)
+	switch outcome {
+	case admission.Served:
+		c.out.ObserveSpan(decision.FirstReply, now-f.lastRequestAt)
+		c.counts.ServedByPriority[admission.ClampPriority(f.work.Class.Priority)]++
+	case admission.RefusedByUpstream:
+		c.counts.UpstreamRefusals++
+	}
 	if p.Size > 0 && !f.answered {
 		f.answered = true
-		if f.firstRequestAt > 0 {
+		if f.firstRequestAt > 0 && outcome != admission.RefusedByUpstream {
 			c.noteAnswer(now - f.firstRequestAt)
 		}
 	}
-	if p.Size > 0 || p.Flags&(flow.FIN|flow.RST) != 0 {
-		if f.inProgress && f.lastRequestAt > 0 {
-			c.out.ObserveSpan(decision.FirstReply, now-f.lastRequestAt)
-			c.timings.addRun(now-f.lastRequestAt, c.busy, c.totalSlots())
-		}
-		c.setInProgress(f, false)
-	}
-	if p.Flags&(flow.FIN|flow.RST) != 0 {
-		f.ended = true
-	}
+	c.endRequest(f)
 }
 
 // logRecovered logs that a packet of the upstream has shown a flow that this process did
@@ -595,6 +625,7 @@
 		c.counts.Bounced++
 		c.upstream.lastBounce = now
 		if f != nil && f.openingSeq == p.Seq && !f.consented {
+			c.noteBouncedOpening()
 			c.redirectOpening(now, key, f, "upstream_bounced")
 		}
 		return
@@ -612,7 +643,8 @@
 		c.suspectRestart()
 		c.noteBouncedFlow(f)
 		f.dead = true
-		c.setInProgress(f, false)
+		c.discardHeld(f)
+		c.closeFlow(f)
 		c.sendReset(now, key, p.Ack, "upstream_bounced")
 	default:
 		c.counts.Dropped++
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -47,24 +47,35 @@
 }
 
 // reportIfDue sends reports to peers and to relays if their longest interval has passed,
-// or if the load has changed and their shortest interval has passed. The shortest
+// or if the load or the capacity by priority has changed and their shortest interval has passed. The shortest
 // intervals grow with the number of receivers. The longest interval between reports to
 // relays grows with the fleet.
 func (c *Core) reportIfDue(now time.Duration) {
 	peers := min(len(c.view.Service(c.self.Service)), _maxNeighbours)
 	minPeerInterval := max(_minPeerInterval, time.Duration(peers)*time.Second/_maxReportsPerSecond)
-	if since := now - c.lastReports.peersAt; since >= _maxPeerInterval || (since >= minPeerInterval && c.lastReports.peersLoad != c.reportedLoad()) {
+	if since := now - c.lastReports.peersAt; since >= _maxPeerInterval || (since >= minPeerInterval && c.peersReportOutdated()) {
 		c.reportToPeers(now)
 	}
 	maxRelayInterval, fleetInterval := peer.UpstreamInterval(c.fleetSize)
 	minRelayInterval := max(_minRelayInterval, fleetInterval, time.Duration(c.view.RelayCount())*time.Second/_maxReportsPerSecond)
 	maxRelayInterval = max(maxRelayInterval, minRelayInterval)
 	since := now - c.lastReports.relaysAt
-	if since >= maxRelayInterval || (since >= minRelayInterval && c.lastReports.relaysLoad != c.reportedLoad()) {
+	if since >= maxRelayInterval || (since >= minRelayInterval && c.relaysReportOutdated()) {
 		c.reportToRelays(now)
 	}
 }
 
+// peersReportOutdated reports whether the last report to peers differs from what it would
+// contain now.
+func (c *Core) peersReportOutdated() bool {
+	return c.lastReports.peersLoad != c.reportedLoad() || c.lastReports.peersNoRoom != c.room.noRoomFrom
+}
+
+// relaysReportOutdated reports the same of the last report to relays.
+func (c *Core) relaysReportOutdated() bool {
+	return c.lastReports.relaysLoad != c.reportedLoad() || c.lastReports.relaysNoRoom != c.room.noRoomFrom
+}
+
 // reportToAll sends reports to peers and relays at once. It is called when the reported
 // state changes.
 func (c *Core) reportToAll(now time.Duration) {
@@ -73,14 +84,14 @@
 }
 
 func (c *Core) reportToPeers(now time.Duration) {
-	c.lastReports.peersAt, c.lastReports.peersLoad = now, c.reportedLoad()
+	c.lastReports.peersAt, c.lastReports.peersLoad, c.lastReports.peersNoRoom = now, c.reportedLoad(), c.room.noRoomFrom
 	for _, u := range c.view.Neighbours(c.self.Service, c.self.Addr, c.self.Zone, _maxNeighbours) {
 		c.reportTo(u.Sidecar)
 	}
 }
 
 func (c *Core) reportToRelays(now time.Duration) {
-	c.lastReports.relaysAt, c.lastReports.relaysLoad = now, c.reportedLoad()
+	c.lastReports.relaysAt, c.lastReports.relaysLoad, c.lastReports.relaysNoRoom = now, c.reportedLoad(), c.room.noRoomFrom
 	for _, r := range c.view.Relays() {
 		c.reportTo(r.Addr)
 	}
@@ -106,9 +117,10 @@
 		Sidecar: c.self.Addr, Incarnation: c.self.Incarnation, Sequence: c.sequence,
 		Service: c.self.Service, Zone: c.self.Zone, State: c.reportedState(),
 		Busy: uint16(c.reportedLoad()), Slots: uint16(c.effectiveSlots(c.now)), Version: c.table.Version(),
-		Late: uint16(c.busy + len(c.waiting) - c.load()),
+		Late: uint16(c.admission.LateCount(c.now)),
 		// The field holds up to 6.5 s. Longer run times need not be distinguished.
-		RunTime: uint16(min(c.timings.runTime.value/peer.RunTimeUnit, math.MaxUint16)), EarlyPercent: uint8(100 * c.upstream.earlyShare),
+		RunTime: uint16(min(c.admission.RunTime()/peer.RunTimeUnit, math.MaxUint16)), EarlyPercent: uint8(100 * c.upstream.earlyShare),
+		NoRoomFrom: c.room.noRoomFrom,
 	})
 	if err != nil {
 		c.out.LogBelief(decision.Belief{Subject: "report", Name: addr.String(), Reason: err.Error()})
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -166,8 +166,10 @@
 type Stats struct {
 	Counts
 	Flows, Busy, Relays, Peers int
-	Unsent                     uint64
-	Version                    uint64
+	// HeldNow and Capacity are as in Core.HeldNow and Core.Capacity.
+	HeldNow, Capacity int
+	Unsent            uint64
+	Version           uint64
 	// Behind is how long a configuration version higher than the active one has been known.
 	Behind time.Duration
 	// Configurations counts the configuration messages exchanged with other processes.
@@ -186,7 +188,7 @@
 	_, behind := s.core.Behind(s.clock.now())
 	return Stats{
 		Evacuations: s.core.Evacuations(), Behind: behind, Configurations: s.core.ConfigurationCounts(), Traffic: s.traffic,
-		Counts: s.core.Counts(), Flows: s.core.Flows(), Busy: s.core.Busy(), Relays: relays, Peers: peers,
+		Counts: s.core.Counts(), Flows: s.core.Flows(), Busy: s.core.Busy(), HeldNow: s.core.HeldNow(), Capacity: s.core.Capacity(), Relays: relays, Peers: peers,
 		Unsent: s.upstream.Unsent() + s.outbound.Unsent() + s.peers.Unsent(), Version: s.core.Table().Version(),
 	}
 }
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -43,6 +43,9 @@
 	suspectedAt time.Duration
 	// lastBounce is when the upstream last bounced an opening packet.
 	lastBounce time.Duration
+	// bouncedOpenings counts the opening packets that the upstream has bounced in a row while
+	// it had a free slot.
+	bouncedOpenings int
 	// failures tracks failed requests, and earlyShare is the exponentially weighted share
 	// of early answers. See failing.go.
 	failures   failureState
@@ -125,9 +128,11 @@
 	}
 	c.reportToAll(now)
 	if state == peer.Ready {
+		u.bouncedOpenings = min(u.bouncedOpenings, _maxBouncedOpenings-1)
 		c.admitWaiting()
 	} else {
 		c.redirectWaiting("upstream_" + state.String())
+		c.releaseAllHeld()
 	}
 }
 
@@ -139,7 +144,7 @@
 // totalSlots, so that other upstreams get more flows. Admission still uses all slots.
 func (c *Core) effectiveSlots(now time.Duration) int {
 	if rate := c.coldRate(); rate > 0 && c.gate.cold(now) {
-		return min(max(int(rate*c.timings.runTime.value.Seconds()), 1), c.totalSlots())
+		return min(max(int(rate*c.admission.RunTime().Seconds()), 1), c.totalSlots())
 	}
 	if now < c.gate.until {
 		return max(int(math.Ceil(float64(c.upstream.slots)/_coldSlowdown-0.5)), 1)
@@ -160,7 +165,7 @@
 			f.awaitsRequest = false
 		case f.consented && now-f.deliveredAt > _handshakeTimeout:
 			f.awaitsRequest = false
-			c.setInProgress(f, false)
+			c.endRequest(f)
 		default:
 			c.awaitingRequest = append(c.awaitingRequest, f)
 			if !f.consented && now-f.deliveredAt > _consentTimeout {
