--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -48,9 +49,9 @@
 	// _maxUnconfirmed is the maximum number of relays that one call of UnconfirmedRelays
 	// returns.
 	_maxUnconfirmed = 4
-	// _noRoomTTL is how long a report that an upstream has no capacity for a priority counts.
-	// A sidecar reports several times in that time, so an older report means that reports
-	// were lost.
+	// _noRoomTTL is how long at most it counts that an upstream has no capacity for a
+	// priority. A sidecar reports several times in that time, so an older report means that
+	// reports were lost.
 	_noRoomTTL = time.Second
 	// One in _farDivisor neighbours of a sidecar is in another zone, and no more, since
 	// traffic between zones costs money.
@@ -79,13 +80,17 @@
 	// NoRoomFrom and Slowdown are as in peer.UpstreamReport.
 	NoRoomFrom uint8
 	Slowdown   uint16
-	// NoRoomUpdatedAt is when NoRoomFrom was last reported.
+	// NoRoomUpdatedAt is when NoRoomFrom was last reported, or changed because of an answer.
 	NoRoomUpdatedAt time.Duration
 	// LastMessageAt is when the last message of the sidecar arrived, and LoadUpdatedAt when
 	// Busy and Slots were last reported.
 	LastMessageAt, LoadUpdatedAt time.Duration
 
 	incarnation, sequence, previousIncarnation, previousSequence uint64
+	// noRoomFor is how long NoRoomFrom counts after NoRoomUpdatedAt. reportsRoom is set if
+	// the sidecar is known to report NoRoomFrom, which earlier builds do not.
+	noRoomFor   time.Duration
+	reportsRoom bool
 	// lastReportAt is when the last report of this incarnation arrived.
 	lastReportAt time.Duration
 
@@ -101,9 +106,24 @@
 func (u *Upstream) Penalized(now time.Duration) bool { return now < u.penaltyUntil }
 
 // LacksRoom reports whether the upstream has no capacity for new flows of a priority, by a
-// report that is recent enough to count.
+// report or an answer that is recent enough to count: not older than _noRoomTTL, nor than the
+// time in which the upstream works off its reported load. After that its slots could be free.
 func (u *Upstream) LacksRoom(now time.Duration, priority int) bool {
-	return u.NoRoomFrom > 0 && priority+1 >= int(u.NoRoomFrom) && now-u.NoRoomUpdatedAt <= _noRoomTTL
+	return u.NoRoomFrom > 0 && priority+1 >= int(u.NoRoomFrom) && now-u.NoRoomUpdatedAt <= u.noRoomFor
+}
+
+// HasPartialRoom reports whether the upstream has capacity for new flows of a priority but none
+// for less important ones, by a report or an answer not older than _noRoomTTL.
+func (u *Upstream) HasPartialRoom(now time.Duration, priority int) bool {
+	return int(u.NoRoomFrom) > priority+1 && now-u.NoRoomUpdatedAt <= _noRoomTTL
+}
+
+// setNoRoom sets NoRoomFrom. The load must have been set before.
+func (u *Upstream) setNoRoom(now time.Duration, from uint8) {
+	u.NoRoomFrom, u.NoRoomUpdatedAt, u.noRoomFor = from, now, _noRoomTTL
+	if u.RunTime > 0 {
+		u.noRoomFor = min(_noRoomTTL, time.Duration(u.Busy)*u.RunTime/time.Duration(u.Slots))
+	}
 }
 
 // CountOffer increments Busy for a new flow that this process has offered to the upstream.
@@ -194,8 +214,10 @@
 	u.Zone, u.State = r.Zone, r.State
 	u.LastMessageAt, u.lastReportAt, u.Late = now, now, int(r.Late)
 	u.RunTime, u.EarlyShare = time.Duration(r.RunTime)*peer.RunTimeUnit, float64(r.EarlyPercent)/100
-	u.NoRoomFrom, u.NoRoomUpdatedAt, u.Slowdown = r.NoRoomFrom, now, r.Slowdown
+	u.Slowdown = r.Slowdown
 	v.setLoad(u, now, int(r.Busy), int(r.Slots))
+	u.setNoRoom(now, r.NoRoomFrom)
+	u.reportsRoom = r.NoRoomFrom > 0 || u.reportsRoom && !change.New
 	return u, change
 }
 
@@ -218,6 +240,15 @@
 	v.setLoad(u, now, busy, slots)
 }
 
+// Overloaded records that a sidecar had no capacity for a new flow of a priority. Such an
+// answer is newer than the last report and lets the next flows go elsewhere. It counts only for
+// sidecars that report NoRoomFrom, and until their next report.
+func (v *View) Overloaded(now time.Duration, sidecar netip.Addr, priority int) {
+	if u, ok := v.upstreams[sidecar]; ok && u.reportsRoom && !u.LacksRoom(now, priority) && priority < math.MaxUint8 {
+		u.setNoRoom(now, uint8(priority+1))
+	}
+}
+
 // Unanswered records that a sidecar did not answer an offer in time. It returns the
 // duration of the penalty that begins now, or zero if the sidecar is not known or is
 // penalized already.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -237,3 +237,61 @@
 	r.Service = service
 	return r
 }
+
+// TestNoRoomExpires checks that a report of no capacity for a priority ceases to count after 1 s,
+// and before that once the upstream may have worked off the load that it had. Otherwise its slots
+// could be free while reports are lost.
+func TestNoRoomExpires(t *testing.T) {
+	const ms = time.Millisecond
+	for name, test := range map[string]struct {
+		busy    uint16
+		runTime time.Duration
+		counts  time.Duration
+	}{
+		"run time not known": {busy: 20, counts: time.Second},
+		"load worked off":    {busy: 20, runTime: 15 * ms, counts: 150 * ms},
+		"long run time":      {busy: 20, runTime: 500 * ms, counts: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := fleet.New(time.Second)
+			r := report(_addr1, 1, 1, peer.Ready)
+			r.NoRoomFrom, r.Busy, r.RunTime = 2, test.busy, uint16(test.runTime/peer.RunTimeUnit)
+			u, _ := v.Report(time.Second, r)
+			assert.Assert(t, !u.LacksRoom(time.Second, 0))
+			assert.Assert(t, u.LacksRoom(time.Second, 2))
+			assert.Assert(t, u.LacksRoom(time.Second+test.counts, 1))
+			assert.Assert(t, !u.LacksRoom(time.Second+test.counts+ms, 1))
+			assert.Assert(t, u.HasPartialRoom(2*time.Second, 0) && !u.HasPartialRoom(2*time.Second, 1))
+			assert.Assert(t, !u.HasPartialRoom(2*time.Second+ms, 0))
+			v.Answered(time.Second+900*ms, _addr1, 1, 2)
+			assert.Equal(t, u.NoRoomUpdatedAt, time.Second, "an answer does not tell of the priorities")
+		})
+	}
+}
+
+// TestOverloadedShowsNoRoom checks that the answer of an overloaded sidecar counts until its next
+// report, unless the sidecar is of a build that does not report capacity by priority: that one
+// counts as having capacity.
+func TestOverloadedShowsNoRoom(t *testing.T) {
+	v := fleet.New(time.Second)
+	r := report(_addr1, 1, 1, peer.Ready)
+	u, _ := v.Report(0, r)
+	v.Overloaded(0, _addr1, 1)
+	v.Overloaded(0, _addr2, 1) // not known
+	assert.Assert(t, !u.LacksRoom(0, 1), "perhaps an older build")
+	r.Sequence, r.NoRoomFrom = 2, 3
+	v.Report(0, r)
+	v.Overloaded(0, _addr1, 1)
+	assert.Assert(t, u.LacksRoom(0, 1) && !u.LacksRoom(0, 0))
+	v.Overloaded(0, _addr1, 2)
+	assert.Assert(t, u.LacksRoom(0, 1), "no capacity for priority 2 tells nothing of priority 1")
+	r.Sequence, r.NoRoomFrom = 3, 0
+	v.Report(0, r)
+	assert.Assert(t, !u.LacksRoom(0, 2))
+	v.Overloaded(0, _addr1, 2)
+	assert.Assert(t, u.LacksRoom(0, 2))
+	r.Incarnation, r.Sequence = 2, 1 // perhaps an older build was installed
+	v.Report(0, r)
+	v.Overloaded(0, _addr1, 1)
+	assert.Assert(t, !u.LacksRoom(0, 1))
+}
--- a/relay/core.go
+++ b/relay/core.go
@@ -227,6 +227,9 @@
 	// priority is that of the flow's route. prioritized is set if it decides who gets capacity.
 	priority    int
 	prioritized bool
+	// freshFor is the time after the flow's arrival in which an Overloaded verdict counts
+	// for other flows as well.
+	freshFor time.Duration
 	// room is the capacity of the eligible upstreams at the last choice.
 	room room
 	// reason is why the packet was placed anew; empty if it was not.
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -185,6 +185,9 @@
 	if !slices.Contains(o.tried, v.Sidecar) {
 		o.tried = append(o.tried, v.Sidecar)
 	}
+	if v.Outcome == peer.Overloaded && o.showsNoRoom(now) {
+		c.view.Overloaded(now, v.Sidecar, o.priority)
+	}
 	if v.Outcome == peer.Overloaded && c.endsWithoutRoom(now, o) {
 		delete(c.offers, v.Flow)
 		c.endRefused(now, v.Flow, o)
--- a/relay/room.go
+++ b/relay/room.go
@@ -8,6 +8,7 @@
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/fleet"
 	"dandelionhitch.example/flow"
+	"dandelionhitch.example/placement"
 )
 
 // A sidecar reports from which priority on its upstream has no capacity for new flows. With
@@ -22,6 +23,17 @@
 // out a route.
 const _openingsPerProbe = 20
 
+// _maxBusyAhead is the load per slot that is assumed to precede an important opening while
+// upstreams have no capacity for less important ones: that in the slots, and as much in a
+// queue. Upstreams are then full of less important flows, and a higher load does not tell how
+// long the opening waits. Without the limit, all relays would send their important openings
+// to the upstream that last reported the lowest load.
+const _maxBusyAhead = 2
+
+// _freshDivisor is the ratio of a route's target latency to the time in which a flow counts as
+// new. It covers the answers to several offers and a retry.
+const _freshDivisor = 8
+
 const (
 	// _reasonNoRoom is the reason for a reset because no upstream has capacity for the
 	// flow's priority.
@@ -45,9 +57,9 @@
 // room summarizes what the eligible upstreams of a service have reported about their
 // capacity for one priority.
 type room struct {
-	// eligible is the number of eligible upstreams, and without the number of those that
-	// have no capacity.
-	eligible, without int
+	// eligible is the number of eligible upstreams. without is the number of those that have
+	// no capacity, and partial that of those that have none for less important openings only.
+	eligible, without, partial int
 	// busy and slots are sums over the eligible upstreams, and oldest is the age of the
 	// oldest report of no capacity.
 	busy, slots int
@@ -60,6 +72,9 @@
 	r.busy += u.Busy
 	r.slots += u.Slots
 	if !u.LacksRoom(now, priority) {
+		if u.HasPartialRoom(now, priority) {
+			r.partial++
+		}
 		return true
 	}
 	r.without++
@@ -84,7 +99,7 @@
 }
 
 // keepWithRoom removes the upstreams without capacity for the opening from the eligible
-// ones, unless that would leave none, and sets o.room.
+// ones, unless that would leave none, sets o.room, and limits the loads of the candidates.
 func (c *Core) keepWithRoom(now time.Duration, o *offer) {
 	o.room = room{}
 	if !o.prioritized {
@@ -101,11 +116,30 @@
 	if kept > 0 {
 		c.eligible, c.candidates = c.eligible[:kept], c.candidates[:kept]
 	}
+	if o.room.partial > 0 {
+		limitLoads(c.candidates)
+	}
+}
+
+// limitLoads limits the loads of candidates to what may precede an important opening.
+func limitLoads(candidates []placement.Candidate) {
+	for i := range candidates {
+		c := &candidates[i]
+		c.Busy = min(c.Busy, _maxBusyAhead*c.Slots)
+	}
+}
+
+// showsNoRoom reports whether the verdict Overloaded for the opening shows that the upstream has
+// no capacity for other flows of its priority either. A flow that has waited for long may be
+// refused where a new one would be accepted.
+func (o *offer) showsNoRoom(now time.Duration) bool {
+	return o.prioritized && !o.lastResort && now-o.arrival.first <= o.freshFor
 }
 
 // setPriority sets what the decisions by priority need to know of an opening.
 func (c *Core) setPriority(key flow.Key, o *offer) {
 	route, _ := c.table.Route(key.Address)
+	o.freshFor = route.TargetLatency / _freshDivisor
 	o.priority, o.prioritized = route.Priority, c.priorityAdmission && c.table.Prioritized(o.choice.service)
 }
 
