--- a/dandelionhitch/metrics.go
+++ b/dandelionhitch/metrics.go
@@ -25,6 +25,8 @@
 // metricsServer serves a process's metrics over HTTP at /metrics.
 type metricsServer struct {
 	provider *sdkmetric.MeterProvider
+	// mux serves the endpoints. Without an address, nothing asks it.
+	mux *http.ServeMux
 	// server is nil if no address is set.
 	server *httpServer
 }
@@ -39,7 +41,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "start metrics")
 	}
-	m := &metricsServer{provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader))}
+	m := &metricsServer{provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader)), mux: http.NewServeMux()}
 	if !address.IsValid() {
 		return m, nil
 	}
@@ -47,10 +49,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "start metrics at %s", address)
 	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /ready", readiness(ready))
-	m.server = serveHTTP("metrics", listener, &http.Server{Handler: mux, ReadHeaderTimeout: _metricsHeaderTimeout})
+	m.mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	m.mux.HandleFunc("GET /ready", readiness(ready))
+	m.server = serveHTTP("metrics", listener, &http.Server{Handler: m.mux, ReadHeaderTimeout: _metricsHeaderTimeout})
 	return m, nil
 }
 
--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -90,6 +90,7 @@
 		return nil, trace.Wrap(err)
 	}
 	node.add(r)
+	node.metrics.mux.HandleFunc("GET "+_headroomPath, headroomHandler(r.Upstreams))
 	if err := node.registerMetrics(relayMetrics(r)); err != nil {
 		return nil, trace.Wrap(err)
 	}
