--- a/dandelionhitch/main.go
+++ b/dandelionhitch/main.go
@@ -4,7 +4,8 @@
 // forwards datagrams without keeping flow state; an agent runs beside each upstream
 // and terminates the callers' QUIC flows. A relay and a sidecar forward opaque packets
 // instead: the relay runs on an entry VM, the sidecar beside each upstream. The
-// settings, explain, headroom and keys commands are for operators. The try command runs
+// settings, explain, headroom, check-configuration and keys commands are for operators. The try
+// command runs
 // balancers and agents with stand-ins for their surroundings in one process; the soak
 // command runs relays and sidecars as processes under faults.
 //
@@ -72,7 +73,7 @@
 			[]*ffcli.Command{
 				balancerCommand(stderr), agentCommand(stderr), relayCommand(stdout, stderr), sidecarCommand(stdout, stderr),
 				tryCommand(stdout, stderr), soakCommand(stdout, stderr), keysCommand(stdout),
-				headroomCommand(stdout, stderr),
+				headroomCommand(stdout, stderr), checkConfigurationCommand(stdout, stderr),
 			},
 			operatorCommands(stdin, stdout, stderr)...,
 		),
