explain: which priorities had capacity when a flow was refused

For refusals for lack of capacity, explain prints the beliefs about capacity that the process held then, and it explains the new actions and reasons.

--- a/dandelionhitch/explain_flow.go
+++ b/dandelionhitch/explain_flow.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/netip"
@@ -151,6 +152,8 @@
 		return trace.Wrap(err)
 	}
 	fmt.Fprintf(out, "\nEND\n  %s\n", explainEnd(&t))
+	writeRooms(out, &t)
+	writeTerms(out, &t)
 	if len(t.Related) > 0 {
 		fmt.Fprintln(out, "\nMEANWHILE, AT THE SAME PROCESSES")
 	}
@@ -171,7 +174,7 @@
 func explainEnd(t *decision.Trail) string {
 	if end, ok := t.End(); ok {
 		ending := string(end.Action) + " " + end.Reason
-		if text, known := _endExplanations[ending]; known {
+		if text := cmp.Or(_endExplanations[ending], _termExplanations[end.Reason]); text != "" {
 			return fmt.Sprintf("%s at %s: %s", ending, end.Node, text)
 		}
 		return fmt.Sprintf("%s at %s", ending, end.Node)
--- a/dandelionhitch/explain_flow_test.go
+++ b/dandelionhitch/explain_flow_test.go
@@ -87,6 +87,9 @@
 	}
 	guide, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	assert.NilError(t, err)
+	for term := range _termExplanations {
+		assert.Assert(t, regexp.MustCompile("`[^`]*\\b"+term+"\\b").Match(guide), "the guide does not document the term %q", term)
+	}
 	for ending := range _endExplanations {
 		_, reason, _ := strings.Cut(ending, " ")
 		assert.Assert(t, strings.Contains(sources.String(), `"`+reason+`"`), "no source of relay or sidecar has the reason %q", reason)
--- a/dandelionhitch/headroom_test.go
+++ b/dandelionhitch/headroom_test.go
@@ -42,15 +42,7 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// TestHeadroom asks two relays, one of which does not answer, and checks the tables. The output
-// is the example in docs/OPERATIONS.md.
-func TestHeadroom(t *testing.T) {
-	living, silent := newHeadroomRelay(t, 7, 0), httptest.NewServer(http.NotFoundHandler())
-	silent.Close()
-	var out, errs bytes.Buffer
-	args := []string{"headroom", "-relays", strings.TrimPrefix(silent.URL, "http://") + "," + living, "-without-zone", "akl-a"}
-	assert.Equal(t, run(t.Context(), args, nil, &out, &errs), _exitOK, errs.String())
-	assert.Equal(t, out.String(), `SERVICE  ZONE   PRIORITY  UPSTREAMS  WITH ROOM  SLOTS  LOAD  ROOM
+const _wantHeadroom = `SERVICE  ZONE   PRIORITY  UPSTREAMS  WITH ROOM  SLOTS  LOAD  ROOM
 orders   akl-a  1         2 of 2     2          4      3     1
 orders   akl-a  2         2 of 2     2          4      3     1
 orders   akl-b  1         1 of 1     1          2      1     1
@@ -60,7 +52,16 @@
 SERVICE  PRIORITY  LOST  UPSTREAMS  SLOTS  MOVED  WITHOUT SLOT  ROOM  REFUSED AT MOST  PER SECOND
 orders   1         2     1          2      3      2             1     2                50
 orders   2         2     1          2      3      2             0     3                75
-`)
+`
+
+// TestHeadroom asks two relays, one of which does not answer, and checks the tables.
+func TestHeadroom(t *testing.T) {
+	living, silent := newHeadroomRelay(t, 7, 0), httptest.NewServer(http.NotFoundHandler())
+	silent.Close()
+	var out, errs bytes.Buffer
+	args := []string{"headroom", "-relays", strings.TrimPrefix(silent.URL, "http://") + "," + living, "-without-zone", "akl-a"}
+	assert.Equal(t, run(t.Context(), args, nil, &out, &errs), _exitOK, errs.String())
+	assert.Equal(t, out.String(), _wantHeadroom)
 	assert.Assert(t, cmp.Contains(errs.String(), "does not answer"))
 	out.Reset()
 	assert.Equal(t, run(t.Context(), []string{"headroom", "-relays", living, "-json", "-without", "1"}, nil, &out, &errs), _exitOK)
--- a/dandelionhitch/main.go
+++ b/dandelionhitch/main.go
@@ -5,9 +5,8 @@
 // and terminates the callers' QUIC flows. A relay and a sidecar forward opaque packets
 // instead: the relay runs on an entry VM, the sidecar beside each upstream. The
 // settings, explain, headroom, check-configuration and keys commands are for operators. The try
-// command runs
-// balancers and agents with stand-ins for their surroundings in one process; the soak
-// command runs relays and sidecars as processes under faults.
+// command runs balancers and agents with stand-ins for their surroundings in one process;
+// the soak command runs relays and sidecars as processes under faults.
 //
 // The package only assembles the roles from the other packages of the project: it
 // reads settings, creates sockets, keys, logs and metrics, and stops the parts of a
--- a/decision/period.go
+++ b/decision/period.go
@@ -25,7 +25,8 @@
 	Overloaded
 	// OffersUnanswered flows were offered to sidecars that did not answer in time.
 	OffersUnanswered
-	// Waiting flows were queued at a sidecar until their upstream had free capacity.
+	// Waiting flows, or requests on them, were queued at a sidecar until their upstream had free
+	// capacity.
 	Waiting
 	// HolderUnknown flows were open, but their relay had to ask which sidecar holds them.
 	HolderUnknown
@@ -154,6 +155,8 @@
 			consider(map[string]FlowOutcome{"no_route_yet": NoConfiguration, "no_upstream_yet": NoUpstream, "": Waiting}[line.Reason])
 		case Asked:
 			consider(HolderUnknown)
+		case Held:
+			consider(Waiting)
 		case Refused:
 			consider(Overloaded)
 		case Reset, Dropped:
@@ -179,7 +182,7 @@
 		return NoConfiguration
 	case "no_upstream":
 		return NoUpstream
-	case "overloaded", "all_refused":
+	case "overloaded", "all_refused", "no_room", "displaced":
 		return Overloaded
 	case "no_answer_to_offers":
 		return OffersUnanswered
--- /dev/null
+++ b/decision/room.go
@@ -0,0 +1,107 @@
+package decision
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Subjects of beliefs about capacity.
+const (
+	// RoomSubject is the subject of beliefs about the priorities for which a sidecar's upstream
+	// or a service has capacity. The states are RoomForAll and RoomBelow with a number.
+	RoomSubject = "room"
+	// CapacitySubject is the subject of beliefs about the number of requests that an upstream
+	// works on or queues. The states are numbers.
+	CapacitySubject = "upstream_capacity"
+)
+
+// States of beliefs of RoomSubject.
+const (
+	// RoomForAll means that there is capacity for all priorities.
+	RoomForAll = "all"
+	// RoomBelow precedes a number: there is capacity only for smaller priorities.
+	RoomBelow = "below "
+)
+
+// Room is the capacity of a sidecar's upstream or of a service at some time, as a process
+// believed it.
+type Room struct {
+	// Name is the sidecar or the service. State is the state of the belief.
+	Name, State string
+	// Capacity is the number of requests that the upstream works on or queues; empty if it is
+	// not known.
+	Capacity string
+	// Age is how long the belief had been held. It is zero if the logs contain only the change
+	// that ended it.
+	Age time.Duration
+}
+
+// addRoom adds a line to the beliefs about capacity if it is one.
+func (t *Trail) addRoom(line Line) {
+	if line.Subject == RoomSubject || line.Subject == CapacitySubject {
+		t.rooms = append(t.rooms, line)
+	}
+}
+
+// Rooms returns the capacity that the process that wrote a decision line believed in then,
+// sorted by name. A relay may believe something about a service or about each sidecar; if it
+// does about the service of the line, the others are left out.
+func (t *Trail) Rooms(line Line) []Room {
+	byName := make(map[string]Room)
+	for _, l := range t.rooms {
+		if l.Node == line.Node && l.Subject == RoomSubject {
+			if room, known := stateAt(t.rooms, l, line.Time); known {
+				byName[l.Name] = room
+			}
+		}
+	}
+	var rooms []Room
+	for name, room := range byName {
+		if _, ofService := byName[line.Service]; ofService && name != line.Service {
+			continue
+		}
+		if capacity, known := stateAt(t.rooms, Line{Node: line.Node, Subject: CapacitySubject, Name: name}, line.Time); known {
+			room.Capacity = capacity.State
+		}
+		rooms = append(rooms, room)
+	}
+	slices.SortFunc(rooms, func(a, b Room) int { return cmp.Compare(a.Name, b.Name) })
+	return rooms
+}
+
+// stateAt returns the state of what a line is about at some time, according to the latest change up to
+// then or, if there is none, the first change after it. changes are ordered by time.
+func stateAt(changes []Line, about Line, at time.Time) (Room, bool) {
+	room, known := Room{Name: about.Name}, false
+	for _, l := range changes {
+		if l.Node != about.Node || l.Subject != about.Subject || l.Name != about.Name {
+			continue
+		}
+		if !l.Time.After(at) {
+			room.State, room.Age, known = l.To, at.Sub(l.Time), true
+			continue
+		}
+		if !known {
+			room.State, known = l.From, l.From != ""
+		}
+		break
+	}
+	return room, known
+}
+
+// String describes the priorities that have capacity.
+func (r Room) String() string {
+	below, isBelow := strings.CutPrefix(r.State, RoomBelow)
+	switch {
+	case r.State == RoomForAll:
+		return "capacity for all priorities"
+	case isBelow && below == "0":
+		return "no capacity for any priority"
+	case isBelow:
+		return "capacity only for priorities below " + below
+	default:
+		return "capacity " + r.State
+	}
+}
--- a/decision/trail.go
+++ b/decision/trail.go
@@ -35,6 +35,7 @@
 	Flow    string `json:"flow"`
 	Action  Action `json:"action"`
 	Reason  string `json:"reason"`
+	Service string `json:"service"`
 	Target  string `json:"target"`
 	Busy    uint16 `json:"busy"`
 	Slots   uint16 `json:"slots"`
@@ -111,6 +112,8 @@
 	// Omitted has one line for each process that handled the flow and omitted lines at
 	// about the same time, with the numbers of lines that it omitted.
 	Omitted []Line
+	// rooms are all beliefs about capacity, ordered by time.
+	rooms []Line
 	// names maps addresses to names of processes.
 	names map[string]string
 }
@@ -122,12 +125,14 @@
 	involved := make(map[string]bool)
 	for _, line := range lines {
 		t.recordName(line)
+		t.addRoom(line)
 		if line.Flow == id {
 			t.Decisions = append(t.Decisions, line)
 			involved[line.Node] = true
 		}
 	}
 	slices.SortStableFunc(t.Decisions, byTime)
+	slices.SortStableFunc(t.rooms, byTime)
 	for _, line := range t.Decisions {
 		if line.Target != "" {
 			involved[line.Target], involved[t.Process(line.Target)] = true, true
@@ -140,10 +145,11 @@
 		switch {
 		case line.Message == "lines left out":
 			t.countOmitted(line)
-		case line.Subject == "", line.Subject == SettingsSubject, line.Subject == IdentitySubject, line.Subject == "upstream_life":
+		case line.Subject == "", line.Subject == SettingsSubject, line.Subject == IdentitySubject, line.Subject == "upstream_life",
+			line.Subject == CapacitySubject:
 			t.Related = append(t.Related, line)
-		case line.Subject == "upstream" || line.Subject == "sidecar":
-			// A sidecar logs its own upstream by its ID. A relay logs all upstreams by
+		case line.Subject == "upstream" || line.Subject == "sidecar" || line.Subject == RoomSubject:
+			// A sidecar logs its own upstream by its ID, and a service has no address either. A relay logs all upstreams by
 			// their address; only those that the flow was sent to are of interest.
 			if _, err := netip.ParseAddr(line.Name); err != nil || involved[line.Name] {
 				t.Related = append(t.Related, line)
