headroom: age of the reported capacity apart from that of the load

Answers to offers renew the load but not NoRoomFrom, so an old NoRoomFrom could count as fresh. Benchmarks of the calculation and of the check.

--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -153,3 +153,15 @@
 		configcheck.Compare(c, directory.Configuration{})
 	})
 }
+
+// BenchmarkCheck checks and compares a configuration with 1,000 routes.
+func BenchmarkCheck(b *testing.B) {
+	c := directory.Configuration{Version: 1}
+	for i := range 1000 {
+		c.Routes = append(c.Routes, route("r", fmt.Sprintf("198.18.%d.%d:443", i>>8, i&255), "orders"))
+	}
+	for b.Loop() {
+		configcheck.Check(c, _roundTrip)
+		configcheck.Compare(c, c)
+	}
+}
--- a/dandelionhitch/headroom_report.go
+++ b/dandelionhitch/headroom_report.go
@@ -30,7 +30,7 @@
 		r.Upstreams = append(r.Upstreams, headroom.Upstream{
 			Sidecar: u.Sidecar, Service: u.Service, Zone: u.Zone, State: u.State.String(), Eligible: u.Eligible,
 			Busy: u.Busy, Late: u.Late, Slots: u.Slots, RunTimeMs: float64(u.RunTime) / float64(time.Millisecond),
-			NoRoomFrom: int(u.NoRoomFrom), SlowdownPercent: int(u.Slowdown), AgeMs: u.LoadAge.Milliseconds(),
+			NoRoomFrom: int(u.NoRoomFrom), NoRoomAgeMs: u.NoRoomAge.Milliseconds(), SlowdownPercent: int(u.Slowdown), AgeMs: u.LoadAge.Milliseconds(),
 		})
 	}
 	return r
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -50,6 +50,8 @@
 	// NoRoomFrom is one more than the smallest priority number without capacity, or zero if
 	// there is capacity for all priorities or this is not known.
 	NoRoomFrom int `json:"no_room_from"`
+	// NoRoomAgeMs is the age of NoRoomFrom.
+	NoRoomAgeMs int64 `json:"no_room_age_ms"`
 	// SlowdownPercent is the run time in percent of the median of the peers, or zero if it is
 	// not known.
 	SlowdownPercent int `json:"slowdown_percent"`
@@ -74,11 +76,12 @@
 // hasRoom reports whether the upstream has capacity for new flows of a priority, as far as
 // its report tells.
 func (u Upstream) hasRoom(priority int) bool {
-	return u.NoRoomFrom == 0 || u.AgeMs > _noRoomMaxAgeMs || priority+1 < u.NoRoomFrom
+	return u.NoRoomFrom == 0 || u.NoRoomAgeMs > _noRoomMaxAgeMs || priority+1 < u.NoRoomFrom
 }
 
 // Merge returns the union of reports of several relays. For each sidecar, the entry with the
-// lowest age counts; for the services, the report with the highest version.
+// lowest age counts, and the NoRoomFrom with the lowest age; for the services, the report with
+// the highest version.
 func Merge(reports ...Report) Report {
 	var merged Report
 	freshest := make(map[netip.Addr]Upstream)
@@ -87,9 +90,20 @@
 			merged.Version, merged.Services = r.Version, r.Services
 		}
 		for _, u := range r.Upstreams {
-			if known, ok := freshest[u.Sidecar]; !ok || u.AgeMs < known.AgeMs {
+			known, ok := freshest[u.Sidecar]
+			if !ok {
 				freshest[u.Sidecar] = u
+				continue
 			}
+			noRoom := known
+			if u.NoRoomAgeMs < known.NoRoomAgeMs {
+				noRoom = u
+			}
+			if u.AgeMs < known.AgeMs {
+				known = u
+			}
+			known.NoRoomFrom, known.NoRoomAgeMs = noRoom.NoRoomFrom, noRoom.NoRoomAgeMs
+			freshest[u.Sidecar] = known
 		}
 	}
 	merged.Upstreams = slices.SortedFunc(maps.Values(freshest), func(a, b Upstream) int { return a.Sidecar.Compare(b.Sidecar) })
@@ -271,7 +285,7 @@
 	}
 	// The run time of the work is that of all its present upstreams. Those that remain may be
 	// none.
-	for _, u := range append(lost, remaining...) {
+	for _, u := range slices.Concat(lost, remaining) {
 		if u.RunTimeMs > 0 {
 			runTimes++
 			runTimeSum += u.RunTimeMs
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -27,7 +27,7 @@
 func TestRowsByPriority(t *testing.T) {
 	draining, old := upstream(3, "a", 0, 0), upstream(4, "b", 0, 1)
 	draining.Eligible = false
-	old.AgeMs = 1001
+	old.NoRoomAgeMs = 1001
 	table := headroom.NewTable(report(upstream(1, "a", 1, 0), upstream(2, "a", 0, 3), draining, old), headroom.Loss{})
 	var got [][]int
 	for _, r := range table.Rows {
@@ -71,12 +71,14 @@
 // highest version count, in whichever order the relays answer.
 func TestMergeFreshest(t *testing.T) {
 	fresh, stale := upstream(1, "a", 2, 2), upstream(1, "a", 0, 0)
-	stale.AgeMs = 40
+	// The load of the fresh entry is of an answer to an offer, which does not tell NoRoomFrom.
+	stale.AgeMs, stale.NoRoomFrom, stale.NoRoomAgeMs, fresh.NoRoomAgeMs = 40, 3, 40, 90
 	newer, older := report(stale), report(fresh, upstream(2, "b", 0, 0))
 	older.Version, older.Services = 2, nil
 	for _, merged := range []headroom.Report{headroom.Merge(newer, older), headroom.Merge(older, newer)} {
 		assert.Assert(t, cmp.Len(merged.Upstreams, 2))
-		assert.DeepEqual(t, merged.Upstreams[0].Busy, 2)
+		assert.Equal(t, merged.Upstreams[0].Busy, 2)
+		assert.Equal(t, merged.Upstreams[0].NoRoomFrom, 3)
 		assert.DeepEqual(t, merged.Services, newer.Services)
 	}
 }
@@ -91,3 +93,17 @@
 	assert.Assert(t, table.Rows[2].Priority == nil)
 	assert.Equal(t, table.Without[1].Priorities[0].RefusedAtMost, 1)
 }
+
+// BenchmarkNewTable calculates the loss of a zone of a fleet of 1,000 upstreams.
+func BenchmarkNewTable(b *testing.B) {
+	var upstreams []headroom.Upstream
+	for i := range 1000 {
+		u := upstream(0, string(rune('a'+i%3)), i%5, i%4)
+		u.Sidecar = netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})
+		upstreams = append(upstreams, u)
+	}
+	r := report(upstreams...)
+	for b.Loop() {
+		headroom.NewTable(headroom.Merge(r, r), headroom.Loss{Zone: "a", Upstreams: 10})
+	}
+}
--- a/relay/headroom.go
+++ b/relay/headroom.go
@@ -12,8 +12,9 @@
 	fleet.Upstream
 	// Eligible is set if the relay offers new flows to the upstream.
 	Eligible bool
-	// LoadAge is the age of the load.
-	LoadAge time.Duration
+	// LoadAge is the age of the load, and NoRoomAge that of NoRoomFrom, which only reports
+	// renew.
+	LoadAge, NoRoomAge time.Duration
 }
 
 // Upstreams returns what the relay knows of all upstreams, in the order of their addresses.
@@ -23,7 +24,7 @@
 		known = append(known, KnownUpstream{
 			Upstream: *u,
 			Eligible: c.view.Eligible(now, u) && !c.evacuations.Contains(u.Zone),
-			LoadAge:  now - u.LoadUpdatedAt,
+			LoadAge:  now - u.LoadUpdatedAt, NoRoomAge: now - u.NoRoomUpdatedAt,
 		})
 	}
 	return known
