--- a/decision/decision.go
+++ b/decision/decision.go
@@ -37,9 +37,6 @@
 	PassedOn Action = "passed_on"
 	// Refused means that a sidecar rejected a new flow.
 	Refused Action = "refused"
-	// Held means that a sidecar kept back the packets of a request on an open flow, so that more
-	// important work is served first. They are delivered later, or the caller ends the flow.
-	Held Action = "held"
 	// Asked means that a relay asked sidecars which of them holds a flow.
 	Asked Action = "asked"
 	// Found means that a relay learned which sidecar holds a flow.
