--- a/relay/played_load_test.go
+++ b/relay/played_load_test.go
@@ -76,17 +76,19 @@
 // playedLoad plays the callers and sidecars of one service against relays on a virtual clock.
 type playedLoad struct {
 	playedConfig
-	random   *rand.Rand
-	now      time.Duration
-	events   playedEvents
-	sequence int
-	relays   []*playedRelay
-	sidecars []*playedSidecar
-	requests []*playedRequest
-	// slotTime is the time for which slots were in use, by period, and messages counts
-	// messages between processes other than reports.
+	// arrivals draws the requests, so that loads with one seed have the same requests.
+	arrivals, random *rand.Rand
+	now              time.Duration
+	events           playedEvents
+	sequence         int
+	relays           []*playedRelay
+	sidecars         []*playedSidecar
+	requests         []*playedRequest
+	// slotTime is the time for which slots were in use, by period.
 	slotTime []time.Duration
-	messages int
+	// messages counts the messages between processes other than reports, and refusals those of
+	// them that tell other relays of refused callers.
+	messages, refusals int
 }
 
 // playedEvent is something that happens at a time.
@@ -162,6 +164,9 @@
 	if !isReport {
 		r.load.messages++
 	}
+	if peer.Kind(b[0]) == peer.KindRefusal {
+		r.load.refusals++
+	}
 	r.load.after(_playedPeerLatency, func() {
 		switch {
 		case !toSidecar:
@@ -194,15 +199,14 @@
 	waiting    []*playedFlow
 	requests   []*playedFlow // requests that wait in the upstream for a slot
 	// reported is the last report to relays, and peerBusy the load last reported to peers.
-	reported             peer.UpstreamReport
-	reportedAt, peersAt  time.Duration
-	peerBusy, slotsSince int
-	lastChange           time.Duration
+	reported            peer.UpstreamReport
+	reportedAt, peersAt time.Duration
+	peerBusy            int
 }
 
 func playLoad(seed uint64, config playedConfig) *playedLoad {
 	l := &playedLoad{
-		playedConfig: config, random: rand.New(rand.NewPCG(seed, 1)), slotTime: make([]time.Duration, len(config.loads)),
+		playedConfig: config, arrivals: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)), slotTime: make([]time.Duration, len(config.loads)),
 	}
 	var routes []directory.Route
 	for priority := range _playedRoutes {
@@ -214,7 +218,7 @@
 	for i := range _playedRelays {
 		r := &playedRelay{load: l, addr: netip.AddrFrom4([4]byte{10, 1, 0, byte(i)})}
 		r.Core = relay.NewCore(relay.Identity{Addr: r.addr, Zone: "a", Incarnation: 1}, playedWire{}, r, 100_000,
-			rand.New(rand.NewPCG(seed, uint64(i))), relay.WithPriorityAdmission(config.enabled))
+			rand.New(rand.NewPCG(seed, uint64(3+i))), relay.WithPriorityAdmission(config.enabled))
 		r.SetTable(0, directory.New(1, 0, routes), "test")
 		l.relays = append(l.relays, r)
 	}
@@ -277,17 +281,17 @@
 		return
 	}
 	r := &playedRequest{id: len(l.requests), began: l.now}
-	r.work = time.Duration((0.7 + 0.6*l.random.Float64()) * float64(_playedRunTime))
-	if l.random.Float64() < _playedLongShare {
+	r.work = time.Duration((0.7 + 0.6*l.arrivals.Float64()) * float64(_playedRunTime))
+	if l.arrivals.Float64() < _playedLongShare {
 		r.work *= _playedLongFactor
 	}
-	for point := l.random.Float64(); r.priority < _playedRoutes-1 && point >= _playedShares[r.priority]; r.priority++ {
+	for point := l.arrivals.Float64(); r.priority < _playedRoutes-1 && point >= _playedShares[r.priority]; r.priority++ {
 		point -= _playedShares[r.priority]
 	}
 	l.requests = append(l.requests, r)
 	l.try(r)
 	interval := float64(_playedMeanRunTime) / (_playedSidecars * _playedSlots) / l.loads[period]
-	l.after(time.Duration(l.random.ExpFloat64()*interval), l.arrive)
+	l.after(time.Duration(l.arrivals.ExpFloat64()*interval), l.arrive)
 }
 
 // try sends the opening packet of a request's next flow to any relay.
@@ -616,6 +620,7 @@
 				b.ReportMetric(late/requests, "late/request")
 				b.ReportMetric(1000*wait/max(unserved, 1), "ms-until-unserved-know")
 				b.ReportMetric(float64(l.messages)/requests, "messages/request")
+				b.ReportMetric(float64(l.refusals)/requests, "refusal-messages/request")
 			})
 		}
 	}
--- a/relay/room_test.go
+++ b/relay/room_test.go
@@ -222,3 +222,42 @@
 	c.sendVerdict(_afterStartup+100*time.Millisecond, netip.MustParseAddr(offers[1]), peer.Overloaded, encodePacket(flow.SYN, 10, 0, 0))
 	assert.Equal(t, len(c.toCaller), 0)
 }
+
+// TestOpenFlowsDoNotAllocate guards against allocations for packets of open flows while openings
+// are refused.
+func TestOpenFlowsDoNotAllocate(t *testing.T) {
+	c := relay.NewCore(relay.Identity{Addr: _selfRelay, Zone: "a", Incarnation: 1}, testWire{}, &discardOutbox{}, 1000,
+		rand.New(rand.NewPCG(1, 1)), relay.WithPriorityAdmission(true))
+	c.PeerMessage(0, peer.Verdict{Outcome: peer.Accepted, Sidecar: _firstSidecar, Flow: _key, Slots: 2}.Append(nil))
+	packet := encodeLongPacket(1200)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { c.CallerPacket(0, packet) }), 0.0)
+}
+
+// BenchmarkNoRoom measures the refusal of an opening for whose priority none of 49 upstreams has
+// capacity, without the setting an offer to one of them.
+func BenchmarkNoRoom(b *testing.B) {
+	for name, enabled := range map[string]bool{"refused": true, "offered": false} {
+		b.Run(name, func(b *testing.B) {
+			c := relay.NewCore(relay.Identity{Addr: _selfRelay, Zone: "a", Incarnation: 1}, testWire{}, &discardOutbox{}, 1000,
+				rand.New(rand.NewPCG(1, 1)), relay.WithPriorityAdmission(enabled))
+			shares := []directory.Share{{Service: "orders", Weight: 1}}
+			c.SetTable(_afterStartup, directory.New(1, 0, []directory.Route{
+				{Address: _address, Shares: shares, Priority: 2}, {Address: _urgentAddress, Shares: shares},
+			}), "test")
+			for i := range byte(49) {
+				report, err := peer.AppendUpstream(nil, peer.UpstreamReport{
+					Sidecar: netip.AddrFrom4([4]byte{10, 2, 0, i}), Incarnation: 1, Sequence: 1, Service: "orders", Zone: "a",
+					State: peer.Ready, Slots: 2, NoRoomFrom: 3,
+				})
+				assert.NilError(b, err)
+				c.PeerMessage(_afterStartup, report)
+			}
+			opening := openingFrom(0, 0)
+			b.ReportAllocs()
+			for port := uint16(1); b.Loop(); port++ {
+				binary.BigEndian.PutUint16(opening[10:], port)
+				c.CallerPacket(_afterStartup, opening)
+			}
+		})
+	}
+}
