--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -205,6 +205,7 @@
 func (w *world) begin(h *host, r *request, onOpenFlow bool) {
 	h.control.Begin(w.now, r.work, onOpenFlow)
 	r.begun = w.now
+	defer w.release(h, w.now)
 	switch {
 	case h.running < _slots:
 		w.run(h, r)
--- a/sidecar/bench_test.go
+++ b/sidecar/bench_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -24,12 +25,13 @@
 func (discard) ObserveSpan(decision.Span, time.Duration) {}
 
 // newBenchCore returns a core whose upstream is ready and has the given number of slots.
-func newBenchCore(slots int) *sidecar.Core {
+func newBenchCore(slots int, opts ...sidecar.Option) *sidecar.Core {
 	c := sidecar.NewCore(sidecar.Identity{
 		Addr: _self, Zone: "a", Incarnation: 1, Service: "orders", Upstream: _upstream, Heartbeat: time.Hour,
-	}, testWire{}, discard{}, 1<<14, rand.New(rand.NewPCG(1, 1)))
+	}, testWire{}, discard{}, 1<<14, rand.New(rand.NewPCG(1, 1)), opts...)
 	c.SetTable(0, directory.New(1, 0, []directory.Route{
 		{Address: _address, Shares: []directory.Share{{Service: "orders", Weight: 1}}, TargetLatency: 100 * time.Millisecond, Timeout: time.Second},
+		{Address: _importantAddress, Shares: []directory.Share{{Service: "orders", Weight: 1}}, Priority: 1, TargetLatency: 100 * time.Millisecond, Timeout: time.Second},
 	}), "test")
 	_ = c.Heartbeat(time.Millisecond, sidecar.Heartbeat{ID: "i", Service: "orders", Addr: _upstream, Slots: slots, Sequence: 1})
 	return c
@@ -83,3 +85,20 @@
 		c.PeerMessage(time.Millisecond, message)
 	}
 }
+
+// BenchmarkOpenFlowRequest measures a request on an open flow that is not held, and its answer,
+// with and without admission by priority.
+func BenchmarkOpenFlowRequest(b *testing.B) {
+	for _, prioritized := range []bool{false, true} {
+		b.Run(fmt.Sprintf("prioritized=%v", prioritized), func(b *testing.B) {
+			carry, answer := openBenchFlow(newBenchCore(2, sidecar.WithPriorityAdmission(prioritized)))
+			now := time.Second
+			b.ReportAllocs()
+			for range b.N {
+				now += time.Millisecond
+				carry(now)
+				answer(now)
+			}
+		})
+	}
+}
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -95,15 +95,23 @@
 // coldInterval returns the mean time between two opening packets that a cold upstream may
 // get, or zero if it is not limited.
 func (c *Core) coldInterval() time.Duration {
+	if !c.gate.cold(c.now) {
+		return 0
+	}
 	rate := c.coldRate()
-	if rate <= 0 || !c.gate.cold(c.now) {
+	if rate <= 0 {
 		return 0
 	}
 	return _coldWindow / time.Duration(c.gate.limit(rate))
 }
 
 // coldRoom returns how many opening packets the upstream may get now.
-func (c *Core) coldRoom() int { return c.gate.room(c.now, c.coldRate()) }
+func (c *Core) coldRoom() int {
+	if !c.gate.cold(c.now) {
+		return math.MaxInt
+	}
+	return c.gate.room(c.now, c.coldRate())
+}
 
 // noteHeartbeatColdness takes over how long the upstream stays cold from its heartbeat.
 func (c *Core) noteHeartbeatColdness(h Heartbeat) {
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -186,6 +186,9 @@
 	identity    identity
 	// priorityAdmission is set by WithPriorityAdmission.
 	priorityAdmission bool
+	// routesDiffer is set if requests are admitted by priority under the active configuration:
+	// the routes of the service differ in priority.
+	routesDiffer bool
 }
 
 // Option configures a Core.
@@ -201,9 +204,7 @@
 }
 
 // prioritized reports whether requests are admitted by priority.
-func (c *Core) prioritized() bool {
-	return c.priorityAdmission && c.table.Prioritized(c.self.Service)
-}
+func (c *Core) prioritized() bool { return c.routesDiffer }
 
 // reportTimes holds the times of the last reports to peers and to relays, and the loads
 // that they contained.
@@ -394,6 +395,7 @@
 	table := c.configs.Table()
 	c.out.LogBelief(decision.NewSettings(c.table.Version(), table.Version(), c.configs.Source()))
 	c.table = table
+	c.routesDiffer = c.priorityAdmission && table.Prioritized(c.self.Service)
 	c.longestIdle = max(c.longestIdle, table.IdleTimeout())
 	for _, w := range slices.Clone(c.admission.Waiting()) {
 		if f := w.Flow; f.version <= table.Version() && !table.Allows(f.key.Address, c.self.Service) {
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -25,11 +25,13 @@
 	_address  = netip.MustParseAddrPort("198.18.0.1:443")
 	_caller   = netip.MustParseAddrPort("100.64.0.7:40001")
 
-	_roundsAddress = netip.MustParseAddrPort("198.18.0.2:443")
+	_importantAddress = netip.MustParseAddrPort("198.18.0.3:443")
+	_roundsAddress    = netip.MustParseAddrPort("198.18.0.2:443")
 )
 
 // testWire is the packet format of these tests: flags, seq, ack, size, direction (1 for
-// a packet to the caller), and the caller's port if it is not that of _caller.
+// a packet to the caller), the caller's port if it is not that of _caller, and 1 for a packet
+// of _importantAddress instead of _address.
 type testWire struct{}
 
 func (testWire) Decode(b []byte) (flow.Packet, error) {
@@ -40,6 +42,9 @@
 	if len(b) > 11 {
 		p.Source = netip.AddrPortFrom(_caller.Addr(), binary.BigEndian.Uint16(b[11:]))
 	}
+	if len(b) > 13 && b[13] == 1 {
+		p.Destination = _importantAddress
+	}
 	if b[10] == 1 {
 		p.Source, p.Destination = p.Destination, p.Source
 	}
@@ -76,12 +81,12 @@
 	sequence   uint64
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T, opts ...sidecar.Option) *rig {
 	r := &rig{t: t}
 	r.Core = sidecar.NewCore(sidecar.Identity{
 		Addr: _self, Zone: "a", Incarnation: 1, Service: "orders",
 		Upstream: netip.AddrPortFrom(_self, 8080), Heartbeat: 770 * time.Millisecond,
-	}, testWire{}, r, 1000, rand.New(rand.NewPCG(1, 1)))
+	}, testWire{}, r, 1000, rand.New(rand.NewPCG(1, 1)), opts...)
 	r.SetTable(0, directory.New(1, 0, []directory.Route{
 		{Address: _address, Shares: []directory.Share{{Service: "orders", Weight: 1}}},
 		{Address: _roundsAddress, Shares: []directory.Share{{Service: "rounds", Weight: 1}}},
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -377,6 +377,7 @@
 	}
 	c.counts.Carried++
 	c.out.ToUpstream(m.Packet)
+	c.releaseHeld(now) // the request may have taken the last place
 }
 
 // livenessCheckFailed reports whether an upstream that is presumed dead has not
