--- a/admission/admission.go
+++ b/admission/admission.go
@@ -81,11 +81,21 @@
 // Work is the present request of a flow, or the opening of the flow. F is the caller's type
 // for flows.
 type Work[F any] struct {
-	Flow  *F
-	Class Class
+	Flow *F
 	// Arrived is when a relay first received the opening packet. The flow is late from
 	// TargetStart on, and refused if the upstream cannot get it by LatestStart.
 	Arrived, TargetStart, LatestStart time.Duration
+	// route holds what is known of the route, or is nil before the first call of SetDeadlines.
+	route *routeStats
+	// expected is the expected run time.
+	expected time.Duration
+	// startedAt is when the request got a slot, if running is set, and when it was held back,
+	// if held is set.
+	startedAt time.Duration
+	// ahead is the number of requests that were at the upstream when this one arrived there.
+	ahead int32
+	// priority is the route's priority.
+	priority int32
 	// LastResort is set if the relay has already tried other sidecars.
 	LastResort bool
 
@@ -94,18 +104,19 @@
 	waiting, inProgress, atUpstream, held bool
 	// onOpenFlow is set if the request arrived on an open flow.
 	onOpenFlow bool
-	// expected is the expected run time, and ahead the number of requests that were at the
-	// upstream when this one arrived there.
-	expected time.Duration
-	ahead    int
-	// running is set once the request got a slot, at startedAt, if the upstream starts
-	// requests in the order of their arrival.
-	running           bool
-	startedAt, heldAt time.Duration
+	// running is set once the request got a slot, if the upstream starts requests in the order
+	// of their arrival.
+	running bool
 	// counted is set while the flow is counted as one of its route's open flows.
 	counted bool
 }
 
+// Classified reports whether the deadlines of the work were set.
+func (w *Work[F]) Classified() bool { return w.route != nil }
+
+// Priority returns the priority of the work's route, below Priorities.
+func (w *Work[F]) Priority() int { return ClampPriority(int(w.priority)) }
+
 // Waiting reports whether the opening waits for the upstream.
 func (w *Work[F]) Waiting() bool { return w.waiting }
 
@@ -115,9 +126,6 @@
 // Held reports whether the request is held back.
 func (w *Work[F]) Held() bool { return w.held }
 
-// priority returns the work's priority as an index below Priorities.
-func (w *Work[F]) priority() int { return ClampPriority(w.Class.Priority) }
-
 // ClampPriority returns a route's priority as a number below Priorities.
 func ClampPriority(priority int) int { return min(max(priority, 0), Priorities-1) }
 
@@ -202,12 +210,14 @@
 	return c.busy + len(c.waiting) - c.Load(now)
 }
 
-// SetDeadlines sets the work's class and deadlines.
+// SetDeadlines sets the work's route and deadlines.
 func (c *Controller[F]) SetDeadlines(now time.Duration, w *Work[F], class Class) {
+	r := c.routes.use(now, class)
+	w.route, w.priority = r, int32(class.Priority)
 	prioritized := c.limits(now).Prioritized
 	runTime := c.timings.runTime.value
 	if prioritized {
-		runTime = c.routeRunTime(class.Route)
+		runTime = c.runTimeOf(r)
 	}
 	answer := c.timings.answerTime(runTime)
 	targetWait, maxWait := _defaultTargetWait, _maxWait
@@ -218,35 +228,25 @@
 		margin := time.Duration(_timeoutMargin * float64(class.Timeout))
 		maxWait = min(max(class.Timeout-max(answer, margin), 0), _maxWait)
 	}
-	w.Class, w.TargetStart, w.LatestStart = class, w.Arrived+targetWait, w.Arrived+maxWait
-	c.targetWaits[w.priority()] = targetWait
+	w.TargetStart, w.LatestStart = w.Arrived+targetWait, w.Arrived+maxWait
+	c.targetWaits[w.Priority()] = targetWait
 	if w.inProgress {
 		return // its work is part of a sum
 	}
 	w.expected = runTime
-	if prioritized {
-		w.expected = c.expectedWork(now, class.Route)
+	if prioritized { // the requests that the flow sends within _rateHorizon count, too
+		w.expected += time.Duration(r.requestsPerFlow(now) * float64(runTime))
 	}
 }
 
-// routeRunTime returns the mean run time of a route's requests.
-func (c *Controller[F]) routeRunTime(route netip.AddrPort) time.Duration {
-	if r, known := c.routes[route]; known && r.runTime.samples > 0 {
+// runTimeOf returns the mean run time of a route's requests.
+func (c *Controller[F]) runTimeOf(r *routeStats) time.Duration {
+	if r.runTime.samples > 0 {
 		return r.runTime.value
 	}
 	return c.timings.runTime.value
 }
 
-// expectedWork returns the expected work of a new flow: that of its first request, and that
-// of the requests that it sends within _rateHorizon.
-func (c *Controller[F]) expectedWork(now time.Duration, route netip.AddrPort) time.Duration {
-	runTime := c.routeRunTime(route)
-	if r, known := c.routes[route]; known {
-		runTime += time.Duration(r.requestsPerFlow(now) * float64(runTime))
-	}
-	return runTime
-}
-
 // Decide returns the decision about an opening whose deadlines are set. If it waits as a last
 // resort, it counts as late at once, since flows that can be answered in time go first.
 func (c *Controller[F]) Decide(now time.Duration, w *Work[F]) Verdict {
@@ -254,7 +254,7 @@
 	switch {
 	case c.hasPlace(now, l, w):
 		return Run
-	case l.Prioritized && c.refusedAsImportant(now, w.priority()):
+	case l.Prioritized && c.refusedAsImportant(now, w.Priority()):
 		return NoRoom
 	case c.startsInTime(now, l, w):
 		return Wait
@@ -286,7 +286,7 @@
 	if c.busy < c.openingLimit(l) {
 		return true
 	}
-	return c.queuesInside(l, w.priority()) && !c.full(c.busy) && now+c.startWait(l, c.busy, c.busyWork) <= w.TargetStart
+	return c.queuesInside(l, w.Priority()) && !c.full(c.busy) && now+c.startWait(l, c.busy, c.busyWork) <= w.TargetStart
 }
 
 // queuesInside reports whether an opening of a priority may queue inside the upstream: less
@@ -307,7 +307,7 @@
 // answer within the target latency.
 func (c *Controller[F]) startsInTime(now time.Duration, l Limits, w *Work[F]) bool {
 	allowed := w.TargetStart - w.Arrived
-	if l.Prioritized && !c.queuesInside(l, w.priority()) {
+	if l.Prioritized && !c.queuesInside(l, w.Priority()) {
 		allowed = time.Duration(_maxWaitShare * float64(allowed))
 	}
 	return now+c.expectedWait(now, l, w) <= w.Arrived+allowed
@@ -325,7 +325,7 @@
 			work += other.expected
 		}
 	}
-	return c.priorityWait(l, w.priority(), ahead, work)
+	return c.priorityWait(l, w.Priority(), ahead, work)
 }
 
 // wait returns the expected time until the upstream has a place for an opening that load
@@ -375,8 +375,8 @@
 // precedes reports whether an opening goes before another one that began to wait earlier, if
 // both are late or neither is.
 func (c *Controller[F]) precedes(w, earlier *Work[F]) bool {
-	if w.Class.Priority != earlier.Class.Priority {
-		return w.Class.Priority < earlier.Class.Priority
+	if w.priority != earlier.priority {
+		return w.priority < earlier.priority
 	}
 	return w.Arrived < earlier.Arrived
 }
@@ -386,7 +386,7 @@
 	prioritized := c.limits(now).Prioritized
 	w.waiting = true
 	at := len(c.waiting)
-	for at > 0 && (w.Class.Priority < c.waiting[at-1].Class.Priority || prioritized && c.precedes(w, c.waiting[at-1])) {
+	for at > 0 && (w.priority < c.waiting[at-1].priority || prioritized && c.precedes(w, c.waiting[at-1])) {
 		at--
 	}
 	c.waiting = slices.Insert(c.waiting, at, w)
@@ -479,7 +479,7 @@
 		if w.late(now) {
 			continue
 		}
-		if w.Class.Priority > by.Class.Priority && now+c.priorityWait(l, w.priority(), ahead, work) > w.TargetStart {
+		if w.priority > by.priority && now+c.priorityWait(l, w.Priority(), ahead, work) > w.TargetStart {
 			if c.lateStart(now, l, late) > w.LatestStart {
 				c.refused = append(c.refused, w)
 				continue
@@ -539,7 +539,7 @@
 		if targetWait == 0 {
 			continue
 		}
-		probe := Work[F]{Class: Class{Priority: priority}, Arrived: now, TargetStart: now + targetWait, LatestStart: math.MinInt64}
+		probe := Work[F]{priority: int32(priority), Arrived: now, TargetStart: now + targetWait, LatestStart: math.MinInt64}
 		if verdict := c.Decide(now, &probe); verdict != Run && verdict != Wait {
 			return uint8(priority + 1)
 		}
--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -50,10 +50,10 @@
 		c.noteNewRequest(now, l, w, onOpenFlow)
 	}
 	c.Reserve(w)
-	w.atUpstream, w.ahead, w.running = true, len(c.atUpstream), false
+	w.atUpstream, w.ahead, w.running = true, int32(len(c.atUpstream)), false
 	c.atUpstream = append(c.atUpstream, w)
 	if w.onOpenFlow {
-		c.onOpenFlows[w.priority()]++
+		c.onOpenFlows[w.Priority()]++
 	}
 	c.startRequests(now, l)
 }
@@ -63,13 +63,14 @@
 		c.capacity = 0 // learned from another upstream with fewer slots
 	}
 	w.onOpenFlow = onOpenFlow
+	w.route.usedAt = now
 	if onOpenFlow && l.Prioritized {
-		c.routes.use(now, w.Class.Route).countFurther(now)
+		w.route.countFurther(now)
 	}
 	if !w.inProgress {
 		w.expected = c.timings.runTime.value
 		if l.Prioritized {
-			w.expected = c.routeRunTime(w.Class.Route)
+			w.expected = c.runTimeOf(w.route)
 		}
 	}
 }
@@ -92,7 +93,7 @@
 	w.atUpstream = false
 	c.atUpstream = remove(c.atUpstream, w)
 	if w.onOpenFlow {
-		c.onOpenFlows[w.priority()]--
+		c.onOpenFlows[w.Priority()]--
 	}
 	c.startRequests(now, c.limits(now))
 }
@@ -110,29 +111,29 @@
 		return Served
 	}
 	if c.isRefusal(l, w, took) {
-		if !c.full(w.ahead) {
-			c.capacity = w.ahead
+		if !c.full(int(w.ahead)) {
+			c.capacity = int(w.ahead)
 		}
 		if w.onOpenFlow {
-			c.upstreamRefusedAt[w.priority()] = now
+			c.upstreamRefusedAt[w.Priority()] = now
 		}
 		return RefusedByUpstream
 	}
-	if c.full(w.ahead) {
+	if c.full(int(w.ahead)) {
 		c.capacity++
 	}
 	if !w.running { // it has overtaken others
 		w.startedAt = now - took*time.Duration(l.Slots)/time.Duration(max(c.busy, l.Slots))
 	}
 	c.timings.runTime.add(now - w.startedAt)
-	c.routes.use(now, w.Class.Route).runTime.add(now - w.startedAt)
+	w.route.runTime.add(now - w.startedAt)
 	return Served
 }
 
 // isRefusal reports whether an answer can only be a refusal.
 func (c *Controller[F]) isRefusal(l Limits, w *Work[F], took time.Duration) bool {
 	bound := max(_minRefusalTime, time.Duration(_refusalFraction*float64(c.timings.runTime.value)))
-	return w.ahead > l.Slots && !w.running && took < bound
+	return int(w.ahead) > l.Slots && !w.running && took < bound
 }
 
 // refusedAsImportant reports whether the upstream has recently refused a request of the given
@@ -153,7 +154,7 @@
 		return nil
 	}
 	for _, w := range c.atUpstream {
-		timeout := w.Class.Timeout
+		timeout := w.route.class.Timeout
 		if timeout == 0 {
 			timeout = _maxRequestTime
 		}
@@ -166,20 +167,17 @@
 
 // OpenFlow counts a flow among the open ones of its route. The deadlines of the work must be
 // set.
-func (c *Controller[F]) OpenFlow(now time.Duration, w *Work[F]) {
+func (c *Controller[F]) OpenFlow(w *Work[F]) {
 	if !w.counted {
 		w.counted = true
-		c.routes.use(now, w.Class.Route).openFlows++
+		w.route.openFlows++
 	}
 }
 
 // CloseFlow ends the count of a flow among the open ones of its route.
 func (c *Controller[F]) CloseFlow(w *Work[F]) {
-	if !w.counted {
-		return
-	}
-	w.counted = false
-	if r, known := c.routes[w.Class.Route]; known && r.openFlows > 0 {
-		r.openFlows--
+	if w.counted {
+		w.counted = false
+		w.route.openFlows--
 	}
 }
--- a/admission/hold.go
+++ b/admission/hold.go
@@ -20,9 +20,9 @@
 	if w.inProgress || w.held || !c.holds(now, c.limits(now), w) {
 		return false
 	}
-	w.held, w.heldAt = true, now
+	w.held, w.running, w.startedAt = true, false, now
 	at := len(c.held)
-	for at > 0 && w.Class.Priority < c.held[at-1].Class.Priority {
+	for at > 0 && w.priority < c.held[at-1].priority {
 		at--
 	}
 	c.held = slices.Insert(c.held, at, w)
@@ -34,15 +34,15 @@
 	if !l.Prioritized || c.capacity == 0 || c.full(len(c.atUpstream)) {
 		return false
 	}
-	return c.full(c.busy + c.moreImportantWaiting(now, w.Class.Priority))
+	return c.full(c.busy + c.moreImportantWaiting(now, w.priority))
 }
 
 // moreImportantWaiting returns the number of waiting openings that are not late and are more
 // important than a priority.
-func (c *Controller[F]) moreImportantWaiting(now time.Duration, priority int) int {
+func (c *Controller[F]) moreImportantWaiting(now time.Duration, priority int32) int {
 	count := 0
 	for _, w := range c.waiting {
-		if w.Class.Priority >= priority {
+		if w.priority >= priority {
 			break
 		}
 		if !w.late(now) {
@@ -65,7 +65,7 @@
 	}
 	l := c.limits(now)
 	for _, w := range c.held {
-		if until-w.heldAt > holdTime(w.Class) || !c.holds(now, l, w) {
+		if until-w.startedAt > holdTime(w.route.class) || !c.holds(now, l, w) {
 			c.Unhold(w)
 			return w
 		}
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -162,7 +162,7 @@
 	r.work, h.idle = h.idle[0], h.idle[1:]
 	r.work.Flow, r.work.Arrived = r, w.now
 	h.control.SetDeadlines(w.now, r.work, r.route.Class)
-	h.control.OpenFlow(w.now, r.work)
+	h.control.OpenFlow(r.work)
 	if h.control.ShouldHold(w.now, r.work) {
 		w.held++
 		return
@@ -256,13 +256,13 @@
 	var best *admission.Work[request]
 	var from *host
 	for _, h := range w.hosts {
-		if work := h.control.First(w.now); work != nil && (best == nil || work.Class.Priority < best.Class.Priority) {
+		if work := h.control.First(w.now); work != nil && (best == nil || work.Priority() < best.Priority()) {
 			best, from = work, h
 		}
 	}
 	if best != nil {
 		from.control.Dequeue(w.now, best)
-		to.control.SetDeadlines(w.now, best, best.Class)
+		to.control.SetDeadlines(w.now, best, best.Flow.route.Class)
 		w.deliver(to, best.Flow)
 	}
 }
--- a/admission/pace.go
+++ b/admission/pace.go
@@ -153,6 +153,7 @@
 
 // routeStats are what is known of the requests of one route.
 type routeStats struct {
+	class   Class
 	runTime average
 	usedAt  time.Duration
 	// openFlows is the number of flows of the route that are open at the upstream. further
@@ -185,18 +186,18 @@
 // routeTable holds the statistics of the routes that were used last.
 type routeTable map[netip.AddrPort]*routeStats
 
-// use returns the statistics of a route. If there are too many routes, it drops the one that
-// was not used for the longest time.
-func (t routeTable) use(now time.Duration, route netip.AddrPort) *routeStats {
-	r, known := t[route]
+// use returns the statistics of a route with the given class. If there are too many routes, it
+// drops the one that was not used for the longest time.
+func (t routeTable) use(now time.Duration, class Class) *routeStats {
+	r, known := t[class.Route]
 	if !known {
 		if len(t) >= _maxRoutes {
 			t.dropOldest()
 		}
 		r = new(routeStats)
-		t[route] = r
+		t[class.Route] = r
 	}
-	r.usedAt = now
+	r.class, r.usedAt = class, now
 	return r
 }
 
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -113,7 +113,7 @@
 // tells the relay that the flow has ended, so that the relay does not offer it to
 // another sidecar.
 func (c *Core) refuseOverloaded(f *flowState) {
-	c.countRefused(f.work.Class.Priority)
+	c.countRefused(f.work.Priority())
 	c.sendReset(c.now, f.key, 0, _reasonOverloaded)
 	c.sendVerdict(c.now, peer.Ended, f.key, f.origin, nil)
 }
--- a/sidecar/hold.go
+++ b/sidecar/hold.go
@@ -56,7 +56,7 @@
 		c.classify(f)
 	}
 	f.requestEnd = p.Seq + uint32(p.Size)
-	c.admission.OpenFlow(c.now, &f.work)
+	c.admission.OpenFlow(&f.work)
 	c.admission.Begin(c.now, &f.work, onOpenFlow)
 }
 
@@ -69,7 +69,7 @@
 // classify sets the class of a flow's next request. Flows that were opened before this process
 // started have none, and those that were opened under an earlier configuration an old one.
 func (c *Core) classify(f *flowState) {
-	if f.work.Class.Route != f.key.Address || f.classified != c.table.Version() {
+	if !f.work.Classified() || f.classified != c.table.Version() {
 		f.work.Arrived = c.now
 		c.setClass(f)
 	}
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -127,7 +127,8 @@
 // refuseAfterStall refuses an offer that may be older than the caller waits. The relay has
 // kept the packet if it still wants to place the flow.
 func (c *Core) refuseAfterStall(now time.Duration, key flow.Key, m peer.Carried) {
-	c.counts.Refused++
+	route, _ := c.table.Route(key.Address)
+	c.countRefused(route.Priority)
 	c.out.LogDecision(decision.Record{
 		Flow: key, Action: decision.Refused, Reason: "sidecar_stalled", Service: c.self.Service, Version: c.table.Version(),
 		Age: now - c.lastTick, Attempt: int(m.Hops) + 1,
@@ -588,7 +589,7 @@
 	switch outcome {
 	case admission.Served:
 		c.out.ObserveSpan(decision.FirstReply, now-f.lastRequestAt)
-		c.counts.ServedByPriority[admission.ClampPriority(f.work.Class.Priority)]++
+		c.counts.ServedByPriority[f.work.Priority()]++
 	case admission.RefusedByUpstream:
 		c.counts.UpstreamRefusals++
 	}
