--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -585,7 +585,10 @@
 	if p.Size == 0 && p.Flags&(flow.FIN|flow.RST) == 0 {
 		return
 	}
-	outcome := c.admission.Answer(now, &f.work, now-f.lastRequestAt)
+	outcome := admission.NoRequest
+	if !p.Flags.Has(flow.RST) || !c.prioritized() {
+		outcome = c.admission.Answer(now, &f.work, now-f.lastRequestAt)
+	}
 	switch outcome {
 	case admission.Served:
 		c.out.ObserveSpan(decision.FirstReply, now-f.lastRequestAt)
