--- a/admission/estimates_test.go
+++ b/admission/estimates_test.go
@@ -3,10 +3,12 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // newController returns a controller of an upstream with 2 slots that admits work by priority.
@@ -112,3 +114,95 @@
 	l.noteWaiting(2*time.Second, false)
 	assert.Equal(t, l.wait(time.Minute, 0, initial), initial)
 }
+
+// TestCountsOfWork plays random openings, requests, answers and releases. The number of requests
+// in progress, their expected work and the numbers by priority must be those of the requests
+// that are in progress, and the openings must be delivered in the order of priority.
+func TestCountsOfWork(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c, now := newController(), time.Second
+		flows := make([]*Work[int], 12)
+		for i := range flows {
+			flows[i] = new(Work[int])
+		}
+		anyFlow := func(t *rapid.T) *Work[int] { return rapid.SampledFrom(flows).Draw(t, "flow") }
+		classify := func(t *rapid.T, w *Work[int]) {
+			priority := rapid.IntRange(0, 3).Draw(t, "priority")
+			w.Arrived = now
+			c.SetDeadlines(now, w, Class{
+				Route: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(priority)), Priority: priority, TargetLatency: 300 * time.Millisecond, Timeout: time.Second,
+			})
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				w := anyFlow(t)
+				if w.waiting || w.inProgress || w.held {
+					return
+				}
+				classify(t, w)
+				switch c.Decide(now, w) {
+				case Run:
+					c.Reserve(w)
+				case Wait:
+					c.Enqueue(now, w)
+					c.DisplacedBy(now, w)
+				}
+			},
+			"request": func(t *rapid.T) {
+				w := anyFlow(t)
+				if w.waiting || w.held {
+					return
+				}
+				if !w.inProgress {
+					classify(t, w)
+				}
+				if !c.ShouldHold(now, w) {
+					c.Begin(now, w, !w.inProgress)
+				}
+			},
+			"answer": func(t *rapid.T) {
+				w := anyFlow(t)
+				c.Answer(now, w, time.Millisecond)
+				c.End(now, w)
+			},
+			"next": func(t *rapid.T) {
+				first := c.First(now)
+				if w := c.Next(now); w != nil {
+					assert.Assert(t, w == first)
+					c.Reserve(w)
+				}
+			},
+			"tick": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond
+				c.TooLate(now)
+				for w := c.Release(now, now); w != nil; w = c.Release(now, now) {
+					c.Begin(now, w, true)
+				}
+			},
+			"": func(t *rapid.T) {
+				busy, work, onOpenFlows, waiting, held := 0, time.Duration(0), [Priorities]int{}, 0, 0
+				for _, w := range flows {
+					if w.inProgress {
+						busy++
+						work += w.expected
+					}
+					if w.atUpstream && w.onOpenFlow {
+						onOpenFlows[w.Priority()]++
+					}
+					if w.waiting {
+						waiting++
+					}
+					if w.held {
+						held++
+					}
+				}
+				assert.Equal(t, busy, c.busy)
+				assert.Equal(t, work, c.busyWork)
+				assert.Equal(t, onOpenFlows, c.onOpenFlows)
+				assert.Equal(t, waiting, len(c.waiting))
+				assert.Equal(t, held, len(c.held))
+				assert.Assert(t, slices.IsSortedFunc(c.waiting, func(a, b *Work[int]) int { return int(a.priority - b.priority) }))
+			},
+		})
+	})
+}
