--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -112,7 +112,13 @@
 	}
 	if c.isRefusal(l, w, took) {
 		if !c.full(int(w.ahead)) {
-			c.capacity = int(w.ahead)
+			// One at a time: answers that have not been counted yet make the number before a
+			// refused request too low at times.
+			if c.capacity == 0 {
+				c.capacity = int(w.ahead)
+			} else {
+				c.capacity--
+			}
 		}
 		if w.onOpenFlow {
 			c.upstreamRefusedAt[w.Priority()] = now
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,6 +112,12 @@
 	return u.NoRoomFrom > 0 && priority+1 >= int(u.NoRoomFrom) && now-u.NoRoomUpdatedAt <= u.noRoomFor
 }
 
+// ReportedNoRoom reports whether the upstream had no capacity for new flows of a priority by a
+// report or an answer not older than _noRoomTTL.
+func (u *Upstream) ReportedNoRoom(now time.Duration, priority int) bool {
+	return u.NoRoomFrom > 0 && priority+1 >= int(u.NoRoomFrom) && now-u.NoRoomUpdatedAt <= _noRoomTTL
+}
+
 // HasPartialRoom reports whether the upstream has capacity for new flows of a priority but none
 // for less important ones, by a report or an answer not older than _noRoomTTL.
 func (u *Upstream) HasPartialRoom(now time.Duration, priority int) bool {
--- a/relay/core.go
+++ b/relay/core.go
@@ -181,6 +181,7 @@
 	// priorityAdmission is set by WithPriorityAdmission.
 	priorityAdmission bool
 	link              linkBudget
+	throttles         throttles
 }
 
 // Option configures a Core.
@@ -234,6 +235,11 @@
 	// freshFor is the time after the flow's arrival in which an Overloaded verdict counts
 	// for other flows as well.
 	freshFor time.Duration
+	// throttle counts the openings of the flow's service and priority; nil if they are not
+	// counted.
+	throttle *throttle
+	// overloaded is set once a sidecar has answered that its upstream and peers are overloaded.
+	overloaded bool
 	// room is the capacity of the eligible upstreams at the last choice.
 	room room
 	// reason is why the packet was placed anew; empty if it was not.
@@ -301,6 +307,9 @@
 	// NoRoom counts resets because no upstream has capacity for the flow's priority, which
 	// Resets includes, and Probes offers made although no upstream has capacity.
 	NoRoom, Probes uint64
+	// Throttled counts those of NoRoom that were reset since most openings of their priority
+	// are refused.
+	Throttled uint64
 	// LinkFull counts resets because the flow's data would not fit through the relay's link,
 	// which Resets includes.
 	LinkFull uint64
@@ -322,6 +331,7 @@
 		flows:  flow.NewCache[flowState](maxFlows, nil),
 		offers: make(map[flow.Key]*offer),
 
+		throttles:    make(throttles),
 		returning:    newReturningCallers(),
 		searchBudget: searchBudget{bytes: _searchBurstBytes},
 	}
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -147,6 +147,9 @@
 		}
 		c.out.ObserveSpan(decision.OfferAnswered, now-o.lastSent)
 		c.offerRTT.observe(now - o.lastSent)
+		if o.throttle != nil {
+			o.throttle.noteAccepted(now, o.overloaded)
+		}
 		delete(c.offers, v.Flow)
 	}
 	if f == nil {
@@ -185,6 +188,12 @@
 	if !slices.Contains(o.tried, v.Sidecar) {
 		o.tried = append(o.tried, v.Sidecar)
 	}
+	if v.Outcome == peer.Overloaded && !o.overloaded {
+		o.overloaded = true
+		if o.throttle != nil {
+			o.throttle.noteRefused(now)
+		}
+	}
 	if v.Outcome == peer.Overloaded && o.showsNoRoom(now) {
 		c.view.Overloaded(now, v.Sidecar, o.priority)
 	}
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -103,7 +103,7 @@
 		c.park(now, key, o.arrival, o.packet, reason)
 		return
 	}
-	switch o.room.decide(c.mayResetUnoffered(now, o), c.random) {
+	switch c.decideRoom(now, o) {
 	case roomRefuse:
 		c.refuseNoRoom(now, key, o)
 		return
--- a/relay/room.go
+++ b/relay/room.go
@@ -60,6 +60,8 @@
 	// eligible is the number of eligible upstreams. without is the number of those that have
 	// no capacity, and partial that of those that have none for less important openings only.
 	eligible, without, partial int
+	// reported is the number of upstreams that have reported no capacity within a second.
+	reported int
 	// busy and slots are sums over the eligible upstreams, and oldest is the age of the
 	// oldest report of no capacity.
 	busy, slots int
@@ -71,6 +73,9 @@
 	r.eligible++
 	r.busy += u.Busy
 	r.slots += u.Slots
+	if u.ReportedNoRoom(now, priority) {
+		r.reported++
+	}
 	if !u.LacksRoom(now, priority) {
 		if u.HasPartialRoom(now, priority) {
 			r.partial++
@@ -82,6 +87,10 @@
 	return false
 }
 
+// mostlyWithout reports whether at least half of the eligible upstreams have reported no
+// capacity.
+func (r room) mostlyWithout() bool { return r.reported > 0 && 2*r.reported >= r.eligible }
+
 // none reports whether there are eligible upstreams and none of them has capacity.
 func (r room) none() bool { return r.eligible > 0 && r.without == r.eligible }
 
@@ -98,6 +107,24 @@
 	}
 }
 
+// decideRoom returns what happens to an opening that was not offered yet.
+func (c *Core) decideRoom(now time.Duration, o *offer) roomDecision {
+	o.throttle = nil
+	if o.prioritized {
+		o.throttle = c.throttles.get(o.choice.service, o.priority)
+	}
+	mayReset := c.mayResetUnoffered(now, o)
+	decided := o.room.decide(mayReset, c.random)
+	if decided == roomOffer && mayReset && o.throttle.refuses(now, o.room, c.random) {
+		c.counts.Throttled++
+		decided = roomRefuse
+	}
+	if decided == roomRefuse && o.throttle != nil {
+		o.throttle.noteRefused(now)
+	}
+	return decided
+}
+
 // keepWithRoom removes the upstreams without capacity for the opening from the eligible
 // ones, unless that would leave none, sets o.room, and limits the loads of the candidates.
 func (c *Core) keepWithRoom(now time.Duration, o *offer) {
@@ -190,6 +217,9 @@
 	if !o.prioritized || !o.firstCopy || len(o.unanswered) > 0 || now < _startupPeriod {
 		return false
 	}
+	if o.throttle.limits(now, o.room) {
+		return true
+	}
 	var r room
 	for _, u := range c.view.Service(o.choice.service) {
 		if !c.view.Eligible(now, u) || c.evacuations.Contains(u.Zone) {
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -230,7 +230,10 @@
 	// openingSeq is the sequence number of the caller's opening packet, consentSeq that of
 	// the upstream's consent, and latestSeq the highest that the upstream has sent.
 	openingSeq, consentSeq, latestSeq uint32
-	consented                         bool
+	// replyEnd is the end of the data that the upstream has sent; valid if replyStarted is set.
+	replyEnd     uint32
+	replyStarted bool
+	consented    bool
 	// established is set once the flow is known to be open at the upstream: the caller has
 	// acknowledged the consent, or the upstream has sent more than its consent.
 	established bool
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -582,7 +582,7 @@
 // ends the flow. An answer that shows that the upstream has refused the request is no sign of
 // its speed or of failures.
 func (c *Core) noteReplyData(now time.Duration, p flow.Packet, f *flowState) {
-	if p.Size == 0 && p.Flags&(flow.FIN|flow.RST) == 0 {
+	if !f.takeReplyData(p) && p.Flags&(flow.FIN|flow.RST) == 0 {
 		return
 	}
 	outcome := admission.NoRequest
@@ -605,6 +605,18 @@
 	c.endRequest(f)
 }
 
+// takeReplyData reports whether a packet of the upstream has data that it has not sent before.
+// The upstream repeats the last packet of an answer until the caller acknowledges it, which may
+// be with the next request. Such a copy is no answer to that request.
+func (f *flowState) takeReplyData(p flow.Packet) bool {
+	end := p.Seq + uint32(p.Size)
+	if p.Size == 0 || f.replyStarted && int32(end-f.replyEnd) <= 0 {
+		return false
+	}
+	f.replyStarted, f.replyEnd = true, end
+	return true
+}
+
 // logRecovered logs that a packet of the upstream has shown a flow that this process did
 // not open.
 func (c *Core) logRecovered(p flow.Packet) {
