--- a/admission/admission.go
+++ b/admission/admission.go
@@ -214,9 +214,9 @@
 func (c *Controller[F]) SetDeadlines(now time.Duration, w *Work[F], class Class) {
 	r := c.routes.use(now, class)
 	w.route, w.priority = r, int32(class.Priority)
-	prioritized := c.limits(now).Prioritized
+	l := c.limits(now)
 	runTime := c.timings.runTime.value
-	if prioritized {
+	if l.Prioritized {
 		runTime = c.runTimeOf(r)
 	}
 	answer := c.timings.answerTime(runTime)
@@ -228,20 +228,31 @@
 		margin := time.Duration(_timeoutMargin * float64(class.Timeout))
 		maxWait = min(max(class.Timeout-max(answer, margin), 0), _maxWait)
 	}
-	w.TargetStart, w.LatestStart = w.Arrived+targetWait, w.Arrived+maxWait
 	c.targetWaits[w.Priority()] = targetWait
+	if c.queuesInside(l, w.Priority()) {
+		targetWait += c.insideMargin()
+	}
+	w.TargetStart, w.LatestStart = w.Arrived+targetWait, w.Arrived+maxWait
 	if w.inProgress {
 		return // its work is part of a sum
 	}
 	w.expected = runTime
-	if prioritized { // the requests that the flow sends within _rateHorizon count, too
+	if l.Prioritized { // the requests that the flow sends within _rateHorizon count, too
 		w.expected += time.Duration(r.requestsPerFlow(now) * float64(runTime))
 	}
 }
 
+// insideMargin returns how much later than others an opening that queues inside the upstream may
+// start: its handshake completes meanwhile, and a request that takes no longer than the mean is
+// still answered within its target.
+func (c *Controller[F]) insideMargin() time.Duration {
+	handshakes := 3 * c.timings.handshakeTime.value / 2 // all but the answer's way to the caller
+	return handshakes + time.Duration((_maxRunTimeFactor-1)*float64(c.timings.runTime.value))
+}
+
 // runTimeOf returns the mean run time of a route's requests.
 func (c *Controller[F]) runTimeOf(r *routeStats) time.Duration {
-	if r.runTime.samples > 0 {
+	if r != nil && r.runTime.samples > 0 {
 		return r.runTime.value
 	}
 	return c.timings.runTime.value
@@ -504,6 +515,7 @@
 func (c *Controller[F]) Reserve(w *Work[F]) {
 	if !w.inProgress {
 		w.inProgress = true
+		w.expected = c.runTimeOf(w.route)
 		c.busy++
 		c.busyWork += w.expected
 	}
@@ -539,6 +551,9 @@
 		if targetWait == 0 {
 			continue
 		}
+		if c.queuesInside(l, priority) {
+			targetWait += c.insideMargin()
+		}
 		probe := Work[F]{priority: int32(priority), Arrived: now, TargetStart: now + targetWait, LatestStart: math.MinInt64}
 		if verdict := c.Decide(now, &probe); verdict != Run && verdict != Wait {
 			return uint8(priority + 1)
--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -67,12 +67,6 @@
 	if onOpenFlow && l.Prioritized {
 		w.route.countFurther(now)
 	}
-	if !w.inProgress {
-		w.expected = c.timings.runTime.value
-		if l.Prioritized {
-			w.expected = c.runTimeOf(w.route)
-		}
-	}
 }
 
 // startRequests notes which requests the upstream has started to work on, if it does so in the
--- a/admission/estimates_test.go
+++ b/admission/estimates_test.go
@@ -50,6 +50,9 @@
 	assertNear(t, opening.expected, 10*time.Millisecond)
 	c.SetDeadlines(now, opening, long)
 	assertNear(t, opening.expected, 240*time.Millisecond) // a request and 5 further ones
+	c.Reserve(opening)
+	assertNear(t, c.busyWork, 40*time.Millisecond) // at the upstream, the first request counts
+	c.End(now, opening)
 	c.CloseFlow(flow)
 	c.SetDeadlines(now, opening, long)
 	assertNear(t, opening.expected, 40*time.Millisecond)
--- a/sidecar/hold_test.go
+++ b/sidecar/hold_test.go
@@ -122,6 +122,21 @@
 	assert.Equal(t, capacities[0].To, "4")
 }
 
+// TestRepeatedAnswerIsNoRefusal guards against an answer that the upstream repeats, since its
+// acknowledgement is late, and that arrives just after the next request of the flow. It must
+// not count as the refusal of that request.
+func TestRepeatedAnswerIsNoRefusal(t *testing.T) {
+	r := newPriorityRig(t)
+	r.reply(_holdAt, _busyPorts, 1)
+	r.send(_holdAt+_ms, _busyPorts, 2)
+	assert.Equal(t, r.Busy(), 4)
+	r.reply(_holdAt+2*_ms, _busyPorts, 1)
+	assert.Equal(t, r.Busy(), 4)
+	assert.Equal(t, r.Counts().UpstreamRefusals, uint64(1))
+	r.reply(_holdAt+3*_ms, _busyPorts, 2)
+	assert.Equal(t, r.Busy(), 3)
+}
+
 // TestHeldRequestGetsFreePlace checks that a held request is delivered as soon as a place at
 // the upstream is free, and runs.
 func TestHeldRequestGetsFreePlace(t *testing.T) {
