--- a/dandelionhitch/explain_flow.go
+++ b/dandelionhitch/explain_flow.go
@@ -26,6 +26,7 @@
 	"reset zone_evacuated":           "all upstreams of the service were in zones that the operator had evacuated",
 	"reset all_refused":              "every upstream that was tried refused; the refused lines above say why",
 	"reset overloaded":               "it could not have been answered before its caller gives up; busy and slots tell how full the upstreams were",
+	"reset link_full":                "its route sends much data, which would not have fit through the relay's link; it has not run",
 	"reset no_holder":                "every sidecar denied the flow: its upstream had ended, or the flow was idle too long",
 	"reset upstream_dead":            "its upstream ended or was replaced while the flow was open; see the upstream below",
 	"reset upstream_bounced":         "its upstream no longer had the flow; the upstream's own log may tell why",
--- a/decision/period.go
+++ b/decision/period.go
@@ -182,7 +182,7 @@
 		return NoConfiguration
 	case "no_upstream":
 		return NoUpstream
-	case "overloaded", "all_refused", "no_room", "displaced":
+	case "overloaded", "all_refused", "no_room":
 		return Overloaded
 	case "no_answer_to_offers":
 		return OffersUnanswered
--- a/decision/room.go
+++ b/decision/room.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -25,10 +27,18 @@
 	RoomBelow = "below "
 )
 
+// RoomState returns the state for a value of peer.UpstreamReport.NoRoomFrom.
+func RoomState(noRoomFrom uint8) string {
+	if noRoomFrom == 0 {
+		return RoomForAll
+	}
+	return RoomBelow + strconv.Itoa(int(noRoomFrom)-1)
+}
+
 // Room is the capacity of a sidecar's upstream or of a service at some time, as a process
 // believed it.
 type Room struct {
-	// Name is the sidecar or the service. State is the state of the belief.
+	// Name is the upstream, the sidecar or the service. State is the state of the belief.
 	Name, State string
 	// Capacity is the number of requests that the upstream works on or queues; empty if it is
 	// not known.
@@ -46,29 +56,45 @@
 }
 
 // Rooms returns the capacity that the process that wrote a decision line believed in then,
-// sorted by name. A relay may believe something about a service or about each sidecar; if it
-// does about the service of the line, the others are left out.
+// sorted by name. A process may believe something about a service or about each upstream; if it
+// does about the service of the line, the others are left out. For a process without such
+// beliefs, Rooms returns those of the sidecars of the line's service, named after the sidecars.
 func (t *Trail) Rooms(line Line) []Room {
-	byName := make(map[string]Room)
-	for _, l := range t.rooms {
-		if l.Node == line.Node && l.Subject == RoomSubject {
-			if room, known := stateAt(t.rooms, l, line.Time); known {
-				byName[l.Name] = room
+	byName := t.roomsOf(line.Node, line.Time)
+	if room, ofService := byName[line.Service]; ofService {
+		return []Room{room}
+	}
+	if len(byName) == 0 && line.Service != "" {
+		for node, service := range t.services {
+			if service != line.Service {
+				continue
+			}
+			for _, room := range t.roomsOf(node, line.Time) {
+				room.Name = node
+				byName[node] = room
 			}
 		}
 	}
-	var rooms []Room
-	for name, room := range byName {
-		if _, ofService := byName[line.Service]; ofService && name != line.Service {
+	return slices.SortedFunc(maps.Values(byName), func(a, b Room) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// roomsOf returns the capacity that a process believed in at some time, by name.
+func (t *Trail) roomsOf(node string, at time.Time) map[string]Room {
+	byName := make(map[string]Room)
+	for _, l := range t.rooms {
+		if l.Node != node || l.Subject != RoomSubject {
+			continue
+		}
+		room, known := stateAt(t.rooms, l, at)
+		if !known {
 			continue
 		}
-		if capacity, known := stateAt(t.rooms, Line{Node: line.Node, Subject: CapacitySubject, Name: name}, line.Time); known {
+		if capacity, known := stateAt(t.rooms, Line{Node: node, Subject: CapacitySubject, Name: l.Name}, at); known {
 			room.Capacity = capacity.State
 		}
-		rooms = append(rooms, room)
+		byName[l.Name] = room
 	}
-	slices.SortFunc(rooms, func(a, b Room) int { return cmp.Compare(a.Name, b.Name) })
-	return rooms
+	return byName
 }
 
 // stateAt returns the state of what a line is about at some time, according to the latest change up to
--- a/decision/trail.go
+++ b/decision/trail.go
@@ -114,13 +114,14 @@
 	Omitted []Line
 	// rooms are all beliefs about capacity, ordered by time.
 	rooms []Line
-	// names maps addresses to names of processes.
-	names map[string]string
+	// names maps addresses to names of processes, and services maps names of sidecars to their
+	// services.
+	names, services map[string]string
 }
 
 // NewTrail returns the trail of a flow in the given lines, which may be in any order.
 func NewTrail(key flow.Key, lines []Line) Trail {
-	t := Trail{Flow: key, names: make(map[string]string)}
+	t := Trail{Flow: key, names: make(map[string]string), services: make(map[string]string)}
 	id := key.String()
 	involved := make(map[string]bool)
 	for _, line := range lines {
@@ -180,12 +181,15 @@
 	l.WarningsOmitted += other.WarningsOmitted
 }
 
-// recordName records the name of a process under its address if the line is the one that
-// the process logs when it starts.
+// recordName records the name of a process under its address, and the service of a sidecar, if
+// the line is the one that the process logs when it starts.
 func (t *Trail) recordName(line Line) {
 	if host, _, ok := strings.Cut(line.Upstream, ":"); ok {
 		t.names[host] = line.Node
 	}
+	if line.Message == "sidecar started" {
+		t.services[line.Node] = line.Service
+	}
 	if line.Addr != "" {
 		t.names[line.Addr] = line.Node
 	}
--- a/sidecar/hold.go
+++ b/sidecar/hold.go
@@ -189,18 +189,18 @@
 		r.noRoomFrom = c.admission.NoRoomFrom(c.now)
 	}
 	if r.noRoomFrom != r.loggedNoRoom && (r.loggedAt == 0 || c.now-r.loggedAt >= _roomLogInterval) {
-		c.logRoom("room", int(r.loggedNoRoom), int(r.noRoomFrom))
+		c.logRoom(decision.RoomSubject, decision.RoomState(r.loggedNoRoom), decision.RoomState(r.noRoomFrom))
 		r.loggedNoRoom, r.loggedAt = r.noRoomFrom, c.now
 	}
 	if capacity := c.Capacity(); capacity != r.loggedCapacity {
-		c.logRoom("upstream_capacity", r.loggedCapacity, capacity)
+		c.logRoom(decision.CapacitySubject, strconv.Itoa(r.loggedCapacity), strconv.Itoa(capacity))
 		r.loggedCapacity = capacity
 	}
 }
 
 // logRoom logs a change of the learned capacity or of the capacity by priority.
-func (c *Core) logRoom(subject string, from, to int) {
+func (c *Core) logRoom(subject, from, to string) {
 	c.out.LogBelief(decision.Belief{
-		Subject: subject, Name: c.upstream.id, From: strconv.Itoa(from), To: strconv.Itoa(to), Reason: "load", Version: c.upstream.sequence,
+		Subject: subject, Name: c.upstream.id, From: from, To: to, Reason: "load", Version: c.upstream.sequence,
 	})
 }
