--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/netip"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -135,7 +137,7 @@
 func sidecarMetrics(s *sidecar.Sidecar) func() []metricValue {
 	return func() []metricValue {
 		st := s.Stats()
-		return append(append([]metricValue{
+		return slices.Concat([]metricValue{
 			{"sidecar_accepted", int64(st.Accepted)},
 			{"sidecar_passed_on", int64(st.PassedOn)},
 			{"sidecar_stray", int64(st.Stray)},
@@ -157,6 +159,24 @@
 			{"known_relays", int64(st.Relays)},
 			{"known_peers", int64(st.Peers)},
 			{"settings_version", int64(st.Version)},
-		}, sharedMetrics(st.Behind, st.Configurations, st.Traffic)...), evacuationMetrics(st.Evacuations, st.Evacuated)...)
+		}, admissionMetrics(st), sharedMetrics(st.Behind, st.Configurations, st.Traffic), evacuationMetrics(st.Evacuations, st.Evacuated))
 	}
 }
+
+// admissionMetrics returns the metrics of admission by priority.
+func admissionMetrics(st sidecar.Stats) []metricValue {
+	values := []metricValue{
+		{"sidecar_displaced", int64(st.Displaced)},
+		{"sidecar_held", int64(st.Held)},
+		{"sidecar_held_now", int64(st.HeldNow)},
+		{"sidecar_upstream_refusals", int64(st.UpstreamRefusals)},
+		{"sidecar_capacity", int64(st.Capacity)},
+	}
+	for priority := range st.RefusedByPriority {
+		suffix := "_priority_" + strconv.Itoa(priority)
+		values = append(values,
+			metricValue{"sidecar_refused" + suffix, int64(st.RefusedByPriority[priority])},
+			metricValue{"sidecar_served" + suffix, int64(st.ServedByPriority[priority])})
+	}
+	return values
+}
