--- a/dandelionhitch/explain_flow_test.go
+++ b/dandelionhitch/explain_flow_test.go
@@ -72,8 +72,9 @@
 	})
 }
 
-// TestExplainedReasonsAreLoggedAndDocumented checks that each reason in _endExplanations
-// occurs in the source of relay or sidecar and in the operators' guide.
+// TestExplainedReasonsAreLoggedAndDocumented checks that each reason in _endExplanations and each
+// term in _termExplanations occurs in the source of relay or sidecar, or as an action, and in the
+// operators' guide.
 func TestExplainedReasonsAreLoggedAndDocumented(t *testing.T) {
 	var sources strings.Builder
 	for _, folder := range []string{"relay", "sidecar"} {
@@ -87,7 +88,11 @@
 	}
 	guide, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	assert.NilError(t, err)
+	actions, err := os.ReadFile(filepath.Join("..", "decision", "decision.go"))
+	assert.NilError(t, err)
+	sources.Write(actions)
 	for term := range _termExplanations {
+		assert.Assert(t, strings.Contains(sources.String(), `"`+term+`"`), "no source of relay or sidecar has the term %q", term)
 		assert.Assert(t, regexp.MustCompile("`[^`]*\\b"+term+"\\b").Match(guide), "the guide does not document the term %q", term)
 	}
 	for ending := range _endExplanations {
