--- a/decision/room.go
+++ b/decision/room.go
@@ -80,11 +80,12 @@
 
 // roomsOf returns the capacity that a process believed in at some time, by name.
 func (t *Trail) roomsOf(node string, at time.Time) map[string]Room {
-	byName := make(map[string]Room)
+	byName, seen := make(map[string]Room), make(map[string]bool)
 	for _, l := range t.rooms {
-		if l.Node != node || l.Subject != RoomSubject {
+		if l.Node != node || l.Subject != RoomSubject || seen[l.Name] {
 			continue
 		}
+		seen[l.Name] = true
 		room, known := stateAt(t.rooms, l, at)
 		if !known {
 			continue
