standin: long-lived flows, upstreams that refuse requests, order of packets

Cause: callers of the simulation sent one request of one packet per flow, so that it could not show what sidecars do with later requests of a flow. An OpaqueUpstream can answer requests that find its queue full with an error at once. A field of Simulation starts processes with priority_admission.

--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -36,7 +36,7 @@
 		assert.NilError(t, err)
 		h.vms = append(h.vms, v)
 		v.startUpstream()
-		v.upstream.RunTime = func() time.Duration { return 0 }
+		v.upstream.RunTime = func(string) time.Duration { return 0 }
 		v.upstream.Send = func(packet []byte) { h.toCaller = append(h.toCaller, packet) }
 		h.hostByService[v.service] = v
 	}
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -217,7 +217,7 @@
 	}
 	u := standin.NewOpaqueUpstream(random)
 	u.Name, u.Slots, u.Queue, u.Size = fmt.Sprintf("%v#%d", v.addr, v.instance), 4, 16, 2000
-	u.RunTime = func() time.Duration { return time.Duration(2+random.IntN(30)) * time.Millisecond }
+	u.RunTime = func(string) time.Duration { return time.Duration(2+random.IntN(30)) * time.Millisecond }
 	u.Send = func(packet []byte) { v.socket.Send(netip.AddrPortFrom(v.addr, r.ports.outbound), packet) }
 	u.OnRun = func(_ flow.Key, request string) { r.executions[request]++ }
 	u.OnCorrupted = func() { r.check(_unaltered, false, "upstream %s got a packet that no caller wrote so", u.Name) }
--- a/standin/opaque_errors_test.go
+++ b/standin/opaque_errors_test.go
@@ -105,7 +105,7 @@
 	}{
 		{"caches", func(s *scenario) {
 			for _, vm := range s.orders {
-				vm.Upstream.RunTime = func() time.Duration {
+				vm.Upstream.RunTime = func(string) time.Duration {
 					if s.Random().Float64() < 0.3 {
 						return time.Millisecond
 					}
@@ -115,8 +115,12 @@
 		}},
 		{"slow for a while", func(s *scenario) {
 			for _, vm := range s.orders[:3] {
-				s.At(_callsStart+_seconds, func() { vm.Upstream.RunTime = func() time.Duration { return draw(s.Random(), 200*time.Millisecond) } })
-				s.At(_callsStart+5*_seconds, func() { vm.Upstream.RunTime = func() time.Duration { return draw(s.Random(), 26*time.Millisecond) } })
+				s.At(_callsStart+_seconds, func() {
+					vm.Upstream.RunTime = func(string) time.Duration { return draw(s.Random(), 200*time.Millisecond) }
+				})
+				s.At(_callsStart+5*_seconds, func() {
+					vm.Upstream.RunTime = func(string) time.Duration { return draw(s.Random(), 26*time.Millisecond) }
+				})
 			}
 		}},
 	} {
--- a/standin/opaque_load_test.go
+++ b/standin/opaque_load_test.go
@@ -65,7 +65,7 @@
 	for i := range l.hosts {
 		s.orders = append(s.orders, s.AddHost(fmt.Sprint(i%l.zones), "orders", func(u *standin.OpaqueUpstream) {
 			u.Slots, u.Size = l.slots, 2000
-			u.RunTime = func() time.Duration { return runTime(s) }
+			u.RunTime = func(string) time.Duration { return runTime(s) }
 		}))
 	}
 	s.SetTable(l.table())
--- a/standin/opaque_slow_test.go
+++ b/standin/opaque_slow_test.go
@@ -30,8 +30,8 @@
 	l.adjust = func(s *scenario) {
 		for _, vm := range s.orders[:l.slow] {
 			runTime := vm.Upstream.RunTime
-			vm.Upstream.RunTime = func() time.Duration {
-				took := runTime()
+			vm.Upstream.RunTime = func(request string) time.Duration {
+				took := runTime(request)
 				if since := s.Now() - _slowFrom; since >= 0 && since < _slowSpan {
 					took = time.Duration(float64(took) * l.factor)
 				}
--- a/standin/opaque_upstream.go
+++ b/standin/opaque_upstream.go
@@ -25,8 +25,8 @@
 // _errorSuffix is the end of an answer that is an error.
 const _errorSuffix = " error"
 
-// OpaqueUpstream is a fake of a server of opaque flows. Each flow has one request, which
-// waits in a queue for one of a few slots, runs there, and is answered. An OpaqueUpstream
+// OpaqueUpstream is a fake of a server of opaque flows. Each request of a flow waits in a
+// queue for one of a few slots, runs there, and is answered. An OpaqueUpstream
 // is a state machine whose owner passes in the current time. It is not safe for concurrent
 // use.
 type OpaqueUpstream struct {
@@ -35,8 +35,11 @@
 	// Slots is the maximum number of requests that run at the same time. While all slots
 	// are in use, new flows are refused if Queue or more requests are waiting.
 	Slots, Queue int
-	// RunTime returns the run time of the next request.
-	RunTime func() time.Duration
+	// RefusesRequests makes the upstream accept all flows, and answer a request with an error
+	// within _errorDelay if it arrives while all slots are in use and Queue requests are waiting.
+	RefusesRequests bool
+	// RunTime returns the run time of a request that starts to run.
+	RunTime func(request string) time.Duration
 	// Size is the number of bytes of an answer that follow the upstream's name and the
 	// request's text.
 	Size int
@@ -67,14 +70,23 @@
 
 // upstreamFlow is the state of a flow at an OpaqueUpstream.
 type upstreamFlow struct {
-	key          flow.Key
-	openingSeq   uint32
-	consentSeq   uint32
-	open         bool
-	request      string
-	doneAt       time.Duration
-	running      bool
-	failed       bool // The answer is an error.
+	key        flow.Key
+	openingSeq uint32
+	consentSeq uint32
+	open       bool
+	// data is what has arrived of a request that is not complete, and nextSeq the sequence number
+	// of the byte after it.
+	data    []byte
+	nextSeq uint32
+	request string
+	// longLived is set if the flow stays open after the answer.
+	longLived bool
+	doneAt    time.Duration
+	running   bool
+	failed    bool // The answer is an error.
+	refused   bool // The request has no slot.
+	// answerSeq is the sequence number of the next answer.
+	answerSeq    uint32
 	unacked      [][]byte
 	endSeq       uint32
 	nextSend     time.Duration
@@ -149,11 +161,12 @@
 func (u *OpaqueUpstream) handleOpening(now time.Duration, key flow.Key, p OpaquePacket, packet []byte) {
 	f := u.flows[key]
 	if f == nil || f.openingSeq != p.Seq {
-		if u.running >= u.Slots && len(u.waiting) >= u.Queue {
+		if u.full() && !u.RefusesRequests {
 			u.bounce(packet)
 			return
 		}
-		f = &upstreamFlow{key: key, openingSeq: p.Seq, consentSeq: u.random.Uint32(), lastReceived: now}
+		f = &upstreamFlow{key: key, openingSeq: p.Seq, consentSeq: u.random.Uint32(), lastReceived: now, nextSeq: p.Seq + 1}
+		f.answerSeq = f.consentSeq + 1
 		f.retryDelay, f.nextSend = _firstRetryDelay, now+_firstRetryDelay
 		u.flows[key] = f
 		u.order = append(u.order, f)
@@ -174,23 +187,39 @@
 		}
 		f.open, f.retries = true, 0
 	}
-	if len(p.Data) > 0 && f.request == "" && u.ResetsNext() {
+	if p.Flags.Has(flow.RST) {
+		f.unacked, f.ended = nil, true
+		return
+	}
+	isNew := len(p.Data) > 0 && p.Seq == f.nextSeq
+	if isNew && f.request == "" && u.ResetsNext() {
 		f.ended = true
-		u.send(f, flow.RST, f.consentSeq+1, 0, nil)
+		u.send(f, flow.RST, f.answerSeq, 0, nil)
 		return
 	}
-	if len(p.Data) > 0 && f.request == "" {
-		f.request = string(p.Data)
-		u.enqueue(now, f)
+	if isNew {
+		f.nextSeq += uint32(len(p.Data))
+		f.data = append(f.data, p.Data...)
+		if text, longLived, complete := decodeRequest(f.data); complete {
+			f.request, f.longLived, f.data, f.unacked = text, longLived, nil, nil
+			u.enqueue(now, f)
+		}
 	}
-	if len(f.unacked) > 0 && p.Ack == f.endSeq {
-		f.unacked, f.ended = nil, true
+	switch {
+	case len(f.unacked) > 0 && p.Ack == f.endSeq:
+		f.unacked, f.ended = nil, !f.longLived
+	case f.longLived && p.Flags.Has(flow.FIN):
+		f.ended, f.endSeq = true, f.answerSeq+1
+		u.send(f, flow.ACK|flow.FIN, f.answerSeq, p.Seq+1, nil)
 	}
 	if len(p.Data) > 0 {
-		u.send(f, flow.ACK, f.consentSeq+1, p.Seq+uint32(len(p.Data)), nil)
+		u.send(f, flow.ACK, f.answerSeq, f.nextSeq, nil)
 	}
 }
 
+// full reports whether the upstream has no room for another request.
+func (u *OpaqueUpstream) full() bool { return u.running >= u.Slots && len(u.waiting) >= u.Queue }
+
 // enqueue queues a request for a slot. If FailsNext returns true, enqueue starts the
 // request at once, and it fails after _errorDelay.
 func (u *OpaqueUpstream) enqueue(now time.Duration, f *upstreamFlow) {
@@ -199,6 +228,10 @@
 		f.running, f.failed, f.doneAt = true, true, now+_errorDelay
 		return
 	}
+	if u.RefusesRequests && u.full() {
+		f.running, f.failed, f.refused, f.doneAt = true, true, true, now+_errorDelay
+		return
+	}
 	u.waiting = append(u.waiting, f)
 	u.startWaiting(now)
 }
@@ -209,31 +242,41 @@
 		f := u.waiting[0]
 		u.waiting = u.waiting[1:]
 		u.running++
-		f.running, f.doneAt = true, now+u.RunTime()
+		f.running, f.doneAt = true, now+u.RunTime(f.request)
 		u.OnRun(f.key, f.request)
 	}
 }
 
 func (u *OpaqueUpstream) finish(now time.Duration, f *upstreamFlow) {
-	f.running = false
-	u.running--
+	if !f.refused {
+		u.running--
+	}
 	answer := append([]byte(u.Name+" "+f.request+" "), make([]byte, u.Size)...)
 	if f.failed {
 		answer = []byte(u.Name + " " + f.request + _errorSuffix)
 	}
-	seq := f.consentSeq + 1
+	f.running, f.failed, f.refused, f.request = false, false, false, ""
+	if f.longLived {
+		answer = append(answer, _answerEnd)
+	}
+	if f.ended { // The caller has reset the flow.
+		answer = nil
+	}
 	for len(answer) > 0 {
 		n := min(len(answer), _maxSegment)
 		flags := flow.ACK
-		if n == len(answer) {
+		if n == len(answer) && !f.longLived {
 			flags |= flow.FIN
 		}
-		f.unacked = append(f.unacked, u.packet(f, flags, seq, f.openingSeq+1+uint32(len(f.request)), answer[:n]))
-		seq += uint32(n)
+		f.unacked = append(f.unacked, u.packet(f, flags, f.answerSeq, f.nextSeq, answer[:n]))
+		f.answerSeq += uint32(n)
 		answer = answer[n:]
 	}
-	f.endSeq = seq + 1
-	f.retryDelay, f.nextSend = _firstRetryDelay, now+_firstRetryDelay
+	f.endSeq = f.answerSeq
+	if !f.longLived {
+		f.endSeq++
+	}
+	f.retries, f.retryDelay, f.nextSend = 0, _firstRetryDelay, now+_firstRetryDelay
 	for _, packet := range f.unacked {
 		u.Send(packet)
 	}
--- a/standin/opaque_wire.go
+++ b/standin/opaque_wire.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,6 +15,36 @@
 // checksums, too.
 const _checksumKey = 0x5eed
 
+// _answerEnd is the last byte of an answer on a long-lived flow, which has no end that would
+// mark the end of the answer.
+const _answerEnd = '\n'
+
+// encodeRequest returns a request as it is sent. The text of a request on a flow of its own
+// that fits into one packet is sent as it is. Otherwise, "+" and the number of bytes that
+// follow the header are added, with "k" if the flow is to be kept open, and a space.
+func encodeRequest(text string, size int, longLived bool) []byte {
+	if size == 0 && !longLived {
+		return []byte(text)
+	}
+	keep := ""
+	if longLived {
+		keep = "k"
+	}
+	return append(fmt.Appendf(nil, "%s+%d%s ", text, size, keep), make([]byte, size)...)
+}
+
+// decodeRequest decodes the packets of a request, and reports whether it is complete.
+func decodeRequest(data []byte) (text string, longLived, complete bool) {
+	text, header, hasHeader := strings.Cut(string(data), "+")
+	if !hasHeader {
+		return text, false, true
+	}
+	header, rest, ok := strings.Cut(header, " ")
+	size := 0
+	_, err := fmt.Sscan(strings.TrimSuffix(header, "k"), &size)
+	return text, strings.HasSuffix(header, "k"), ok && err == nil && len(rest) >= size
+}
+
 // OpaquePacket is a packet of an OpaqueCall or OpaqueUpstream, with its data.
 type OpaquePacket struct {
 	flow.Packet
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -55,6 +55,9 @@
 	// WarmupLeft returns the remaining warm-up time that upstreams announce in heartbeats,
 	// that is, how much longer they will be slow after their start.
 	WarmupLeft func() time.Duration
+	// PriorityAdmission reports whether the relay or sidecar that starts on a VM gets the setting
+	// priority_admission.
+	PriorityAdmission func(vm *SimulatedVM) bool
 	// StoreDown prevents starting processes from reading the configuration.
 	StoreDown bool
 	// Calls are all calls in the order of their starts.
@@ -66,6 +69,9 @@
 	CrossZoneBytesByKind map[peer.Kind]int
 	// Runs counts the runs of each request, by its text.
 	Runs map[string]int
+	// HeldPackets counts the packets of open flows that sidecars delivered to upstreams later than
+	// they arrived.
+	HeldPackets int
 	// Violations describes the invariants that were broken.
 	Violations []string
 
@@ -118,6 +124,8 @@
 	rejectedSince     time.Duration
 	missedProbes      int
 	configureUpstream func(*OpaqueUpstream)
+	order             packetOrder
+	thawedAt          time.Duration
 }
 
 // Traffic counts messages and their bytes, without IP and UDP headers.
@@ -135,7 +143,10 @@
 		OnRecord:    func(netip.Addr, decision.Record) {},
 		OnBelief:    func(netip.Addr, decision.Belief) {},
 		WarmupLeft:  func() time.Duration { return 0 },
-		Runs:        make(map[string]int),
+
+		PriorityAdmission: func(*SimulatedVM) bool { return false },
+
+		Runs: make(map[string]int),
 
 		CrossZoneBytesByKind: make(map[peer.Kind]int),
 		random:               rand.New(rand.NewPCG(seed, seed)),
@@ -328,7 +339,7 @@
 		}
 		before := c.State
 		c.HandlePacket(s.now, packet)
-		if c.State == CallReset && before == CallOpen && !genuine {
+		if c.State == CallReset && before != CallOpening && !genuine {
 			if holder := s.holder(c.Key); holder != nil {
 				s.addViolation("open flow %v was reset by %v while %v holds it", c.Key, from, holder.Addr)
 			}
@@ -400,7 +411,8 @@
 	s := vm.sim
 	vm.processUp, vm.processStart, vm.missedProbes = true, s.now, _maxMissedProbes
 	identity := relay.Identity{Addr: vm.Addr, Zone: vm.Zone, Incarnation: vm.incarnation()}
-	vm.Relay = relay.NewCore(identity, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random)
+	vm.Relay = relay.NewCore(identity, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random,
+		relay.WithPriorityAdmission(s.PriorityAdmission(vm)))
 	vm.addRelays(vm.Relay.AddRelays)
 	vm.loadTable()
 	vm.readEvacuations()
@@ -414,7 +426,8 @@
 	vm.Sidecar = sidecar.NewCore(sidecar.Identity{
 		Addr: vm.Addr, Zone: vm.Zone, Incarnation: vm.incarnation(), Service: vm.Service,
 		Upstream: netip.AddrPortFrom(vm.Addr, _upstreamPort), Heartbeat: _heartbeatInterval,
-	}, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random)
+	}, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random, sidecar.WithPriorityAdmission(s.PriorityAdmission(vm)))
+	vm.order = nil
 	vm.addRelays(vm.Sidecar.AddRelays)
 	vm.loadTable()
 }
@@ -456,7 +469,7 @@
 	u := NewOpaqueUpstream(s.random)
 	u.Name = fmt.Sprintf("%v#%d", vm.Addr, vm.upstreamStarts)
 	u.Slots, u.Queue = 4, 16
-	u.RunTime = func() time.Duration { return 20 * time.Millisecond }
+	u.RunTime = func(string) time.Duration { return 20 * time.Millisecond }
 	u.Send = vm.sendFromUpstream
 	u.OnRun = func(_ flow.Key, request string) { s.Runs[request]++ }
 	u.OnCorrupted = func() { s.addViolation("upstream %s got a packet that was forged or modified in transit", u.Name) }
@@ -568,7 +581,7 @@
 
 // Thaw resumes the VM and delivers the messages that arrived while it was frozen.
 func (vm *SimulatedVM) Thaw() {
-	vm.frozen = false
+	vm.frozen, vm.thawedAt = false, vm.sim.now
 	deferred := vm.deferred
 	vm.deferred = nil
 	for _, f := range deferred {
@@ -622,6 +635,7 @@
 		if to.Relay != nil {
 			to.Relay.PeerMessage(to.clock(), message)
 		} else {
+			to.noteCarried(message)
 			to.Sidecar.PeerMessage(to.clock(), message)
 		}
 	})
@@ -631,6 +645,7 @@
 func (o simOutbox) ToUpstream(packet []byte) {
 	packet = append([]byte(nil), packet...)
 	vm := o.vm
+	vm.checkOrder(packet)
 	vm.sim.schedule(vm.sim.now, func() {
 		if vm.upstreamUp {
 			vm.Upstream.HandlePacket(vm.sim.now, packet)
--- a/standin/opaque_world_test.go
+++ b/standin/opaque_world_test.go
@@ -79,7 +79,7 @@
 func (s *scenario) upstreamConfig(mean time.Duration, size int) func(*standin.OpaqueUpstream) {
 	return func(u *standin.OpaqueUpstream) {
 		u.Size = size
-		u.RunTime = func() time.Duration { return draw(s.Random(), mean) }
+		u.RunTime = func(string) time.Duration { return draw(s.Random(), mean) }
 	}
 }
 
