soak: long-lived flows, an overload by priority, two more promises

Cause: the soak sent one request per flow on routes of one priority, so that it could show neither reordered requests on open flows nor refusals of the wrong priority. Change: a quarter of the callers send several requests on a flow, and the routes of one service differ in priority. Runs with odd seeds have priority_admission and end with an overload. Checked: packets leave a sidecar in the order of their arrival, or not at all; more important requests aren't all refused within a second in which others are accepted.

--- a/dandelionhitch/mutant_test.go
+++ b/dandelionhitch/mutant_test.go
@@ -16,8 +16,10 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +27,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"gotest.tools/v3/assert"
 
+	"dandelionhitch.example/datagram"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/platform"
 	"dandelionhitch.example/relay"
@@ -58,14 +61,21 @@
 // change of the configuration.
 const _mutantSeed = 100
 
+// _priorityMutantSeed is the seed of a soak with the setting priority_admission.
+const _priorityMutantSeed = 103
+
 // _mutants maps the name of each promise in soak reports to a mutant that breaks it. Further
 // mutants have names of their own.
 var _mutants = map[string]mutant{
-	"packets arrive as they were sent":   {wire: &faultyWire{corrupt: flipBit}},
-	"flows reach their own service":      {changes: map[string]settingsChange{"sidecar": swapServices}},
-	"open flows are not reset":           {wire: &misreadingWire{faultyWire{corrupt: misreadAddress}}},
-	"all is served after the faults":     {wire: &stoppingWire{}},
-	"no new flow after a drain":          {changes: map[string]settingsChange{"sidecar": hideDrains}},
+	"packets arrive as they were sent": {wire: &faultyWire{corrupt: flipBit}},
+	"flows reach their own service":    {changes: map[string]settingsChange{"sidecar": swapServices}},
+	"open flows are not reset":         {wire: &misreadingWire{faultyWire{corrupt: misreadAddress}}},
+	"all is served after the faults":   {wire: &stoppingWire{}},
+	"no new flow after a drain":        {changes: map[string]settingsChange{"sidecar": hideDrains}},
+	"packets stay in order":            {changes: map[string]settingsChange{"sidecar": delayPackets}},
+	"priority decides who is refused": {
+		changes: map[string]settingsChange{"relay": invertPriorities, "sidecar": invertPriorities}, seed: _priorityMutantSeed,
+	},
 	"the last configuration is in force": {changes: map[string]settingsChange{"relay": serveFirstConfiguration}, seed: 101},
 	"any upstream is the own one": {
 		promise: "flows reach their own service", changes: map[string]settingsChange{"sidecar": trustAddress},
@@ -194,9 +204,74 @@
 	return replaceInHeartbeats(settings, other, service)
 }
 
+// _delayedInterval is the number of packets to an upstream of which delayPackets delays one, and
+// _packetDelay how long: long enough for the next packet of the flow to overtake it.
+const (
+	_delayedInterval = 10
+	_packetDelay     = 5 * time.Millisecond
+)
+
+// delayPackets carries the packets from a sidecar to its upstream, and delays some of them.
+func delayPackets(settings map[string]any, _ string) error {
+	upstream, ok := settings["upstream"].(string)
+	if !ok {
+		return errors.New("no address of the upstream")
+	}
+	to, err := netip.ParseAddrPort(upstream)
+	if err != nil {
+		return err
+	}
+	ip := to.Addr().As4()
+	ip[1] += _hiddenOctetOffset
+	hidden := netip.AddrPortFrom(netip.AddrFrom4(ip), to.Port())
+	settings["upstream"] = hidden.String()
+	var socket *datagram.Socket
+	packets := 0
+	var mu sync.Mutex // guards the start of socket
+	mu.Lock()
+	defer mu.Unlock()
+	socket, err = datagram.Listen(hidden, func(packet []byte) {
+		mu.Lock()
+		defer mu.Unlock()
+		if packets++; packets%_delayedInterval > 0 {
+			socket.Send(to, packet)
+			return
+		}
+		packet = bytes.Clone(packet)
+		time.AfterFunc(_packetDelay, func() { socket.Send(to, packet) })
+	})
+	if err != nil {
+		return err
+	}
+	return replaceInHeartbeats(settings, upstream, hidden.String())
+}
+
 // serveFirstConfiguration starts a proxy between a relay and the store that always
 // returns the first configuration that any relay has read.
 func serveFirstConfiguration(settings map[string]any, dir string) error {
+	return changeConfiguration(settings, func(body []byte) ([]byte, error) {
+		file := filepath.Join(dir, "first-configuration")
+		if first, err := os.ReadFile(file); err == nil {
+			return first, nil
+		}
+		return body, os.WriteFile(file, body, 0o600)
+	})
+}
+
+// invertPriorities starts a proxy between a process and the store that makes the most important
+// routes the least important ones, and the other way round.
+func invertPriorities(settings map[string]any, _ string) error {
+	return changeConfiguration(settings, func(body []byte) ([]byte, error) {
+		return _priority.ReplaceAllFunc(body, func(b []byte) []byte { return append(b[:len(b)-1:len(b)-1], '0'+'2'-b[len(b)-1]) }), nil
+	})
+}
+
+// _priority matches the priority of a route, from 0 to 2.
+var _priority = regexp.MustCompile(`"priority": ?[0-2]`)
+
+// changeConfiguration starts a proxy between a process and the store that passes the
+// configurations that the process reads through change.
+func changeConfiguration(settings map[string]any, change func(body []byte) ([]byte, error)) error {
 	store, ok := settings["platform"].(string)
 	if !ok {
 		return errors.New("no store")
@@ -220,10 +295,7 @@
 			if err != nil {
 				return err
 			}
-			file := filepath.Join(dir, "first-configuration")
-			if first, err := os.ReadFile(file); err == nil {
-				body = first
-			} else if err := os.WriteFile(file, body, 0o600); err != nil {
+			if body, err = change(body); err != nil {
 				return err
 			}
 			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
--- a/dandelionhitch/opaque_process_test.go
+++ b/dandelionhitch/opaque_process_test.go
@@ -30,6 +30,12 @@
 	runSoak(t, soak.Config{Seed: 100, FaultDuration: 6 * time.Second})
 }
 
+// TestSoakWithPriorityAdmission runs the soak with the setting priority_admission, which its odd
+// seeds have. After the faults, more important requests must not be refused instead of others.
+func TestSoakWithPriorityAdmission(t *testing.T) {
+	runSoak(t, soak.Config{Seed: 201, FaultDuration: 6 * time.Second})
+}
+
 // runSoak runs a small fleet of this program, and checks that no promise is broken.
 func runSoak(t *testing.T, config soak.Config) {
 	t.Helper()
--- a/soak/calls.go
+++ b/soak/calls.go
@@ -22,18 +22,33 @@
 	_ordersAddress = iota + 1
 	_photosAddress
 	_switchedAddress
+	// _urgentAddress and _bulkAddress lead to orders with more and less important requests than
+	// the other addresses.
+	_urgentAddress
+	_bulkAddress
 )
 
 const (
 	_callerCount = 8 // number of IP addresses of callers
+	// _target is the target latency of the routes, except those of the overload.
+	_target = 200 * time.Millisecond
 	// _oldRouteGracePeriod is how long after a change of the configuration a flow may
 	// still be opened under the previous one.
 	_oldRouteGracePeriod = 30 * time.Second
 )
 
-// call is a caller's flow with one request.
+// call is a caller's flow with one request, or several one after the other.
 type call struct {
 	*standin.OpaqueCall
+	// startedAt is when the caller opened the flow.
+	startedAt time.Duration
+	// name is the text of the first request, and requestsLeft the number of those that follow.
+	name         string
+	requestsLeft int
+	// nextPause is the time from an answer to the next request.
+	nextPause time.Duration
+	// overload is set if the call is part of the overload at the end of a run.
+	overload bool
 	// zone is the availability zone of the router that receives the caller's packets.
 	zone string
 	// service is the service of the upstream that answered, empty until then.
@@ -52,7 +67,7 @@
 // done so less than _oldRouteGracePeriod ago.
 func (r *run) routesTo(address netip.AddrPort, service string) bool {
 	switch address {
-	case r.serviceAddress(_ordersAddress):
+	case r.serviceAddress(_ordersAddress), r.serviceAddress(_urgentAddress), r.serviceAddress(_bulkAddress):
 		return service == _orders
 	case r.serviceAddress(_photosAddress):
 		return service == _photos
@@ -67,16 +82,19 @@
 // to the service.
 func (r *run) writeConfiguration(service string) error {
 	version := r.configVersion + 1 + uint64(r.random.IntN(5))
-	route := func(n byte, service string) map[string]any {
+	route := func(n byte, service string, priority int, target time.Duration) map[string]any {
 		return map[string]any{
 			"name": fmt.Sprint("r", n), "vhost": r.serviceAddress(n).Addr().String(), "pathPrefix": "/443/", "service": service,
-			"routeKind": "safe", "timeoutMs": _callTimeout.Milliseconds(), "targetLatencyMs": 200, "priority": 1,
+			"routeKind": "safe", "timeoutMs": _callTimeout.Milliseconds(), "targetLatencyMs": target.Milliseconds(), "priority": priority,
 		}
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": version,
-		"routes":  []any{route(_ordersAddress, _orders), route(_photosAddress, _photos), route(_switchedAddress, service)},
-		"limits":  map[string]any{"idleTimeoutMs": 15_000},
+		"routes": []any{
+			route(_ordersAddress, _orders, 1, _target), route(_photosAddress, _photos, 1, _target), route(_switchedAddress, service, 1, _target),
+			route(_urgentAddress, _orders, 0, _overloadTarget), route(_bulkAddress, _orders, 2, _overloadTarget),
+		},
+		"limits": map[string]any{"idleTimeoutMs": 15_000},
 	})
 	if err != nil {
 		return trace.Wrap(err, "encode configuration")
@@ -149,16 +167,34 @@
 func (r *run) startCall() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	address := 1 + byte(r.random.IntN(3))
+	if address == _ordersAddress {
+		address = []byte{_ordersAddress, _urgentAddress, _bulkAddress}[r.demandRandom.IntN(3)]
+	}
+	c := r.newCall(address)
+	r.drawPause(c)
+	r.drawLongLived(c)
+	r.begin(c)
+}
+
+// newCall returns a call from the next caller to an address.
+func (r *run) newCall(address byte) *call {
 	n := len(r.calls)
 	c := &call{OpaqueCall: &standin.OpaqueCall{
 		Key: flow.Key{
 			Caller:  netip.AddrPortFrom(callerAddr(byte(n%_callerCount)), uint16(1024+n/_callerCount)),
-			Address: r.serviceAddress(1 + byte(r.random.IntN(3))),
+			Address: r.serviceAddress(address),
 		},
 		Request: fmt.Sprintf("r%d", n), Timeout: _callTimeout,
-	}, zone: _zones[n%len(_zones)]}
+	}, zone: _zones[n%len(_zones)], startedAt: r.now()}
+	c.name = c.Request
 	c.Send = func(packet []byte) { r.routePacket(c, packet) }
-	r.drawPause(c)
+	c.OnEnd = func(time.Duration) { r.noteEnd(c) }
+	return c
+}
+
+// begin starts a call.
+func (r *run) begin(c *call) {
 	r.calls = append(r.calls, c)
 	r.active[c.Key] = c
 	c.Start(r.now(), r.random.Uint32())
@@ -190,13 +226,14 @@
 	previousState := c.State
 	c.HandlePacket(r.now(), append([]byte(nil), packet...))
 	r.check(_unaltered, !c.Corrupted, "flow %v got a packet that no upstream wrote so", c.Key)
-	if previousState == standin.CallOpen && p.Flags.Has(flow.RST) && !genuine {
+	open := previousState == standin.CallOpen || previousState == standin.CallIdle
+	if open && p.Flags.Has(flow.RST) && !genuine {
 		holder := r.holder(c.Key)
 		r.check(_noReset, holder == nil, "flow %v was reset while %v holds it", c.Key, holder)
-	} else if previousState == standin.CallOpen {
+	} else if open {
 		r.promises[_noReset].Checks++
 	}
-	if previousState != standin.CallAnswered && c.State == standin.CallAnswered {
+	if previousState < standin.CallIdle && c.answered() {
 		c.service = r.serviceByUpstream[c.Upstream]
 	}
 }
--- a/soak/links.go
+++ b/soak/links.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"dandelionhitch.example/datagram"
+	"dandelionhitch.example/standin"
 )
 
 // ports are the ports that every VM uses. The proxy listens at peer, to which other
@@ -74,6 +75,11 @@
 	sockets   []*datagram.Socket
 	listeners []net.Listener
 	wg        sync.WaitGroup
+
+	// orders holds the messages that were sent to each sidecar's process. orderMu is held while
+	// one is sent, so that they are recorded in the order in which they are sent.
+	orderMu sync.Mutex
+	orders  map[netip.Addr]standin.PacketOrder
 }
 
 func newProxy(p ports, seed uint64) (*proxy, error) {
@@ -83,10 +89,31 @@
 	}
 	return &proxy{
 		ports: p, random: rand.New(rand.NewPCG(seed, 1)), impairments: make(map[[2]netip.Addr]impairment),
-		sender: sender, sockets: []*datagram.Socket{sender},
+		sender: sender, sockets: []*datagram.Socket{sender}, orders: make(map[netip.Addr]standin.PacketOrder),
 	}, nil
 }
 
+// deliver sends a message to the process at target, and records it.
+func (p *proxy) deliver(target netip.AddrPort, message []byte) {
+	p.orderMu.Lock()
+	defer p.orderMu.Unlock()
+	order := p.orders[target.Addr()]
+	if order == nil {
+		order = make(standin.PacketOrder)
+		p.orders[target.Addr()] = order
+	}
+	order.Arrive(0, message)
+	p.sender.Send(target, message)
+}
+
+// inOrder reports whether the sidecar at addr may deliver a packet to its upstream now.
+func (p *proxy) inOrder(addr netip.Addr, packet []byte) bool {
+	p.orderMu.Lock()
+	defer p.orderMu.Unlock()
+	_, ok := p.orders[addr].Deliver(0, packet)
+	return ok
+}
+
 // add starts to accept datagrams and TCP connections for the VM at addr.
 func (p *proxy) add(addr netip.Addr) error {
 	target := netip.AddrPortFrom(addr, p.ports.peerListen)
@@ -153,15 +180,15 @@
 	lost, delay, duplicated := p.impair(from, target.Addr())
 	if duplicated {
 		message := append([]byte(nil), message...)
-		time.AfterFunc(_duplicateDelay, func() { p.sender.Send(target, message) })
+		time.AfterFunc(_duplicateDelay, func() { p.deliver(target, message) })
 	}
 	switch {
 	case lost:
 	case delay == 0:
-		p.sender.Send(target, message)
+		p.deliver(target, message)
 	default:
 		message = append([]byte(nil), message...)
-		time.AfterFunc(delay, func() { p.sender.Send(target, message) })
+		time.AfterFunc(delay, func() { p.deliver(target, message) })
 	}
 }
 
--- a/soak/reuse.go
+++ b/soak/reuse.go
@@ -164,7 +164,7 @@
 
 // listen opens the socket of the host's upstream.
 func (v *vm) listen() (err error) {
-	v.socket, err = datagram.Listen(netip.AddrPortFrom(v.addr, v.run.ports.upstream), v.receivePacket)
+	v.socket, err = datagram.Listen(netip.AddrPortFrom(v.addr, v.run.ports.upstream), v.receiveFromSidecar)
 	return err
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -2,7 +2,8 @@
 // faults from outside, and checks the promises of the system on the packets that
 // callers and upstreams receive.
 //
-// The seed of a run determines the faults, their times and the calls. The timing
+// The seed of a run determines the faults, their times and the calls. Runs with odd seeds have
+// the setting priority_admission, and end with an overload. The timing
 // inside the processes differs from run to run. Everything around the processes is
 // simulated: the store, routers, callers and upstreams talk to them over loopback
 // sockets. Every message between two processes passes a proxy that can lose, delay
@@ -129,8 +130,14 @@
 	_atMostOnce       = "requests run at most once"
 	_lastConfig       = "the last configuration is in force"
 	_recovery         = "all is served after the faults"
+	_inOrder          = "packets stay in order"
+	_byPriority       = "priority decides who is refused"
 )
 
+var _promises = []string{
+	_noReset, _rightService, _unaltered, _noFlowAfterDrain, _noFlowEvacuated, _atMostOnce, _lastConfig, _recovery, _inOrder, _byPriority,
+}
+
 // Run performs a soak run and returns its report. A broken promise is not an error:
 // the error says that the run could not be set up.
 func Run(config Config) (*Report, error) {
@@ -156,9 +163,11 @@
 	random      *rand.Rand
 	extraRandom *rand.Rand
 	pauseRandom *rand.Rand
-	startTime   time.Time
-	store       *standin.Platform
-	client      *platform.Client
+	// demandRandom draws long-lived flows and the overload.
+	demandRandom *rand.Rand
+	startTime    time.Time
+	store        *standin.Platform
+	client       *platform.Client
 	// objects is client, unless a test replaces it.
 	objects  platform.Store
 	starter  *starter
@@ -181,6 +190,9 @@
 	// serviceByUpstream is the service of each upstream that was started, by its name.
 	serviceByUpstream map[string]string
 	flowsAtReused     int
+	// requests are the requests that have ended, and overloadAt is when the overload began.
+	requests   []endedRequest
+	overloadAt time.Duration
 	// configVersion is the version of the last configuration that was written, and
 	// objectVersion the version of its object in the store. The configuration was written
 	// at switchedAt and routes _switchedAddress to switchedService.
@@ -201,14 +213,15 @@
 	}
 	r := &run{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
-		extraRandom: rand.New(rand.NewPCG(config.Seed, 2)), pauseRandom: rand.New(rand.NewPCG(config.Seed, 4)), startTime: time.Now(), store: store,
+		extraRandom: rand.New(rand.NewPCG(config.Seed, 2)), pauseRandom: rand.New(rand.NewPCG(config.Seed, 4)),
+		demandRandom: rand.New(rand.NewPCG(config.Seed, 6)), startTime: time.Now(), store: store,
 		client:   platform.NewClient(store.URL()),
 		starter:  newStarter(),
 		promises: make(map[string]*Promise), active: make(map[flow.Key]*call), executions: make(map[string]int),
 		serviceByUpstream: make(map[string]string),
 	}
 	r.objects = r.client
-	for _, name := range []string{_noReset, _rightService, _unaltered, _noFlowAfterDrain, _noFlowEvacuated, _atMostOnce, _lastConfig, _recovery} {
+	for _, name := range _promises {
 		r.promises[name] = &Promise{Name: name}
 	}
 	if r.reserved, err = reservePorts(); err != nil {
@@ -289,6 +302,7 @@
 	}
 	for key, c := range r.active {
 		c.Tick(now)
+		c.proceed(now)
 		if c.Done() && now-c.Ended > time.Second {
 			delete(r.active, key)
 		}
@@ -314,6 +328,9 @@
 		}
 		time.Sleep(_tickInterval)
 	}
+	if r.prioritized() {
+		r.runOverload()
+	}
 	time.Sleep(_callTimeout)
 }
 
@@ -324,13 +341,13 @@
 	out := &Report{Seed: r.config.Seed, Calls: len(r.calls), FlowsAtReused: r.flowsAtReused, Faults: r.faults}
 	settled := _startupTime + r.config.FaultDuration + _settleTime
 	for _, c := range r.calls {
-		if c.State == standin.CallAnswered {
+		if c.answered() {
 			out.Answered++
 		}
-		if c.Began > settled {
-			r.check(_recovery, c.State == standin.CallAnswered, "flow %v: state %d", c.Key, c.State)
+		if c.startedAt > settled && !c.overload {
+			r.check(_recovery, c.answered() && !c.Failed, "flow %v: state %d, failed: %v", c.Key, c.State, c.Failed)
 		}
-		if c.Began > settled && c.State == standin.CallAnswered && c.Key.Address == r.serviceAddress(_switchedAddress) {
+		if c.startedAt > settled && c.answered() && c.Key.Address == r.serviceAddress(_switchedAddress) {
 			r.check(_lastConfig, c.service == r.switchedService || c.service == r.unresolvedService,
 				"flow %v reached %s, the configuration says %s", c.Key, c.service, r.switchedService)
 		}
@@ -338,7 +355,8 @@
 	for request, n := range r.executions {
 		r.check(_atMostOnce, n == 1, "request %s ran %d times", request, n)
 	}
-	for _, name := range []string{_noReset, _rightService, _unaltered, _noFlowAfterDrain, _noFlowEvacuated, _atMostOnce, _lastConfig, _recovery} {
+	r.checkPriorities()
+	for _, name := range _promises {
 		out.Promises = append(out.Promises, r.promises[name])
 	}
 	return out
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -141,6 +141,9 @@
 	} else {
 		settings["ingress"] = v.addrPort(r.ports.ingress)
 	}
+	if v.program == r.config.Program && r.prioritized() {
+		settings["priority_admission"] = true
+	}
 	content, err := json.Marshal(settings)
 	if err != nil {
 		return "", trace.Wrap(err, "encode settings of %v", v)
@@ -217,7 +220,13 @@
 	}
 	u := standin.NewOpaqueUpstream(random)
 	u.Name, u.Slots, u.Queue, u.Size = fmt.Sprintf("%v#%d", v.addr, v.instance), 4, 16, 2000
-	u.RunTime = func(string) time.Duration { return time.Duration(2+random.IntN(30)) * time.Millisecond }
+	u.RefusesRequests = r.prioritized()
+	u.RunTime = func(string) time.Duration {
+		if r.overloadAt > 0 {
+			return _overloadRunTime
+		}
+		return time.Duration(2+random.IntN(30)) * time.Millisecond
+	}
 	u.Send = func(packet []byte) { v.socket.Send(netip.AddrPortFrom(v.addr, r.ports.outbound), packet) }
 	u.OnRun = func(_ flow.Key, request string) { r.executions[request]++ }
 	u.OnCorrupted = func() { r.check(_unaltered, false, "upstream %s got a packet that no caller wrote so", u.Name) }
@@ -237,6 +246,15 @@
 	v.upstream = u
 }
 
+// receiveFromSidecar checks the order of a packet from the sidecar, and delivers it.
+func (v *vm) receiveFromSidecar(packet []byte) {
+	inOrder := v.run.proxy.inOrder(v.addr, packet)
+	v.run.mu.Lock()
+	v.run.check(_inOrder, inOrder, "%v delivered a packet out of order, or one that it did not get", v)
+	v.run.mu.Unlock()
+	v.receivePacket(packet)
+}
+
 // receivePacket delivers a packet from the sidecar to the upstream.
 func (v *vm) receivePacket(packet []byte) {
 	v.run.mu.Lock()
--- a/standin/opaque_order.go
+++ b/standin/opaque_order.go
@@ -13,9 +13,10 @@
 // the packets of a request on an open flow.
 const _maxHeldFraction = 0.25
 
-// packetOrder holds, by flow, the callers' packets that a sidecar got and may still deliver.
-// A packet that precedes a delivered one may not be delivered any more.
-type packetOrder map[flow.Key][]carriedPacket
+// PacketOrder checks that a sidecar delivers the callers' packets of each flow in the order of
+// their arrival, or not at all. It holds the packets that the sidecar may still deliver; a packet
+// that precedes a delivered one may not be delivered any more.
+type PacketOrder map[flow.Key][]carriedPacket
 
 // carriedPacket is a packet that arrived at a sidecar.
 type carriedPacket struct {
@@ -23,9 +24,9 @@
 	packet    []byte
 }
 
-// noteCarried records a caller's packet that arrives at the VM's sidecar.
-func (vm *SimulatedVM) noteCarried(message []byte) {
-	if kind := peer.Kind(message[0]); kind != peer.KindCarry && kind != peer.KindTry {
+// Arrive records a message that arrives at the sidecar, if it carries a packet of an open flow.
+func (o PacketOrder) Arrive(now time.Duration, message []byte) {
+	if len(message) == 0 || peer.Kind(message[0]) != peer.KindCarry && peer.Kind(message[0]) != peer.KindTry {
 		return
 	}
 	m, err := peer.DecodeCarried(message)
@@ -33,38 +34,47 @@
 		return
 	}
 	p, _ := DecodeOpaque(m.Packet)
-	if vm.order == nil {
-		vm.order = make(packetOrder)
-	}
 	key := p.FromCaller()
-	vm.order[key] = append(vm.order[key], carriedPacket{vm.sim.now, bytes.Clone(m.Packet)})
+	o[key] = append(o[key], carriedPacket{now, bytes.Clone(m.Packet)})
 }
 
-// checkOrder checks a packet that the VM's sidecar delivers to the upstream: it arrived as it is
-// delivered, after the packets of its flow that were delivered before, and was not held for
-// longer than allowed.
-func (vm *SimulatedVM) checkOrder(packet []byte) {
+// Deliver records a packet that the sidecar delivers to its upstream, and returns when it arrived.
+// ok is false if it did not arrive as it is delivered, or if it is delivered a second time or
+// after a packet that arrived later. Opening packets are in order at any time.
+func (o PacketOrder) Deliver(now time.Duration, packet []byte) (arrivedAt time.Duration, ok bool) {
 	p, _ := DecodeOpaque(packet)
 	if p.Opening() {
-		return
+		return now, true
 	}
-	s, key := vm.sim, p.FromCaller()
-	arrived := vm.order[key]
+	key := p.FromCaller()
+	arrived := o[key]
 	i := slices.IndexFunc(arrived, func(c carriedPacket) bool { return bytes.Equal(c.packet, packet) })
 	if i < 0 {
-		s.addViolation("%v delivered a packet of flow %v out of order, or one that did not arrive", vm, key)
+		return 0, false
+	}
+	arrivedAt = arrived[i].arrivedAt
+	if o[key] = arrived[i+1:]; i+1 == len(arrived) {
+		delete(o, key)
+	}
+	return arrivedAt, true
+}
+
+// checkOrder checks a packet that the VM's sidecar delivers to the upstream.
+func (vm *SimulatedVM) checkOrder(packet []byte) {
+	s := vm.sim
+	p, _ := DecodeOpaque(packet)
+	arrivedAt, ok := vm.order.Deliver(s.now, packet)
+	if !ok {
+		s.addViolation("%v delivered a packet of flow %v out of order, or one that did not arrive", vm, p.FromCaller())
 		return
 	}
-	held := s.now - arrived[i].arrivedAt
+	held := s.now - arrivedAt
 	if held > 0 {
 		s.HeldPackets++
 	}
-	route, _ := s.table.Route(key.Address)
+	route, _ := s.table.Route(p.Destination)
 	limit := time.Duration(_maxHeldFraction*float64(route.TargetLatency)) + _coreTick
-	if held > limit && arrived[i].arrivedAt > vm.thawedAt {
-		s.addViolation("%v held a packet of flow %v for %v, more than %v", vm, key, held, limit)
-	}
-	if vm.order[key] = arrived[i+1:]; i+1 == len(arrived) {
-		delete(vm.order, key)
+	if held > limit && arrivedAt > vm.thawedAt {
+		s.addViolation("%v held a packet of flow %v for %v, more than %v", vm, p.FromCaller(), held, limit)
 	}
 }
--- a/standin/opaque_order_test.go
+++ b/standin/opaque_order_test.go
@@ -39,7 +39,7 @@
 			}
 			s.Run(time.Second)
 			for _, data := range []string{a, b} {
-				vm.noteCarried(peer.Carried{Kind: peer.KindCarry, Origin: vm.Addr, Packet: packet(data)}.Append(nil))
+				vm.order.Arrive(s.now, peer.Carried{Kind: peer.KindCarry, Origin: vm.Addr, Packet: packet(data)}.Append(nil))
 			}
 			s.Run(time.Second + tt.after)
 			for _, data := range tt.delivered {
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -126,7 +126,7 @@
 	rejectedSince     time.Duration
 	missedProbes      int
 	configureUpstream func(*OpaqueUpstream)
-	order             packetOrder
+	order             PacketOrder
 	thawedAt          time.Duration
 }
 
@@ -430,7 +430,7 @@
 		Addr: vm.Addr, Zone: vm.Zone, Incarnation: vm.incarnation(), Service: vm.Service,
 		Upstream: netip.AddrPortFrom(vm.Addr, _upstreamPort), Heartbeat: _heartbeatInterval,
 	}, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random, sidecar.WithPriorityAdmission(s.PriorityAdmission(vm)))
-	vm.order = nil
+	vm.order = make(PacketOrder)
 	vm.addRelays(vm.Sidecar.AddRelays)
 	vm.loadTable()
 }
@@ -638,7 +638,7 @@
 		if to.Relay != nil {
 			to.Relay.PeerMessage(to.clock(), message)
 		} else {
-			to.noteCarried(message)
+			to.order.Arrive(o.vm.sim.now, message)
 			to.Sidecar.PeerMessage(to.clock(), message)
 		}
 	})
