standin: a reset of an open flow counts even if the caller ignores it

Cause: a sidecar that refuses a waiting copy of an opening packet resets the flow, also if another copy has opened it elsewhere. The simulation did not count it, as the caller ignores a reset outside of its window. Change: the simulation counts such resets as the soak does, and TestRefusalOfCopyLeavesOpenFlow loses verdicts during an overload.

--- a/standin/opaque_priority_failure_test.go
+++ b/standin/opaque_priority_failure_test.go
@@ -113,6 +113,31 @@
 	assert.Check(t, s.ofAll().inTime >= without.ofAll().inTime-0.01, "%v in all, %v without the setting", s.ofAll(), without.ofAll())
 }
 
+// TestRefusalOfCopyLeavesOpenFlow loses one in 20 messages from sidecars to relays during an overload.
+// A relay that gets no answer to an offer offers the opening packet to another sidecar, so that one
+// copy may wait while the other opens the flow. The flow must not be reset when the waiting copy is
+// refused.
+func TestRefusalOfCopyLeavesOpenFlow(t *testing.T) {
+	skipUnderRaceDetector(t)
+	t.Parallel()
+	for _, l := range []priorityLoad{overload(), {load: 1.3, duration: 4 * _seconds}} {
+		l.adjust = func(s *demandScenario) {
+			s.DropMessage = func(from, to netip.Addr) bool {
+				isHost := func(vm *standin.SimulatedVM) bool { return vm.Addr == from }
+				return from != to && slices.ContainsFunc(s.orders, isHost) && s.Random().IntN(20) == 0
+			}
+		}
+		for name, setting := range map[string]func(int) bool{"without the setting": never, "with the setting": always} {
+			t.Run(fmt.Sprintf("%s, long-lived flows: %v", name, l.longLived), func(t *testing.T) {
+				const seed = 1
+				s := l.run(seed, setting)
+				t.Logf("seed %d: %s", seed, s.summary())
+				s.checkInvariants(t)
+			})
+		}
+	}
+}
+
 // TestRelayWithStaleStateRefusesNothing loses the reports to a relay from just before the end of
 // an overload. A second later its state must not count any more: nothing may be refused, and all
 // requests must be served as in a calm fleet.
--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -342,7 +342,8 @@
 		}
 		before := c.State
 		c.HandlePacket(s.now, packet)
-		if c.State == CallReset && before != CallOpening && !genuine {
+		// A reset that the caller ignores, since it is outside of the window, counts as well.
+		if p.Flags.Has(flow.RST) && (before == CallOpen || before == CallIdle) && !genuine {
 			if holder := s.holder(c.Key); holder != nil {
 				s.addViolation("open flow %v was reset by %v while %v holds it", c.Key, from, holder.Addr)
 			}
