--- a/standin/opaque_priority_failure_test.go
+++ b/standin/opaque_priority_failure_test.go
@@ -133,6 +133,7 @@
 				s := l.run(seed, setting)
 				t.Logf("seed %d: %s", seed, s.summary())
 				s.checkInvariants(t)
+				assert.Check(t, len(s.IgnoredResets) == 0, "%d resets of open flows, the first one: %v", len(s.IgnoredResets), s.IgnoredResets[:min(len(s.IgnoredResets), 1)])
 			})
 		}
 	}
