--- a/standin/opaque_world.go
+++ b/standin/opaque_world.go
@@ -48,6 +48,8 @@
 	// caller to a relay. It also decides about packets from a host's upstream to the
 	// sidecar on the host; from and to are then both the host's address.
 	DropMessage func(from, to netip.Addr) bool
+	// DropReport is like DropMessage, but decides about the reports of sidecars only.
+	DropReport func(from, to netip.Addr) bool
 	// OnRecord is called for each decision that a core records.
 	OnRecord func(vm netip.Addr, r decision.Record)
 	// OnBelief is called for each belief that a core records.
@@ -55,6 +57,9 @@
 	// WarmupLeft returns the remaining warm-up time that upstreams announce in heartbeats,
 	// that is, how much longer they will be slow after their start.
 	WarmupLeft func() time.Duration
+	// PriorityAdmission reports whether the relay or sidecar that starts on a VM gets the setting
+	// priority_admission.
+	PriorityAdmission func(vm *SimulatedVM) bool
 	// StoreDown prevents starting processes from reading the configuration.
 	StoreDown bool
 	// Calls are all calls in the order of their starts.
@@ -66,8 +71,14 @@
 	CrossZoneBytesByKind map[peer.Kind]int
 	// Runs counts the runs of each request, by its text.
 	Runs map[string]int
+	// HeldPackets counts the packets of open flows that sidecars delivered to upstreams later than
+	// they arrived.
+	HeldPackets int
 	// Violations describes the invariants that were broken.
 	Violations []string
+	// IgnoredResets describes the resets of open flows that their callers ignored, since they
+	// were outside of the window.
+	IgnoredResets []string
 
 	now          time.Duration
 	events       eventHeap
@@ -118,6 +129,8 @@
 	rejectedSince     time.Duration
 	missedProbes      int
 	configureUpstream func(*OpaqueUpstream)
+	order             PacketOrder
+	thawedAt          time.Duration
 }
 
 // Traffic counts messages and their bytes, without IP and UDP headers.
@@ -132,10 +145,14 @@
 func NewSimulation(seed uint64) *Simulation {
 	s := &Simulation{
 		DropMessage: func(_, _ netip.Addr) bool { return false },
+		DropReport:  func(_, _ netip.Addr) bool { return false },
 		OnRecord:    func(netip.Addr, decision.Record) {},
 		OnBelief:    func(netip.Addr, decision.Belief) {},
 		WarmupLeft:  func() time.Duration { return 0 },
-		Runs:        make(map[string]int),
+
+		PriorityAdmission: func(*SimulatedVM) bool { return false },
+
+		Runs: make(map[string]int),
 
 		CrossZoneBytesByKind: make(map[peer.Kind]int),
 		random:               rand.New(rand.NewPCG(seed, seed)),
@@ -328,9 +345,14 @@
 		}
 		before := c.State
 		c.HandlePacket(s.now, packet)
-		if c.State == CallReset && before == CallOpen && !genuine {
-			if holder := s.holder(c.Key); holder != nil {
+		if p.Flags.Has(flow.RST) && (before == CallOpen || before == CallIdle) && !genuine {
+			holder := s.holder(c.Key)
+			switch {
+			case holder == nil:
+			case c.State == CallReset:
 				s.addViolation("open flow %v was reset by %v while %v holds it", c.Key, from, holder.Addr)
+			default:
+				s.IgnoredResets = append(s.IgnoredResets, fmt.Sprintf("%v: open flow %v by %v while %v holds it", s.now, c.Key, from, holder.Addr))
 			}
 		}
 		if c.Corrupted {
@@ -400,7 +422,8 @@
 	s := vm.sim
 	vm.processUp, vm.processStart, vm.missedProbes = true, s.now, _maxMissedProbes
 	identity := relay.Identity{Addr: vm.Addr, Zone: vm.Zone, Incarnation: vm.incarnation()}
-	vm.Relay = relay.NewCore(identity, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random)
+	vm.Relay = relay.NewCore(identity, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random,
+		relay.WithPriorityAdmission(s.PriorityAdmission(vm)))
 	vm.addRelays(vm.Relay.AddRelays)
 	vm.loadTable()
 	vm.readEvacuations()
@@ -414,7 +437,8 @@
 	vm.Sidecar = sidecar.NewCore(sidecar.Identity{
 		Addr: vm.Addr, Zone: vm.Zone, Incarnation: vm.incarnation(), Service: vm.Service,
 		Upstream: netip.AddrPortFrom(vm.Addr, _upstreamPort), Heartbeat: _heartbeatInterval,
-	}, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random)
+	}, platform.PacketWire{}, simOutbox{vm}, 1<<16, s.random, sidecar.WithPriorityAdmission(s.PriorityAdmission(vm)))
+	vm.order = make(PacketOrder)
 	vm.addRelays(vm.Sidecar.AddRelays)
 	vm.loadTable()
 }
@@ -456,7 +480,7 @@
 	u := NewOpaqueUpstream(s.random)
 	u.Name = fmt.Sprintf("%v#%d", vm.Addr, vm.upstreamStarts)
 	u.Slots, u.Queue = 4, 16
-	u.RunTime = func() time.Duration { return 20 * time.Millisecond }
+	u.RunTime = func(string) time.Duration { return 20 * time.Millisecond }
 	u.Send = vm.sendFromUpstream
 	u.OnRun = func(_ flow.Key, request string) { s.Runs[request]++ }
 	u.OnCorrupted = func() { s.addViolation("upstream %s got a packet that was forged or modified in transit", u.Name) }
@@ -568,7 +592,7 @@
 
 // Thaw resumes the VM and delivers the messages that arrived while it was frozen.
 func (vm *SimulatedVM) Thaw() {
-	vm.frozen = false
+	vm.frozen, vm.thawedAt = false, vm.sim.now
 	deferred := vm.deferred
 	vm.deferred = nil
 	for _, f := range deferred {
@@ -606,7 +630,7 @@
 // ToPeer implements the cores' Outbox.
 func (o simOutbox) ToPeer(addr netip.Addr, message []byte) {
 	to, ok := o.vm.sim.vmByAddr[addr]
-	if !ok {
+	if !ok || peer.Kind(message[0]) == peer.KindUpstream && o.vm.sim.DropReport(o.vm.Addr, addr) {
 		return
 	}
 	message = append([]byte(nil), message...)
@@ -622,6 +646,7 @@
 		if to.Relay != nil {
 			to.Relay.PeerMessage(to.clock(), message)
 		} else {
+			to.order.Arrive(o.vm.sim.now, message)
 			to.Sidecar.PeerMessage(to.clock(), message)
 		}
 	})
@@ -631,6 +656,7 @@
 func (o simOutbox) ToUpstream(packet []byte) {
 	packet = append([]byte(nil), packet...)
 	vm := o.vm
+	vm.checkOrder(packet)
 	vm.sim.schedule(vm.sim.now, func() {
 		if vm.upstreamUp {
 			vm.Upstream.HandlePacket(vm.sim.now, packet)
