sidecar: copies of answers count as answers again without the setting

Since copies of requests count as requests without admission by priority, a copy of an answer must end them. Otherwise their places were never free again, and TestNoOpeningReachesAnotherService failed: 3 requests in progress for ever at an upstream that had answered them.

--- a/sidecar/hold_test.go
+++ b/sidecar/hold_test.go
@@ -137,6 +137,22 @@
 	assert.Equal(t, r.Busy(), 3)
 }
 
+// TestRepeatedRequestAndItsAnswer repeats a request whose answer was lost, and the answer. The
+// place of the request must be free then, with and without the setting.
+func TestRepeatedRequestAndItsAnswer(t *testing.T) {
+	for _, prioritized := range []bool{false, true} {
+		r := newRig(t, sidecar.WithPriorityAdmission(prioritized))
+		r.SetTable(0, priorityTable(), "test")
+		assert.NilError(t, r.sendHeartbeat(_ms, nil))
+		r.openPort(2*_ms, _busyPorts)
+		for _, at := range []time.Duration{10 * _ms, 210 * _ms} {
+			r.send(at, _busyPorts, 0)
+			r.reply(at+5*_ms, _busyPorts, 0)
+			assert.Equal(t, r.Busy(), 0, "prioritized: %v", prioritized)
+		}
+	}
+}
+
 // TestHeldRequestGetsFreePlace checks that a held request is delivered as soon as a place at
 // the upstream is free, and runs.
 func TestHeldRequestGetsFreePlace(t *testing.T) {
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -582,7 +582,10 @@
 // ends the flow. An answer that shows that the upstream has refused the request is no sign of
 // its speed or of failures.
 func (c *Core) noteReplyData(now time.Duration, p flow.Packet, f *flowState) {
-	if !f.takeReplyData(p) && p.Flags&(flow.FIN|flow.RST) == 0 {
+	// Without admission by priority, a copy of a request counts as a request, and so must a copy
+	// of its answer.
+	answers := f.takeReplyData(p) || p.Size > 0 && !c.prioritized()
+	if !answers && p.Flags&(flow.FIN|flow.RST) == 0 {
 		return
 	}
 	outcome := admission.NoRequest
