--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,7 +12,10 @@
 // exactly, calls PassOn and passes the flow on if a peer is clearly better.
 package placement
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Weights of a choice, in units of utilization: 1 stands for all slots of an upstream.
 const (
@@ -35,6 +38,23 @@
 	Busy, Slots int
 	// SameZone is set if the upstream is in the zone of the process that chooses.
 	SameZone bool
+
+	// The other fields are used by ChooseByWait and PassOnByWait only.
+
+	// Zone is the index of the upstream's zone, from 0. Candidates of one zone have the same.
+	Zone int
+	// RunTime is the mean run time of a request at the upstream, or zero if it is unknown, and
+	// Slowdown is its ratio to that at the upstream's peers in percent, or zero if it is unknown.
+	// An upstream that isn't known to be slow has a Slowdown of at most NormalSlowdown.
+	RunTime  time.Duration
+	Slowdown int
+	// ZoneCost is the cost of a choice in the upstream's zone (see Zones).
+	ZoneCost time.Duration
+	// Age is the age of Busy, and Reported the load that the upstream's sidecar last reported without
+	// being asked. Busy is also updated by answers to offers, which tend to come while the load
+	// is high, so Reported is used for the mean load of a zone.
+	Age      time.Duration
+	Reported int
 }
 
 // Utilization returns the fraction of the upstream's slots that is busy once it has
