--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -69,6 +69,9 @@
 	// of waiting flows that are not late. Slots is the number of requests that the upstream
 	// works on at a time.
 	Busy, Slots int
+	// Reported is the load in the sidecar's last report. Other than Busy, it is not updated by answers to
+	// offers, which come while the load is high, and has no offers added.
+	Reported int
 	// Late is the number of new flows that wait at the sidecar and have waited too long
 	// to meet their target latency. Busy does not include them.
 	Late int
@@ -218,7 +221,7 @@
 	}
 	u.incarnation, u.sequence = r.Incarnation, r.Sequence
 	u.Zone, u.State = r.Zone, r.State
-	u.LastMessageAt, u.lastReportAt, u.Late = now, now, int(r.Late)
+	u.LastMessageAt, u.lastReportAt, u.Reported, u.Late = now, now, int(r.Busy), int(r.Late)
 	u.RunTime, u.EarlyShare = time.Duration(r.RunTime)*peer.RunTimeUnit, float64(r.EarlyPercent)/100
 	u.Slowdown = r.Slowdown
 	v.setLoad(u, now, int(r.Busy), int(r.Slots))
--- a/placement/zones.go
+++ b/placement/zones.go
@@ -45,6 +45,9 @@
 	// refused is the fraction of refused offers, at the time answeredAt of the last answer.
 	refused    float64
 	answeredAt time.Duration
+	// cost is the cost of a choice at time costAt. costKnown is unset if costs have changed since.
+	cost, costAt time.Duration
+	costKnown    bool
 }
 
 // NewZones returns costs without samples for a process in the zone own.
@@ -76,12 +79,21 @@
 		c.roundTrip += time.Duration(_roundTripWeight * float64(roundTrip-c.roundTrip))
 	}
 	c.refused, c.answeredAt = (1-_refusalWeight)*z.refusedAt(now, zone), now
+	z.dropCosts()
 }
 
 // Refused records that an offer to a sidecar in a zone was refused because the upstreams are overloaded.
 func (z *Zones) Refused(now time.Duration, zone int) {
 	c := &z.zones[zone]
 	c.refused, c.answeredAt = (1-_refusalWeight)*z.refusedAt(now, zone)+_refusalWeight, now
+	z.dropCosts()
+}
+
+// dropCosts discards the costs that were computed. The refusals of the own zone are part of all.
+func (z *Zones) dropCosts() {
+	for i := range z.zones {
+		z.zones[i].costKnown = false
+	}
 }
 
 // refusedAt returns the fraction of refused offers that is expected in a zone at time now. Without recent
@@ -100,6 +112,14 @@
 // takes. The round trip within the own zone is subtracted, so that the delay of a busy
 // process itself doesn't count.
 func (z *Zones) Cost(now time.Duration, zone int) time.Duration {
+	c := &z.zones[zone]
+	if !c.costKnown || c.costAt != now {
+		c.cost, c.costAt, c.costKnown = z.cost(now, zone), now, true
+	}
+	return c.cost
+}
+
+func (z *Zones) cost(now time.Duration, zone int) time.Duration {
 	c := &z.zones[zone]
 	cost := time.Duration(z.refusedAt(now, zone) * float64(RefusalCost))
 	if zone == 0 {
--- a/relay/core.go
+++ b/relay/core.go
@@ -178,6 +178,8 @@
 	lastNewSidecar time.Duration
 	// evacuations are the zones whose upstreams get no new flows.
 	evacuations evacuation.State
+	// zones are the costs of choosing an upstream in each zone.
+	zones placement.Zones
 	// priorityAdmission is set by WithPriorityAdmission.
 	priorityAdmission bool
 	link              linkBudget
@@ -242,6 +244,9 @@
 	overloaded bool
 	// room is the capacity of the eligible upstreams at the last choice.
 	room room
+	// refusedZones has a bit for each zone to which the packet was offered and whose upstreams
+	// were overloaded. The bit's number is the zone's index in Core.zones.
+	refusedZones uint16
 	// reason is why the packet was placed anew; empty if it was not.
 	reason string
 	// lastSent is when the packet was last offered.
@@ -294,8 +299,9 @@
 type Counts struct {
 	// Packets counts packets from callers, and Openings those that open a flow.
 	Packets, Openings uint64
-	// Offers counts offers to sidecars, and Unanswered those that timed out.
-	Offers, Unanswered uint64
+	// Offers counts offers to sidecars, Unanswered those that timed out, and Crossings those to
+	// sidecars of another zone.
+	Offers, Unanswered, Crossings uint64
 	// Carried counts packets sent to the known holder of their flow, Asked rounds of
 	// questions for a holder, and Tried packets sent to unsure sidecars.
 	Carried, Asked, Tried uint64
@@ -330,6 +336,7 @@
 		view:   fleet.New(_initialReportInterval),
 		flows:  flow.NewCache[flowState](maxFlows, nil),
 		offers: make(map[flow.Key]*offer),
+		zones:  placement.NewZones(self.Zone),
 
 		throttles:    make(throttles),
 		returning:    newReturningCallers(),
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -142,7 +142,8 @@
 // sidecar to which this relay sent the offer.
 func (c *Core) handleAccepted(now time.Duration, v peer.Verdict, f *flowState) {
 	if o, ok := c.offers[v.Flow]; ok {
-		if u := c.view.Upstream(o.tried[len(o.tried)-1]); u != nil && u.Sidecar != v.Sidecar {
+		u := c.view.Upstream(o.tried[len(o.tried)-1])
+		if u != nil && u.Sidecar != v.Sidecar {
 			u.Busy = max(u.Busy-1, 0) // the offer was passed on to another sidecar
 		}
 		c.out.ObserveSpan(decision.OfferAnswered, now-o.lastSent)
@@ -150,6 +151,7 @@
 		if o.throttle != nil {
 			o.throttle.noteAccepted(now, o.overloaded)
 		}
+		c.noteAccepted(now, o, u == nil || u.Sidecar != v.Sidecar)
 		delete(c.offers, v.Flow)
 	}
 	if f == nil {
@@ -185,6 +187,9 @@
 		c.offers[v.Flow] = o
 	}
 	o.unanswered = slices.DeleteFunc(o.unanswered, func(a netip.Addr) bool { return a == v.Sidecar })
+	if v.Outcome == peer.Overloaded {
+		c.noteOverloaded(now, o)
+	}
 	if !slices.Contains(o.tried, v.Sidecar) {
 		o.tried = append(o.tried, v.Sidecar)
 	}
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -9,7 +9,6 @@
 	"dandelionhitch.example/fleet"
 	"dandelionhitch.example/flow"
 	"dandelionhitch.example/peer"
-	"dandelionhitch.example/placement"
 )
 
 // CallerPacket handles a caller's packet that a router sent to this relay.
@@ -158,6 +157,9 @@
 	o.lastSent = now
 	o.tried = append(o.tried, u.Sidecar)
 	c.counts.Offers++
+	if u.Zone != c.self.Zone {
+		c.counts.Crossings++
+	}
 	reason := o.reason
 	if o.evacuated && len(o.tried) == 1 {
 		c.counts.Evacuated++
@@ -266,12 +268,12 @@
 				continue
 			}
 			c.eligible = append(c.eligible, u)
-			c.candidates = append(c.candidates, placement.Candidate{Busy: u.Busy, Slots: u.Slots, SameZone: u.Zone == c.self.Zone})
+			c.candidates = append(c.candidates, c.candidate(now, o, u))
 		}
 		if tier == 0 {
 			c.keepWithRoom(now, o)
 		}
-		if best := placement.Choose(c.candidates, c.random); best >= 0 {
+		if best := c.bestCandidate(o); best >= 0 {
 			return c.eligible[best]
 		}
 	}
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -135,7 +135,7 @@
 // passWaitingTo passes waiting flows to a peer, at most one for each free slot in the
 // peer's report.
 func (c *Core) passWaitingTo(to peer.UpstreamReport) {
-	if c.evacuations.Contains(to.Zone) {
+	if c.evacuations.Contains(to.Zone) || c.Waiting() == 0 || !c.answersSooner(to) {
 		return
 	}
 	for free := int(to.Slots) - int(to.Busy); free > 0 && c.Waiting() > 0 && to.State == peer.Ready; free-- {
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -184,6 +184,10 @@
 	evacuations evacuation.State
 	gate        coldGate
 	identity    identity
+	// zones are the costs of passing a flow on to a peer in each zone.
+	zones placement.Zones
+	// usual is the run time with which that of the upstream is compared.
+	usual usualRunTime
 	// priorityAdmission is set by WithPriorityAdmission.
 	priorityAdmission bool
 	// routesDiffer is set if requests are admitted by priority under the active configuration:
@@ -325,6 +329,7 @@
 		out:       out,
 		random:    random,
 		view:      fleet.New(_maxPeerInterval),
+		zones:     placement.NewZones(self.Zone),
 	}
 	c.admission = admission.New[flowState](c.limits)
 	c.flows = flow.NewCache(maxFlows, c.onEvict)
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -89,7 +89,7 @@
 		c.passOnOrRefuse(now, key, m, reason)
 		return
 	}
-	if i := c.betterPeer(now); i >= 0 && m.Hops < _maxHops {
+	if i := c.betterPeer(now, m.Origin); i >= 0 && m.Hops < _maxHops {
 		c.passOn(now, key, m, c.eligible[i].Sidecar, "peer_less_loaded")
 		return
 	}
@@ -208,8 +208,18 @@
 }
 
 // betterPeer returns the index in c.eligible of a peer that should get a new flow
-// instead of the local upstream, or -1 if there is none.
-func (c *Core) betterPeer(now time.Duration) int {
+// instead of the local upstream, or -1 if there is none. origin is the relay that has offered
+// the flow.
+func (c *Core) betterPeer(now time.Duration, origin netip.Addr) int {
+	if c.prioritized() {
+		zone := c.relayZone(origin)
+		own := c.timedOwnCandidate(zone)
+		if own.Busy < own.Slots && own.Slowdown <= placement.NormalSlowdown {
+			return -1
+		}
+		c.collectPeers(now)
+		return placement.PassOnByWait(own, c.candidates, zone != "" && zone != c.self.Zone, c.random)
+	}
 	own := c.ownCandidate()
 	if own.Busy < own.Slots {
 		return -1
@@ -225,7 +235,7 @@
 	for _, u := range c.view.Service(c.self.Service) {
 		if u.Sidecar != c.self.Addr && c.view.Eligible(now, u) && !c.evacuations.Contains(u.Zone) {
 			c.eligible = append(c.eligible, u)
-			c.candidates = append(c.candidates, placement.Candidate{Busy: u.Busy, Slots: u.Slots, SameZone: u.Zone == c.self.Zone})
+			c.candidates = append(c.candidates, c.peerCandidate(now, u))
 		}
 	}
 }
@@ -235,7 +245,7 @@
 func (c *Core) passOnOrRefuse(now time.Duration, key flow.Key, m peer.Carried, reason string) {
 	if m.Hops < _maxHops && m.Service == c.serviceID && reason != _reasonRouteChanged {
 		c.collectPeers(now)
-		if best := placement.Choose(c.candidates, c.random); best >= 0 {
+		if best := c.bestPeer(); best >= 0 {
 			c.passOn(now, key, m, c.eligible[best].Sidecar, reason)
 			return
 		}
@@ -592,6 +602,7 @@
 	switch outcome {
 	case admission.Served:
 		c.out.ObserveSpan(decision.FirstReply, now-f.lastRequestAt)
+		c.noteRunTime(f, now-f.lastRequestAt)
 		c.counts.ServedByPriority[f.work.Priority()]++
 	case admission.RefusedByUpstream:
 		c.counts.UpstreamRefusals++
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -121,6 +121,7 @@
 		// The field holds up to 6.5 s. Longer run times need not be distinguished.
 		RunTime: uint16(min(c.admission.RunTime()/peer.RunTimeUnit, math.MaxUint16)), EarlyPercent: uint8(100 * c.upstream.earlyShare),
 		NoRoomFrom: c.room.noRoomFrom,
+		Slowdown:   c.slowdownFor(addr),
 	})
 	if err != nil {
 		c.out.LogBelief(decision.Belief{Subject: "report", Name: addr.String(), Reason: err.Error()})
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -168,8 +168,10 @@
 	Flows, Busy, Relays, Peers int
 	// HeldNow and Capacity are as in Core.HeldNow and Core.Capacity.
 	HeldNow, Capacity int
-	Unsent            uint64
-	Version           uint64
+	// SlowdownPercent is as in Core.SlowdownPercent.
+	SlowdownPercent int
+	Unsent          uint64
+	Version         uint64
 	// Behind is how long a configuration version higher than the active one has been known.
 	Behind time.Duration
 	// Configurations counts the configuration messages exchanged with other processes.
@@ -185,10 +187,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	relays, peers := s.core.Known()
-	_, behind := s.core.Behind(s.clock.now())
+	now := s.clock.now()
+	_, behind := s.core.Behind(now)
 	return Stats{
 		Evacuations: s.core.Evacuations(), Behind: behind, Configurations: s.core.ConfigurationCounts(), Traffic: s.traffic,
-		Counts: s.core.Counts(), Flows: s.core.Flows(), Busy: s.core.Busy(), HeldNow: s.core.HeldNow(), Capacity: s.core.Capacity(), Relays: relays, Peers: peers,
+		Counts: s.core.Counts(), Flows: s.core.Flows(), Busy: s.core.Busy(), SlowdownPercent: s.core.SlowdownPercent(now), HeldNow: s.core.HeldNow(), Capacity: s.core.Capacity(), Relays: relays, Peers: peers,
 		Unsent: s.upstream.Unsent() + s.outbound.Unsent() + s.peers.Unsent(), Version: s.core.Table().Version(),
 	}
 }
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -10,6 +10,7 @@
 
 	"dandelionhitch.example/decision"
 	"dandelionhitch.example/peer"
+	"dandelionhitch.example/placement"
 )
 
 // Heartbeat is the state that an upstream reports periodically to its sidecar.
@@ -50,6 +51,8 @@
 	// of early answers. See failing.go.
 	failures   failureState
 	earlyShare float64
+	// slowdown compares its run times with those of the peers.
+	slowdown placement.Slowdown
 	// allFlowsSeen is set if all flows of this life passed through this process.
 	allFlowsSeen bool
 }
