--- a/placement/played_test.go
+++ b/placement/played_test.go
@@ -48,8 +48,11 @@
 type playedRequest struct {
 	zone, relay int
 	began, work time.Duration
-	hops        int
-	lastResort  bool
+	// waited is the time from the arrival at the relay that the last message told, and arrived the time of that
+	// arrival as the sidecar computes it.
+	waited, arrived time.Duration
+	hops            int
+	lastResort      bool
 	// refusedZone is the zone of the sidecar that has refused the request, if lastResort is set.
 	refusedZone int
 	// foreign ...
@@ -314,6 +317,7 @@
 		return
 	}
 	r.tried = append(r.tried, host)
+	r.waited = p.now - r.began - p.callers
 	p.views[r.relay][host].busy++
 	if p.counts(r) {
 		p.results.offers++
@@ -334,6 +338,7 @@
 // receive handles an offer at a sidecar.
 func (p *playing) receive(host int, r *playedRequest) {
 	h := p.hosts[host]
+	r.arrived = p.now - r.waited
 	if r.hops < 3 {
 		if to := p.betterPeer(host, r); to >= 0 {
 			r.hops++
@@ -355,7 +360,9 @@
 				noteLoad(load)
 				zones := &p.zonesOf[r.relay]
 				r.refusedZone = p.hosts[r.tried[len(r.tried)-1]].zone
-				zones.Refused(p.now, zones.Index(fmt.Sprint(r.refusedZone)))
+				if !r.lastResort {
+					zones.Refused(p.now, zones.Index(fmt.Sprint(r.refusedZone)))
+				}
 				p.refused(r)
 			})
 			return
@@ -368,17 +375,19 @@
 	p.at(p.now+answer, func() {
 		noteLoad(load)
 		zones, chosen := &p.zonesOf[r.relay], r.tried[len(r.tried)-1]
-		roundTrip := 2 * answer
-		if host != chosen {
-			roundTrip = 0
+		zone := zones.Index(fmt.Sprint(p.hosts[chosen].zone))
+		if host == chosen {
+			zones.Answered(zone, 2*answer)
+		}
+		if !r.lastResort {
+			zones.Accepted(p.now, zone)
 		}
-		zones.Accepted(p.now, zones.Index(fmt.Sprint(p.hosts[chosen].zone)), roundTrip)
 	})
 }
 
 // latestStart returns when a request must start to be answered in time, unless it takes long.
 func (p *playing) latestStart(h *playedHost, r *playedRequest) time.Duration {
-	return r.began + p.target - h.runTime*3/2 - 3*p.callers
+	return r.arrived + p.target - h.runTime*3/2 - 4*p.callers
 }
 
 func (p *playing) betterPeer(host int, r *playedRequest) int {
@@ -473,6 +482,7 @@
 		h.waiting = h.waiting[1:]
 		if p.now <= p.latestStart(h, r) { // A late request is refused.
 			p.start(host, r)
+			continue
 		}
 	}
 	if h.busy >= _playedSlots {
@@ -503,6 +513,7 @@
 		r := h.waiting[0]
 		h.waiting = h.waiting[1:]
 		r.hops++
+		r.waited = p.now - r.arrived
 		p.at(p.now+p.latency(from, to), func() { p.receive(to, r) })
 	}
 }
--- a/placement/slowdown.go
+++ b/placement/slowdown.go
@@ -25,9 +25,14 @@
 	// _maxRatio bounds a ratio in the mean of a slow upstream, so that a single long request does not
 	// exclude it.
 	_maxRatio = 8
-	// _minZoneRequests is how many requests of a zone must have ended for a comparison that
-	// contradicts the one for all zones.
+	// An upstream that is slow on the whole isn't slow for a zone of which at least _minZoneRequests
+	// requests have ended since the sum began to rise, if less than a fraction of _minLongFraction of
+	// them took longer than _recoveredRatio. That fraction is 0.03 for a zone for which the upstream is not slow,
+	// and above 0.8 for a slowdown of 2.5.
 	_minZoneRequests = 5
+	_minLongFraction = 0.3
+	// _longWeight is the least weight of a request in that fraction.
+	_longWeight = 0.1
 	// _slowdownHalfLife is the time without an ended request after which the excess of a reported
 	// slowdown has halved. A slow upstream that gets no requests is therefore tried again, within
 	// three half-lives if it was 4 times as slow.
@@ -91,9 +96,29 @@
 	zones []zoneTrack
 }
 
+// zoneTrack is the track of the requests of one zone.
 type zoneTrack struct {
-	zone string
 	slowdownTrack
+	zone string
+	// counted is the number of requests since the sum of the track for all requests was last zero, and
+	// long is the fraction of them that took longer than _recoveredRatio.
+	counted int
+	long    float64
+}
+
+// noteRatio counts a request for contradicts.
+func (t *zoneTrack) noteRatio(ratio float64) {
+	t.counted++
+	long := 0.0
+	if ratio > _recoveredRatio {
+		long = 1
+	}
+	t.long += max(_longWeight, 1/float64(t.counted)) * (long - t.long)
+}
+
+// contradicts reports whether the upstream isn't slow for this zone, although it is on the whole.
+func (t *zoneTrack) contradicts() bool {
+	return !t.slow && t.counted >= _minZoneRequests && t.long < _minLongFraction
 }
 
 // Add adds a completed request of a caller in a zone, which is empty if it is not known. took is its
@@ -105,9 +130,18 @@
 	}
 	ratio := float64(took) / float64(usual)
 	track, before := s.track(zone), s.all.slow
-	s.all.add(now, ratio)
+	// Requests of a zone for which alone the upstream is slow say nothing about the other zones.
+	if track == nil || !track.slow || s.all.slow {
+		s.all.add(now, ratio)
+	}
 	changed = before != s.all.slow
+	if s.all.count == 0 && !s.all.slow {
+		for i := range s.zones {
+			s.zones[i].counted, s.zones[i].long = 0, 0
+		}
+	}
 	if track != nil {
+		track.noteRatio(ratio)
 		before = track.slow
 		track.add(now, ratio)
 		changed = changed || before != track.slow
@@ -116,7 +150,7 @@
 }
 
 // track returns the track of a zone, or nil if the zone is not known or there are too many zones.
-func (s *Slowdown) track(zone string) *slowdownTrack {
+func (s *Slowdown) track(zone string) *zoneTrack {
 	if zone == "" {
 		return nil
 	}
@@ -127,14 +161,14 @@
 		return nil
 	}
 	s.zones = append(s.zones, zoneTrack{zone: zone})
-	return &s.zones[len(s.zones)-1].slowdownTrack
+	return &s.zones[len(s.zones)-1]
 }
 
 // known returns the track of a zone from which requests have ended, or nil.
-func (s *Slowdown) known(zone string) *slowdownTrack {
+func (s *Slowdown) known(zone string) *zoneTrack {
 	for i := range s.zones {
 		if s.zones[i].zone == zone {
-			return &s.zones[i].slowdownTrack
+			return &s.zones[i]
 		}
 	}
 	return nil
@@ -148,13 +182,10 @@
 	if s.all.requests == 0 {
 		return 0
 	}
-	percent := s.all.percent(now)
-	if t := s.known(zone); t != nil {
-		if t.slow || t.requests >= _minZoneRequests && t.recent < _recoveredRatio {
-			percent = t.percent(now)
-		}
+	if t := s.known(zone); t != nil && (t.slow || t.contradicts()) {
+		return t.percent(now)
 	}
-	return percent
+	return s.all.percent(now)
 }
 
 // MaxPercent returns the highest slowdown for the callers of any zone, as Percent does.
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -38,8 +38,9 @@
 	_passOnRunTimes = 0.25
 	// _visitorFactor is by how much the expected wait of a flow from another zone is multiplied
 	// when a sidecar decides whether to pass it on, so that visitors leave before the
-	// flows of the own zone.
-	_visitorFactor = 1.2
+	// flows of the own zone. With 1.2, the callers of a zone with three times the load of others had a
+	// fraction in time that was lower by 0.12 at a load of 1.3, as visitors were passed back.
+	_visitorFactor = 1.05
 )
 
 // NormalSlowdown is the slowdown of an upstream that was compared with its peers and isn't slow.
@@ -51,6 +52,11 @@
 	runTime float64
 	// utilization is the mean load by zone as a fraction of the slots, and may exceed 1.
 	utilization [_maxZones]float64
+	// own is the index of the zone of the process that chooses, or -1 if no candidate is in it, and
+	// others are the zones of the other candidates.
+	own        int
+	others     [_maxZones]int
+	otherCount int
 }
 
 // means returns the means over candidates. known is false if the run time of any is unknown.
@@ -58,6 +64,7 @@
 	var busy, slots [_maxZones]int
 	var all, healthy float64
 	healthyCount := 0
+	m.own = -1
 	for i := range candidates {
 		c := &candidates[i]
 		if c.RunTime <= 0 {
@@ -70,6 +77,13 @@
 		}
 		zone := c.zone()
 		busy[zone] += c.Reported
+		switch {
+		case c.SameZone:
+			m.own = zone
+		case slots[zone] == 0:
+			m.others[m.otherCount] = zone
+			m.otherCount++
+		}
 		slots[zone] += max(c.Slots, 1)
 	}
 	m.runTime = all / float64(len(candidates))
@@ -129,12 +143,21 @@
 }
 
 // choose returns the index and the cost, without jitter, of the candidate with the lowest cost.
-// The index is -1 if there are no candidates.
+// The index is -1 if there are no candidates. It considers the own zone and one other, drawn at
+// random: all processes of a zone learn much the same about other zones, and would all choose the same one until
+// reports of its load arrive.
 func (m *fleetMeans) choose(candidates []Candidate, random *rand.Rand) (best int, cost float64) {
 	best = -1
 	lowest := 0.0
+	drawnZone := -1
+	if m.own >= 0 && m.otherCount > 1 {
+		drawnZone = m.others[random.IntN(m.otherCount)]
+	}
 	for i := range candidates {
 		c := &candidates[i]
+		if drawnZone >= 0 && !c.SameZone && c.zone() != drawnZone {
+			continue
+		}
 		runTime, wait := c.expect(m)
 		mean := _runTimeWeight*runTime + wait + float64(c.ZoneCost)
 		drawn := mean + (_waitJitter*wait+_runTimeJitter*runTime)*random.Float64()
--- a/placement/zones.go
+++ b/placement/zones.go
@@ -20,20 +20,28 @@
 	// _crossingPrice is the factor by which the time of a crossing counts, since packets between zones
 	// cost the operator money.
 	_crossingPrice = 2
-	// _refusalCost is the wait that costs a caller as much as the refusal of an offer. A refused
-	// request is late or fails, so this is more than the target latencies of the routes.
+	// RefusalCost is the wait that costs a caller as much as the refusal of an offer. A refused
+	// request is late or fails, so this is more than the target latencies of the routes. Waits alone
+	// don't show which zone has capacity in an overload: queues are then as long as the targets allow
+	// in all zones.
 	RefusalCost = time.Second
-	// _refusalWeight is the weight of an offer in the fraction of refused offers of a zone.
+	// _refusalWeight is the weight of an offer in the fraction of refused offers of a zone. With 0.05, a few
+	// refusals by chance moved all new flows to another zone.
 	_refusalWeight = 0.01
-	// _refusalMemory is the time constant with which the fraction decreases while no offer is answered, so
-	// that a zone is tried again.
-	_refusalMemory = 500 * time.Millisecond
+	// _ownMemory is the time constant with which the fraction of the own zone decreases while no offer to it
+	// is answered, so that it is tried again. The fraction of another zone approaches that of the own one,
+	// multiplied by _untriedFactor, with the time constant _otherMemory: a process whose own zone
+	// refuses many offers tries others, and one whose own zone refuses few doesn't. A time
+	// constant of 0.5 s discards samples before the next offer to another zone.
+	_ownMemory     = 500 * time.Millisecond
+	_otherMemory   = 3 * time.Second
+	_untriedFactor = 0.8
 )
 
 // Zones are the costs of choices in each zone, learned by one process from the answers to its
 // offers. It is not safe for concurrent use.
 type Zones struct {
-	own   string
+	// zones are the known zones, that of the process first.
 	zones []zoneCosts
 }
 
@@ -45,13 +53,13 @@
 	// refused is the fraction of refused offers, at the time answeredAt of the last answer.
 	refused    float64
 	answeredAt time.Duration
-	// cost is the cost of a choice at time costAt. costKnown is unset if costs have changed since.
+	// cost is the cost of a choice at time costAt. costKnown is unset if samples have changed since.
 	cost, costAt time.Duration
 	costKnown    bool
 }
 
 // NewZones returns costs without samples for a process in the zone own.
-func NewZones(own string) Zones { return Zones{own: own, zones: []zoneCosts{{name: own}}} }
+func NewZones(own string) Zones { return Zones{zones: []zoneCosts{{name: own}}} }
 
 // Index returns the index of a zone, that of the process's own zone being 0. It adds the zone if
 // it isn't known. Zones above a limit share one index.
@@ -67,50 +75,53 @@
 	return len(z.zones) - 1
 }
 
-// Accepted records that an offer to a sidecar in a zone was accepted. roundTrip is the time from the
-// offer to its answer, or zero if the offer was passed on and another sidecar has answered.
-func (z *Zones) Accepted(now time.Duration, zone int, roundTrip time.Duration) {
+// Answered records that a sidecar in a zone has answered an offer. roundTrip is the time from the
+// offer to its answer.
+func (z *Zones) Answered(zone int, roundTrip time.Duration) {
 	c := &z.zones[zone]
-	switch {
-	case roundTrip <= 0:
-	case c.roundTrip == 0:
+	if c.roundTrip == 0 {
 		c.roundTrip = roundTrip
-	default:
-		c.roundTrip += time.Duration(_roundTripWeight * float64(roundTrip-c.roundTrip))
 	}
+	c.roundTrip += time.Duration(_roundTripWeight * float64(roundTrip-c.roundTrip))
+	z.dropCosts()
+}
+
+// Accepted records that the first offer of a flow, to a sidecar in a zone, was accepted. Offers of
+// flows that were refused elsewhere don't count: they have less time left and are refused more
+// often.
+func (z *Zones) Accepted(now time.Duration, zone int) {
+	c := &z.zones[zone]
 	c.refused, c.answeredAt = (1-_refusalWeight)*z.refusedAt(now, zone), now
 	z.dropCosts()
 }
 
-// Refused records that an offer to a sidecar in a zone was refused because the upstreams are overloaded.
+// Refused records that the first offer of a flow, to a sidecar in a zone, was refused because the
+// upstreams are overloaded.
 func (z *Zones) Refused(now time.Duration, zone int) {
 	c := &z.zones[zone]
 	c.refused, c.answeredAt = (1-_refusalWeight)*z.refusedAt(now, zone)+_refusalWeight, now
 	z.dropCosts()
 }
 
-// dropCosts discards the costs that were computed. The refusals of the own zone are part of all.
+// dropCosts discards the costs that were computed. The samples of the own zone are part of all.
 func (z *Zones) dropCosts() {
 	for i := range z.zones {
 		z.zones[i].costKnown = false
 	}
 }
 
-// refusedAt returns the fraction of refused offers that is expected in a zone at time now. Without recent
-// offers to another zone, it approaches that of the own zone.
+// refusedAt returns the fraction of refused offers that is expected in a zone at time now.
 func (z *Zones) refusedAt(now time.Duration, zone int) float64 {
 	c := &z.zones[zone]
-	age := math.Exp(-float64(now-c.answeredAt) / float64(_refusalMemory))
 	if zone == 0 {
-		return c.refused * age
+		return c.refused * math.Exp(-float64(now-c.answeredAt)/float64(_ownMemory))
 	}
-	own := z.refusedAt(now, 0)
-	return own + (c.refused-own)*age
+	untried := _untriedFactor * z.refusedAt(now, 0)
+	return untried + (c.refused-untried)*math.Exp(-float64(now-c.answeredAt)/float64(_otherMemory))
 }
 
-// Cost returns the cost of a choice in a zone. For another zone it includes the time that the crossing
-// takes. The round trip within the own zone is subtracted, so that the delay of a busy
-// process itself doesn't count.
+// Cost returns the cost of a choice in a zone at time now. It includes the time that a crossing to
+// another zone takes, and what refusals cost.
 func (z *Zones) Cost(now time.Duration, zone int) time.Duration {
 	c := &z.zones[zone]
 	if !c.costKnown || c.costAt != now {
@@ -119,6 +130,8 @@
 	return c.cost
 }
 
+// cost computes the cost of a choice in a zone. The round trip within the own zone is subtracted
+// from that of a crossing, so that the delay of a busy process itself doesn't count.
 func (z *Zones) cost(now time.Duration, zone int) time.Duration {
 	c := &z.zones[zone]
 	cost := time.Duration(z.refusedAt(now, zone) * float64(RefusalCost))
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -40,23 +40,29 @@
 	if u == nil {
 		return
 	}
-	roundTrip := now - o.lastSent
-	if passedOn {
-		roundTrip = 0
+	zone := c.zones.Index(u.Zone)
+	if !passedOn {
+		c.zones.Answered(zone, now-o.lastSent)
+	}
+	if !o.lastResort {
+		c.zones.Accepted(now, zone)
 	}
-	c.zones.Accepted(now, c.zones.Index(u.Zone), roundTrip)
 }
 
 // noteOverloaded records that the last offer of an opening was refused because the upstreams are
-// overloaded. The next choice avoids the zone to which it was sent, since the sidecar there has found no
-// peer for it.
+// overloaded. The next choice avoids the zone to which it was sent, since the sidecar there has
+// found no peer for it.
 func (c *Core) noteOverloaded(now time.Duration, o *offer) {
 	if len(o.tried) == 0 {
 		return
 	}
-	if u := c.view.Upstream(o.tried[len(o.tried)-1]); u != nil {
-		zone := c.zones.Index(u.Zone)
+	u := c.view.Upstream(o.tried[len(o.tried)-1])
+	if u == nil {
+		return
+	}
+	zone := c.zones.Index(u.Zone)
+	o.refusedZones |= 1 << zone
+	if !o.lastResort {
 		c.zones.Refused(now, zone)
-		o.refusedZones |= 1 << zone
 	}
 }
