--- a/placement/wait.go
+++ b/placement/wait.go
@@ -16,10 +16,11 @@
 	// at a slow upstream occupies a slot that others use less, and most are still answered in
 	// time, so its run time counts less than a wait.
 	_runTimeWeight = 0.3
-	// _loadRelaxation is the time, in run times, after which a reported load has lost half of its
-	// weight against the mean load of the upstream's zone. A slot of a busy upstream is free again
-	// after about one run time, and a queue of a few requests after a few.
-	_loadRelaxation = 3
+	// _freshAge is the age up to which a reported load counts in full, about the interval of reports in a fleet of
+	// 50 sidecars. An older one counts less, and the mean load of the upstream's zone more. With a shorter
+	// age, an upstream that has just refused a flow was soon offered the next one, and the more
+	// important flows that fit into the capacity were served late.
+	_freshAge = time.Second
 	// _loadVariance is the variance of the number of requests that arrive at an upstream or end there
 	// between a report and the arrival of an offer. An upstream with a free slot by its last report
 	// therefore has a short expected wait.
@@ -27,7 +28,7 @@
 	// _waitJitter is the range of a random cost as a fraction of the expected wait, and
 	// _runTimeJitter of one as a fraction of the run time. They are less than the difference
 	// between a free slot and none, so that a free slot is always preferred.
-	_waitJitter    = 0.4
+	_waitJitter    = 0.1
 	_runTimeJitter = 0.1
 	// _runTimeShrinkage is the weight of the mean run time of all candidates against the reported
 	// run time of one. A run time is a mean of about 20 requests, whose standard error due to
@@ -111,9 +112,11 @@
 		runTime += _runTimeShrinkage * (m.runTime - runTime)
 	}
 	slots := float64(max(c.Slots, 1))
-	usual := m.utilization[c.zone()] * slots
-	relaxation := _loadRelaxation * runTime
-	busy := usual + (float64(c.Busy)-usual)*relaxation/(relaxation+float64(max(c.Age, 0)))
+	busy := float64(c.Busy)
+	if c.Age > _freshAge {
+		usual := m.utilization[c.zone()] * slots
+		busy = usual + (busy-usual)*float64(_freshAge)/float64(c.Age)
+	}
 	return runTime, runTime / slots * expectedExcess(busy+1-slots)
 }
 
