--- a/admission/admission.go
+++ b/admission/admission.go
@@ -259,7 +259,9 @@
 }
 
 // Decide returns the decision about an opening whose deadlines are set. If it waits as a last
-// resort, it counts as late at once, since flows that can be answered in time go first.
+// resort, it counts as late at once, since flows that can be answered in time go first. With
+// admission by priority, only flows that are late on arrival wait like that, as after an outage:
+// under overload, the slots that late flows get are lacking for others soon after.
 func (c *Controller[F]) Decide(now time.Duration, w *Work[F]) Verdict {
 	l := c.limits(now)
 	switch {
@@ -269,7 +271,7 @@
 		return NoRoom
 	case c.startsInTime(now, l, w):
 		return Wait
-	case w.LastResort && c.lateStart(now, l, c.LateCount(now)) <= w.LatestStart:
+	case w.LastResort && (!l.Prioritized || w.late(now)) && c.lateStart(now, l, c.LateCount(now)) <= w.LatestStart:
 		w.TargetStart = min(w.TargetStart, now)
 		return Wait
 	default:
