--- a/relay/room.go
+++ b/relay/room.go
@@ -26,8 +26,9 @@
 // _maxBusyAhead is the load per slot that is assumed to precede an important opening while
 // upstreams have no capacity for less important ones: what an opening can't overtake, which is
 // the work in the slots and in the queue of the upstream itself (on the known deployments 8
-// requests for 2 slots). The rest waits at the sidecar behind the opening. Without the limit, all relays would send their important openings
-// to the upstream that last reported the lowest load.
+// requests for 2 slots). The rest waits at the sidecar behind the opening. Without the limit,
+// all relays would send their important openings to the upstream that last reported the
+// lowest load.
 const _maxBusyAhead = 5
 
 // _freshDivisor is the ratio of a route's target latency to the time in which a flow counts as
