--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -171,6 +171,7 @@
 		{"sidecar_held_now", int64(st.HeldNow)},
 		{"sidecar_upstream_refusals", int64(st.UpstreamRefusals)},
 		{"sidecar_capacity", int64(st.Capacity)},
+		{"sidecar_slowdown_percent", int64(st.SlowdownPercent)},
 	}
 	for priority := range st.RefusedByPriority {
 		suffix := "_priority_" + strconv.Itoa(priority)
