placement: a crossing costs no less than by utilization; standin: placement by the expected wait

Cause: at loads with free capacity, offers between zones rose with the choice by the expected wait, since a crossing costs callers little time.

--- a/placement/wait.go
+++ b/placement/wait.go
@@ -120,6 +120,15 @@
 	return runTime, runTime / slots * expectedExcess(busy+1-slots)
 }
 
+// zoneCost returns the cost of a choice in the candidate's zone in nanoseconds. A crossing costs no less than with
+// Choose, also where it takes little time: traffic between zones would else increase while there is no need for it.
+func (c *Candidate) zoneCost(m *fleetMeans) float64 {
+	if c.SameZone {
+		return float64(c.ZoneCost)
+	}
+	return max(float64(c.ZoneCost), _crossZoneCost*m.runTime)
+}
+
 // expectedExcess returns the expected number of requests that must end before a new one starts,
 // if the last report leads to that number, which is negative if it leaves slots free.
 func expectedExcess(excess float64) float64 {
@@ -162,7 +171,7 @@
 			continue
 		}
 		runTime, wait := c.expect(m)
-		mean := _runTimeWeight*runTime + wait + float64(c.ZoneCost)
+		mean := _runTimeWeight*runTime + wait + c.zoneCost(m)
 		drawn := mean + (_waitJitter*wait+_runTimeJitter*runTime)*random.Float64()
 		if best < 0 || drawn < lowest {
 			best, lowest, cost = i, drawn, mean
@@ -206,5 +215,5 @@
 	m, _ := means(peers[:])
 	peerRun, peerWait := peer.expect(&m)
 	localRun, localWait := local.expect(&m)
-	return _runTimeWeight*peerRun+peerWait+float64(peer.ZoneCost) < _runTimeWeight*localRun+localWait
+	return _runTimeWeight*peerRun+peerWait+peer.zoneCost(&m) < _runTimeWeight*localRun+localWait
 }
