admission: requests on open flows wait beside more important ones; compare orders of openings

Cause: upstreams need not start requests in the order of arrival. Change: while a more important request is at the upstream or waits, requests on open flows get the slots and one place of its queue, and are held beyond that, for a quarter of their target as before. Within a priority the order by arrival stays: no other order answers more in time at all loads (docs/design/cost-of-refusals.md).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -160,6 +160,8 @@
 	// atUpstream holds the requests at the upstream in the order of their arrival there, and
 	// held the requests that are held back in the order of their arrival.
 	atUpstream, held []*Work[F]
+	// inProgress counts the requests in progress or expected, by priority.
+	inProgress [Priorities]int
 	// onOpenFlows counts the requests at the upstream that came on open flows, by priority.
 	onOpenFlows [Priorities]int
 	// capacity is the learned capacity of the upstream, or zero if it is not known.
@@ -173,13 +175,15 @@
 	timings     timings
 	lateStarts  lateStarts
 	routes      routeTable
+	// order decides the order of openings of the same priority.
+	order order
 	// refused is reused between calls.
 	refused []*Work[F]
 }
 
 // New returns a controller without work. limits returns the upstream's limits at a time.
 func New[F any](limits func(now time.Duration) Limits) *Controller[F] {
-	return &Controller[F]{limits: limits, timings: newTimings(), routes: make(routeTable)}
+	return &Controller[F]{limits: limits, timings: newTimings(), routes: make(routeTable), order: byArrival}
 }
 
 // Busy returns the number of requests that are in progress or expected.
@@ -391,9 +395,25 @@
 	if w.priority != earlier.priority {
 		return w.priority < earlier.priority
 	}
-	return w.Arrived < earlier.Arrived
+	return c.orderKey(w) < c.orderKey(earlier)
 }
 
+func (c *Controller[F]) orderKey(w *Work[F]) time.Duration {
+	if w.route == nil {
+		return w.Arrived
+	}
+	return c.order(w.Arrived, w.route.class.TargetLatency, w.expected)
+}
+
+// order returns the key of an opening, given its arrival, the target latency of its route and
+// its expected run time. The smallest key goes first. The arguments are values since a pointer to
+// the work would move it to the heap.
+type order func(arrived, targetLatency, expected time.Duration) time.Duration
+
+// byArrival orders openings by the arrival of their first try. Orders by deadline or by work answer
+// fewer requests in time, or about as many (see docs/design/cost-of-refusals.md).
+func byArrival(arrived, _, _ time.Duration) time.Duration { return arrived }
+
 // Enqueue adds an opening to those that wait.
 func (c *Controller[F]) Enqueue(now time.Duration, w *Work[F]) {
 	prioritized := c.limits(now).Prioritized
@@ -517,6 +537,7 @@
 func (c *Controller[F]) Reserve(w *Work[F]) {
 	if !w.inProgress {
 		w.inProgress = true
+		c.inProgress[w.Priority()]++
 		w.expected = c.runTimeOf(w.route)
 		c.busy++
 		c.busyWork += w.expected
@@ -530,6 +551,7 @@
 		return false
 	}
 	w.inProgress = false
+	c.inProgress[w.Priority()]--
 	c.busy--
 	c.busyWork -= w.expected
 	c.leaveUpstream(now, w)
--- a/admission/hold.go
+++ b/admission/hold.go
@@ -8,7 +8,15 @@
 // Requests on open flows are held back for a short time if more important openings wait for
 // the places that they would take. If the openings' requests then fill the upstream, it
 // refuses the held ones at once, and their callers may go elsewhere.
+//
+// They are also held back while more important requests are at the upstream, apart from those
+// that fill its slots and one place of its queue. An upstream need not start requests in the
+// order of their arrival: one was seen to answer requests on flows that had been open for long
+// before earlier ones on new flows.
 const (
+	// _queuedBesideImportant is the number of requests that may wait inside the upstream
+	// beside more important ones, so that no slot is idle between two requests.
+	_queuedBesideImportant = 1
 	// _holdFraction is the fraction of a route's target latency for which a request is held
 	// at most. Its caller can lose that much time and still be answered in time.
 	_holdFraction = 0.25
@@ -34,7 +42,21 @@
 	if !l.Prioritized || c.capacity == 0 || c.full(len(c.atUpstream)) {
 		return false
 	}
-	return c.full(c.busy + c.moreImportantWaiting(now, w.priority))
+	waiting := c.moreImportantWaiting(now, w.priority)
+	if waiting+c.moreImportantInProgress(w.Priority()) > 0 && c.busy >= l.Slots+_queuedBesideImportant {
+		return true
+	}
+	return c.full(c.busy + waiting)
+}
+
+// moreImportantInProgress returns the number of requests in progress or expected that are more
+// important than a priority.
+func (c *Controller[F]) moreImportantInProgress(priority int) int {
+	count := 0
+	for _, n := range c.inProgress[:priority] {
+		count += n
+	}
+	return count
 }
 
 // moreImportantWaiting returns the number of waiting openings that are not late and are more
--- a/dandelionhitch/sidecar.go
+++ b/dandelionhitch/sidecar.go
@@ -18,7 +18,7 @@
 )
 
 // _sidecarFlowBytes is the memory that a sidecar needs for the state of one flow.
-const _sidecarFlowBytes = 384
+const _sidecarFlowBytes = 448
 
 // sidecarFlags are the settings of a sidecar.
 type sidecarFlags struct {
