--- a/relay/messages.go
+++ b/relay/messages.go
@@ -193,20 +193,14 @@
 	if !slices.Contains(o.tried, v.Sidecar) {
 		o.tried = append(o.tried, v.Sidecar)
 	}
-	if v.Outcome == peer.Overloaded && !o.overloaded {
-		o.overloaded = true
-		if o.throttle != nil {
-			o.throttle.noteRefused(now)
+	if v.Outcome == peer.Overloaded {
+		c.countOverloaded(now, v.Sidecar, o)
+		if c.endsWithoutRoom(now, o) {
+			delete(c.offers, v.Flow)
+			c.endRefused(now, v.Flow, o)
+			return
 		}
 	}
-	if v.Outcome == peer.Overloaded && o.showsNoRoom(now) {
-		c.view.Overloaded(now, v.Sidecar, o.priority)
-	}
-	if v.Outcome == peer.Overloaded && c.endsWithoutRoom(now, o) {
-		delete(c.offers, v.Flow)
-		c.endRefused(now, v.Flow, o)
-		return
-	}
 	if v.Outcome == peer.Overloaded && !o.lastResort {
 		// The sidecar's peers are overloaded too, so the next offer is a last resort.
 		o.lastResort, o.tried = true, slices.Clone(o.unanswered)
--- a/relay/room.go
+++ b/relay/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -157,6 +158,17 @@
 	}
 }
 
+// countOverloaded takes the verdict Overloaded of a sidecar into account for other openings.
+func (c *Core) countOverloaded(now time.Duration, sidecar netip.Addr, o *offer) {
+	if !o.overloaded && o.throttle != nil {
+		o.throttle.noteRefused(now)
+	}
+	o.overloaded = true
+	if o.showsNoRoom(now) {
+		c.view.Overloaded(now, sidecar, o.priority)
+	}
+}
+
 // showsNoRoom reports whether the verdict Overloaded for the opening shows that the upstream has
 // no capacity for other flows of its priority either. A flow that has waited for long may be
 // refused where a new one would be accepted.
