relay, fleet, placement: remove what admission by priority wrote twice

Cause: relay_link_full was registered twice. The condition for a safe reset, the sending of a reset and the test of a reported priority each stood in two places. An accepted offer looked its upstream up twice and updated zone costs without the setting, which nothing reads then. Candidate.Wait had no caller. Change: one piece of code for each; zone costs are learned with the setting only. No decision changes.

--- a/dandelionhitch/relay.go
+++ b/dandelionhitch/relay.go
@@ -157,7 +157,6 @@
 			{"relay_link_full", int64(s.LinkFull)},
 			{"relay_throttled", int64(s.Throttled)},
 			{"relay_crossings", int64(s.Crossings)},
-			{"relay_link_full", int64(s.LinkFull)},
 			{"relay_dropped", int64(s.Dropped)},
 			{"relay_malformed", int64(s.Malformed)},
 			{"relay_unsent", int64(s.Unsent)},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,13 +112,18 @@
 // report or an answer that is recent enough to count: not older than _noRoomTTL, nor than the
 // time in which the upstream works off its reported load. After that its slots could be free.
 func (u *Upstream) LacksRoom(now time.Duration, priority int) bool {
-	return u.NoRoomFrom > 0 && priority+1 >= int(u.NoRoomFrom) && now-u.NoRoomUpdatedAt <= u.noRoomFor
+	return u.lacksRoom(priority) && now-u.NoRoomUpdatedAt <= u.noRoomFor
+}
+
+// lacksRoom reports the same by the last report or answer, whatever its age.
+func (u *Upstream) lacksRoom(priority int) bool {
+	return u.NoRoomFrom > 0 && priority+1 >= int(u.NoRoomFrom)
 }
 
 // ReportedNoRoom reports whether the upstream had no capacity for new flows of a priority by a
 // report or an answer not older than _noRoomTTL.
 func (u *Upstream) ReportedNoRoom(now time.Duration, priority int) bool {
-	return u.NoRoomFrom > 0 && priority+1 >= int(u.NoRoomFrom) && now-u.NoRoomUpdatedAt <= _noRoomTTL
+	return u.lacksRoom(priority) && now-u.NoRoomUpdatedAt <= _noRoomTTL
 }
 
 // HasPartialRoom reports whether the upstream has capacity for new flows of a priority but none
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -135,13 +135,6 @@
 	return (excess + math.Sqrt(excess*excess+_loadVariance)) / 2
 }
 
-// Wait returns the expected time that a new request waits for a slot of this upstream, by
-// its own load and run time.
-func (c *Candidate) Wait() time.Duration {
-	slots := float64(max(c.Slots, 1))
-	return time.Duration(float64(c.RunTime) / slots * expectedExcess(float64(c.Busy+1)-slots))
-}
-
 // ChooseByWait returns the index of the candidate with the lowest expected time until the answer,
 // or -1 if there are no candidates. If the run time of a candidate is unknown, it chooses as
 // Choose does.
--- a/relay/messages.go
+++ b/relay/messages.go
@@ -151,7 +151,9 @@
 		if o.throttle != nil {
 			o.throttle.noteAccepted(now, o.overloaded)
 		}
-		c.noteAccepted(now, o, u == nil || u.Sidecar != v.Sidecar)
+		if u != nil && c.priorityAdmission {
+			c.noteAccepted(now, o, u.Zone, u.Sidecar != v.Sidecar)
+		}
 		delete(c.offers, v.Flow)
 	}
 	if f == nil {
@@ -187,7 +189,7 @@
 		c.offers[v.Flow] = o
 	}
 	o.unanswered = slices.DeleteFunc(o.unanswered, func(a netip.Addr) bool { return a == v.Sidecar })
-	if v.Outcome == peer.Overloaded {
+	if v.Outcome == peer.Overloaded && c.priorityAdmission {
 		c.noteOverloaded(now, o)
 	}
 	if !slices.Contains(o.tried, v.Sidecar) {
--- a/relay/packets.go
+++ b/relay/packets.go
@@ -362,8 +362,13 @@
 // sendReset sends a reset of the flow to its caller. ack is the acknowledgment number of
 // the caller's packet, zero for an opening packet.
 func (c *Core) sendReset(now time.Duration, key flow.Key, ack uint32, reason string) {
-	c.counts.Resets++
 	c.out.LogDecision(decision.Record{Flow: key, Action: decision.Reset, Reason: reason, Version: c.table.Version()})
+	c.writeReset(key, ack)
+}
+
+// writeReset counts and sends a reset whose decision is logged by the caller.
+func (c *Core) writeReset(key flow.Key, ack uint32) {
+	c.counts.Resets++
 	c.buffer = c.wire.AppendReset(c.buffer[:0], key, ack)
 	c.out.ToCaller(key.Caller.Addr(), c.buffer)
 }
--- a/relay/room.go
+++ b/relay/room.go
@@ -196,8 +196,8 @@
 	return f == nil || f.firstOffered > 0 && f.openingSeq != p.Seq && now-f.firstOffered >= _callerOpenTimeout
 }
 
-// mayResetUnoffered reports whether a flow can be reset for lack of capacity without an
-// offer. During the startup period this relay may not know all upstreams.
+// mayResetUnoffered reports whether a flow can be reset for lack of capacity without a further
+// offer: no copy of its opening packet can have been delivered. During the startup period this relay may not know all upstreams.
 func (c *Core) mayResetUnoffered(now time.Duration, o *offer) bool {
 	return o.firstCopy && len(o.unanswered) == 0 && now >= _startupPeriod
 }
@@ -216,9 +216,7 @@
 // resetUnoffered sends the reset for a flow that was offered to no upstream, and remembers its
 // caller, who may return.
 func (c *Core) resetUnoffered(now time.Duration, key flow.Key, o *offer) {
-	c.counts.Resets++
-	c.buffer = c.wire.AppendReset(c.buffer[:0], key, 0)
-	c.out.ToCaller(key.Caller.Addr(), c.buffer)
+	c.writeReset(key, 0)
 	c.flows.Delete(key)
 	c.returning.add(now, key.Caller.Addr(), o.arrival)
 }
@@ -227,7 +225,7 @@
 // upstreams have refused it too or have no capacity for its priority, and at least one is
 // known to have none.
 func (c *Core) endsWithoutRoom(now time.Duration, o *offer) bool {
-	if !o.prioritized || !o.firstCopy || len(o.unanswered) > 0 || now < _startupPeriod {
+	if !o.prioritized || !c.mayResetUnoffered(now, o) {
 		return false
 	}
 	if o.throttle.limits(now, o.room) {
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -33,14 +33,10 @@
 	return placement.Choose(c.candidates, c.random)
 }
 
-// noteAccepted records that the last offer of an opening was accepted. passedOn is set if not by the
-// sidecar to which it was sent.
-func (c *Core) noteAccepted(now time.Duration, o *offer, passedOn bool) {
-	u := c.view.Upstream(o.tried[len(o.tried)-1])
-	if u == nil {
-		return
-	}
-	zone := c.zones.Index(u.Zone)
+// noteAccepted records that the last offer of an opening, to a sidecar in a zone, was accepted.
+// passedOn is set if not by that sidecar.
+func (c *Core) noteAccepted(now time.Duration, o *offer, zoneName string, passedOn bool) {
+	zone := c.zones.Index(zoneName)
 	if !passedOn {
 		c.zones.Answered(zone, now-o.lastSent)
 	}
