review/6: two late status reports look like those of a running host

Cause: a sidecar compares the arrivals of two heartbeats only, so that reports that were delayed alike confirm an address that has passed to another service. Done: the case plays a cut of 3.4 s under traffic without a pause, in place of a single late report in a quiet moment.

--- a/review/rig-2/reuse.go
+++ b/review/rig-2/reuse.go
@@ -2,15 +2,14 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 
 	"dandelionhitch.example/flow"
 )
 
-// playReuse crashes a host for good while it is cut from its node, whose last status report arrives
-// when the cut heals. addrReuseS after the crash, a host of another service starts at the address.
-// Without trouble there is no cut: the host crashes right after a report that arrives at once.
+// playReuse crashes a host for good while it is cut from its node. Its last two status reports
+// arrive 1.0 and 2.1 s after the crash. addrReuseS after the crash, a host of another service starts
+// at the address. Traffic goes on all the while. Without trouble, the two reports are lost.
 func playReuse(w *world) error {
 	const addrReuse = 2 * time.Second
 	start := time.Now()
@@ -18,53 +17,42 @@
 		return err
 	}
 	at(start, 7*time.Second)
+	stop := make(chan struct{})
+	ended := make(chan int)
+	go func() { ended <- w.orders(stop) }()
+	defer func() {
+		if stop != nil {
+			close(stop)
+			<-ended
+		}
+	}()
+	time.Sleep(time.Second)
 	h := w.hosts[0]
-	for i := range 40 { // all hosts are in use
-		w.mu.Lock()
-		w.clients[i%len(w.clients)].open(8443, fmt.Sprintf("early-%d", i), false)
-		w.mu.Unlock()
-		time.Sleep(10 * time.Millisecond)
-	}
 	w.mu.Lock()
 	next := h.nextBeat
 	w.mu.Unlock()
 	w.sleepUntil(next + 50*time.Millisecond)
 	w.mu.Lock()
-	next = h.nextBeat
-	if w.trouble {
-		h.nextBeat = 0
-		w.note("cut between host i-1 and its node")
-	}
+	next, h.nextBeat = h.nextBeat, 0
+	w.note("cut between host i-1 and its node")
 	w.mu.Unlock()
-	for range 2 {
+	var reports [2][]byte
+	for i := range reports {
 		w.sleepUntil(next)
 		next += heartbeatInterval
-		if w.trouble {
-			w.mu.Lock()
-			h.beat()
-			w.note("status report %d of host i-1 is lost", h.sequence)
-			w.mu.Unlock()
-		}
-	}
-	w.sleepUntil(next)
-	var last []byte
-	w.mu.Lock()
-	if w.trouble {
-		last = h.beat()
+		w.mu.Lock()
+		reports[i] = h.beat()
 		w.note("status report %d of host i-1 is held up", h.sequence)
-	}
-	w.mu.Unlock()
-	if !w.trouble {
-		time.Sleep(30 * time.Millisecond) // the report has been sent
+		w.mu.Unlock()
 	}
 	w.mu.Lock()
 	h.crash()
 	w.mu.Unlock()
 	crashed := time.Now()
+	at(crashed, time.Second)
+	w.note("the cut has healed")
 	if w.trouble {
-		at(crashed, 420*time.Millisecond)
-		w.note("the cut has healed")
-		h.sendBeat(http.MethodPut, last, false)
+		w.sendAs("i-1", h, reports[0])
 	}
 	at(crashed, addrReuse)
 	w.mu.Lock()
@@ -84,19 +72,34 @@
 	if err != nil {
 		return err
 	}
-	at(crashed, addrReuse+30*time.Millisecond)
-	for i := range 40 {
-		w.mu.Lock()
-		w.clients[i%len(w.clients)].open(8443, fmt.Sprintf("order-%d", i), false)
-		w.mu.Unlock()
-		time.Sleep(5 * time.Millisecond)
+	at(crashed, addrReuse+100*time.Millisecond)
+	if w.trouble {
+		w.sendAs("i-1", h, reports[1])
 	}
-	time.Sleep(2500 * time.Millisecond)
+	at(crashed, addrReuse+3*time.Second)
+	close(stop)
+	stop = nil
+	sent := <-ended
+	time.Sleep(1500 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	fmt.Printf("the host of rounds ran %d of 40 requests for orders\n", ran)
+	fmt.Printf("the host of rounds ran %d of %d requests for orders\n", ran, sent)
 	return nil
 }
 
+// orders sends requests for orders, some 60 a second, until stop is closed, and returns their number.
+func (w *world) orders(stop chan struct{}) int {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return n
+		case <-time.After(15 * time.Millisecond):
+		}
+		w.mu.Lock()
+		w.clients[n%len(w.clients)].open(8443, fmt.Sprintf("order-%d", n), false)
+		w.mu.Unlock()
+	}
+}
+
 // sleepUntil waits until a time of the world.
 func (w *world) sleepUntil(t time.Duration) { time.Sleep(max(t-w.now(), 0)) }
