--- a/review/rig-2/reborn.go
+++ b/review/rig-2/reborn.go
@@ -40,8 +40,8 @@
 	w.mu.Unlock()
 	reborn := time.Now()
 	at(reborn, 50*time.Millisecond)
-	calls := w.openMany(60, 10*time.Millisecond)
-	at(reborn, 900*time.Millisecond)
+	calls := w.openMany(60, 6*time.Millisecond)
+	at(reborn, 500*time.Millisecond)
 	if w.trouble {
 		w.sendAs("i-1", h, late)
 	}
