sidecar: heartbeats that arrive late end no open flows

Cause: two heartbeats 0.7 of an interval apart counted as proof that their sender runs, whatever their numbers, though each may be delayed by any time. The sidecar then took the upstream for restarted and marked its flows as dead.

Change: a heartbeat without a higher number than those heard of its life was delayed, for present and past lives and for claims. hasReplaced decides for lives and for addresses whether heartbeats that may be late show a running sender: the present life must owe one. No heartbeat ends a flow any more: the next packet goes to the upstream, whose bounce ends it. A late notice of leave does not end flows either, and a life whose heartbeats are still rejected may be cold.

Why it works: no order of late calls tells which process runs, but the process itself does, for each flow, when a packet reaches it.

TestUpstreamRestartEndsItsFlows asserted a reset on the evidence of one heartbeat. It now asserts that the restarted upstream is asked, that its bounce resets the flow, and that a further packet is reset without asking.

--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -128,7 +128,7 @@
 }
 
 // suspectRestart assumes that the upstream has become cold since its last heartbeat: it
-// has lost a flow, or its zone was evacuated.
+// has lost a flow, a heartbeat may be from a life that follows it, or its zone was evacuated.
 func (c *Core) suspectRestart() {
 	if c.upstream.state == peer.Ready {
 		c.gate.unconfirmed = true
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -142,3 +142,17 @@
 	r.play(1700*time.Millisecond, 2200*time.Millisecond)
 	assert.Assert(t, len(r.delivered) > 2*_coldRate)
 }
+
+// TestLifeThatIsNotAcceptedYetMayBeCold guards against too many requests at an upstream that has
+// just started, while its heartbeats are rejected since they may be late.
+func TestLifeThatIsNotAcceptedYetMayBeCold(t *testing.T) {
+	r := newColdRig(t)
+	assert.NilError(t, r.sendHeartbeat(0, nil))
+	assert.NilError(t, r.sendHeartbeat(_heartbeat, nil))
+	started := _heartbeat + 100*time.Millisecond
+	assert.ErrorContains(t, r.sendHeartbeat(started, func(h *sidecar.Heartbeat) {
+		h.ID, h.Sequence, h.WarmupLeft = "i-2", 1, 4*time.Second
+	}), "ignored")
+	r.play(started, started+500*time.Millisecond)
+	assert.Assert(t, len(r.delivered) > 0 && len(r.delivered) <= _coldLimit, "%d requests", len(r.delivered))
+}
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -137,7 +137,7 @@
 	upstream  upstream
 	// pastLives are the upstream's lives that have ended, the last one last, and claim is the
 	// claim of another life to be the present one.
-	pastLives []life
+	pastLives []pastLife
 	claim     claim
 	counts    Counts
 	// buffer, candidates and eligible are reused between calls. collectPeers fills
@@ -244,6 +244,9 @@
 	// ended is set once the upstream has closed or reset the flow. dead is set once the
 	// upstream no longer has the flow; the caller's packets are then answered with a reset.
 	ended, dead bool
+	// ofPastLife is set if the flow was open at a life of the upstream that has been replaced
+	// since, and the upstream has not answered on the flow.
+	ofPastLife bool
 	// awaitsRequest is set while the flow counts as one of Core.awaitingRequest.
 	awaitsRequest bool
 	// probing is set while it is unknown whether the upstream holds the flow. The sidecar
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -283,19 +283,28 @@
 	r.assertOnlyVerdict(peer.Accepted)
 }
 
+// TestUpstreamRestartEndsItsFlows restarts the upstream. A heartbeat alone does not show that a
+// flow has ended: the restarted upstream bounces its next packet, and the caller gets a reset.
 func TestUpstreamRestartEndsItsFlows(t *testing.T) {
 	r := newRig(t)
 	assert.NilError(t, r.sendHeartbeat(0, nil))
 	r.openFlow(0)
 	assert.NilError(t, r.sendHeartbeat(time.Second, func(h *sidecar.Heartbeat) { h.Born, h.Sequence = 200, 1 }))
+	assert.Equal(t, r.Busy(), 0, "the request ended with the upstream that ran it")
 	r.clearSent()
 	r.fromRelay(time.Second, peer.KindCarry, encode(flow.ACK, 11, 700, 5, false))
-	assert.Equal(t, len(r.toUpstream), 0, "the restarted upstream does not have the flow")
+	assert.Equal(t, len(r.toCaller), 0, "the upstream may hold the flow if the heartbeat was late")
+	assert.Equal(t, len(r.toUpstream), 1)
+	r.UpstreamPacket(time.Second, encode(flow.ACK|flow.Bounced, 11, 700, 5, false))
 	assert.Equal(t, len(r.toCaller), 1, "the caller must get a reset")
 	p, err := testWire{}.Decode(r.toCaller[0])
 	assert.NilError(t, err)
 	assert.Equal(t, p.Flags, flow.RST)
 	assert.Equal(t, p.Seq, uint32(700))
+	r.clearSent()
+	r.fromRelay(time.Second, peer.KindCarry, encode(flow.ACK, 11, 700, 5, false))
+	assert.Equal(t, len(r.toUpstream), 0, "the restarted upstream does not have the flow")
+	assert.Equal(t, len(r.toCaller), 1, "a further packet must be answered with a reset, too")
 }
 
 func TestOffersOfOtherServiceOrRemovedRouteAreRefused(t *testing.T) {
--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -152,7 +152,7 @@
 // process and holds the flow. The packet's sequence number fits the flow (see acceptsSeq).
 func (f *flowState) proves(p flow.Packet) bool {
 	switch {
-	case !f.opened, f.dead, p.Flags.Has(flow.RST):
+	case !f.opened, f.dead, f.ofPastLife, p.Flags.Has(flow.RST):
 		return false
 	case p.Flags.Has(flow.SYN):
 		return !f.consented || p.Seq == f.consentSeq
@@ -202,11 +202,10 @@
 		return
 	}
 	id := &c.identity
-	if k := &id.other; k.life != h.sender() || h.Sequence <= k.sequence || k.since <= c.upstream.lastHeartbeat {
-		*k = claim{life: h.sender(), since: c.now}
+	if !id.other.note(c.now, h, c.upstream.lastHeartbeat) {
+		return
 	}
-	id.other.sequence = h.Sequence
-	proved := c.now-id.other.since >= c.heartbeatSpacing() && c.missedHeartbeat()
+	proved := c.hasReplaced(id.other) && c.missedHeartbeat()
 	if c.upstream.state != peer.Absent {
 		proved = proved || !c.confirmed(c.now)
 	}
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -396,9 +396,6 @@
 // merely lost answers and keeps its flows. The check relies on the caller repeating its
 // packet.
 func (c *Core) livenessCheckFailed(now time.Duration, f *flowState) bool {
-	if c.upstream.state == peer.Gone {
-		return true
-	}
 	if f.livenessCheckAt == 0 || c.upstream.lastSeen >= f.livenessCheckAt {
 		f.livenessCheckAt = now
 	}
@@ -411,7 +408,10 @@
 	case peer.Absent:
 		return now > time.Duration(_missedHeartbeats*float64(c.self.Heartbeat))
 	case peer.Gone:
-		return true
+		// The notice may have been a late one of an earlier life with the same ID.
+		if c.missedHeartbeat() && !c.claim.pending() {
+			return true
+		}
 	}
 	return c.upstream.allFlowsSeen || c.hasSeenActiveFlows(now)
 }
@@ -528,6 +528,9 @@
 	if f.proves(p) {
 		c.confirm("reply")
 	}
+	if !p.Flags.Has(flow.RST) && (!p.Flags.Has(flow.SYN) || p.Seq == f.consentSeq) {
+		f.ofPastLife = false
+	}
 	if p.Flags.Has(flow.SYN) {
 		c.upstream.bouncedOpenings = 0
 	}
@@ -671,8 +674,10 @@
 		c.counts.NotHeld++
 		c.sendVerdict(now, peer.NotHeld, key, f.origin, packet)
 	case !f.dead && !f.ended:
-		c.suspectRestart()
-		c.noteBouncedFlow(f)
+		if !f.ofPastLife {
+			c.suspectRestart()
+			c.noteBouncedFlow(f)
+		}
 		f.dead = true
 		c.discardHeld(f)
 		c.closeFlow(f)
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -37,6 +37,8 @@
 	sequence uint64
 	slots    int
 	state    peer.State
+	// since is when the first heartbeat of this life arrived.
+	since time.Duration
 	// lastHeartbeat is when the last heartbeat arrived. lastSeen is when the last packet
 	// arrived, of whatever kind, or the last heartbeat that made or kept the upstream ready.
 	lastHeartbeat, lastSeen time.Duration
