flow, sidecar: a changed idle timeout resets no open flows

Cause: flow.Cache set the time of its next rotation by the timeout in force at the last one, so the flows were evicted by the old timeout. A sidecar that has seen all flows of its upstream denies those that it does not know, and did not count the evicted ones; a relay that hears only denials resets the flow.

Change: the cache notes until when an old generation was used, and evicts it by the timeout in force, with a margin of 10 s, as of the time up to which the sockets were read. Until the idle timeout in force and 5 s have passed since evicted flows can have been used, the sidecar is unsure and its upstream is asked. This also holds for a timeout that is raised after the eviction or lowered for a while, for no timeout, for a full table and after stalls.

Why it works: a flow is denied only if the upstream would have been seen to hold it within the timeout in force, whatever made the sidecar forget it.

--- a/flow/cache.go
+++ b/flow/cache.go
@@ -1,11 +1,19 @@
 package flow
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // _minIdleTimeout is the lower limit of RotateIfDue's idle timeout. It also applies while the
 // process has no configuration and thus no idle timeout.
 const _minIdleTimeout = 15 * time.Second
 
+// _retentionMargin is how much longer than the idle timeout a flow is kept. Callers repeat a
+// packet that was lost for 5 s, and operators expect a new configuration to be in force within
+// 3 to 6 s, so that a longer timeout may have been accepted that this process does not have yet.
+const _retentionMargin = 10 * time.Second
+
 // Cache is a size-limited map from flows to values, with eviction in two generations: each
 // Rotate evicts the flows that have not been used since the previous Rotate. It is not safe
 // for concurrent use.
@@ -13,10 +21,16 @@
 	young, old map[Key]*V
 	limit      int
 	onEvict    func(Key, *V)
-	// nextRotation is the time from which RotateIfDue rotates again.
-	nextRotation time.Duration
+	// oldUntil is when the old generation ceased to be the young one, so that none of its flows
+	// was used later. It is _notTimed from a rotation by size until the next RotateIfDue.
+	oldUntil time.Duration
+	// evictedUntil is the latest oldUntil of a generation that was evicted.
+	evictedUntil time.Duration
 }
 
+// _notTimed is later than all times.
+const _notTimed time.Duration = math.MaxInt64
+
 // NewCache returns a cache of at most limit flows. It calls onEvict, unless nil, for each
 // flow that is evicted because of its age or the limit.
 func NewCache[V any](limit int, onEvict func(Key, *V)) *Cache[V] {
@@ -53,15 +67,27 @@
 	delete(c.old, key)
 }
 
-// RotateIfDue calls Rotate if the idle timeout has passed since it last did so. A flow is thus
-// evicted one to two idle timeouts after its last use. An idle timeout below 15 s counts as 15 s.
-func (c *Cache[V]) RotateIfDue(now, idle time.Duration) {
-	if now >= c.nextRotation {
-		c.nextRotation = now + max(idle, _minIdleTimeout)
+// RotateIfDue calls Rotate once all flows of the old generation have been idle for longer than
+// the idle timeout and a margin of 10 s. A flow is thus evicted one to two such times after its
+// last use. now is the present time, and seen the time up to which the packets that have arrived
+// were read: after a stall, flows may have been used since. An idle timeout below 15 s counts as
+// 15 s. RotateIfDue must be called often, as it also times the rotations by size.
+func (c *Cache[V]) RotateIfDue(now, seen, idle time.Duration) {
+	if c.oldUntil == _notTimed {
+		c.oldUntil = now
+	}
+	if c.evictedUntil == _notTimed {
+		c.evictedUntil = now
+	}
+	if seen-c.oldUntil > max(idle, _minIdleTimeout)+_retentionMargin {
 		c.Rotate()
+		c.oldUntil = now
 	}
 }
 
+// EvictedUntil returns a time since which no evicted flow was used, or zero if none was evicted.
+func (c *Cache[V]) EvictedUntil() time.Duration { return c.evictedUntil }
+
 // Rotate evicts the old generation, and makes the young generation the old one.
 func (c *Cache[V]) Rotate() {
 	if c.onEvict != nil {
@@ -69,7 +95,11 @@
 			c.onEvict(key, v)
 		}
 	}
+	if len(c.old) > 0 {
+		c.evictedUntil = max(c.evictedUntil, c.oldUntil)
+	}
 	c.old, c.young = c.young, make(map[Key]*V)
+	c.oldUntil = _notTimed
 }
 
 // Len returns the number of flows.
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -85,6 +86,50 @@
 	})
 }
 
+// TestCacheEvictsByTime plays flows that are used at random times under changing idle timeouts, with
+// rotations by size. RotateIfDue must not evict a flow before the idle timeout in force has passed
+// since its last use, and no evicted flow may have been used after EvictedUntil.
+func TestCacheEvictsByTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, idle := time.Duration(0), 15*time.Second
+		usedAt := map[flow.Key]time.Duration{}
+		full := false
+		c := flow.NewCache(16, func(k flow.Key, _ *int) {
+			if !full {
+				assert.Assert(t, now-usedAt[k] > idle, "evicted %v after its last use", now-usedAt[k])
+			}
+		})
+		use := func(k flow.Key) {
+			full = true
+			if v := c.Get(k); v == nil {
+				c.Put(k, new(int))
+			}
+			full = false
+			usedAt[k] = now
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"use": func(t *rapid.T) { use(key(rapid.IntRange(0, 40).Draw(t, "n"))) },
+			"idle": func(t *rapid.T) {
+				idle = time.Duration(rapid.IntRange(15, 60).Draw(t, "idle")) * time.Second
+			},
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 20_000).Draw(t, "wait")) * time.Millisecond
+				c.RotateIfDue(now, now, idle)
+			},
+			"": func(t *rapid.T) {
+				known := map[flow.Key]bool{}
+				c.All(func(k flow.Key, _ *int) bool {
+					known[k] = true
+					return true
+				})
+				for k, at := range usedAt {
+					assert.Assert(t, known[k] || at <= c.EvictedUntil(), "used at %v, evicted until %v", at, c.EvictedUntil())
+				}
+			},
+		})
+	})
+}
+
 func TestCacheIsBounded(t *testing.T) {
 	c := flow.NewCache[int](100, nil)
 	for n := range 10_000 {
--- a/relay/core.go
+++ b/relay/core.go
@@ -537,7 +537,7 @@
 	for _, addr := range c.view.UnconfirmedRelays(now) {
 		c.reportTo(now, addr, "", c.namesToNewProcess())
 	}
-	c.flows.RotateIfDue(now, c.table.IdleTimeout())
+	c.flows.RotateIfDue(now, now, c.table.IdleTimeout())
 	c.returning.expire(now)
 	c.configs.Tick(now)
 	c.view.Tick(now)
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -482,7 +482,7 @@
 	for _, addr := range c.view.UnconfirmedRelays(now) {
 		c.reportTo(addr)
 	}
-	c.flows.RotateIfDue(now, c.table.IdleTimeout())
+	c.flows.RotateIfDue(now, c.sentSince(), c.table.IdleTimeout())
 	c.configs.Tick(now)
 	c.view.Tick(now)
 }
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -413,7 +413,16 @@
 			return true
 		}
 	}
-	return c.upstream.allFlowsSeen || c.hasSeenActiveFlows(now)
+	return !c.mayHaveEvictedOpenFlows(now) && (c.upstream.allFlowsSeen || c.hasSeenActiveFlows(now))
+}
+
+// mayHaveEvictedOpenFlows reports whether a flow that was evicted from the flow table may still be
+// open. It is not, once the idle timeout in force has passed since its last packet, which may be
+// longer than the timeout by which the flow was evicted. A full table evicts flows at any time.
+func (c *Core) mayHaveEvictedOpenFlows(now time.Duration) bool {
+	until := c.flows.EvictedUntil()
+	idle := c.table.IdleTimeout()
+	return until > 0 && (idle == 0 || now-until < idle+_repeatPeriod)
 }
 
 // hasSeenActiveFlows reports whether this process has run without a stall for so long that
