sidecar: one rule for claims to be the upstream and to its address

Cause: noteClaimToAddress required a missed heartbeat beside hasReplaced, so that two rules had to agree on whether a late report shows a running sender. Change: hasReplaced alone decides. An upstream that has left, or was heard once, does not contradict a sender of another service that was heard twice.

--- a/sidecar/identity.go
+++ b/sidecar/identity.go
@@ -25,10 +25,9 @@
 // of open flows need none: a process that does not hold the flow bounces them.
 //
 // Heartbeats that name another service at the address may be late or another writer's, and one
-// of them shows nothing. The address has passed on if their sender has shown that it runs, as
-// for a claim in lives.go, and the own upstream has missed a heartbeat or was never heard. If the
-// confirmation had run out before, one is enough. From then on only heartbeats that follow each
-// other in time are proof.
+// of them shows nothing. The address has passed on if hasReplaced finds that their sender runs
+// in place of the own upstream. If the confirmation had run out before, one is enough. From then
+// on only heartbeats that follow each other in time are proof.
 //
 // The confirmation is apart from upstream.state, by which flows of a dead upstream are reset.
 // An upstream without it is reported as suspect, and keeps its flows.
@@ -205,7 +204,7 @@
 	if !id.other.note(c.now, h, c.upstream.lastHeartbeat) {
 		return
 	}
-	proved := c.hasReplaced(id.other) && c.missedHeartbeat()
+	proved := c.hasReplaced(id.other)
 	if c.upstream.state != peer.Absent {
 		proved = proved || !c.confirmed(c.now)
 	}
