fleet: a delayed report does not silence a living relay

A report of a relay's process that had ended, delayed over two restarts, made the living process the previous incarnation. Its reports were then ignored until the relay was removed, and the relay counted as leaving. Cause: the rule that lets the previous incarnation of a sidecar return was missing for relays, which had a copy of the check. Change: both embed reporter, whose isStale decides. Result: TestDelayedReportsDoNotSilenceLiveRelay fails on the code before and passes now, as do the tests of fleet, relay and sidecar.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,38 @@
 	_farDivisor = 4
 )
 
+// reporter tells the reports of a process from those of earlier processes at its address. A report
+// may be delayed over a restart of its sender, and incarnations are in no order.
+type reporter struct {
+	// LastReportAt is when the last report of the present incarnation arrived, or zero if none has.
+	LastReportAt time.Duration
+
+	incarnation, sequence, previousIncarnation, previousSequence uint64
+}
+
+// isStale reports whether a report is an earlier one of the present incarnation, or one of the
+// previous incarnation that does not show that this one still runs. It does if it is not an earlier
+// report and the present incarnation, which reports once an interval, is overdue. Then the report
+// that made that one the present incarnation was a delayed report of a process that has ended.
+func (p *reporter) isStale(now time.Duration, incarnation, sequence uint64, interval time.Duration) bool {
+	switch incarnation {
+	case p.incarnation:
+		return sequence <= p.sequence
+	case p.previousIncarnation:
+		return p.previousIncarnation != 0 && (sequence <= p.previousSequence || now-p.LastReportAt <= interval+_reportGrace)
+	default:
+		return false
+	}
+}
+
+// noteReport notes a report that is not stale.
+func (p *reporter) noteReport(now time.Duration, incarnation, sequence uint64) {
+	if incarnation != p.incarnation {
+		p.previousIncarnation, p.previousSequence = p.incarnation, p.sequence
+	}
+	p.incarnation, p.sequence, p.LastReportAt = incarnation, sequence, now
+}
+
 // Upstream is a sidecar together with its upstream, as known to this process.
 type Upstream struct {
 	Sidecar netip.Addr
@@ -89,13 +121,11 @@
 	// Busy and Slots were last reported.
 	LastMessageAt, LoadUpdatedAt time.Duration
 
-	incarnation, sequence, previousIncarnation, previousSequence uint64
+	reporter
 	// noRoomFor is how long NoRoomFrom counts after NoRoomUpdatedAt. reportsRoom is set if
 	// the sidecar is known to report NoRoomFrom, which earlier builds do not.
 	noRoomFor   time.Duration
 	reportsRoom bool
-	// lastReportAt is when the last report of this incarnation arrived.
-	lastReportAt time.Duration
 
 	// unansweredOffers is the number of consecutive unanswered offers.
 	unansweredOffers int
@@ -147,14 +177,12 @@
 // Relay is a relay as known to this process.
 type Relay struct {
 	Addr netip.Addr
-	// LastReportAt is when the last report of the relay arrived, or zero if none has.
-	LastReportAt time.Duration
 	// Leaving reports whether the relay is shutting down.
 	Leaving bool
 	// Zone is empty until a report of the relay names it.
 	Zone string
 
-	incarnation, sequence, previousIncarnation uint64
+	reporter
 	// added is when another process first named the relay or its first report arrived.
 	added time.Duration
 }
@@ -211,22 +239,21 @@
 		u = &Upstream{Sidecar: r.Sidecar, ringPosition: hashRingPosition(r.Sidecar)}
 		v.upstreams[r.Sidecar] = u
 		v.sidecars = insert(v.sidecars, u)
-	case r.Incarnation == u.previousIncarnation && !v.returns(now, u, r), r.Incarnation == u.incarnation && r.Sequence <= u.sequence:
+	case u.isStale(now, r.Incarnation, r.Sequence, v.interval):
 		return u, Change{Stale: true, From: u.State}
 	}
 	change := Change{New: !known || r.Incarnation != u.incarnation, From: u.State, FromService: u.Service}
 	if change.New && known {
-		u.previousIncarnation, u.previousSequence = u.incarnation, u.sequence
 		u.unansweredOffers, u.penaltyUntil = 0, 0
 	}
+	u.noteReport(now, r.Incarnation, r.Sequence)
 	if u.Service != r.Service {
 		v.removeFromService(u)
 		u.Service = r.Service
 		v.addToService(u)
 	}
-	u.incarnation, u.sequence = r.Incarnation, r.Sequence
 	u.Zone, u.State = r.Zone, r.State
-	u.LastMessageAt, u.lastReportAt, u.Reported, u.Late = now, now, int(r.Busy), int(r.Late)
+	u.LastMessageAt, u.Reported, u.Late = now, int(r.Busy), int(r.Late)
 	u.RunTime, u.EarlyShare = time.Duration(r.RunTime)*peer.RunTimeUnit, float64(r.EarlyPercent)/100
 	u.Slowdown = r.Slowdown
 	v.setLoad(u, now, int(r.Busy), int(r.Slots))
@@ -235,13 +262,6 @@
 	return u, change
 }
 
-// returns reports whether a report of the previous incarnation shows that this one still
-// runs: it is not an earlier report, and the present incarnation is overdue. Then the report
-// that made that one the present incarnation was a delayed report of a process that has ended.
-func (v *View) returns(now time.Duration, u *Upstream, r peer.UpstreamReport) bool {
-	return r.Sequence > u.previousSequence && now-u.lastReportAt > v.interval+_reportGrace
-}
-
 // Answered records that a sidecar answered a packet and reported its load. It ends
 // the upstream's penalty.
 func (v *View) Answered(now time.Duration, sidecar netip.Addr, busy, slots int) {
@@ -407,16 +427,12 @@
 func (v *View) ReportRelay(now time.Duration, r peer.RelayReport) (*Relay, Change) {
 	v.AddRelay(now, r.Relay)
 	relay := v.relays[r.Relay]
-	if r.Incarnation == relay.previousIncarnation && relay.previousIncarnation != 0 ||
-		r.Incarnation == relay.incarnation && r.Sequence <= relay.sequence {
+	if relay.isStale(now, r.Incarnation, r.Sequence, peer.RelayInterval(v.RelayCount()+v.SidecarCount())) {
 		return relay, Change{Stale: true}
 	}
 	change := Change{New: r.Incarnation != relay.incarnation}
-	if change.New {
-		relay.previousIncarnation = relay.incarnation
-	}
-	relay.incarnation, relay.sequence = r.Incarnation, r.Sequence
-	relay.LastReportAt, relay.Leaving = now, r.Leaving
+	relay.noteReport(now, r.Incarnation, r.Sequence)
+	relay.Leaving = r.Leaving
 	if r.Zone != "" {
 		relay.Zone = r.Zone
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -232,6 +232,27 @@
 	assert.Equal(t, v.Upstream(_addr1).Service, "photos")
 }
 
+// TestDelayedReportsDoNotSilenceLiveRelay guards against the same for a relay: its reports were
+// ignored until it was removed.
+func TestDelayedReportsDoNotSilenceLiveRelay(t *testing.T) {
+	v := fleet.New(time.Second)
+	relayReport := func(now time.Duration, incarnation, sequence uint64, leaving bool) fleet.Change {
+		_, change := v.ReportRelay(now, peer.RelayReport{Relay: _addr1, Incarnation: incarnation, Sequence: sequence, Leaving: leaving})
+		return change
+	}
+	relayReport(0, 9, 1, false)
+	relayReport(0, 4, 7, true) // ended, and delayed
+	for i := range uint64(3) {
+		relayReport(time.Duration(i+1)*time.Second, 9, 2+i, false)
+	}
+	assert.Assert(t, !v.Relay(_addr1).Leaving)
+	// The last reports of the former incarnation, in any order, change nothing.
+	for _, sequence := range []uint64{8, 6, 9} {
+		assert.Assert(t, relayReport(4*time.Second, 4, sequence, true).Stale)
+	}
+	assert.Assert(t, !v.Relay(_addr1).Leaving)
+}
+
 func serviceReport(addr netip.Addr, incarnation, sequence uint64, service string) peer.UpstreamReport {
 	r := report(addr, incarnation, sequence, peer.Ready)
 	r.Service = service
