--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -161,7 +161,8 @@
 		Subject: "upstream_life", Name: h.ID, From: u.id, To: h.ID, Reason: "heartbeat", Version: h.Sequence, Age: h.Age,
 	})
 	// An upstream that was running before this process started may have flows that this
-	// process has not seen, and those that it has seen may be the upstream's.
+	// process has not seen. If the present one was, a life that is taken for its successor
+	// by mistake would hide these flows.
 	seen := c.isFirstHeartbeat(h)
 	if u.life != (life{}) {
 		seen = u.allFlowsSeen && (seen || h.Age < now)
