sidecar: a late first heartbeat hides no flows of the running upstream

Cause: the first heartbeat that the new process hears may be a late one of an ended life. With the number 1 it counted as that of an upstream that has just started and so has no flows from before. Change: the number must fit the age that the heartbeat states. Result: TestLateFirstHeartbeatAfterSidecarRestart fails on the code before and passes now.

--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -192,12 +192,12 @@
 }
 
 // isFirstHeartbeat reports whether no sidecar can have acknowledged an earlier heartbeat of
-// the upstream's life, and so have given it flows: the heartbeat has the first number, or
-// the upstream is so young that it would still wait for the time of its next heartbeat.
-// When all processes of a host start together, the upstream's first calls fail until the
-// sidecar listens.
+// the upstream's life, and so have given it flows: the heartbeat has the first number, and
+// is not older than that lets expect, or the upstream is so young that it would still wait
+// for the time of its next heartbeat. When all processes of a host start together, the
+// upstream's first calls fail until the sidecar listens.
 func (c *Core) isFirstHeartbeat(h Heartbeat) bool {
-	return h.Sequence <= 1 || h.Age > 0 && h.Age < c.heartbeatSpacing()
+	return h.Sequence <= 1 && c.numberFitsAge(h) || h.Age > 0 && h.Age < c.heartbeatSpacing()
 }
 
 // noteIgnored logs and counts a heartbeat or leave notice that is rejected and changes
--- a/sidecar/succession_test.go
+++ b/sidecar/succession_test.go
@@ -62,6 +62,17 @@
 	r.assertFlowIsOpen(at + 1200*time.Millisecond)
 }
 
+// TestLateFirstHeartbeatAfterSidecarRestart guards against resets of open flows: a sidecar that had
+// just started heard a late first heartbeat of an ended life first, and denied the flows that the
+// running one had from before.
+func TestLateFirstHeartbeatAfterSidecarRestart(t *testing.T) {
+	r := newRig(t)
+	assert.NilError(t, r.Heartbeat(10*time.Millisecond, sidecar.Heartbeat{
+		ID: "i-1", Service: "orders", Addr: _upstream, Slots: 2, Born: 5000, Sequence: 1, Age: time.Minute,
+	}))
+	assert.Equal(t, r.ask(20*time.Millisecond, 501), peer.Unsure)
+}
+
 // assertFlowIsOpen sends a request on the flow of openFlow, and checks that it reaches the upstream.
 func (r *rig) assertFlowIsOpen(now time.Duration) {
 	r.t.Helper()
