sidecar: an upstream that was not heard may hold flows

Cause: without a heartbeat for 3.5 intervals the sidecar took its upstream for absent and denied all flows, also if the upstream had sent packets, or if the sidecar had been stalled with heartbeats unread. Change: packets of the upstream show that it is there, and the time counts up to which the sockets were read. Result: two of three cases of TestUnheardUpstreamMayHoldFlows fail on the code before, all pass now.

--- a/sidecar/idle_test.go
+++ b/sidecar/idle_test.go
@@ -168,6 +168,30 @@
 	}
 }
 
+// TestUnheardUpstreamMayHoldFlows guards against a sidecar that denies all flows since it has heard no
+// heartbeat of its upstream, which has sent packets, or whose heartbeats wait in a socket.
+func TestUnheardUpstreamMayHoldFlows(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		start func(r *idleRig)
+		want  peer.Outcome
+	}{
+		{"silent", func(r *idleRig) { r.advance(5 * time.Second) }, peer.NotHeld},
+		{"sends packets", func(r *idleRig) {
+			r.UpstreamPacket(r.now, withPort(encode(flow.ACK, 501, 16, 5, true), 7))
+			r.advance(5 * time.Second)
+		}, peer.Unsure},
+		{"sidecar stalls", func(r *idleRig) { r.stall(5 * time.Second) }, peer.Unsure},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := &idleRig{rig: newRig(t), nextBeat: time.Hour}
+			r.advance(time.Second)
+			tt.start(r)
+			assert.Equal(t, r.ask(1), tt.want)
+		})
+	}
+}
+
 // TestLoweredIdleTimeoutTakesEffect checks that a shorter idle timeout applies to the flows that
 // are known already.
 func TestLoweredIdleTimeoutTakesEffect(t *testing.T) {
--- a/sidecar/packets.go
+++ b/sidecar/packets.go
@@ -402,11 +402,14 @@
 	return now-f.livenessCheckAt >= _consentTimeout
 }
 
-// knowsAllFlows reports whether this sidecar knows all flows that the upstream may hold.
+// knowsAllFlows reports whether this sidecar knows all flows that the upstream may hold. One
+// that has sent nothing for long since this process runs is not there.
 func (c *Core) knowsAllFlows(now time.Duration) bool {
 	switch c.upstream.state {
 	case peer.Absent:
-		return now > time.Duration(_missedHeartbeats*float64(c.self.Heartbeat))
+		if c.upstream.lastSeen == 0 && c.sentSince() > time.Duration(_missedHeartbeats*float64(c.self.Heartbeat)) {
+			return true
+		}
 	case peer.Gone:
 		// The notice may have been a late one of an earlier life with the same ID.
 		if c.missedHeartbeat() && !c.claim.pending() {
