sidecar: state that startLife and a test derived again

startLife looked for the claim of the life that it starts. startsLife, which goes before it, has always noted that claim, so the other branch was dead. Two model tests built the same heartbeat; lateHeartbeat.readAt serves both. No change of behaviour.

--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -148,14 +148,11 @@
 	}
 }
 
-// startLife handles the first accepted heartbeat of another life of the upstream.
+// startLife handles the first accepted heartbeat of another life of the upstream, whose claim
+// startsLife has noted.
 func (c *Core) startLife(now time.Duration, h Heartbeat) {
 	u := &c.upstream
-	present := h.sender()
-	heardSince := now
-	if c.claim.life == present {
-		heardSince = c.claim.since
-	}
+	present, heardSince := h.sender(), c.claim.since
 	c.releaseAllHeld()
 	c.out.LogBelief(decision.Belief{
 		Subject: "upstream_life", Name: h.ID, From: u.id, To: h.ID, Reason: "heartbeat", Version: h.Sequence, Age: h.Age,
--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -186,6 +186,14 @@
 	draining bool
 }
 
+// readAt returns the heartbeat as it is read when the VM's clock shows the given time in ms.
+func (h lateHeartbeat) readAt(clock int) sidecar.Heartbeat {
+	return sidecar.Heartbeat{
+		ID: h.sender.id, Service: "orders", Addr: _upstream, Slots: 2, Born: uint64(h.sender.born), Sequence: h.sequence,
+		Draining: h.draining, Age: time.Duration(clock-h.sender.born) * time.Millisecond,
+	}
+}
+
 func (m *livesModel) advance(d time.Duration) {
 	m.now += d
 	m.clock += int(d.Milliseconds())
@@ -198,10 +206,7 @@
 }
 
 func (m *livesModel) deliver(h lateHeartbeat) error {
-	err := m.Heartbeat(m.now, sidecar.Heartbeat{
-		ID: h.sender.id, Service: "orders", Addr: _upstream, Slots: 2, Born: uint64(h.sender.born), Sequence: h.sequence,
-		Draining: h.draining, Age: time.Duration(m.clock-h.sender.born) * time.Millisecond,
-	})
+	err := m.Heartbeat(m.now, h.readAt(m.clock))
 	if err == nil {
 		m.accepted, m.heard[h.sender] = h.sender, true
 	}
--- a/sidecar/succession_test.go
+++ b/sidecar/succession_test.go
@@ -134,12 +134,7 @@
 	}
 }
 
-func (m *succession) deliver(h lateHeartbeat) error {
-	return m.Heartbeat(m.now, sidecar.Heartbeat{
-		ID: h.sender.id, Service: "orders", Addr: _upstream, Slots: 2, Born: uint64(h.sender.born), Sequence: h.sequence,
-		Draining: h.draining, Age: time.Duration(m.clock-h.sender.born) * time.Millisecond,
-	})
-}
+func (m *succession) deliver(h lateHeartbeat) error { return m.Heartbeat(m.now, h.readAt(m.clock)) }
 
 // crash ends the running life and starts the next one.
 func (m *succession) crash(t *rapid.T) {
