--- a/review/14/fleet-size/main.go
+++ b/review/14/fleet-size/main.go
@@ -21,7 +21,7 @@
 
 var (
 	zones   = []string{"a", "b", "c", "d", "e"}
-	address = netip.MustParseAddrPort("198.18.0.1:443")
+	address = netip.MustParseAddrPort("127.9.0.1:443")
 )
 
 // callers are callers with long flows, which pause for up to 6 s between two requests.
@@ -81,7 +81,7 @@
 	}
 	s.Run(14 * time.Second)
 	for i := range flows {
-		caller := netip.AddrFrom4([4]byte{100, 66, byte(i >> 8), byte(i)})
+		caller := netip.AddrFrom4([4]byte{127, 66, byte(i >> 8), byte(i)})
 		call := s.CallFrom(caller, zones[i%len(zones)], address, 4*time.Second)
 		call.LongLived = true
 		c.calls = append(c.calls, call)
